--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,144 @@
+//! One request over a connection of its own.
+//!
+//! Streams of engines and calls to backend servers do not share pooled connections: a pooled
+//! connection can be silent for good, and only a connection of its own tells whether any byte of
+//! a request can have reached the other end.
+
+use std::time::Duration;
+
+use compio::bytes::Bytes;
+use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
+use cyper_core::HyperStream;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+
+use crate::util::within;
+
+/// Why a request got no response.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No byte of the request was sent.
+    #[error("could not connect to {address}: {cause}; check that the process listens there")]
+    Connect {
+        /// Address that was tried.
+        address: String,
+        /// What the system reported.
+        cause: String,
+    },
+    /// The request may have arrived.
+    #[error("could not get a response from {address}: {cause}; its outcome is unknown")]
+    Response {
+        /// Address of the other end.
+        address: String,
+        /// What went wrong.
+        cause: String,
+    },
+}
+
+impl Error {
+    /// Returns whether the request certainly did not reach the other end.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connect { .. })
+    }
+}
+
+/// A response and the connection that it arrives on.
+///
+/// Dropping it closes the connection, which cancels the work on an engine.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Status and headers.
+    pub head: Response<()>,
+    body: Incoming,
+    _connection: JoinHandle<()>,
+}
+
+impl Exchange {
+    /// Returns the next piece of the body, `None` at its end.
+    ///
+    /// # Errors
+    /// The connection broke before the end of the body.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        while let Some(frame) = self.body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Reads the rest of the body, at most `limit` bytes of it.
+    ///
+    /// # Errors
+    /// The connection broke before the end of the body.
+    pub async fn rest(&mut self, limit: usize) -> Result<Vec<u8>, hyper::Error> {
+        let mut all = Vec::new();
+        while let Some(piece) = self.next().await? {
+            all.extend_from_slice(&piece);
+            if all.len() > limit {
+                all.truncate(limit);
+                break;
+            }
+        }
+        Ok(all)
+    }
+}
+
+/// Sends `request` to `address` and waits for the head of the response.
+///
+/// `connect_limit` bounds the time to connect; the wait for the response is for the caller to
+/// bound.
+///
+/// # Errors
+/// [`Error::Connect`] if no byte was sent, [`Error::Response`] otherwise.
+pub async fn send(
+    address: &str,
+    request: Request<Full<Bytes>>,
+    connect_limit: Duration,
+) -> Result<Exchange, Error> {
+    let unsent = |cause: String| Error::Connect {
+        address: address.into(),
+        cause,
+    };
+    let stream = within(connect_limit, TcpStream::connect(address))
+        .await
+        .ok_or_else(|| unsent(format!("no answer in {} ms", connect_limit.as_millis())))?
+        .map_err(|err| unsent(err.to_string()))?;
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        .await
+        .map_err(|err| unsent(err.to_string()))?;
+    let connection = compio::runtime::spawn(async move {
+        let _ = connection.await;
+    });
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(|err| Error::Response {
+            address: address.into(),
+            cause: err.to_string(),
+        })?;
+    let (parts, body) = response.into_parts();
+    Ok(Exchange {
+        head: Response::from_parts(parts, ()),
+        body,
+        _connection: connection,
+    })
+}
+
+/// Builds a `POST` request with a JSON body.
+pub fn post_json<T: serde::Serialize>(
+    address: &str,
+    path: &str,
+    body: &T,
+) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(body).expect("wire types serialize");
+    Request::post(path)
+        .header(hyper::header::HOST, address)
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .expect("the path and address are valid header text")
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP endpoints for callers and operators, and the pieces that they share.
+
+pub mod admin;
+pub mod body;
+pub mod client;
+pub mod completions;
+pub mod problem;
+pub mod server;
+pub mod sse;
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,88 @@
+//! The accept loop: each connection is a task that this loop joins.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use log::warn;
+
+use super::body::Body;
+use crate::supervisor::Signal;
+
+/// Time in which a caller must send the head of a request.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Answers requests.
+pub trait Service: 'static {
+    /// Answers one request.
+    fn call(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
+}
+
+/// Serves connections until `stop` is given and all connections have ended.
+///
+/// Running requests are finished after `stop`; idle connections are closed.
+pub async fn serve<S: Service>(listener: TcpListener, service: Rc<S>, stop: Signal) {
+    let mut connections = FuturesUnordered::new();
+    while !stop.is_given() {
+        let stopped = pin!(stop.wait());
+        let accepted = {
+            let accept = pin!(listener.accept());
+            let ended = pin!(next_ended(&mut connections));
+            match select(stopped, select(accept, ended)).await {
+                Either::Left(_) => break,
+                Either::Right((Either::Left((accepted, _)), _)) => accepted,
+                Either::Right((Either::Right(_), _)) => continue,
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let task = connection(stream, service.clone(), stop.clone());
+                connections.push(compio::runtime::spawn(task));
+            }
+            Err(err) => {
+                warn!("event=accept_failed error={err:?}");
+                // Out of file descriptors: accepting again at once would spin.
+                compio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    drop(listener);
+    while connections.next().await.is_some() {}
+}
+
+async fn next_ended<F: Future>(connections: &mut FuturesUnordered<F>) {
+    if connections.next().await.is_none() {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn connection<S: Service>(stream: TcpStream, service: Rc<S>, stop: Signal) {
+    // Frames are small and each one is waited for, so they are sent at once.
+    let _ = stream.set_nodelay(true);
+    let handler = service_fn(move |request| {
+        let service = service.clone();
+        async move { Ok::<_, Infallible>(service.call(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(HEADER_READ_TIMEOUT)
+        .serve_connection(HyperStream::new_plain(stream), handler);
+    let mut connection = pin!(connection);
+    let stopped = pin!(stop.wait());
+    if let Either::Right((_, connection)) = select(connection.as_mut(), stopped).await {
+        connection.graceful_shutdown();
+    } else {
+        return;
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/src/http/sse.rs
@@ -0,0 +1,129 @@
+//! Server-sent events: an encoder and an incremental parser.
+
+use std::fmt::Write;
+
+/// One event.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Event {
+    /// Event name, empty for the default.
+    pub name: String,
+    /// Event id, empty if absent.
+    pub id: String,
+    /// Data, lines joined by newlines.
+    pub data: String,
+}
+
+/// Encodes an event; `id` is left out if empty.
+pub fn encode(name: &str, id: &str, data: &str) -> String {
+    let mut out = String::with_capacity(data.len() + id.len() + name.len() + 24);
+    if !name.is_empty() {
+        let _ = writeln!(out, "event: {name}");
+    }
+    if !id.is_empty() {
+        let _ = writeln!(out, "id: {id}");
+    }
+    for line in data.split('\n') {
+        let _ = writeln!(out, "data: {line}");
+    }
+    out.push('\n');
+    out
+}
+
+/// The other end sent an event longer than the limit.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("an event is longer than {MAX_EVENT_BYTES} bytes; the other end does not speak this protocol")]
+pub struct Oversized;
+
+/// Greatest length of an event in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Turns pieces of a body into events.
+#[derive(Debug, Default)]
+pub struct Parser {
+    // Invariant: holds no complete event between calls of `next`, once it returned `None`.
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl Parser {
+    /// Adds a piece of the body.
+    ///
+    /// # Errors
+    /// [`Oversized`] if an event does not end within the limit.
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), Oversized> {
+        self.buffer.drain(..self.start);
+        self.start = 0;
+        self.buffer.extend_from_slice(piece);
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(Oversized);
+        }
+        Ok(())
+    }
+
+    /// Returns the next complete event. Comments and empty events are passed over.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Option<Event> {
+        loop {
+            let rest = &self.buffer[self.start..];
+            let end = rest.windows(2).position(|pair| pair == b"\n\n")?;
+            let event = parse(&String::from_utf8_lossy(&rest[..end]));
+            self.start += end + 2;
+            if event != Event::default() {
+                return Some(event);
+            }
+        }
+    }
+}
+
+fn parse(text: &str) -> Event {
+    let mut event = Event::default();
+    for line in text.lines() {
+        let Some((field, value)) = line.split_once(':') else {
+            continue;
+        };
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => event.name = value.into(),
+            "id" => event.id = value.into(),
+            "data" if event.data.is_empty() => event.data = value.into(),
+            "data" => {
+                event.data.push('\n');
+                event.data.push_str(value);
+            }
+            _ => {}
+        }
+    }
+    event
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against events lost or joined when a body is split at any byte.
+    #[test]
+    fn parses_events_split_at_any_byte() {
+        let text = format!(
+            "{}: comment\n\n{}",
+            encode("", "7", "a\nb"),
+            encode("error", "", "c")
+        );
+        for cut in 0..text.len() {
+            let mut parser = Parser::default();
+            let mut events = Vec::new();
+            for piece in [&text.as_bytes()[..cut], &text.as_bytes()[cut..]] {
+                parser.push(piece).unwrap();
+                events.extend(std::iter::from_fn(|| parser.next()));
+            }
+            assert_eq!(events.len(), 2, "cut at {cut}");
+            assert_eq!(
+                (events[0].id.as_str(), events[0].data.as_str()),
+                ("7", "a\nb")
+            );
+            assert_eq!(
+                (events[1].name.as_str(), events[1].data.as_str()),
+                ("error", "c")
+            );
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! bilberrypost serves long model generations on engines that fail.
+//!
+//! docs/design.md describes the parts and how they work together.
+
+pub mod account;
+pub mod clock;
+pub mod cmd;
+pub mod config;
+pub mod dispatch;
+pub mod emulate;
+pub mod engine;
+pub mod error;
+pub mod http;
+pub mod load;
+pub mod member;
+pub mod relay;
+pub mod report;
+pub mod route;
+pub mod router;
+pub mod sched;
+pub mod store;
+pub mod supervisor;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/src/supervisor.rs
@@ -0,0 +1,87 @@
+//! Ownership of tasks: a supervisor joins all that it spawned.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::task::Waker;
+
+use compio::runtime::JoinHandle;
+use log::error;
+
+/// A signal that is given once and seen by all clones.
+#[derive(Clone, Debug, Default)]
+pub struct Signal(Rc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    given: Cell<bool>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Signal {
+    /// Gives the signal; later calls have no effect.
+    pub fn give(&self) {
+        self.0.given.set(true);
+        for waker in self.0.wakers.take() {
+            waker.wake();
+        }
+    }
+
+    /// Returns whether the signal was given.
+    pub fn is_given(&self) -> bool {
+        self.0.given.get()
+    }
+
+    /// Waits until the signal is given.
+    pub async fn wait(&self) {
+        std::future::poll_fn(|cx| {
+            if self.is_given() {
+                return std::task::Poll::Ready(());
+            }
+            let mut wakers = self.0.wakers.borrow_mut();
+            if !wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
+                wakers.push(cx.waker().clone());
+            }
+            std::task::Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// Owns the tasks of one part of the process.
+///
+/// Dropping a supervisor cancels its tasks, because dropping a compio handle does.
+#[derive(Debug, Default)]
+pub struct Supervisor {
+    stop: Signal,
+    // Invariant: holds the handle of each task that was spawned here and not yet joined.
+    tasks: RefCell<Vec<(&'static str, JoinHandle<()>)>>,
+}
+
+impl Supervisor {
+    /// Creates a supervisor without tasks.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the signal that asks the tasks to end.
+    pub fn stop_signal(&self) -> Signal {
+        self.stop.clone()
+    }
+
+    /// Spawns a task. `name` is used in logs.
+    pub fn spawn<F: Future<Output = ()> + 'static>(&self, name: &'static str, task: F) {
+        let handle = compio::runtime::spawn(task);
+        self.tasks.borrow_mut().push((name, handle));
+    }
+
+    /// Asks all tasks to end and joins them.
+    pub async fn stop(self) {
+        self.stop.give();
+        for (name, handle) in self.tasks.take() {
+            if handle.await.is_err() {
+                error!("event=task_panicked task={name}");
+            }
+        }
+    }
+}
