--- /dev/null
+++ b/src/cmd/args.rs
@@ -0,0 +1,138 @@
+//! The arguments of all subcommands.
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// Builds the command line.
+pub(super) fn command() -> Command {
+    Command::new("bilberrypost")
+        .about("Serves long model generations on engines that fail")
+        .subcommand_required(true)
+        .arg(
+            Arg::new("verbose")
+                .short('v')
+                .global(true)
+                .action(ArgAction::Count)
+                .help("Log more; twice for details"),
+        )
+        .subcommand(serve())
+        .subcommand(demo())
+        .subcommand(emulate())
+}
+
+fn serve() -> Command {
+    Command::new("serve")
+        .about("Run one router process on an entry host")
+        .arg(
+            Arg::new("config")
+                .short('c')
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .help("Settings of this host"),
+        )
+}
+
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Run a router with emulated engines, store and backend service in one process")
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .default_value("127.0.0.1:8080")
+                .help("Address of the router"),
+        )
+}
+
+fn emulate() -> Command {
+    Command::new("emulate")
+        .about("Run one stand-in for an outside system")
+        .subcommand_required(true)
+        .subcommand(emulate_engine())
+        .subcommand(
+            emulation("store", "The platform's object API")
+                .arg(number(
+                    "writes-per-s",
+                    "300",
+                    "Limit on writes a second, 0 for none",
+                ))
+                .arg(number(
+                    "reads-per-s",
+                    "2000",
+                    "Limit on reads a second, 0 for none",
+                )),
+        )
+        .subcommand(
+            emulation("members", "The platform's membership list").arg(number(
+                "lag-ms",
+                "1000",
+                "Age of what the list shows",
+            )),
+        )
+        .subcommand(emulation("backend", "A plain backend service").arg(number(
+            "delay-ms",
+            "2",
+            "Time for a call",
+        )))
+        .subcommand(
+            emulation("proxy", "A fault-injecting proxy between two processes")
+                .arg(text("upstream", "127.0.0.1:1", "Address to forward to"))
+                .arg(text("control", "127.0.0.1:0", "Address that takes faults")),
+        )
+}
+
+fn emulate_engine() -> Command {
+    emulation("engine", "A model engine")
+        .arg(text("name", "engine-1", "Name"))
+        .arg(text("failure-domain", "fd-a", "Failure domain"))
+        .arg(text("model", "atlas", "Model"))
+        .arg(text("model-version", "1", "Loaded version"))
+        .arg(number("slots", "16", "Streams in a batch"))
+        .arg(number("queue", "64", "Requests that may wait"))
+        .arg(number(
+            "step-us",
+            "8000",
+            "Time of a step with an empty batch",
+        ))
+        .arg(number(
+            "step-per-stream-us",
+            "250",
+            "Time that each stream adds",
+        ))
+        .arg(number(
+            "prefill-per-token-us",
+            "20",
+            "Time to read a prompt token",
+        ))
+        .arg(number("cache-blocks", "4096", "Prefix blocks in the cache"))
+        .arg(number(
+            "status-lag-ms",
+            "500",
+            "Age of reported load and cache events",
+        ))
+        .arg(number("load-ms", "500", "Time to load a version"))
+        .arg(text(
+            "event-loss",
+            "0.05",
+            "Share of cache events that are lost",
+        ))
+        .arg(text(
+            "fencing",
+            "check",
+            "Old fencing numbers: check or ignore",
+        ))
+}
+
+fn emulation(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .arg(text("listen", "127.0.0.1:0", "Address to listen on"))
+        .arg(number("seed", "1", "Seed of chance events"))
+}
+
+fn text(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    text(name, default, help).value_parser(value_parser!(u64))
+}
--- /dev/null
+++ b/src/cmd/emulate.rs
@@ -0,0 +1,73 @@
+//! `bilberrypost emulate KIND`
+
+use std::time::Duration;
+
+use clap::ArgMatches;
+
+use super::Run;
+use crate::emulate::{backend, bind, engine, members, proxy, store};
+use crate::supervisor::Signal;
+
+pub(super) struct Emulate;
+
+impl Run for Emulate {
+    async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()> {
+        let (kind, matches) = matches.subcommand().expect("required");
+        let listener = bind(kind, text(matches, "listen")).await?;
+        let seed = number(matches, "seed");
+        match kind {
+            "engine" => engine::run(listener, shape(matches)?, stop).await,
+            "store" => {
+                let faults = store::Faults {
+                    writes_per_s: number(matches, "writes-per-s") as u32,
+                    reads_per_s: number(matches, "reads-per-s") as u32,
+                    ..store::Faults::default()
+                };
+                store::run(listener, faults, seed, stop).await;
+            }
+            "members" => members::run(listener, Vec::new(), millis(matches, "lag-ms"), stop).await,
+            "backend" => backend::run(listener, millis(matches, "delay-ms"), stop).await,
+            _ => {
+                let control = bind("proxy-control", text(matches, "control")).await?;
+                proxy::run(listener, control, text(matches, "upstream").into(), stop).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn shape(matches: &ArgMatches) -> anyhow::Result<engine::Shape> {
+    Ok(engine::Shape {
+        name: text(matches, "name").into(),
+        failure_domain: text(matches, "failure-domain").into(),
+        model: text(matches, "model").into(),
+        version: text(matches, "model-version").into(),
+        slots: number(matches, "slots") as u32,
+        queue: number(matches, "queue") as u32,
+        step: micros(matches, "step-us"),
+        step_per_stream: micros(matches, "step-per-stream-us"),
+        prefill_per_token: micros(matches, "prefill-per-token-us"),
+        cache_blocks: number(matches, "cache-blocks") as usize,
+        status_lag: millis(matches, "status-lag-ms"),
+        event_loss: text(matches, "event-loss").parse()?,
+        checks_fencing: text(matches, "fencing") == "check",
+        load_time: millis(matches, "load-ms"),
+        seed: number(matches, "seed"),
+    })
+}
+
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).expect("has a default")
+}
+
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    *matches.get_one(name).expect("has a default")
+}
+
+fn millis(matches: &ArgMatches, name: &str) -> Duration {
+    Duration::from_millis(number(matches, name))
+}
+
+fn micros(matches: &ArgMatches, name: &str) -> Duration {
+    Duration::from_micros(number(matches, name))
+}
--- /dev/null
+++ b/src/config/host.rs
@@ -0,0 +1,170 @@
+//! Settings of one router process.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use super::ini::{Error, File, Section};
+
+/// Settings of the host that a router process runs on.
+#[derive(Clone)]
+pub struct Host {
+    /// Unique name.
+    pub name: CompactString,
+    /// Failure domain.
+    pub failure_domain: CompactString,
+    /// Region.
+    pub region: CompactString,
+    /// Address for callers and operators, `IP:PORT`.
+    pub listen: CompactString,
+    /// Address for messages between routers, `IP:PORT`.
+    pub peer_listen: CompactString,
+    /// URL of the store, or `None` to run without one.
+    pub store: Option<String>,
+    /// URL of the membership list.
+    pub members: Option<String>,
+    /// Peer addresses to ask at the start, `IP:PORT`.
+    pub seeds: Vec<CompactString>,
+    /// Key that authenticates routers, publishers and administrators to each other.
+    pub key: Secret,
+    /// Earlier key, accepted during rotation.
+    pub previous_key: Option<Secret>,
+    /// Split files for a host that runs without a store.
+    pub split: Vec<String>,
+    /// Time after which a leaving host cuts what still runs.
+    pub drain_limit: Duration,
+}
+
+/// Text that must not show in logs, status or errors.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Secret(Vec<u8>);
+
+impl Secret {
+    /// Creates a secret.
+    pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
+        Self(bytes.into())
+    }
+
+    /// Returns the secret for use as a key.
+    pub fn expose(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(…)")
+    }
+}
+
+/// Fewest bytes of a key between routers.
+const KEY_BYTES_MIN: usize = 16;
+
+const SETTINGS: &[&str] = &[
+    "name",
+    "failure_domain",
+    "region",
+    "listen",
+    "peer_listen",
+    "store",
+    "members",
+    "seeds",
+    "key",
+    "previous_key",
+    "split",
+    "drain_limit_ms",
+];
+
+impl Host {
+    /// Reads the `[host]` section of a file.
+    ///
+    /// # Errors
+    /// A setting is missing, unknown or malformed.
+    pub fn from_file(file: &File) -> Result<Self, Error> {
+        let section = file
+            .section("host")
+            .ok_or_else(|| file.error(1, "no [host] section; add one with name and listen"))?;
+        section.check_names(SETTINGS)?;
+        Ok(Self {
+            name: section.required("name")?.into(),
+            failure_domain: section.required("failure_domain")?.into(),
+            region: section.text("region").unwrap_or("default").into(),
+            listen: address(&section, "listen")?,
+            peer_listen: address(&section, "peer_listen")?,
+            store: url(&section, "store")?,
+            members: url(&section, "members")?,
+            seeds: section.words("seeds"),
+            key: secret(&section, "key")?
+                .ok_or_else(|| section.error("key", "[host] lacks key; add key = …"))?,
+            previous_key: secret(&section, "previous_key")?,
+            split: section
+                .words("split")
+                .into_iter()
+                .map(String::from)
+                .collect(),
+            drain_limit: section.millis("drain_limit_ms", Duration::from_secs(600))?,
+        })
+    }
+}
+
+fn address(section: &Section<'_>, name: &str) -> Result<CompactString, Error> {
+    let text = section.required(name)?;
+    if text.parse::<std::net::SocketAddr>().is_err() {
+        let what = format!("{name} = {text} is not an address; write IP:PORT");
+        return Err(section.error(name, what));
+    }
+    Ok(text.into())
+}
+
+fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
+    let Some(text) = section.text(name) else {
+        return Ok(None);
+    };
+    if !text.starts_with("http://") {
+        let what = format!("{name} = {text} is not a URL; write http://IP:PORT");
+        return Err(section.error(name, what));
+    }
+    Ok(Some(text.trim_end_matches('/').into()))
+}
+
+fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
+    let Some(text) = section.text(name) else {
+        return Ok(None);
+    };
+    if text.len() < KEY_BYTES_MIN {
+        let what = format!("{name} is shorter than {KEY_BYTES_MIN} bytes; use a longer one");
+        return Err(section.error(name, what));
+    }
+    Ok(Some(Secret::new(text)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "[host]\nname = h1\nfailure_domain = fd-a\nlisten = 127.0.0.1:0\n\
+                        peer_listen = 127.0.0.1:0\nkey = 0123456789abcdef\n";
+
+    /// Guards against errors that do not lead to the faulty line.
+    #[test]
+    fn errors_name_file_and_line() {
+        let cases = [
+            ("listen = 127.0.0.1:0", "listen = here", "h.ini:4: listen"),
+            ("key = 0123456789abcdef", "key = short", "h.ini:6: key"),
+            (
+                "name = h1",
+                "nam = h1",
+                "h.ini:2: [host] has no setting nam",
+            ),
+            ("name = h1\n", "", "h.ini:1: [host] lacks name"),
+            ("[host]", "[hast]", "h.ini:1: no [host] section"),
+        ];
+        for (from, to, expected) in cases {
+            let text = GOOD.replacen(from, to, 1);
+            let file = File::parse("h.ini", &text).unwrap();
+            let err = Host::from_file(&file).err().expect(expected).to_string();
+            assert!(err.starts_with(expected), "{err}");
+            assert!(!err.contains("short ") && !err.contains("= short"), "{err}");
+        }
+    }
+}
--- /dev/null
+++ b/src/config/ini.rs
@@ -0,0 +1,210 @@
+//! Checked access to INI sections, with errors that name file, line and remedy.
+
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use ini::Properties;
+
+/// A fault in a settings file.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{file}:{line}: {what}")]
+pub struct Error {
+    /// File name as given.
+    pub file: CompactString,
+    /// Line number, from 1.
+    pub line: usize,
+    /// What is wrong, and the remedy.
+    pub what: String,
+}
+
+/// A settings file.
+#[derive(Debug)]
+pub struct File {
+    name: CompactString,
+    text: String,
+    ini: ini::Ini,
+}
+
+/// One section of a file.
+#[derive(Clone, Copy, Debug)]
+pub struct Section<'a> {
+    file: &'a File,
+    /// Text in the brackets.
+    pub title: &'a str,
+    properties: &'a Properties,
+}
+
+impl File {
+    /// Parses a file's text; `name` is used in errors.
+    ///
+    /// # Errors
+    /// The text is not INI, or names a section or a setting twice.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Error> {
+        let ini = ini::Ini::load_from_str_noescape(text).map_err(|err| Error {
+            file: name.into(),
+            line: err.line + 1,
+            what: format!("{}; write [section] and name = value lines", err.msg),
+        })?;
+        let file = Self {
+            name: name.into(),
+            text: text.into(),
+            ini,
+        };
+        file.check_repeats()?;
+        Ok(file)
+    }
+
+    fn check_repeats(&self) -> Result<(), Error> {
+        let mut seen = std::collections::BTreeSet::new();
+        for section in self.sections() {
+            if !seen.insert(section.title) {
+                let what = format!("section [{}] stands twice; keep one", section.title);
+                return Err(self.error(self.section_line(section.title), what));
+            }
+            let mut names = std::collections::BTreeSet::new();
+            for (name, _) in section.properties.iter() {
+                if !names.insert(name) {
+                    return Err(section.error(name, format!("{name} stands twice; keep one")));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the sections in order.
+    pub fn sections(&self) -> impl Iterator<Item = Section<'_>> {
+        self.ini.iter().filter_map(|(title, properties)| {
+            Some(Section {
+                file: self,
+                title: title?,
+                properties,
+            })
+        })
+    }
+
+    /// Returns a section by its title.
+    pub fn section(&self, title: &str) -> Option<Section<'_>> {
+        self.sections().find(|section| section.title == title)
+    }
+
+    /// Creates an error about a line.
+    pub fn error(&self, line: usize, what: impl Into<String>) -> Error {
+        Error {
+            file: self.name.clone(),
+            line,
+            what: what.into(),
+        }
+    }
+
+    fn section_line(&self, title: &str) -> usize {
+        let is_title = |line: &str| {
+            let line = line.trim();
+            line.starts_with('[') && line.trim_matches(['[', ']']).trim() == title
+        };
+        self.text.lines().position(is_title).map_or(1, |at| at + 1)
+    }
+}
+
+impl<'a> Section<'a> {
+    /// Creates an error about a setting, or about the section if the setting is absent.
+    pub fn error(&self, name: &str, what: impl Into<String>) -> Error {
+        let start = self.file.section_line(self.title);
+        let is_setting = |line: &&str| {
+            line.split_once(['=', ':'])
+                .is_some_and(|(key, _)| key.trim() == name)
+        };
+        let lines = self.file.text.lines().skip(start);
+        let at = lines
+            .take_while(|line| !line.trim().starts_with('['))
+            .position(|line| is_setting(&line));
+        self.file.error(at.map_or(start, |at| start + at + 1), what)
+    }
+
+    /// Returns a setting, if present.
+    pub fn text(&self, name: &str) -> Option<&'a str> {
+        self.properties.get(name)
+    }
+
+    /// Returns a setting that must be present.
+    ///
+    /// # Errors
+    /// The setting is absent.
+    pub fn required(&self, name: &str) -> Result<&'a str, Error> {
+        self.text(name).ok_or_else(|| {
+            let what = format!("[{}] lacks {name}; add {name} = …", self.title);
+            self.error(name, what)
+        })
+    }
+
+    /// Returns a setting parsed as `T`, or `default`.
+    ///
+    /// # Errors
+    /// The value cannot be parsed.
+    pub fn value<T>(&self, name: &str, default: T) -> Result<T, Error>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some(text) = self.text(name) else {
+            return Ok(default);
+        };
+        text.parse().map_err(|err| {
+            let what = format!("{name} = {text} cannot be used: {err}; correct the value");
+            self.error(name, what)
+        })
+    }
+
+    /// Returns a number of milliseconds as a duration, or `default`.
+    ///
+    /// # Errors
+    /// The value is not a whole number.
+    pub fn millis(&self, name: &str, default: Duration) -> Result<Duration, Error> {
+        self.value(name, default.as_millis() as u64)
+            .map(Duration::from_millis)
+    }
+
+    /// Returns a `yes` or `no` setting, or `default`.
+    ///
+    /// # Errors
+    /// The value is neither.
+    pub fn flag(&self, name: &str, default: bool) -> Result<bool, Error> {
+        match self.text(name) {
+            None => Ok(default),
+            Some("yes") => Ok(true),
+            Some("no") => Ok(false),
+            Some(other) => {
+                let what = format!("{name} = {other} cannot be used; write yes or no");
+                Err(self.error(name, what))
+            }
+        }
+    }
+
+    /// Returns the words of a setting, separated by spaces or commas.
+    pub fn words(&self, name: &str) -> Vec<CompactString> {
+        let text = self.text(name).unwrap_or("");
+        text.split([' ', ','])
+            .filter(|word| !word.is_empty())
+            .map(CompactString::from)
+            .collect()
+    }
+
+    /// Refuses settings that are not in `known`.
+    ///
+    /// # Errors
+    /// A setting has an unknown name.
+    pub fn check_names(&self, known: &[&str]) -> Result<(), Error> {
+        for (name, _) in self.properties.iter() {
+            if !known.contains(&name) {
+                let what = format!(
+                    "[{}] has no setting {name}; use one of {}",
+                    self.title,
+                    known.join(", ")
+                );
+                return Err(self.error(name, what));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! Settings: of one host, and of the shared split.
+
+pub mod host;
+pub mod ini;
+pub mod split;
--- /dev/null
+++ b/src/config/split.rs
@@ -0,0 +1,391 @@
+//! The split: services, models, partners with their shares, teams, callers, ranks and routes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use sha2::{Digest, Sha256};
+
+use super::ini::{Error, File, Section};
+use crate::wire::Rank;
+
+/// All that operators agreed on, as one revision.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Split {
+    /// Partners by name.
+    pub partners: BTreeMap<CompactString, Partner>,
+    /// Teams by name.
+    pub teams: BTreeMap<CompactString, Team>,
+    /// Callers by the hex SHA-256 of their key.
+    pub callers: BTreeMap<CompactString, Caller>,
+    /// Models by name.
+    pub models: BTreeMap<CompactString, Model>,
+    /// Ranks.
+    pub ranks: BTreeMap<Rank, Target>,
+    /// Routes to backend services by path prefix.
+    pub routes: BTreeMap<CompactString, Route>,
+}
+
+/// A partner of the joint venture.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Partner {
+    /// Share of capacity, relative to the other partners.
+    pub share: u32,
+    /// Share of cost, relative to the other partners.
+    pub cost_share: u32,
+}
+
+/// A team of a partner.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Team {
+    /// Partner that the team belongs to.
+    pub partner: CompactString,
+    /// Weight among the partner's teams.
+    pub weight: u32,
+}
+
+/// A caller, known by its key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Caller {
+    /// Name for logs and metrics.
+    pub name: CompactString,
+    /// Team that the caller belongs to.
+    pub team: CompactString,
+    /// Rank of its work if the request does not name one.
+    pub rank: Rank,
+    /// Whether it may ask for urgent work.
+    pub may_be_urgent: bool,
+}
+
+/// A model that is served.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Model {
+    /// Version that new generations use.
+    pub version: CompactString,
+    /// Adapters that each engine of the model holds.
+    pub adapters: Vec<CompactString>,
+    /// Greatest length of a prompt in bytes.
+    pub max_prompt_bytes: usize,
+    /// Greatest number of output tokens.
+    pub max_tokens: u32,
+    /// Engines that must keep serving while versions change, in percent.
+    pub min_serving_percent: u32,
+}
+
+/// Targets of a rank.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Target {
+    /// Time to first token that the service aims at.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub first_token: Duration,
+    /// Time between tokens that the service aims at.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub between_tokens: Duration,
+    /// Longest wait before work is refused.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub queue_limit: Duration,
+    /// Least share of the work that the rank keeps, in percent.
+    pub floor_percent: u32,
+}
+
+/// A route to a backend service.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Route {
+    /// Service whose backend servers take the calls.
+    pub service: CompactString,
+    /// Whether a call may be repeated.
+    pub idempotent: bool,
+    /// Longest time for a call.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub timeout: Duration,
+}
+
+impl Target {
+    /// Returns the targets of a rank that the split does not mention.
+    pub fn default_of(rank: Rank) -> Self {
+        match rank {
+            Rank::Urgent => Self {
+                first_token: Duration::from_millis(640),
+                between_tokens: Duration::from_millis(41),
+                queue_limit: Duration::from_secs(10),
+                floor_percent: 0,
+            },
+            Rank::Routine => Self {
+                first_token: Duration::from_secs(5),
+                between_tokens: Duration::from_millis(100),
+                queue_limit: Duration::from_secs(60),
+                floor_percent: 10,
+            },
+        }
+    }
+}
+
+/// Returns the name under which a caller's key is kept in the split.
+pub fn key_digest(key: &str) -> CompactString {
+    let digest = Sha256::digest(key.as_bytes());
+    digest
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect::<String>()
+        .into()
+}
+
+impl Split {
+    /// Builds the split from parsed files.
+    ///
+    /// # Errors
+    /// A section is unknown or stands in two files, a setting is malformed, or a name refers to
+    /// nothing.
+    pub fn from_files(files: &[File]) -> Result<Self, Error> {
+        let mut split = Self::default();
+        for file in files {
+            for section in file.sections() {
+                split.add(&section)?;
+            }
+        }
+        for file in files {
+            for section in file.sections() {
+                split.check(&section)?;
+            }
+        }
+        Ok(split)
+    }
+
+    /// Returns the targets of a rank.
+    pub fn target(&self, rank: Rank) -> Target {
+        let target = self.ranks.get(&rank).copied();
+        target.unwrap_or_else(|| Target::default_of(rank))
+    }
+
+    /// Returns the caller with the given key.
+    pub fn caller(&self, key: &str) -> Option<&Caller> {
+        self.callers.get(&key_digest(key))
+    }
+
+    /// Returns the route with the longest prefix of `path`.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        let matching = self.routes.iter().filter(|(prefix, _)| {
+            let rest = path.strip_prefix(prefix.as_str());
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+        });
+        matching
+            .max_by_key(|(prefix, _)| prefix.len())
+            .map(|(_, route)| route)
+    }
+
+    fn add(&mut self, section: &Section<'_>) -> Result<(), Error> {
+        let (kind, name) = section.title.split_once(' ').unwrap_or((section.title, ""));
+        let name = CompactString::from(name.trim());
+        if name.is_empty() {
+            let what = format!("[{kind}] lacks a name; write [{kind} NAME]");
+            return Err(section.error("", what));
+        }
+        let is_new = match kind {
+            "partner" => insert(&mut self.partners, name, partner(section)?),
+            "team" => insert(&mut self.teams, name, team(section)?),
+            "caller" => {
+                let (digest, caller) = caller(section, name)?;
+                insert(&mut self.callers, digest, caller)
+            }
+            "model" => insert(&mut self.models, name, model(section)?),
+            "rank" => insert(
+                &mut self.ranks,
+                rank(section, &name)?,
+                target(section, &name)?,
+            ),
+            "route" => insert(&mut self.routes, name, route(section)?),
+            _ => {
+                let what = format!(
+                    "section [{kind} …] is not known; use partner, team, caller, model, rank or route"
+                );
+                return Err(section.error("", what));
+            }
+        };
+        if !is_new {
+            let what = format!("[{}] is given twice; keep it in one file", section.title);
+            return Err(section.error("", what));
+        }
+        Ok(())
+    }
+
+    fn check(&self, section: &Section<'_>) -> Result<(), Error> {
+        let (kind, _) = section.title.split_once(' ').unwrap_or((section.title, ""));
+        if kind == "team" {
+            let partner = section.required("partner")?;
+            if !self.partners.contains_key(partner) {
+                let what = format!("no partner {partner}; add [partner {partner}]");
+                return Err(section.error("partner", what));
+            }
+        }
+        if kind == "caller" {
+            let team = section.required("team")?;
+            if !self.teams.contains_key(team) {
+                let what = format!("no team {team}; add [team {team}]");
+                return Err(section.error("team", what));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn insert<K: Ord, V>(map: &mut BTreeMap<K, V>, key: K, value: V) -> bool {
+    map.insert(key, value).is_none()
+}
+
+fn positive(section: &Section<'_>, name: &str, default: u32) -> Result<u32, Error> {
+    let value = section.value(name, default)?;
+    if value == 0 {
+        return Err(section.error(name, format!("{name} = 0 cannot be used; give at least 1")));
+    }
+    Ok(value)
+}
+
+fn percent(section: &Section<'_>, name: &str, default: u32) -> Result<u32, Error> {
+    let value = section.value(name, default)?;
+    if value > 100 {
+        let what = format!("{name} = {value} is not a percentage; give 0 to 100");
+        return Err(section.error(name, what));
+    }
+    Ok(value)
+}
+
+fn partner(section: &Section<'_>) -> Result<Partner, Error> {
+    section.check_names(&["share", "cost_share"])?;
+    section.required("share")?;
+    let share = positive(section, "share", 1)?;
+    Ok(Partner {
+        share,
+        cost_share: positive(section, "cost_share", share)?,
+    })
+}
+
+fn team(section: &Section<'_>) -> Result<Team, Error> {
+    section.check_names(&["partner", "weight"])?;
+    Ok(Team {
+        partner: section.required("partner")?.into(),
+        weight: positive(section, "weight", 1)?,
+    })
+}
+
+fn caller(section: &Section<'_>, name: CompactString) -> Result<(CompactString, Caller), Error> {
+    section.check_names(&["team", "key_sha256", "rank", "may_be_urgent"])?;
+    let digest = section.required("key_sha256")?;
+    if digest.len() != 64 || !digest.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        let what = "key_sha256 is not a SHA-256 in hex; give 64 hex digits of the key's digest";
+        return Err(section.error("key_sha256", what));
+    }
+    let rank = match section.text("rank") {
+        Some(text) => rank(section, text)?,
+        None => Rank::Routine,
+    };
+    let caller = Caller {
+        name,
+        team: section.required("team")?.into(),
+        rank,
+        may_be_urgent: section.flag("may_be_urgent", rank == Rank::Urgent)?,
+    };
+    Ok((digest.to_ascii_lowercase().into(), caller))
+}
+
+fn model(section: &Section<'_>) -> Result<Model, Error> {
+    section.check_names(&[
+        "version",
+        "adapters",
+        "max_prompt_bytes",
+        "max_tokens",
+        "min_serving_percent",
+    ])?;
+    Ok(Model {
+        version: section.required("version")?.into(),
+        adapters: section.words("adapters"),
+        max_prompt_bytes: section.value("max_prompt_bytes", 256 * 1024)?,
+        max_tokens: positive(section, "max_tokens", 8192)?,
+        min_serving_percent: percent(section, "min_serving_percent", 75)?,
+    })
+}
+
+fn rank(section: &Section<'_>, name: &str) -> Result<Rank, Error> {
+    match name {
+        "urgent" => Ok(Rank::Urgent),
+        "routine" => Ok(Rank::Routine),
+        _ => {
+            let what = format!("no rank {name}; use urgent or routine");
+            Err(section.error("rank", what))
+        }
+    }
+}
+
+fn target(section: &Section<'_>, name: &str) -> Result<Target, Error> {
+    section.check_names(&[
+        "first_token_ms",
+        "between_tokens_ms",
+        "queue_limit_ms",
+        "floor_percent",
+    ])?;
+    let default = Target::default_of(rank(section, name)?);
+    Ok(Target {
+        first_token: section.millis("first_token_ms", default.first_token)?,
+        between_tokens: section.millis("between_tokens_ms", default.between_tokens)?,
+        queue_limit: section.millis("queue_limit_ms", default.queue_limit)?,
+        floor_percent: percent(section, "floor_percent", default.floor_percent)?,
+    })
+}
+
+fn route(section: &Section<'_>) -> Result<Route, Error> {
+    section.check_names(&["service", "idempotent", "timeout_ms"])?;
+    section.required("idempotent")?;
+    Ok(Route {
+        service: section.required("service")?.into(),
+        idempotent: section.flag("idempotent", false)?,
+        timeout: section.millis("timeout_ms", Duration::from_secs(10))?,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(text: &str) -> Result<Split, Error> {
+        Split::from_files(&[File::parse("s.ini", text)?])
+    }
+
+    /// Guards against settings that are accepted although they cannot work.
+    #[test]
+    fn refuses_bad_settings() {
+        let cases = [
+            ("[partner a]\n", "s.ini:1: [partner a] lacks share"),
+            ("[partner a]\nshare = 0\n", "s.ini:2: share = 0"),
+            ("[team t]\npartner = b\n", "s.ini:2: no partner b"),
+            ("[rank soon]\n", "s.ini:1: no rank soon"),
+            (
+                "[route /x]\nservice = b\n",
+                "s.ini:1: [route /x] lacks idempotent",
+            ),
+            ("[modle m]\n", "s.ini:1: section [modle …] is not known"),
+            (
+                "[model m]\nversion = 1\nversion = 2\n",
+                "s.ini:2: version stands twice",
+            ),
+        ];
+        for (text, expected) in cases {
+            let err = parse(text).expect_err(expected).to_string();
+            assert!(err.starts_with(expected), "{err}");
+        }
+    }
+
+    /// Guards against a call that takes the route of another service.
+    #[test]
+    fn longest_route_wins() {
+        let text = "[route /lanes]\nservice = a\nidempotent = yes\n\
+                    [route /lanes/book]\nservice = b\nidempotent = no\n";
+        let split = parse(text).unwrap();
+        let service = |path| split.route(path).map(|route| route.service.as_str());
+        assert_eq!(service("/lanes/book/7"), Some("b"));
+        assert_eq!(service("/lanes/bookings"), Some("a"));
+        assert_eq!(service("/lanesx"), None);
+    }
+}
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,408 @@
+//! The task that owns the scheduler, the view of the fleet and the account.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use log::info;
+use serde::Serialize;
+
+use crate::account::{Ledger, Outcome};
+use crate::clock::Clock;
+use crate::config::split::Split;
+use crate::http::problem::Reason;
+use crate::route::fleet::{Engine, Fleet, Need};
+use crate::sched::scheduler::{Refusal, Scheduler, Ticket, Work};
+use crate::supervisor::Signal;
+use crate::util::within;
+use crate::wire;
+
+/// Longest time between two looks at deadlines.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Where an attempt runs.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// The request.
+    pub ticket: Ticket,
+    /// The engine.
+    pub engine: Engine,
+    /// Name of the engine.
+    pub name: CompactString,
+    /// Address of the engine, `IP:PORT`.
+    pub address: CompactString,
+    /// Version that it serves.
+    pub version: CompactString,
+}
+
+/// What became of an engine in the eyes of a connection's task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Health {
+    /// It died, stalled or went silent.
+    Failed,
+    /// It takes no new work.
+    Leaving,
+}
+
+/// Numbers for operators.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Overview {
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests that run.
+    pub running: usize,
+    /// Engines by name.
+    pub engines: BTreeMap<CompactString, EngineView>,
+    /// Accounts by partner.
+    pub ledger: Ledger,
+}
+
+/// An engine as this host sees it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct EngineView {
+    /// Version.
+    pub version: CompactString,
+    /// Streams that this host runs there.
+    pub own: u32,
+    /// Load as reported last.
+    pub load: wire::Load,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// What a poll of an engine needs to know.
+#[derive(Clone, Debug)]
+pub struct Polled {
+    /// The engine.
+    pub engine: Engine,
+    /// Address, `IP:PORT`.
+    pub address: CompactString,
+    /// Next cache event to ask for.
+    pub next_seq: u64,
+    /// When load was reported last.
+    pub reported_at: Option<Instant>,
+}
+
+type Reply = oneshot::Sender<Result<Placement, Refusal>>;
+
+enum Message {
+    Submit(Work, Reply),
+    Replace(Ticket, Need, Instant, Reply),
+    Progress(Ticket, u32, Option<wire::Load>),
+    Finish(Ticket, Outcome),
+    Health(Engine, Health),
+    Members(Vec<wire::Member>),
+    Status(Engine, wire::Status),
+    Split(Rc<Split>),
+    Engines(oneshot::Sender<Vec<Polled>>),
+    Overview(oneshot::Sender<Overview>),
+}
+
+/// Sends messages to the dispatch task.
+#[derive(Clone, Debug)]
+pub struct Handle(mpsc::UnboundedSender<Message>);
+
+impl Handle {
+    /// Asks for a place for new work and waits for it.
+    ///
+    /// # Errors
+    /// The work was refused; it did not run.
+    pub async fn submit(&self, work: Work) -> Result<Placement, Refusal> {
+        self.place(|reply| Message::Submit(work, reply)).await
+    }
+
+    /// Asks for a place for the next attempt of a request, until `deadline`.
+    ///
+    /// # Errors
+    /// No engine had a place in time; the ticket stays valid until [`Handle::finish`].
+    pub async fn replace(
+        &self,
+        ticket: Ticket,
+        need: Need,
+        deadline: Instant,
+    ) -> Result<Placement, Refusal> {
+        self.place(|reply| Message::Replace(ticket, need, deadline, reply))
+            .await
+    }
+
+    async fn place(&self, make: impl FnOnce(Reply) -> Message) -> Result<Placement, Refusal> {
+        let stopping = Refusal {
+            reason: Reason::Leaving,
+        };
+        let (reply, answer) = oneshot::channel();
+        self.send(make(reply));
+        answer.await.unwrap_or(Err(stopping))
+    }
+
+    /// Notes output of running work, in tokens, and the load that came with it.
+    pub fn progress(&self, ticket: Ticket, tokens: u32, load: Option<wire::Load>) {
+        self.send(Message::Progress(ticket, tokens, load));
+    }
+
+    /// Notes the end of a request that has a ticket.
+    pub fn finish(&self, ticket: Ticket, outcome: Outcome) {
+        self.send(Message::Finish(ticket, outcome));
+    }
+
+    /// Notes what became of an engine.
+    pub fn health(&self, engine: Engine, health: Health) {
+        self.send(Message::Health(engine, health));
+    }
+
+    /// Takes over the membership list.
+    pub fn members(&self, members: Vec<wire::Member>) {
+        self.send(Message::Members(members));
+    }
+
+    /// Takes over an engine's status.
+    pub fn status(&self, engine: Engine, status: wire::Status) {
+        self.send(Message::Status(engine, status));
+    }
+
+    /// Puts a split into force.
+    pub fn split(&self, split: Rc<Split>) {
+        self.send(Message::Split(split));
+    }
+
+    /// Returns what a poll of each engine needs to know.
+    pub async fn engines(&self) -> Vec<Polled> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Engines(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// Returns numbers for operators.
+    pub async fn overview(&self) -> Overview {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Overview(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    fn send(&self, message: Message) {
+        // The task ends only after all connections, so a failure here means a stopping process.
+        let _ = self.0.unbounded_send(message);
+    }
+}
+
+struct Dispatch<C: Clock> {
+    split: Rc<Split>,
+    scheduler: Scheduler<C>,
+    fleet: Fleet<C>,
+    ledger: Ledger,
+    replies: BTreeMap<Ticket, Reply>,
+}
+
+/// Finishes a request when its task ends, also when the task is cancelled.
+#[derive(Debug)]
+pub struct Guard {
+    handle: Handle,
+    ticket: Ticket,
+    outcome: Outcome,
+}
+
+impl Guard {
+    /// Takes charge of a placed request; until told otherwise its outcome is a failure.
+    pub fn new(handle: Handle, ticket: Ticket) -> Self {
+        Self {
+            handle,
+            ticket,
+            outcome: Outcome::Failed,
+        }
+    }
+
+    /// Sets the outcome that is noted at the end.
+    pub fn set(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.handle.finish(self.ticket, self.outcome);
+    }
+}
+
+/// Creates the handle and the task's future.
+pub fn create<C: Clock>(
+    clock: C,
+    failure_domain: CompactString,
+    stop: Signal,
+) -> (Handle, impl Future<Output = ()>) {
+    let (sender, receiver) = mpsc::unbounded();
+    let dispatch = Dispatch {
+        split: Rc::default(),
+        scheduler: Scheduler::new(clock.clone()),
+        fleet: Fleet::new(clock, failure_domain),
+        ledger: Ledger::default(),
+        replies: BTreeMap::new(),
+    };
+    (Handle(sender), dispatch.run(receiver, stop))
+}
+
+impl<C: Clock> Dispatch<C> {
+    async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>, stop: Signal) {
+        while !stop.is_given() {
+            if let Some(Some(message)) = within(TICK, messages.next()).await {
+                self.handle(message);
+                while let Ok(message) = messages.try_recv() {
+                    self.handle(message);
+                }
+            }
+            self.decide();
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Submit(work, reply) => self.submit(work, reply),
+            Message::Replace(ticket, need, deadline, reply) => {
+                self.release(ticket);
+                self.scheduler.requeue(ticket, need, deadline);
+                self.replies.insert(ticket, reply);
+            }
+            Message::Progress(ticket, tokens, load) => self.progress(ticket, tokens, load),
+            Message::Finish(ticket, outcome) => {
+                self.release(ticket);
+                self.end(ticket, outcome);
+            }
+            Message::Health(engine, Health::Failed) => self.fleet.set_failed(engine),
+            Message::Health(engine, Health::Leaving) => self.fleet.set_leaving(engine),
+            Message::Members(members) => self.fleet.set_members(&members),
+            Message::Status(engine, status) => self.fleet.set_status(engine, &status),
+            Message::Split(split) => self.split = split,
+            Message::Engines(reply) => {
+                let engines = self.fleet.iter().map(|(key, engine)| Polled {
+                    engine: key,
+                    address: engine.address.clone(),
+                    next_seq: engine.next_seq,
+                    reported_at: engine.reported_at,
+                });
+                let _ = reply.send(engines.collect());
+            }
+            Message::Overview(reply) => {
+                let _ = reply.send(self.overview());
+            }
+        }
+    }
+
+    fn submit(&mut self, work: Work, reply: Reply) {
+        let partner = work.partner.clone();
+        self.ledger.submit(&partner);
+        match self.scheduler.submit(work, &self.split) {
+            Ok(ticket) => {
+                self.replies.insert(ticket, reply);
+            }
+            Err(refusal) => {
+                self.ledger.end(&partner, Outcome::Refused(refusal.reason));
+                let _ = reply.send(Err(refusal));
+            }
+        }
+    }
+
+    fn progress(&mut self, ticket: Ticket, tokens: u32, load: Option<wire::Load>) {
+        self.scheduler.progress(ticket, tokens);
+        let engine = self.scheduler.get(ticket).and_then(|(engine, _)| engine);
+        if let (Some(engine), Some(load)) = (engine, load) {
+            self.fleet.set_load(engine, load);
+        }
+    }
+
+    fn release(&mut self, ticket: Ticket) {
+        if let Some((Some(engine), _)) = self.scheduler.get(ticket) {
+            self.fleet.end(engine);
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket, outcome: Outcome) {
+        if let Some((_, work)) = self.scheduler.get(ticket) {
+            self.ledger.end(&work.partner.clone(), outcome);
+        }
+        self.replies.remove(&ticket);
+        self.scheduler.remove(ticket);
+    }
+
+    fn decide(&mut self) {
+        self.drop_abandoned();
+        for (ticket, refusal) in self.scheduler.expire(&self.fleet) {
+            if !self.scheduler.has_run(ticket) {
+                self.end_waiting(ticket, refusal);
+                continue;
+            }
+            if let Some(reply) = self.replies.remove(&ticket) {
+                let _ = reply.send(Err(refusal));
+            }
+        }
+        while let Some((ticket, engine)) = self.scheduler.next(&self.fleet) {
+            self.start(ticket, engine);
+        }
+    }
+
+    fn end_waiting(&mut self, ticket: Ticket, refusal: Refusal) {
+        let reply = self.replies.remove(&ticket);
+        self.end(ticket, Outcome::Refused(refusal.reason));
+        if let Some(reply) = reply {
+            let _ = reply.send(Err(refusal));
+        }
+    }
+
+    fn drop_abandoned(&mut self) {
+        let is_gone = |(_, reply): &(&Ticket, &Reply)| reply.is_canceled();
+        let gone: Vec<_> = self
+            .replies
+            .iter()
+            .filter(is_gone)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in gone {
+            self.replies.remove(&ticket);
+            if !self.scheduler.has_run(ticket) {
+                self.end(ticket, Outcome::Refused(Reason::CallerGone));
+            }
+        }
+    }
+
+    fn start(&mut self, ticket: Ticket, engine: Engine) {
+        let Some((_, work)) = self.scheduler.get(ticket) else {
+            return;
+        };
+        self.fleet.begin(engine, &work.need.blocks);
+        let Some(state) = self.fleet.get(engine) else {
+            return;
+        };
+        info!(
+            "event=dispatched engine={} partner={}",
+            state.name, work.partner
+        );
+        let placement = Placement {
+            ticket,
+            engine,
+            name: state.name.clone(),
+            address: state.address.clone(),
+            version: state.version.clone(),
+        };
+        if let Some(reply) = self.replies.remove(&ticket) {
+            let _ = reply.send(Ok(placement));
+        }
+    }
+
+    fn overview(&self) -> Overview {
+        let engines = self.fleet.iter().map(|(_, engine)| {
+            let view = EngineView {
+                version: engine.version.clone(),
+                own: engine.own,
+                load: engine.reported,
+                leaving: engine.leaving,
+            };
+            (engine.name.clone(), view)
+        });
+        Overview {
+            waiting: self.scheduler.waiting(),
+            running: self.scheduler.running(),
+            engines: engines.collect(),
+            ledger: self.ledger.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/src/emulate/proxy.rs
@@ -0,0 +1,193 @@
+//! A fault-injecting TCP proxy between any two processes.
+//!
+//! `PUT /v1/emulation/fault` on the control address sets the fault.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use futures_util::future::{Either, select};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::http::body::Body;
+use crate::http::problem::text_response;
+use crate::http::server;
+use crate::supervisor::{Group, Signal};
+
+/// What the proxy does to traffic.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Fault {
+    /// Forwards everything.
+    #[default]
+    Pass,
+    /// Delays each piece by so many milliseconds.
+    Delay {
+        /// Milliseconds.
+        ms: u64,
+    },
+    /// Closes all connections and refuses new ones.
+    Cut,
+    /// Closes the open connections once, and forwards new ones.
+    Reset,
+    /// Open connections go silent in both directions; new ones work.
+    Silence,
+    /// Nothing more reaches the upstream side; the other direction works.
+    BlockToUpstream,
+    /// Nothing more reaches the client side; the other direction works.
+    BlockToClient,
+}
+
+struct Shared {
+    fault: Cell<Fault>,
+    // Connections opened in an earlier generation are silent or closed.
+    silent_before: Cell<u64>,
+    generation: Cell<u64>,
+    closed: RefCell<Signal>,
+    changed: RefCell<Signal>,
+    stop: Signal,
+}
+
+impl Shared {
+    fn set(&self, fault: Fault) {
+        match fault {
+            Fault::Silence => {
+                self.generation.set(self.generation.get() + 1);
+                self.silent_before.set(self.generation.get());
+            }
+            Fault::Cut | Fault::Reset => self.closed.take().give(),
+            _ => {}
+        }
+        self.fault.set(fault);
+        self.changed.take().give();
+    }
+
+    fn blocks(&self, to_upstream: bool, generation: u64) -> bool {
+        if generation < self.silent_before.get() {
+            return true;
+        }
+        match self.fault.get() {
+            Fault::BlockToUpstream => to_upstream,
+            Fault::BlockToClient => !to_upstream,
+            _ => false,
+        }
+    }
+}
+
+/// Runs the proxy until `stop` is given.
+pub async fn run(
+    listener: TcpListener,
+    control: TcpListener,
+    upstream: CompactString,
+    stop: Signal,
+) {
+    let shared = Rc::new(Shared {
+        fault: Cell::default(),
+        silent_before: Cell::new(0),
+        generation: Cell::new(0),
+        closed: RefCell::default(),
+        changed: RefCell::default(),
+        stop: stop.clone(),
+    });
+    let service = Rc::new(Control(shared.clone()));
+    let control = compio::runtime::spawn(server::serve(control, service, stop.clone()));
+    let connections = Group::default();
+    loop {
+        let accept = std::pin::pin!(listener.accept());
+        let stopped = std::pin::pin!(stop.wait());
+        match select(stopped, accept).await {
+            Either::Left(_) => break,
+            Either::Right((Ok((stream, _)), _)) => {
+                connections.spawn(connection(stream, upstream.clone(), shared.clone()));
+            }
+            Either::Right((Err(_), _)) => {}
+        }
+    }
+    connections.join().await;
+    let _ = control.await;
+}
+
+async fn connection(client: TcpStream, upstream: CompactString, shared: Rc<Shared>) {
+    if shared.fault.get() == Fault::Cut {
+        return;
+    }
+    let closed = shared.closed.borrow().clone();
+    let generation = shared.generation.get();
+    let Ok(server) = TcpStream::connect(upstream.as_str()).await else {
+        return;
+    };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let both = async {
+        let up = std::pin::pin!(copy(client_read, server_write, true, generation, &shared));
+        let down = std::pin::pin!(copy(server_read, client_write, false, generation, &shared));
+        futures_util::future::join(up, down).await;
+    };
+    let both = std::pin::pin!(both);
+    let ended = std::pin::pin!(select(
+        Box::pin(closed.wait()),
+        Box::pin(shared.stop.wait())
+    ));
+    select(both, ended).await;
+}
+
+async fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    to_upstream: bool,
+    generation: u64,
+    shared: &Shared,
+) {
+    let mut buffer = Vec::with_capacity(16 * 1024);
+    loop {
+        let BufResult(read, filled) = from.read(buffer).await;
+        let Ok(1..) = read else {
+            break;
+        };
+        if let Fault::Delay { ms } = shared.fault.get() {
+            compio::time::sleep(Duration::from_millis(ms)).await;
+        }
+        while shared.blocks(to_upstream, generation) {
+            let changed = shared.changed.borrow().clone();
+            changed.wait().await;
+        }
+        let BufResult(written, mut filled) = to.write_all(filled).await;
+        if written.is_err() {
+            break;
+        }
+        filled.clear();
+        buffer = filled;
+    }
+    // The end of a silent connection is not seen by the other side either.
+    while shared.blocks(to_upstream, generation) {
+        let changed = shared.changed.borrow().clone();
+        changed.wait().await;
+    }
+    let _ = to.shutdown().await;
+}
+
+struct Control(Rc<Shared>);
+
+impl server::Service for Control {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let Ok(body) = request.into_body().collect().await else {
+            return text_response(StatusCode::BAD_REQUEST, "the body broke off");
+        };
+        match serde_json::from_slice(&body.to_bytes()) {
+            Ok(fault) => {
+                self.0.set(fault);
+                text_response(StatusCode::OK, "")
+            }
+            Err(err) => text_response(StatusCode::BAD_REQUEST, err.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/src/emulate/store.rs
@@ -0,0 +1,368 @@
+//! An emulated object API with versions, conditional writes, watches, rate limits and faults.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::bytes::Bytes;
+use compio::net::TcpListener;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::Chance;
+use crate::http::body::Body;
+use crate::http::problem::{json_response, text_response};
+use crate::http::server;
+use crate::supervisor::Signal;
+use crate::util::within;
+
+/// Greatest size of a value in bytes.
+pub const VALUE_LIMIT: usize = 1024 * 1024;
+
+/// What goes wrong, and the limits; set by `PUT /v1/emulation/faults`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Every call is refused with 503.
+    pub outage: bool,
+    /// Every call takes this much longer, in milliseconds.
+    pub delay_ms: u64,
+    /// Share of writes whose answer is dropped after the write took effect.
+    pub lost_answers: f64,
+    /// Share of reads that show the version before the last one.
+    pub stale_reads: f64,
+    /// Writes a second, 0 for no limit.
+    pub writes_per_s: u32,
+    /// Reads a second, 0 for no limit.
+    pub reads_per_s: u32,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            outage: false,
+            delay_ms: 0,
+            lost_answers: 0.0,
+            stale_reads: 0.0,
+            writes_per_s: 300,
+            reads_per_s: 2000,
+        }
+    }
+}
+
+/// Calls since the start; `GET /v1/emulation/calls`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct Calls {
+    /// Reads, lists and watches.
+    pub reads: u64,
+    /// Writes and deletions.
+    pub writes: u64,
+    /// Calls refused for their rate.
+    pub limited: u64,
+    /// Calls refused in an outage.
+    pub outage: u64,
+}
+
+/// One entry of a listing.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// Key of the object.
+    pub key: String,
+    /// Version.
+    pub version: u64,
+    /// Size in bytes.
+    pub size: usize,
+}
+
+struct Object {
+    version: u64,
+    body: Bytes,
+    previous: Option<(u64, Bytes)>,
+}
+
+/// Allows a number of calls a second, with a burst of one second.
+struct Bucket {
+    tokens: Cell<f64>,
+    at: Cell<Instant>,
+}
+
+impl Bucket {
+    fn new() -> Self {
+        Self {
+            tokens: Cell::new(f64::MAX),
+            at: Cell::new(Instant::now()),
+        }
+    }
+
+    fn take(&self, rate: u32) -> bool {
+        if rate == 0 {
+            return true;
+        }
+        let elapsed = self.at.replace(Instant::now()).elapsed().as_secs_f64();
+        let rate = f64::from(rate);
+        let tokens = (self.tokens.get() + elapsed * rate).min(rate);
+        self.tokens
+            .set(if tokens >= 1.0 { tokens - 1.0 } else { tokens });
+        tokens >= 1.0
+    }
+}
+
+struct Store {
+    objects: RefCell<BTreeMap<String, Object>>,
+    last_version: Cell<u64>,
+    changed: RefCell<Signal>,
+    faults: RefCell<Faults>,
+    calls: Cell<Calls>,
+    chance: Chance,
+    reads: Bucket,
+    writes: Bucket,
+    stop: Signal,
+}
+
+/// Runs an emulated store on `listener` until `stop` is given.
+pub async fn run(listener: TcpListener, faults: Faults, seed: u64, stop: Signal) {
+    let store = Store {
+        objects: RefCell::default(),
+        last_version: Cell::new(0),
+        changed: RefCell::default(),
+        faults: RefCell::new(faults),
+        calls: Cell::default(),
+        chance: Chance::new(seed),
+        reads: Bucket::new(),
+        writes: Bucket::new(),
+        stop: stop.clone(),
+    };
+    server::serve(listener, Rc::new(store), stop).await;
+}
+
+/// Reads a version from an `ETag`-like header.
+fn version_of(request: &hyper::http::request::Parts, name: &str) -> Option<u64> {
+    let value = request.headers.get(name)?.to_str().ok()?;
+    value.trim_matches('"').parse().ok()
+}
+
+impl Store {
+    fn count(&self, change: impl FnOnce(&mut Calls)) {
+        let mut calls = self.calls.get();
+        change(&mut calls);
+        self.calls.set(calls);
+    }
+
+    async fn admit(&self, is_write: bool) -> Result<(), Response<Body>> {
+        let faults = self.faults.borrow().clone();
+        self.count(|calls| match is_write {
+            true => calls.writes += 1,
+            false => calls.reads += 1,
+        });
+        if faults.delay_ms > 0 {
+            compio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if self.faults.borrow().outage {
+            self.count(|calls| calls.outage += 1);
+            return Err(text_response(StatusCode::SERVICE_UNAVAILABLE, "outage"));
+        }
+        let admitted = match is_write {
+            true => self.writes.take(faults.writes_per_s),
+            false => self.reads.take(faults.reads_per_s),
+        };
+        if !admitted {
+            self.count(|calls| calls.limited += 1);
+            return Err(text_response(StatusCode::TOO_MANY_REQUESTS, "rate limit"));
+        }
+        Ok(())
+    }
+
+    fn bump(&self) -> u64 {
+        self.last_version.set(self.last_version.get() + 1);
+        self.changed.take().give();
+        self.last_version.get()
+    }
+
+    fn found(&self, key: &str, head_only_if_not: Option<u64>) -> Option<Response<Body>> {
+        let objects = self.objects.borrow();
+        let object = objects.get(key)?;
+        let mut shown = (object.version, object.body.clone());
+        if let Some(previous) = &object.previous
+            && self.chance.happens(self.faults.borrow().stale_reads)
+        {
+            shown = previous.clone();
+        }
+        if head_only_if_not == Some(shown.0) {
+            return None;
+        }
+        let response = Response::builder()
+            .header(hyper::header::ETAG, format!("\"{}\"", shown.0))
+            .body(Body::whole(shown.1))
+            .expect("the headers are valid");
+        Some(response)
+    }
+
+    async fn watch(&self, key: &str, known: Option<u64>, limit: Duration) -> Response<Body> {
+        let deadline = Instant::now() + limit;
+        loop {
+            if self.faults.borrow().outage {
+                return text_response(StatusCode::SERVICE_UNAVAILABLE, "outage");
+            }
+            if let Some(response) = self.found(key, known) {
+                return response;
+            }
+            let changed = self.changed.borrow().clone();
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.stop.is_given() {
+                return text_response(StatusCode::NOT_MODIFIED, "");
+            }
+            // Short rounds let a waiting watch notice an outage and the end of the process.
+            within(left.min(Duration::from_millis(200)), changed.wait()).await;
+        }
+    }
+
+    fn get(&self, key: &str) -> Response<Body> {
+        let missing = || text_response(StatusCode::NOT_FOUND, "no such object");
+        self.found(key, None).unwrap_or_else(missing)
+    }
+
+    fn list(&self, prefix: &str) -> Response<Body> {
+        let objects = self.objects.borrow();
+        let entries: Vec<_> = objects
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, object)| Entry {
+                key: key.clone(),
+                version: object.version,
+                size: object.body.len(),
+            })
+            .collect();
+        json_response(&entries)
+    }
+
+    fn allows(&self, head: &hyper::http::request::Parts, key: &str) -> bool {
+        let objects = self.objects.borrow();
+        let version = objects.get(key).map(|object| object.version);
+        if head.headers.contains_key(hyper::header::IF_NONE_MATCH) && version.is_some() {
+            return false;
+        }
+        if head.headers.contains_key(hyper::header::IF_MATCH) {
+            return version.is_some() && version_of(head, "if-match") == version;
+        }
+        true
+    }
+
+    async fn put(
+        &self,
+        head: &hyper::http::request::Parts,
+        key: &str,
+        body: Bytes,
+    ) -> Response<Body> {
+        if body.len() > VALUE_LIMIT {
+            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "value above 1 MB");
+        }
+        if !self.allows(head, key) {
+            return text_response(StatusCode::PRECONDITION_FAILED, "version differs");
+        }
+        let version = self.bump();
+        self.replace(key, version, body);
+        self.written(version).await
+    }
+
+    fn replace(&self, key: &str, version: u64, body: Bytes) {
+        let mut objects = self.objects.borrow_mut();
+        let previous = objects
+            .remove(key)
+            .map(|object| (object.version, object.body));
+        let object = Object {
+            version,
+            body,
+            previous,
+        };
+        objects.insert(key.into(), object);
+    }
+
+    async fn delete(&self, head: &hyper::http::request::Parts, key: &str) -> Response<Body> {
+        if !self.allows(head, key) {
+            return text_response(StatusCode::PRECONDITION_FAILED, "version differs");
+        }
+        self.objects.borrow_mut().remove(key);
+        let version = self.bump();
+        self.written(version).await
+    }
+
+    async fn written(&self, version: u64) -> Response<Body> {
+        if self.chance.happens(self.faults.borrow().lost_answers) {
+            // The caller sees a connection that stays open without an answer, until it gives up.
+            within(Duration::from_secs(30), self.stop.wait()).await;
+            return text_response(StatusCode::GATEWAY_TIMEOUT, "");
+        }
+        Response::builder()
+            .header(hyper::header::ETAG, format!("\"{version}\""))
+            .body(Body::whole(""))
+            .expect("the headers are valid")
+    }
+
+    async fn emulation(&self, method: &Method, path: &str, body: &[u8]) -> Response<Body> {
+        match (method, path) {
+            (&Method::GET, "calls") => json_response(&self.calls.get()),
+            (&Method::PUT, "faults") => match serde_json::from_slice(body) {
+                Ok(faults) => {
+                    *self.faults.borrow_mut() = faults;
+                    text_response(StatusCode::OK, "")
+                }
+                Err(err) => text_response(StatusCode::BAD_REQUEST, err.to_string()),
+            },
+            _ => text_response(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn object(
+        &self,
+        head: &hyper::http::request::Parts,
+        key: &str,
+        body: Bytes,
+    ) -> Response<Body> {
+        let is_write = head.method != Method::GET;
+        if let Err(refusal) = self.admit(is_write).await {
+            return refusal;
+        }
+        let wait = head
+            .uri
+            .query()
+            .and_then(|query| query.strip_prefix("wait="));
+        match (&head.method, wait.and_then(|wait| wait.parse().ok())) {
+            (&Method::GET, Some(seconds)) => {
+                let known = version_of(head, "if-none-match");
+                self.watch(key, known, Duration::from_secs(seconds)).await
+            }
+            (&Method::GET, None) => self.get(key),
+            (&Method::PUT, _) => self.put(head, key, body).await,
+            (&Method::DELETE, _) => self.delete(head, key).await,
+            _ => text_response(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE"),
+        }
+    }
+}
+
+impl server::Service for Store {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return text_response(StatusCode::BAD_REQUEST, "the body broke off");
+        };
+        let body = body.to_bytes();
+        let path = head.uri.path();
+        if let Some(path) = path.strip_prefix("/v1/emulation/") {
+            return self.emulation(&head.method, path, &body).await;
+        }
+        if let Some(key) = path.strip_prefix("/v1/objects/") {
+            return self.object(&head, key, body).await;
+        }
+        if path == "/v1/objects" {
+            if let Err(refusal) = self.admit(false).await {
+                return refusal;
+            }
+            let query = head.uri.query().unwrap_or("");
+            return self.list(query.strip_prefix("prefix=").unwrap_or(""));
+        }
+        text_response(StatusCode::NOT_FOUND, "no such path")
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -130,11 +130,7 @@
 }
 
 /// Builds a `POST` request with a JSON body.
-pub fn post_json<T: serde::Serialize>(
-    address: &str,
-    path: &str,
-    body: &T,
-) -> Request<Full<Bytes>> {
+pub fn post_json<T: serde::Serialize>(address: &str, path: &str, body: &T) -> Request<Full<Bytes>> {
     let body = serde_json::to_vec(body).expect("wire types serialize");
     Request::post(path)
         .header(hyper::header::HOST, address)
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -9,7 +9,7 @@
 use crate::wire::Work;
 
 /// Why a request was refused or failed.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// The request is malformed.
@@ -54,6 +54,8 @@
     BackendUnavailable,
     /// The request took longer than its limit.
     Timeout,
+    /// The caller closed the connection.
+    CallerGone,
 }
 
 impl Reason {
@@ -71,7 +73,7 @@
             Self::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
             Self::OutcomeUnknown => StatusCode::CONFLICT,
             Self::EngineKiller | Self::VersionGone | Self::ResumeLimit => StatusCode::BAD_GATEWAY,
-            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::Timeout | Self::CallerGone => StatusCode::GATEWAY_TIMEOUT,
             Self::NoEngine | Self::Leaving | Self::StoreUnavailable | Self::BackendUnavailable => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
@@ -102,6 +104,7 @@
             Self::OutcomeUnknown => "outcome-unknown",
             Self::BackendUnavailable => "backend-unavailable",
             Self::Timeout => "timeout",
+            Self::CallerGone => "caller-gone",
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -79,7 +79,7 @@
         .serve_connection(HyperStream::new_plain(stream), handler);
     let mut connection = pin!(connection);
     let stopped = pin!(stop.wait());
-    if let Either::Right((_, connection)) = select(connection.as_mut(), stopped).await {
+    if let Either::Right(((), connection)) = select(connection.as_mut(), stopped).await {
         connection.graceful_shutdown();
     } else {
         return;
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -31,7 +31,9 @@
 
 /// The other end sent an event longer than the limit.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
-#[error("an event is longer than {MAX_EVENT_BYTES} bytes; the other end does not speak this protocol")]
+#[error(
+    "an event is longer than {MAX_EVENT_BYTES} bytes; the other end does not speak this protocol"
+)]
 pub struct Oversized;
 
 /// Greatest length of an event in bytes.
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,3 @@
+//! Open-loop load that checks every answer token by token.
+
+pub mod client;
--- /dev/null
+++ b/src/member/mod.rs
@@ -0,0 +1,3 @@
+//! Which hosts, engines and backend servers there are.
+
+pub mod list;
--- /dev/null
+++ b/src/report/mod.rs
@@ -0,0 +1,3 @@
+//! What operators see.
+
+pub mod metrics;
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,4 @@
+//! Which engine serves a request.
+
+pub mod fleet;
+pub mod prefix;
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,219 @@
+//! One router process: its parts and their tasks.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use compact_str::{CompactString, format_compact};
+use compio::net::TcpListener;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use log::info;
+
+use crate::clock::{self, Clock};
+use crate::config::host::Host;
+use crate::config::split::Split;
+use crate::dispatch::{self, Handle};
+use crate::engine;
+use crate::http::body::Body;
+use crate::http::completions::{self, Format};
+use crate::http::problem::{Problem, Reason};
+use crate::http::{admin, server};
+use crate::member::list;
+use crate::report::metrics::Metrics;
+use crate::supervisor::{Group, Signal, Supervisor};
+use crate::util::{unix_ms, within};
+
+/// Time between a host's decision to leave and its refusal of new work, because the balancer lags.
+const LEAVE_GRACE: Duration = Duration::from_secs(2);
+
+/// Time without a load report after which an engine is asked.
+const STATUS_PERIOD: Duration = Duration::from_millis(1000);
+
+/// Longest time for a status request.
+const STATUS_LIMIT: Duration = Duration::from_millis(800);
+
+/// Greatest size of a request body in bytes.
+const BODY_LIMIT: usize = 2 * 1024 * 1024;
+
+/// The shared parts of a router process.
+#[derive(Debug)]
+pub struct Router {
+    /// Settings of this host.
+    pub host: HostView,
+    /// The dispatch task.
+    pub dispatch: Handle,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Given when the host starts to leave.
+    pub leaving: Signal,
+    /// Given when new work is refused.
+    pub refusing: Signal,
+    /// Tasks of streamed answers.
+    pub streams: Group,
+    split: RefCell<Rc<Split>>,
+    incarnation: u64,
+    last_request: Cell<u64>,
+}
+
+/// What requests need to know of the host's settings.
+#[derive(Clone, Debug)]
+pub struct HostView {
+    /// Unique name.
+    pub name: CompactString,
+    /// Failure domain.
+    pub failure_domain: CompactString,
+}
+
+impl Router {
+    /// Returns the split that is in force.
+    pub fn split(&self) -> Rc<Split> {
+        self.split.borrow().clone()
+    }
+
+    /// Puts a split into force.
+    pub fn set_split(&self, split: Rc<Split>) {
+        self.dispatch.split(split.clone());
+        *self.split.borrow_mut() = split;
+    }
+
+    /// Returns an identity that no other request of any host has.
+    pub fn new_request_id(&self) -> CompactString {
+        self.last_request.set(self.last_request.get() + 1);
+        let name = &self.host.name;
+        format_compact!(
+            "{name}-{:x}-{:x}",
+            self.incarnation,
+            self.last_request.get()
+        )
+    }
+
+    /// Counts and logs a refusal, and turns it into a response.
+    pub fn refused(&self, problem: Problem) -> Response<Body> {
+        self.metrics.refused(problem.reason);
+        info!(
+            "event=refused reason={} work={:?}",
+            problem.reason.as_str(),
+            problem.work
+        );
+        problem.into_response()
+    }
+}
+
+struct Front(Rc<Router>);
+
+impl server::Service for Front {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let router = &self.0;
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        if let Some(response) = admin::answer(router, path).await {
+            return response;
+        }
+        if router.refusing.is_given() {
+            let detail = "this host is leaving; retry at once to reach another host";
+            let problem = Problem::not_run(Reason::Leaving, detail);
+            return router.refused(problem.retry_after(Duration::ZERO));
+        }
+        let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
+            let detail = format!("the body broke off or exceeds {BODY_LIMIT} bytes; shorten it");
+            return router.refused(Problem::not_run(Reason::PromptTooLong, detail));
+        };
+        let body = body.to_bytes();
+        let format = match (&head.method, path) {
+            (&Method::POST, "/v1/completions") => Format::Completion,
+            (&Method::POST, "/v1/chat/completions") => Format::Chat,
+            _ => {
+                let detail = "no such path; use POST /v1/completions";
+                return router.refused(Problem::not_run(Reason::NotFound, detail));
+            }
+        };
+        completions::complete(router, format, &head.headers, &body).await
+    }
+}
+
+/// Runs a router process on `listener` until `stop` is given and all work has ended.
+pub async fn run(listener: TcpListener, host: Host, split: Split, stop: Signal) {
+    let supervisor = Supervisor::new();
+    let clock = clock::System;
+    let (dispatch, dispatch_task) =
+        dispatch::create(clock, host.failure_domain.clone(), supervisor.stop_signal());
+    supervisor.spawn("dispatch", dispatch_task);
+    let router = Rc::new(Router {
+        host: HostView {
+            name: host.name.clone(),
+            failure_domain: host.failure_domain.clone(),
+        },
+        dispatch: dispatch.clone(),
+        metrics: Metrics::default(),
+        leaving: Signal::default(),
+        refusing: Signal::default(),
+        streams: Group::default(),
+        split: RefCell::default(),
+        incarnation: unix_ms(clock.wall()),
+        last_request: Cell::new(0),
+    });
+    router.set_split(Rc::new(split));
+    if let Some(url) = host.members.clone() {
+        let handle = dispatch.clone();
+        let take = move |members| handle.members(members);
+        supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
+    }
+    let poll = poll_engines(dispatch, clock, supervisor.stop_signal());
+    supervisor.spawn("status", poll);
+
+    let closed = Signal::default();
+    let front = Rc::new(Front(router.clone()));
+    let serving = compio::runtime::spawn(server::serve(listener, front, closed.clone()));
+    info!("event=serving host={}", router.host.name);
+    stop.wait().await;
+    leave(&router, host.drain_limit, closed).await;
+    let _ = serving.await;
+    router.streams.join().await;
+    supervisor.stop().await;
+    info!("event=stopped host={}", router.host.name);
+}
+
+async fn leave(router: &Router, _limit: Duration, closed: Signal) {
+    info!("event=leaving host={}", router.host.name);
+    router.leaving.give();
+    compio::time::sleep(LEAVE_GRACE).await;
+    router.refusing.give();
+    closed.give();
+}
+
+/// Asks engines whose load was not reported lately, all of them at once.
+async fn poll_engines<C: Clock>(dispatch: Handle, clock: C, stop: Signal) {
+    while !stop.is_given() {
+        let is_due = |at: Instant| clock.now().duration_since(at) >= STATUS_PERIOD;
+        let engines = dispatch.engines().await.into_iter();
+        let asked = engines.filter(|polled| polled.reported_at.is_none_or(is_due));
+        let answers = asked.map(|polled| {
+            let dispatch = dispatch.clone();
+            async move {
+                let status = engine::status(&polled.address, polled.next_seq, STATUS_LIMIT);
+                if let Some(status) = status.await {
+                    dispatch.status(polled.engine, status);
+                }
+            }
+        });
+        futures_util::future::join_all(answers).await;
+        within(STATUS_PERIOD / 4, stop.wait()).await;
+    }
+}
+
+/// Reads split files and the host's settings from their texts.
+///
+/// # Errors
+/// A file cannot be read, or holds a fault.
+pub fn read_split(paths: &[String]) -> anyhow::Result<Split> {
+    let mut files = Vec::new();
+    for path in paths {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("could not read {path}; check the path"))?;
+        files.push(crate::config::ini::File::parse(path, &text)?);
+    }
+    Ok(Split::from_files(&files)?)
+}
--- /dev/null
+++ b/src/sched/mod.rs
@@ -0,0 +1,3 @@
+//! Which request runs next.
+
+pub mod scheduler;
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! The platform's object API.
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -85,3 +85,31 @@
         }
     }
 }
+
+/// Owns short-lived tasks of one kind, such as those of streams.
+#[derive(Debug, Default)]
+pub struct Group(RefCell<Vec<JoinHandle<()>>>);
+
+/// Handles of finished tasks are dropped when this many have gathered.
+const PRUNE_AT: usize = 64;
+
+impl Group {
+    /// Spawns a task.
+    pub fn spawn<F: Future<Output = ()> + 'static>(&self, task: F) {
+        let mut handles = self.0.borrow_mut();
+        if handles.len() >= PRUNE_AT && handles.len().is_power_of_two() {
+            handles.retain(|handle| !handle.is_finished());
+        }
+        handles.push(compio::runtime::spawn(task));
+    }
+
+    /// Waits for the end of all tasks.
+    pub async fn join(&self) {
+        loop {
+            let Some(handle) = self.0.borrow_mut().pop() else {
+                return;
+            };
+            let _ = handle.await;
+        }
+    }
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,32 @@
+//! The whole path with real processes: caller, router, engine and back.
+
+mod support;
+
+use bilberrypost::load::client;
+use support::{Cluster, block_on, call, split};
+
+/// Guards against an answer that lacks, repeats or mixes tokens on the plain path.
+#[test]
+fn answers_every_token() {
+    let mut cluster = Cluster::start();
+    cluster.engine(&[]);
+    cluster.router(&split(), 1);
+    let call = call("Sky notes: cirrus.", 50, 7);
+    let answer = block_on(client::complete(&cluster.routers[0].address, &call));
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!((answer.missing, answer.repeated, answer.foreign), (0, 0, 0));
+}
+
+/// Guards against a generation that ends with its engine.
+#[test]
+fn continues_on_another_engine_after_a_death() {
+    let mut cluster = Cluster::start();
+    for _ in 0..2 {
+        cluster.engine(&[]);
+    }
+    cluster.router(&split(), 2);
+    let call = call("Sky notes: [fault die@20/1]", 60, 7);
+    let answer = block_on(client::complete(&cluster.routers[0].address, &call));
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!((answer.missing, answer.repeated, answer.foreign), (0, 0, 0));
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,296 @@
+//! Starts real processes for tests and benches, and ends them.
+
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bilberrypost::config::split::key_digest;
+use bilberrypost::emulate::proxy::Fault;
+use bilberrypost::load::client::Call;
+use bilberrypost::wire::{Kind, Listing, Member, Rank};
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// A deadline that only a hang reaches.
+pub const HANG: Duration = Duration::from_secs(60);
+
+/// Key of the caller that [`SPLIT_HEAD`] names.
+pub const CALLER_KEY: &str = "test-caller-key";
+
+const PEER_KEY: &str = "test-key-between-routers";
+
+/// Runs a future on a runtime of its own.
+pub fn block_on<F: Future>(future: F) -> F::Output {
+    compio::runtime::Runtime::new().unwrap().block_on(future)
+}
+
+/// A process of this program; it is killed when dropped.
+pub struct Process {
+    child: Child,
+    output: BufReader<ChildStdout>,
+    pub address: String,
+}
+
+impl Process {
+    /// Starts the program and waits for the line that says where it listens.
+    pub fn start(args: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let output = BufReader::new(child.stdout.take().unwrap());
+        let mut process = Self {
+            child,
+            output,
+            address: String::new(),
+        };
+        process.address = process.ready_line();
+        process
+    }
+
+    /// Reads the next `ready` line and returns its address.
+    pub fn ready_line(&mut self) -> String {
+        let mut line = String::new();
+        while self.output.read_line(&mut line).unwrap() > 0 {
+            if line.starts_with("ready ") {
+                return line.trim().rsplit_once("address=").unwrap().1.to_owned();
+            }
+            line.clear();
+        }
+        panic!("the program ended before it was ready");
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        let _ = kill_process(pid, signal);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn unpause(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let deadline = Instant::now() + HANG;
+        while Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the process did not end");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The processes of one test.
+pub struct Cluster {
+    pub members: Process,
+    pub store: Process,
+    pub engines: Vec<Process>,
+    pub backends: Vec<Process>,
+    pub routers: Vec<Process>,
+    folder: tempfile::TempDir,
+}
+
+/// Failure domain of the n-th process of a kind.
+pub fn domain(index: usize) -> String {
+    format!("fd-{}", ["a", "b", "c"][index % 3])
+}
+
+/// Settings with one partner, team, caller and model.
+pub fn split() -> String {
+    format!(
+        "[partner nubeatlas]\nshare = 50\n[team drafts]\npartner = nubeatlas\n\
+         [caller tester]\nteam = drafts\nmay_be_urgent = yes\nkey_sha256 = {}\n\
+         [model atlas]\nversion = 1\n",
+        key_digest(CALLER_KEY)
+    )
+}
+
+impl Cluster {
+    /// Starts store and membership list.
+    pub fn start() -> Self {
+        Self {
+            members: Process::start(&["emulate", "members", "--lag-ms", "0"]),
+            store: Process::start(&["emulate", "store"]),
+            engines: Vec::new(),
+            backends: Vec::new(),
+            routers: Vec::new(),
+            folder: tempfile::tempdir().unwrap(),
+        }
+    }
+
+    /// Lists a member; `address` may be that of a proxy in front of it.
+    pub fn list(&self, name: &str, kind: Kind, address: &str, domain: &str, service: &str) {
+        let member = Member {
+            name: name.into(),
+            kind,
+            address: address.into(),
+            peer_address: None,
+            failure_domain: domain.into(),
+            region: "default".into(),
+            state: Listing::Live,
+            service: service.into(),
+        };
+        let path = format!("/v1/emulation/members/{name}");
+        put(&self.members.address, &path, &member);
+    }
+
+    /// Starts an engine of model `atlas` and lists it; returns its index.
+    pub fn engine(&mut self, extra: &[&str]) -> usize {
+        let index = self.engines.len();
+        let process = self.unlisted_engine(extra);
+        let address = process.address.clone();
+        self.engines.push(process);
+        let name = format!("engine-{index}");
+        self.list(&name, Kind::Engine, &address, &domain(index), "atlas");
+        index
+    }
+
+    /// Starts an engine that the membership list does not show.
+    pub fn unlisted_engine(&self, extra: &[&str]) -> Process {
+        let index = self.engines.len();
+        let name = format!("engine-{index}");
+        let domain = domain(index);
+        let mut args = vec!["emulate", "engine", "--name", &name];
+        args.extend(["--failure-domain", &domain]);
+        args.extend(extra);
+        Process::start(&args)
+    }
+
+    /// Starts a router with a split file and waits until it sees `engines` engines.
+    pub fn router(&mut self, split: &str, engines: usize) -> usize {
+        let index = self.routers.len();
+        let split_path = self.folder.path().join(format!("split-{index}.ini"));
+        std::fs::write(&split_path, split).unwrap();
+        let host = format!(
+            "[host]\nname = router-{index}\nfailure_domain = {}\nlisten = 127.0.0.1:0\n\
+             peer_listen = 127.0.0.1:0\nstore = http://{}\nmembers = http://{}\n\
+             key = {PEER_KEY}\nsplit = {}\n",
+            domain(index),
+            self.store.address,
+            self.members.address,
+            split_path.display()
+        );
+        let host_path = self.folder.path().join(format!("host-{index}.ini"));
+        std::fs::write(&host_path, host).unwrap();
+        let router = Process::start(&["serve", "-c", host_path.to_str().unwrap()]);
+        let address = router.address.clone();
+        self.routers.push(router);
+        wait_until("the router sees the engines", || {
+            known_engines(&address) >= engines
+        });
+        index
+    }
+}
+
+fn known_engines(router: &str) -> usize {
+    let status: serde_json::Value = get(router, "/admin/v1/status");
+    let engines = status["dispatch"]["engines"].as_object().unwrap();
+    engines
+        .values()
+        .filter(|engine| engine["version"] != "")
+        .count()
+}
+
+/// Waits for a condition.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + HANG;
+    while !condition() {
+        assert!(Instant::now() < deadline, "did not happen: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A call of the test caller.
+pub fn call(prompt: &str, max_tokens: u32, seed: u64) -> Call {
+    Call {
+        key: CALLER_KEY.into(),
+        model: "atlas".into(),
+        prompt: prompt.into(),
+        max_tokens,
+        seed,
+        rank: Rank::Routine,
+        patience: HANG,
+    }
+}
+
+fn client() -> cyper::Client {
+    cyper::Client::builder().no_proxy().build().unwrap()
+}
+
+/// Gets a JSON document.
+pub fn get<T: DeserializeOwned>(address: &str, path: &str) -> T {
+    block_on(async {
+        let request = client().get(format!("http://{address}{path}")).unwrap();
+        request.send().await.unwrap().json().await.unwrap()
+    })
+}
+
+/// Puts a JSON document.
+pub fn put<T: Serialize>(address: &str, path: &str, body: &T) {
+    block_on(async {
+        let request = client().put(format!("http://{address}{path}")).unwrap();
+        let response = request.json(body).unwrap().send().await.unwrap();
+        assert!(response.status().is_success(), "{}", response.status());
+    });
+}
+
+/// Posts an empty body.
+pub fn post(address: &str, path: &str) {
+    block_on(async {
+        let request = client().post(format!("http://{address}{path}")).unwrap();
+        let response = request.send().await.unwrap();
+        assert!(response.status().is_success(), "{}", response.status());
+    });
+}
+
+/// A fault-injecting proxy in front of an address.
+pub struct Proxy {
+    process: Process,
+    control: String,
+}
+
+impl Proxy {
+    pub fn start(upstream: &str) -> Self {
+        let mut process = Process::start(&["emulate", "proxy", "--upstream", upstream]);
+        let control = process.ready_line();
+        Self { process, control }
+    }
+
+    pub fn address(&self) -> &str {
+        &self.process.address
+    }
+
+    pub fn set(&self, fault: Fault) {
+        put(&self.control, "/v1/emulation/fault", &fault);
+    }
+}
