Add store client, peer messages and the view of live routers

Cause: claims, leases, configuration and membership all need these three before they can be built side by side.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use anyhow::Context;
 use clap::ArgMatches;
 use compact_str::{CompactString, format_compact};
 use compio::net::TcpListener;
@@ -12,7 +11,7 @@
 use crate::config::ini::File;
 use crate::config::split::{Split, key_digest};
 use crate::emulate::{backend, engine, members, store};
-use crate::router;
+use crate::router::{self, Sockets};
 use crate::supervisor::{Signal, Supervisor};
 use crate::wire::{Kind, Listing, Member};
 
@@ -25,25 +24,23 @@
 impl Run for Demo {
     async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()> {
         let listen = matches.get_one::<String>("listen").expect("has a default");
-        let listener = TcpListener::bind(listen.as_str())
-            .await
-            .with_context(|| format!("could not listen on {listen}; choose another --listen"))?;
-        let address = listener.local_addr()?;
         let platform = Supervisor::new();
         let (store, members) = start_platform(&platform).await?;
         let host = format!(
-            "[host]\nname = demo\nfailure_domain = fd-a\nlisten = {address}\n\
+            "[host]\nname = demo\nfailure_domain = fd-a\nlisten = {listen}\n\
              peer_listen = {LOCAL}\nstore = http://{store}\nmembers = http://{members}\n\
              key = demo-key-between-routers\n"
         );
         let host = Host::from_file(&File::parse("demo host", &host)?)?;
         let split = Split::from_files(&[File::parse("demo split", &split())?])?;
+        let sockets = Sockets::bind(&host).await?;
+        let address = sockets.callers.local_addr()?;
         println!("The router listens on {address}. Try:\n");
         println!(
             "curl -N http://{address}/v1/completions -H 'Authorization: Bearer {KEY}' \
              -d '{{\"model\":\"atlas\",\"prompt\":\"Sky notes:\",\"max_tokens\":20,\"stream\":true}}'"
         );
-        router::run(listener, host, split, stop).await;
+        router::run(sockets, host, split, stop).await?;
         platform.stop().await;
         Ok(())
     }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -2,12 +2,11 @@
 
 use anyhow::Context;
 use clap::ArgMatches;
-use compio::net::TcpListener;
 
 use super::Run;
 use crate::config::host::Host;
 use crate::config::ini::File;
-use crate::router;
+use crate::router::{self, Sockets};
 use crate::supervisor::Signal;
 
 pub(super) struct Serve;
@@ -19,11 +18,12 @@
             .with_context(|| format!("could not read {path}; check the path"))?;
         let host = Host::from_file(&File::parse(path, &text)?)?;
         let split = router::read_split(&host.split)?;
-        let listener = TcpListener::bind(host.listen.as_str())
-            .await
-            .with_context(|| format!("could not listen on {}; choose a free port", host.listen))?;
-        println!("ready kind=router address={}", listener.local_addr()?);
-        router::run(listener, host, split, stop).await;
-        Ok(())
+        let sockets = Sockets::bind(&host).await?;
+        println!(
+            "ready kind=router peer_address={} address={}",
+            sockets.peers.local_addr()?,
+            sockets.callers.local_addr()?
+        );
+        router::run(sockets, host, split, stop).await
     }
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! The task that owns the scheduler, the view of the fleet and the account.
 
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -96,7 +96,7 @@
     Health(Engine, Health),
     Members(Vec<wire::Member>),
     Status(Engine, wire::Status),
-    Split(Rc<Split>),
+    Split(Arc<Split>),
     Engines(oneshot::Sender<Vec<Polled>>),
     Overview(oneshot::Sender<Overview>),
 }
@@ -163,7 +163,7 @@
     }
 
     /// Puts a split into force.
-    pub fn split(&self, split: Rc<Split>) {
+    pub fn split(&self, split: Arc<Split>) {
         self.send(Message::Split(split));
     }
 
@@ -188,7 +188,7 @@
 }
 
 struct Dispatch<C: Clock> {
-    split: Rc<Split>,
+    split: Arc<Split>,
     scheduler: Scheduler<C>,
     fleet: Fleet<C>,
     ledger: Ledger,
@@ -233,7 +233,7 @@
 ) -> (Handle, impl Future<Output = ()>) {
     let (sender, receiver) = mpsc::unbounded();
     let dispatch = Dispatch {
-        split: Rc::default(),
+        split: Arc::default(),
         scheduler: Scheduler::new(clock.clone()),
         fleet: Fleet::new(clock, failure_domain),
         ledger: Ledger::default(),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -87,6 +87,64 @@
     }
 }
 
+/// An open connection that carries one request at a time.
+#[derive(Debug)]
+pub struct Connection {
+    address: String,
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] if the other end does not accept within `limit`.
+    pub async fn open(address: &str, limit: Duration) -> Result<Self, Error> {
+        let unsent = |cause: String| Error::Connect {
+            address: address.into(),
+            cause,
+        };
+        let stream = within(limit, TcpStream::connect(address))
+            .await
+            .ok_or_else(|| unsent(format!("no answer in {} ms", limit.as_millis())))?
+            .map_err(|err| unsent(err.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|err| unsent(err.to_string()))?;
+        let task = compio::runtime::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Self {
+            address: address.into(),
+            sender,
+            task,
+        })
+    }
+
+    /// Returns whether the other end closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// [`Error::Response`]; the request may have arrived.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let failed = |err: hyper::Error| Error::Response {
+            address: self.address.clone(),
+            cause: err.to_string(),
+        };
+        self.sender.ready().await.map_err(failed)?;
+        self.sender.send_request(request).await.map_err(failed)
+    }
+}
+
 /// Sends `request` to `address` and waits for the head of the response.
 ///
 /// `connect_limit` bounds the time to connect; the wait for the response is for the caller to
@@ -99,33 +157,13 @@
     request: Request<Full<Bytes>>,
     connect_limit: Duration,
 ) -> Result<Exchange, Error> {
-    let unsent = |cause: String| Error::Connect {
-        address: address.into(),
-        cause,
-    };
-    let stream = within(connect_limit, TcpStream::connect(address))
-        .await
-        .ok_or_else(|| unsent(format!("no answer in {} ms", connect_limit.as_millis())))?
-        .map_err(|err| unsent(err.to_string()))?;
-    let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = http1::handshake(HyperStream::new_plain(stream))
-        .await
-        .map_err(|err| unsent(err.to_string()))?;
-    let connection = compio::runtime::spawn(async move {
-        let _ = connection.await;
-    });
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(|err| Error::Response {
-            address: address.into(),
-            cause: err.to_string(),
-        })?;
+    let mut connection = Connection::open(address, connect_limit).await?;
+    let response = connection.send(request).await?;
     let (parts, body) = response.into_parts();
     Ok(Exchange {
         head: Response::from_parts(parts, ()),
         body,
-        _connection: connection,
+        _connection: connection.task,
     })
 }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod client;
 pub mod completions;
+pub mod pool;
 pub mod problem;
 pub mod server;
 pub mod sse;
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,3 +1,5 @@
 //! Which hosts, engines and backend servers there are.
 
 pub mod list;
+pub mod rendezvous;
+pub mod view;
--- /dev/null
+++ b/src/member/rendezvous.rs
@@ -0,0 +1,36 @@
+//! Rendezvous hashing: every host computes the same owner of a duty from the same members.
+
+use crate::util::hash64;
+
+/// Returns the candidates in order of their weight for `duty`, the owner first.
+///
+/// When a member leaves, only the duties that it owned move.
+pub fn ranked<'a>(duty: &str, candidates: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let weight = |name: &str| hash64(&[duty.as_bytes(), name.as_bytes()]);
+    let mut ranked: Vec<_> = candidates.into_iter().collect();
+    ranked.sort_by_key(|name| (std::cmp::Reverse(weight(name)), *name));
+    ranked
+}
+
+/// Returns the owner of a duty, `None` without candidates.
+pub fn owner<'a>(duty: &str, candidates: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    ranked(duty, candidates).into_iter().next()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against duties that move although their owner stays.
+    #[test]
+    fn only_duties_of_a_lost_member_move() {
+        let names: Vec<_> = (0..12).map(|number| format!("host-{number}")).collect();
+        let all = || names.iter().map(String::as_str);
+        for duty in 0..200 {
+            let duty = format!("duty-{duty}");
+            let before = owner(&duty, all()).unwrap();
+            let after = owner(&duty, all().filter(|name| *name != "host-3")).unwrap();
+            assert!(before == after || before == "host-3", "{duty}");
+        }
+    }
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -22,9 +23,15 @@
 use crate::http::problem::{Problem, Reason};
 use crate::http::{admin, server};
 use crate::member::list;
+use crate::member::view::{Peer, View};
+use crate::peer;
+use crate::peer::auth::Authenticator;
+use crate::peer::server::Methods;
 use crate::report::metrics::Metrics;
+use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::{unix_ms, within};
+use crate::wire;
 
 /// Time between a host's decision to leave and its refusal of new work, because the balancer lags.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
@@ -53,7 +60,13 @@
     pub refusing: Signal,
     /// Tasks of streamed answers.
     pub streams: Group,
-    split: RefCell<Rc<Split>>,
+    /// Calls to other routers.
+    pub peer: peer::client::Client,
+    /// Live routers.
+    pub view: View,
+    /// The store, if the settings name one.
+    pub store: Option<objects::Client>,
+    split: RefCell<Arc<Split>>,
     incarnation: u64,
     last_request: Cell<u64>,
 }
@@ -69,12 +82,12 @@
 
 impl Router {
     /// Returns the split that is in force.
-    pub fn split(&self) -> Rc<Split> {
+    pub fn split(&self) -> Arc<Split> {
         self.split.borrow().clone()
     }
 
     /// Puts a split into force.
-    pub fn set_split(&self, split: Rc<Split>) {
+    pub fn set_split(&self, split: Arc<Split>) {
         self.dispatch.split(split.clone());
         *self.split.borrow_mut() = split;
     }
@@ -134,39 +147,85 @@
     }
 }
 
-/// Runs a router process on `listener` until `stop` is given and all work has ended.
-pub async fn run(listener: TcpListener, host: Host, split: Split, stop: Signal) {
+/// The sockets that a router process listens on.
+#[derive(Debug)]
+pub struct Sockets {
+    /// For callers and operators.
+    pub callers: TcpListener,
+    /// For other routers.
+    pub peers: TcpListener,
+}
+
+impl Sockets {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    /// An address is in use or not of this machine.
+    pub async fn bind(host: &Host) -> anyhow::Result<Self> {
+        Ok(Self {
+            callers: bind(&host.listen).await?,
+            peers: bind(&host.peer_listen).await?,
+        })
+    }
+}
+
+async fn bind(address: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("could not listen on {address}; choose a free port"))
+}
+
+/// Runs a router process until `stop` is given and all work has ended.
+///
+/// # Errors
+/// A socket has no address.
+pub async fn run(sockets: Sockets, host: Host, split: Split, stop: Signal) -> anyhow::Result<()> {
     let supervisor = Supervisor::new();
-    let clock = clock::System;
-    let (dispatch, dispatch_task) =
-        dispatch::create(clock, host.failure_domain.clone(), supervisor.stop_signal());
+    let (dispatch, dispatch_task) = dispatch::create(
+        clock::System,
+        host.failure_domain.clone(),
+        supervisor.stop_signal(),
+    );
     supervisor.spawn("dispatch", dispatch_task);
+    let incarnation = unix_ms(clock::System.wall());
+    let own = Peer {
+        name: host.name.clone(),
+        address: format_compact!("{}", sockets.peers.local_addr()?),
+        failure_domain: host.failure_domain.clone(),
+        region: host.region.clone(),
+    };
     let router = Rc::new(Router {
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
         },
-        dispatch: dispatch.clone(),
+        dispatch,
         metrics: Metrics::default(),
         leaving: Signal::default(),
         refusing: Signal::default(),
         streams: Group::default(),
+        peer: peer_client(&host, incarnation),
+        view: View::new(own.clone()),
+        store: host.store.as_deref().map(objects::Client::new),
         split: RefCell::default(),
-        incarnation: unix_ms(clock.wall()),
+        incarnation,
         last_request: Cell::new(0),
     });
-    router.set_split(Rc::new(split));
-    if let Some(url) = host.members.clone() {
-        let handle = dispatch.clone();
-        let take = move |members| handle.members(members);
-        supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
-    }
-    let poll = poll_engines(dispatch, clock, supervisor.stop_signal());
-    supervisor.spawn("status", poll);
-
+    router.set_split(Arc::new(split));
+    start_tasks(&router, &host, own, &supervisor);
+    let methods = methods(&router);
+    supervisor.spawn(
+        "peers",
+        peer::server::run(
+            sockets.peers,
+            methods,
+            router.peer.clone(),
+            supervisor.stop_signal(),
+        ),
+    );
     let closed = Signal::default();
     let front = Rc::new(Front(router.clone()));
-    let serving = compio::runtime::spawn(server::serve(listener, front, closed.clone()));
+    let serving = compio::runtime::spawn(server::serve(sockets.callers, front, closed.clone()));
     info!("event=serving host={}", router.host.name);
     stop.wait().await;
     leave(&router, host.drain_limit, closed).await;
@@ -174,6 +233,51 @@
     router.streams.join().await;
     supervisor.stop().await;
     info!("event=stopped host={}", router.host.name);
+    Ok(())
+}
+
+fn peer_client(host: &Host, incarnation: u64) -> peer::client::Client {
+    let key = host.key.clone();
+    let auth = Authenticator::new(clock::System, key, host.previous_key.clone());
+    peer::client::Client::new(host.name.clone(), incarnation, auth)
+}
+
+/// Starts the tasks that keep this host's state up to date.
+fn start_tasks(router: &Rc<Router>, host: &Host, own: Peer, supervisor: &Supervisor) {
+    if let Some(url) = host.members.clone() {
+        let dispatch = router.dispatch.clone();
+        let view = router.view.clone();
+        let take = move |members: Vec<wire::Member>| {
+            view.set(peers(&members).chain([own.clone()]));
+            dispatch.members(members);
+        };
+        supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
+    }
+    let poll = poll_engines(
+        router.dispatch.clone(),
+        clock::System,
+        supervisor.stop_signal(),
+    );
+    supervisor.spawn("status", poll);
+}
+
+/// Collects the methods that other routers may call.
+fn methods(_router: &Rc<Router>) -> Methods {
+    Methods::default()
+}
+
+fn peers(members: &[wire::Member]) -> impl Iterator<Item = Peer> {
+    let routers = members
+        .iter()
+        .filter(|member| member.kind == wire::Kind::Router && member.state == wire::Listing::Live);
+    routers.filter_map(|member| {
+        Some(Peer {
+            name: member.name.clone(),
+            address: member.peer_address.clone()?,
+            failure_domain: member.failure_domain.clone(),
+            region: member.region.clone(),
+        })
+    })
 }
 
 async fn leave(router: &Router, _limit: Duration, closed: Signal) {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,1 +1,4 @@
 //! The platform's object API.
+
+pub mod fake;
+pub mod objects;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -33,6 +33,8 @@
     child: Child,
     output: BufReader<ChildStdout>,
     pub address: String,
+    /// The whole `ready` line.
+    pub ready: String,
 }
 
 impl Process {
@@ -48,6 +50,7 @@
             child,
             output,
             address: String::new(),
+            ready: String::new(),
         };
         process.address = process.ready_line();
         process
@@ -58,13 +61,24 @@
         let mut line = String::new();
         while self.output.read_line(&mut line).unwrap() > 0 {
             if line.starts_with("ready ") {
-                return line.trim().rsplit_once("address=").unwrap().1.to_owned();
+                self.ready = line.trim().to_owned();
+                return self.field("address").unwrap();
             }
             line.clear();
         }
         panic!("the program ended before it was ready");
     }
 
+    /// Returns a field of the `ready` line.
+    pub fn field(&self, name: &str) -> Option<String> {
+        let fields = self
+            .ready
+            .split(' ')
+            .filter_map(|field| field.split_once('='));
+        let mut found = fields.filter(|(key, _)| *key == name);
+        found.next().map(|(_, value)| value.to_owned())
+    }
+
     pub fn id(&self) -> u32 {
         self.child.id()
     }
@@ -160,8 +174,31 @@
             state: Listing::Live,
             service: service.into(),
         };
-        let path = format!("/v1/emulation/members/{name}");
-        put(&self.members.address, &path, &member);
+        self.list_member(&member);
+    }
+
+    /// Lists a member, or changes its entry.
+    pub fn list_member(&self, member: &Member) {
+        let path = format!("/v1/emulation/members/{}", member.name);
+        put(&self.members.address, &path, member);
+    }
+
+    /// Starts a backend server of a service and lists it; returns its index.
+    pub fn backend(&mut self, service: &str, extra: &[&str]) -> usize {
+        let index = self.backends.len();
+        let mut args = vec!["emulate", "backend"];
+        args.extend(extra);
+        let process = Process::start(&args);
+        let name = format!("backend-{index}");
+        self.list(
+            &name,
+            Kind::Backend,
+            &process.address,
+            &domain(index),
+            service,
+        );
+        self.backends.push(process);
+        index
     }
 
     /// Starts an engine of model `atlas` and lists it; returns its index.
@@ -204,6 +241,16 @@
         std::fs::write(&host_path, host).unwrap();
         let router = Process::start(&["serve", "-c", host_path.to_str().unwrap()]);
         let address = router.address.clone();
+        self.list_member(&Member {
+            name: format!("router-{index}").into(),
+            kind: Kind::Router,
+            address: address.as_str().into(),
+            peer_address: router.field("peer_address").map(Into::into),
+            failure_domain: domain(index).into(),
+            region: "default".into(),
+            state: Listing::Live,
+            service: "".into(),
+        });
         self.routers.push(router);
         wait_until("the router sees the engines", || {
             known_engines(&address) >= engines
