Track live routers by probes, news and the platform's list

Cause: the platform's list lags, so a dead or leaving router kept its duties, and a router that was paused acted on old ones.

Change: member::Table with direct and indirect probes, incarnations, refutation, leaving and left as states, and rest from duties after a pause until peers were probed; the task that carries it over peer messages; a setting for the address under which peers reach a host.

An advertised address from the list instead of a setting was tried and reverted: a restarted router took over the old address of its predecessor while the list lagged.

--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -19,6 +19,8 @@
     pub listen: CompactString,
     /// Address for messages between routers, `IP:PORT`.
     pub peer_listen: CompactString,
+    /// Address under which other routers reach this one, if it is not `peer_listen`.
+    pub peer_address: Option<CompactString>,
     /// URL of the store, or `None` to run without one.
     pub store: Option<String>,
     /// URL of the membership list.
@@ -66,6 +68,7 @@
     "region",
     "listen",
     "peer_listen",
+    "peer_address",
     "store",
     "members",
     "seeds",
@@ -91,6 +94,10 @@
             region: section.text("region").unwrap_or("default").into(),
             listen: address(&section, "listen")?,
             peer_listen: address(&section, "peer_listen")?,
+            peer_address: match section.text("peer_address") {
+                Some(_) => Some(address(&section, "peer_address")?),
+                None => None,
+            },
             store: url(&section, "store")?,
             members: url(&section, "members")?,
             seeds: section.words("seeds"),
--- a/src/emulate/proxy.rs
+++ b/src/emulate/proxy.rs
@@ -1,6 +1,7 @@
 //! A fault-injecting TCP proxy between any two processes.
 //!
-//! `PUT /v1/emulation/fault` on the control address sets the fault.
+//! `PUT /v1/emulation/fault` on the control address sets the fault, and `PUT
+//! /v1/emulation/upstream` the address to forward to.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -46,6 +47,7 @@
 }
 
 struct Shared {
+    upstream: RefCell<CompactString>,
     fault: Cell<Fault>,
     // Connections opened in an earlier generation are silent or closed.
     silent_before: Cell<u64>,
@@ -89,6 +91,7 @@
     stop: Signal,
 ) {
     let shared = Rc::new(Shared {
+        upstream: RefCell::new(upstream),
         fault: Cell::default(),
         silent_before: Cell::new(0),
         generation: Cell::new(0),
@@ -105,7 +108,7 @@
         match select(stopped, accept).await {
             Either::Left(_) => break,
             Either::Right((Ok((stream, _)), _)) => {
-                connections.spawn(connection(stream, upstream.clone(), shared.clone()));
+                connections.spawn(connection(stream, shared.clone()));
             }
             Either::Right((Err(_), _)) => {}
         }
@@ -114,12 +117,13 @@
     let _ = control.await;
 }
 
-async fn connection(client: TcpStream, upstream: CompactString, shared: Rc<Shared>) {
+async fn connection(client: TcpStream, shared: Rc<Shared>) {
     if shared.fault.get() == Fault::Cut {
         return;
     }
     let closed = shared.closed.borrow().clone();
     let generation = shared.generation.get();
+    let upstream = shared.upstream.borrow().clone();
     let Ok(server) = TcpStream::connect(upstream.as_str()).await else {
         return;
     };
@@ -179,14 +183,18 @@
 
 impl server::Service for Control {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
-        let Ok(body) = request.into_body().collect().await else {
+        let (head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
             return text_response(StatusCode::BAD_REQUEST, "the body broke off");
         };
-        match serde_json::from_slice(&body.to_bytes()) {
-            Ok(fault) => {
-                self.0.set(fault);
-                text_response(StatusCode::OK, "")
-            }
+        let body = body.to_bytes();
+        let set = match head.uri.path() {
+            "/v1/emulation/upstream" => serde_json::from_slice(&body)
+                .map(|upstream| *self.0.upstream.borrow_mut() = upstream),
+            _ => serde_json::from_slice(&body).map(|fault| self.0.set(fault)),
+        };
+        match set {
+            Ok(()) => text_response(StatusCode::OK, ""),
             Err(err) => text_response(StatusCode::BAD_REQUEST, err.to_string()),
         }
     }
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -20,6 +20,8 @@
             "host": router.host.name,
             "failure_domain": router.host.failure_domain,
             "leaving": router.leaving.is_given(),
+            "live": router.view.live(),
+            "active": router.view.is_active(),
             "dispatch": router.dispatch.overview().await,
         })),
         _ => return None,
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod list;
 pub mod rendezvous;
+pub mod table;
+pub mod task;
 pub mod view;
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -1,16 +1,16 @@
 //! What the other parts of a router see of the membership.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::rendezvous;
 
 /// A router as a peer.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Peer {
     /// Name of its host.
     pub name: CompactString,
@@ -28,6 +28,8 @@
     own: CompactString,
     // Invariant: holds only routers that are live, neither leaving nor suspected.
     live: Rc<RefCell<BTreeMap<CompactString, Peer>>>,
+    is_active: Rc<Cell<bool>>,
+    doubted: Rc<RefCell<Vec<CompactString>>>,
 }
 
 impl View {
@@ -36,6 +38,8 @@
         Self {
             own: own.name.clone(),
             live: Rc::new(RefCell::new(BTreeMap::from([(own.name.clone(), own)]))),
+            is_active: Rc::new(Cell::new(true)),
+            doubted: Rc::default(),
         }
     }
 
@@ -69,7 +73,30 @@
 
     /// Returns whether this host should hold a duty.
     pub fn owns(&self, duty: &str) -> bool {
-        self.owner(duty).is_some_and(|owner| owner.name == self.own)
+        self.is_active() && self.owner(duty).is_some_and(|owner| owner.name == self.own)
+    }
+
+    /// Says whether this host may act on duties.
+    pub fn set_active(&self, is_active: bool) {
+        self.is_active.set(is_active);
+    }
+
+    /// Returns whether this host may act on duties: it neither leaves nor returns from a pause.
+    pub fn is_active(&self) -> bool {
+        self.is_active.get()
+    }
+
+    /// Notes that a call to a peer failed, so that the peer is probed at once.
+    pub fn doubt(&self, name: &str) {
+        let mut doubted = self.doubted.borrow_mut();
+        if !doubted.iter().any(|known| known == name) {
+            doubted.push(name.into());
+        }
+    }
+
+    /// Returns and forgets the doubted peers.
+    pub fn take_doubted(&self) -> Vec<CompactString> {
+        self.doubted.take()
     }
 
     /// Returns the live router of a failure domain that should hold a duty of that domain, or of
--- a/src/router.rs
+++ b/src/router.rs
@@ -22,7 +22,9 @@
 use crate::http::completions::{self, Format};
 use crate::http::problem::{Problem, Reason};
 use crate::http::{admin, server};
+use crate::member;
 use crate::member::list;
+use crate::member::table::State;
 use crate::member::view::{Peer, View};
 use crate::peer;
 use crate::peer::auth::Authenticator;
@@ -64,6 +66,8 @@
     pub peer: peer::client::Client,
     /// Live routers.
     pub view: View,
+    /// The membership task.
+    pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
     split: RefCell<Arc<Split>>,
@@ -190,10 +194,24 @@
     let incarnation = unix_ms(clock::System.wall());
     let own = Peer {
         name: host.name.clone(),
-        address: format_compact!("{}", sockets.peers.local_addr()?),
+        address: match &host.peer_address {
+            Some(address) => address.clone(),
+            None => format_compact!("{}", sockets.peers.local_addr()?),
+        },
         failure_domain: host.failure_domain.clone(),
         region: host.region.clone(),
     };
+    let peer = peer_client(&host, incarnation);
+    let view = View::new(own.clone());
+    let (members, members_task) = member::task::create(
+        clock::System,
+        own,
+        view.clone(),
+        peer.clone(),
+        &host.seeds,
+        supervisor.stop_signal(),
+    );
+    supervisor.spawn("membership", members_task);
     let router = Rc::new(Router {
         host: HostView {
             name: host.name.clone(),
@@ -204,15 +222,16 @@
         leaving: Signal::default(),
         refusing: Signal::default(),
         streams: Group::default(),
-        peer: peer_client(&host, incarnation),
-        view: View::new(own.clone()),
+        peer,
+        view,
+        members,
         store: host.store.as_deref().map(objects::Client::new),
         split: RefCell::default(),
         incarnation,
         last_request: Cell::new(0),
     });
     router.set_split(Arc::new(split));
-    start_tasks(&router, &host, own, &supervisor);
+    start_tasks(&router, &host, &supervisor);
     let methods = methods(&router);
     supervisor.spawn(
         "peers",
@@ -231,6 +250,7 @@
     leave(&router, host.drain_limit, closed).await;
     let _ = serving.await;
     router.streams.join().await;
+    router.members.leave(State::Left).await;
     supervisor.stop().await;
     info!("event=stopped host={}", router.host.name);
     Ok(())
@@ -243,12 +263,12 @@
 }
 
 /// Starts the tasks that keep this host's state up to date.
-fn start_tasks(router: &Rc<Router>, host: &Host, own: Peer, supervisor: &Supervisor) {
+fn start_tasks(router: &Rc<Router>, host: &Host, supervisor: &Supervisor) {
     if let Some(url) = host.members.clone() {
         let dispatch = router.dispatch.clone();
-        let view = router.view.clone();
+        let table = router.members.clone();
         let take = move |members: Vec<wire::Member>| {
-            view.set(peers(&members).chain([own.clone()]));
+            table.listed(&members);
             dispatch.members(members);
         };
         supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
@@ -262,27 +282,16 @@
 }
 
 /// Collects the methods that other routers may call.
-fn methods(_router: &Rc<Router>) -> Methods {
-    Methods::default()
-}
-
-fn peers(members: &[wire::Member]) -> impl Iterator<Item = Peer> {
-    let routers = members
-        .iter()
-        .filter(|member| member.kind == wire::Kind::Router && member.state == wire::Listing::Live);
-    routers.filter_map(|member| {
-        Some(Peer {
-            name: member.name.clone(),
-            address: member.peer_address.clone()?,
-            failure_domain: member.failure_domain.clone(),
-            region: member.region.clone(),
-        })
-    })
+fn methods(router: &Rc<Router>) -> Methods {
+    let mut methods = Methods::default();
+    router.members.add_methods(&mut methods);
+    methods
 }
 
 async fn leave(router: &Router, _limit: Duration, closed: Signal) {
     info!("event=leaving host={}", router.host.name);
     router.leaving.give();
+    router.members.leave(State::Leaving).await;
     compio::time::sleep(LEAVE_GRACE).await;
     router.refusing.give();
     closed.give();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -225,13 +225,28 @@
 
     /// Starts a router with a split file and waits until it sees `engines` engines.
     pub fn router(&mut self, split: &str, engines: usize) -> usize {
+        self.router_with(split, engines, "")
+    }
+
+    /// Starts a router whose peers reach it through a proxy; returns the proxy.
+    pub fn proxied_router(&mut self, split: &str, engines: usize) -> Proxy {
+        let proxy = Proxy::start("127.0.0.1:1");
+        let settings = format!("peer_address = {}\n", proxy.address());
+        let index = self.router_with(split, engines, &settings);
+        let upstream = self.routers[index].field("peer_address").unwrap();
+        put(&proxy.control, "/v1/emulation/upstream", &upstream);
+        proxy
+    }
+
+    /// Starts a router with further lines in its `[host]` section.
+    pub fn router_with(&mut self, split: &str, engines: usize, settings: &str) -> usize {
         let index = self.routers.len();
         let split_path = self.folder.path().join(format!("split-{index}.ini"));
         std::fs::write(&split_path, split).unwrap();
         let host = format!(
             "[host]\nname = router-{index}\nfailure_domain = {}\nlisten = 127.0.0.1:0\n\
              peer_listen = 127.0.0.1:0\nstore = http://{}\nmembers = http://{}\n\
-             key = {PEER_KEY}\nsplit = {}\n",
+             key = {PEER_KEY}\nsplit = {}\n{settings}",
             domain(index),
             self.store.address,
             self.members.address,
