--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -17,6 +17,7 @@
         .subcommand(serve())
         .subcommand(demo())
         .subcommand(emulate())
+        .subcommand(report())
 }
 
 fn serve() -> Command {
@@ -43,6 +44,30 @@
         )
 }
 
+fn report() -> Command {
+    Command::new("report")
+        .about("Print the service-level burn of hosts, joined")
+        .arg(
+            Arg::new("hosts")
+                .value_name("IP:PORT")
+                .num_args(1..)
+                .required(true)
+                .help("Addresses of routers"),
+        )
+        .arg(
+            Arg::new("admin-key-file")
+                .long("admin-key-file")
+                .value_name("FILE")
+                .help("File with the administrator's key"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON"),
+        )
+}
+
 fn emulate() -> Command {
     Command::new("emulate")
         .about("Run one stand-in for an outside system")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod args;
 mod demo;
 mod emulate;
+mod report;
 mod serve;
 
 use std::process::ExitCode;
@@ -51,6 +52,7 @@
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::Serve::run(matches, stop).await,
         Some(("emulate", matches)) => emulate::Emulate::run(matches, stop).await,
+        Some(("report", matches)) => report::Report::run(matches, stop).await,
         Some(("demo", matches)) => demo::Demo::run(matches, stop).await,
         _ => unreachable!("clap accepts only the subcommands above"),
     };
--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -31,6 +31,8 @@
     pub key: Secret,
     /// Earlier key, accepted during rotation.
     pub previous_key: Option<Secret>,
+    /// Key of administrators; without one, reading is open and changing is refused.
+    pub admin_key: Option<Secret>,
     /// Split files for a host that runs without a store.
     pub split: Vec<String>,
     /// Time after which a leaving host cuts what still runs.
@@ -47,6 +49,12 @@
         Self(bytes.into())
     }
 
+    /// Compares with a given value, in a time that does not depend on where they differ.
+    pub fn matches(&self, given: &[u8]) -> bool {
+        use sha2::{Digest, Sha256};
+        Sha256::digest(&self.0) == Sha256::digest(given)
+    }
+
     /// Returns the secret for use as a key.
     pub fn expose(&self) -> &[u8] {
         &self.0
@@ -74,6 +82,7 @@
     "seeds",
     "key",
     "previous_key",
+    "admin_key",
     "split",
     "drain_limit_ms",
 ];
@@ -104,6 +113,7 @@
             key: secret(&section, "key")?
                 .ok_or_else(|| section.error("key", "[host] lacks key; add key = …"))?,
             previous_key: secret(&section, "previous_key")?,
+            admin_key: secret(&section, "admin_key")?,
             split: section
                 .words("split")
                 .into_iter()
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,3 +1,4 @@
 //! What operators see.
 
+pub mod burn;
 pub mod metrics;
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,7 +14,7 @@
 use log::info;
 
 use crate::clock::{self, Clock};
-use crate::config::host::Host;
+use crate::config::host::{Host, Secret};
 use crate::config::split::Split;
 use crate::dispatch::{self, Handle};
 use crate::engine;
@@ -29,6 +29,7 @@
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
+use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -56,6 +57,8 @@
     pub dispatch: Handle,
     /// Metrics.
     pub metrics: Metrics,
+    /// Asks this process to leave.
+    pub stop: Signal,
     /// Given when the host starts to leave.
     pub leaving: Signal,
     /// Given when new work is refused.
@@ -71,6 +74,7 @@
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
     split: RefCell<Arc<Split>>,
+    report: RefCell<Report<clock::System>>,
     incarnation: u64,
     last_request: Cell<u64>,
 }
@@ -82,6 +86,8 @@
     pub name: CompactString,
     /// Failure domain.
     pub failure_domain: CompactString,
+    /// Key of administrators.
+    pub admin_key: Option<Secret>,
 }
 
 impl Router {
@@ -96,6 +102,16 @@
         *self.split.borrow_mut() = split;
     }
 
+    /// Notes events of a service level, of which some missed the target.
+    pub fn record(&self, line: Line, events: u64, bad: u64) {
+        self.report.borrow_mut().record(line, events, bad);
+    }
+
+    /// Returns the service-level burn.
+    pub fn burns(&self) -> Vec<Burn> {
+        self.report.borrow().burns()
+    }
+
     /// Returns an identity that no other request of any host has.
     pub fn new_request_id(&self) -> CompactString {
         self.last_request.set(self.last_request.get() + 1);
@@ -126,7 +142,7 @@
         let router = &self.0;
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        if let Some(response) = admin::answer(router, path).await {
+        if let Some(response) = admin::answer(router, &head).await {
             return response;
         }
         if router.refusing.is_given() {
@@ -216,9 +232,11 @@
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
+            admin_key: host.admin_key.clone(),
         },
         dispatch,
         metrics: Metrics::default(),
+        stop: stop.clone(),
         leaving: Signal::default(),
         refusing: Signal::default(),
         streams: Group::default(),
@@ -227,6 +245,7 @@
         members,
         store: host.store.as_deref().map(objects::Client::new),
         split: RefCell::default(),
+        report: RefCell::new(Report::new(clock::System)),
         incarnation,
         last_request: Cell::new(0),
     });
