Measure the control cost of a router and shorten membership news

Cause: the cost of control at 770 nodes was not known.

Change: benches/capacity.rs with real routers at 4, 8, 16 and 32 nodes; byte counters on peer and store calls; news about a listed router whose state did not change is not spread; 4 news instead of 6 in a message.

--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,168 @@
+//! Control cost of a router at several fleet sizes, and its extrapolation to 770 nodes.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::{Duration, Instant};
+
+use bilberrypost::emulate::store::Calls;
+use serde_json::{Value, json};
+use support::{Cluster, get, split, wait_until};
+
+/// Fleet sizes that are measured.
+const SIZES: [usize; 4] = [4, 8, 16, 32];
+
+/// Size to which the measured lines are extended.
+const NODES: f64 = 770.0;
+
+/// Routers of a failure domain that watch the store at full size, times the failure domains.
+const WATCHES: f64 = 62.0;
+
+const SETTLE: Duration = Duration::from_secs(6);
+
+const MEASURE: Duration = Duration::from_secs(20);
+
+/// Not used for chance events; real processes draw their own.
+const SEED: u64 = 1;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sample {
+    cpu_s: f64,
+    memory_mb: f64,
+    bytes: f64,
+}
+
+impl Sample {
+    fn of(pid: u32, address: &str) -> Self {
+        let status: Value = get(address, "/admin/v1/status");
+        Self {
+            cpu_s: cpu_seconds(pid),
+            memory_mb: memory_mb(pid),
+            bytes: status["control_bytes"].as_f64().unwrap(),
+        }
+    }
+}
+
+fn cpu_seconds(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap();
+    text.split(' ').next().unwrap().parse::<f64>().unwrap() / 1e9
+}
+
+fn memory_mb(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .unwrap();
+    let kilobytes = line.split_whitespace().nth(1).unwrap();
+    kilobytes.parse::<f64>().unwrap() / 1024.0
+}
+
+/// Least-squares line through points; returns intercept and slope.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (sx, sy) = points
+        .iter()
+        .fold((0.0, 0.0), |(x, y), p| (x + p.0, y + p.1));
+    let (mx, my) = (sx / n, sy / n);
+    let sxy: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
+    let sxx: f64 = points.iter().map(|p| (p.0 - mx) * (p.0 - mx)).sum();
+    let slope = sxy / sxx;
+    (my - slope * mx, slope)
+}
+
+struct Measured {
+    nodes: f64,
+    core_percent: f64,
+    memory_mb: f64,
+    bytes_per_s: f64,
+    store_writes_per_s: f64,
+    store_reads_per_s: f64,
+}
+
+fn measure(nodes: usize) -> Measured {
+    let mut cluster = Cluster::start();
+    for _ in 0..12 {
+        cluster.engine(&[]);
+    }
+    for _ in 0..nodes {
+        cluster.router(&split(), 12);
+    }
+    let last = cluster.routers.last().unwrap().address.clone();
+    wait_until("all routers are live", || {
+        let status: Value = get(&last, "/admin/v1/status");
+        status["live"].as_array().unwrap().len() == nodes
+    });
+    std::thread::sleep(SETTLE);
+    let sample = |cluster: &Cluster| -> Vec<Sample> {
+        let routers = cluster.routers.iter();
+        routers
+            .map(|router| Sample::of(router.id(), &router.address))
+            .collect()
+    };
+    let calls = |cluster: &Cluster| get::<Calls>(&cluster.store.address, "/v1/emulation/calls");
+    let (before, calls_before, start) = (sample(&cluster), calls(&cluster), Instant::now());
+    std::thread::sleep(MEASURE);
+    let (after, calls_after) = (sample(&cluster), calls(&cluster));
+    let seconds = start.elapsed().as_secs_f64();
+    let mean = |value: &dyn Fn(&Sample, &Sample) -> f64| {
+        let pairs = before.iter().zip(&after);
+        pairs
+            .map(|(before, after)| value(before, after))
+            .sum::<f64>()
+            / nodes as f64
+    };
+    Measured {
+        nodes: nodes as f64,
+        core_percent: mean(&|before, after| (after.cpu_s - before.cpu_s) / seconds * 100.0),
+        memory_mb: mean(&|_, after| after.memory_mb),
+        bytes_per_s: mean(&|before, after| (after.bytes - before.bytes) / seconds),
+        store_writes_per_s: (calls_after.writes - calls_before.writes) as f64 / seconds,
+        store_reads_per_s: (calls_after.reads - calls_before.reads) as f64 / seconds,
+    }
+}
+
+fn main() {
+    println!("seed {SEED}");
+    println!("nodes  core %  memory MB  control B/s  store writes/s  store reads/s");
+    let mut all = Vec::new();
+    for size in SIZES {
+        let m = measure(size);
+        println!(
+            "{:>5}  {:>6.3}  {:>9.1}  {:>11.0}  {:>14.2}  {:>13.2}",
+            m.nodes,
+            m.core_percent,
+            m.memory_mb,
+            m.bytes_per_s,
+            m.store_writes_per_s,
+            m.store_reads_per_s
+        );
+        all.push(m);
+    }
+    let line = |value: fn(&Measured) -> f64| {
+        let points: Vec<_> = all.iter().map(|m| (m.nodes, value(m))).collect();
+        fit(&points)
+    };
+    let at_full_size = |name: &str, value: fn(&Measured) -> f64| {
+        let (base, slope) = line(value);
+        println!("{name}: {base:.4} + {slope:.6} a node");
+        (base + slope * NODES).max(0.0)
+    };
+    let core = at_full_size("core percent", |m| m.core_percent);
+    let memory = at_full_size("memory MB", |m| m.memory_mb);
+    let bytes = at_full_size("control bytes/s", |m| m.bytes_per_s);
+    let writes = at_full_size("store writes/s, whole fleet", |m| m.store_writes_per_s);
+    // Reads come from watchers, whose number depends on the failure domains, not on the nodes.
+    let watchers = |m: &Measured| m.store_reads_per_s / m.nodes.min(6.0);
+    let per_watch = all.iter().map(watchers).sum::<f64>() / all.len() as f64;
+    println!("store reads/s for each watcher: {per_watch:.3}");
+    let result = json!({
+        "seed": SEED,
+        "control_core_percent": core,
+        "control_memory_mb": memory,
+        "control_bytes_per_s": bytes,
+        "store_writes_per_s": writes,
+        "store_reads_per_s": per_watch * WATCHES,
+    });
+    println!("{result}");
+}
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -52,6 +52,7 @@
             "leaving": router.leaving.is_given(),
             "live": router.view.live(),
             "active": router.view.is_active(),
+            "control_bytes": router.control_bytes(),
             "dispatch": router.dispatch.overview().await,
         })),
         (&Method::GET, "report") => json_response(&router.burns()),
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -3,14 +3,15 @@
 //! A call that fails or runs out of time closes every idle connection to that address, because
 //! something in between may have lost track of all of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use compio::bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::body::Body;
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, Request};
 
 use super::client::{Connection, Error};
 use crate::util::within;
@@ -20,7 +21,21 @@
 
 /// Connections by address.
 #[derive(Debug, Default)]
-pub struct Pool(RefCell<BTreeMap<String, Vec<Connection>>>);
+pub struct Pool {
+    idle: RefCell<BTreeMap<String, Vec<Connection>>>,
+    bytes: Cell<u64>,
+}
+
+/// Returns the length of a message's head and body in bytes, its first line estimated.
+pub fn message_bytes(headers: &HeaderMap, body: usize) -> u64 {
+    const FIRST_LINE: usize = 32;
+    const SEPARATORS: usize = 4;
+    let headers = headers.iter();
+    let head: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS)
+        .sum();
+    (FIRST_LINE + head + body) as u64
+}
 
 impl Pool {
     /// Sends a request and reads the whole response, within `limit`.
@@ -33,6 +48,8 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<(Parts, Bytes), Error> {
+        let size = request.body().size_hint().exact().unwrap_or(0) as usize;
+        self.count(message_bytes(request.headers(), size));
         let idle = self.take(address);
         let mut connection = match idle {
             Some(connection) => connection,
@@ -52,21 +69,33 @@
                 cause: format!("no answer in {} ms", limit.as_millis()),
             })
         });
-        match result {
-            Ok(_) => self.put(address, connection),
-            Err(_) => drop(self.0.borrow_mut().remove(address)),
+        match &result {
+            Ok((head, body)) => {
+                self.count(message_bytes(&head.headers, body.len()));
+                self.put(address, connection);
+            }
+            Err(_) => drop(self.idle.borrow_mut().remove(address)),
         }
         result
     }
 
+    /// Returns the bytes sent and received, without those of TCP and IP.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.get()
+    }
+
+    fn count(&self, bytes: u64) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
     fn take(&self, address: &str) -> Option<Connection> {
-        let mut pool = self.0.borrow_mut();
+        let mut pool = self.idle.borrow_mut();
         let idle = pool.get_mut(address)?;
         std::iter::from_fn(|| idle.pop()).find(|connection| !connection.is_closed())
     }
 
     fn put(&self, address: &str, connection: Connection) {
-        let mut pool = self.0.borrow_mut();
+        let mut pool = self.idle.borrow_mut();
         let idle = pool.entry(address.into()).or_default();
         if idle.len() < IDLE_MAX {
             idle.push(connection);
--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -29,7 +29,7 @@
                 take(members);
             }
             Some(Ok(None)) => {}
-            Some(Err(err)) => warn!("event=members_unreachable error={err:?}"),
+            Some(Err(err)) => warn!("event=members_unreachable error={:?}", format!("{err:#}")),
             None => warn!("event=members_unreachable error=timeout"),
         }
         within(PERIOD, stop.wait()).await;
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -25,8 +25,9 @@
 /// Routers asked to probe one that did not answer.
 const HELPERS: usize = 2;
 
-/// News that one message carries.
-const NEWS_PER_MESSAGE: usize = 6;
+/// News that one message carries, so that a burst of changes costs a host under 4 KB/s: 2 calls a
+/// second, each with two messages of at most 5 news of 200 bytes.
+const NEWS_PER_MESSAGE: usize = 4;
 
 /// Time between two comparisons of whole tables.
 const SYNC_PERIOD: Duration = Duration::from_secs(30);
@@ -190,11 +191,21 @@
     fn insert(&mut self, news: News) {
         let name = news.peer.name.clone();
         let fleet = self.entries.len() as u32 + 2;
+        let known = self.entries.get(&name).map(|entry| &entry.news);
+        // Peers learn the incarnation of a listed router from the router itself.
+        let is_known = match known {
+            Some(known) => known.state == news.state && known.peer == news.peer,
+            None => news.incarnation == 0,
+        };
         let entry = Entry {
-            news,
             since: self.clock.now(),
             // Enough messages for news to reach all routers with high probability.
-            to_tell: 3 * fleet.ilog2().max(1),
+            to_tell: if is_known {
+                0
+            } else {
+                3 * fleet.ilog2().max(1)
+            },
+            news,
         };
         self.entries.insert(name, entry);
     }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -45,6 +45,7 @@
     revision: Cell<u64>,
     auth: Authenticator<clock::System>,
     pool: Pool,
+    answered: Cell<u64>,
     listeners: RefCell<Vec<mpsc::UnboundedSender<Sender>>>,
 }
 
@@ -61,6 +62,7 @@
             revision: Cell::new(0),
             auth,
             pool: Pool::default(),
+            answered: Cell::new(0),
             listeners: RefCell::default(),
         }))
     }
@@ -92,6 +94,16 @@
         listeners.retain(|listener| listener.unbounded_send(from.clone()).is_ok());
     }
 
+    /// Counts bytes of calls that this host answered.
+    pub fn count_answered(&self, bytes: u64) {
+        self.0.answered.set(self.0.answered.get() + bytes);
+    }
+
+    /// Returns the bytes of all calls in both directions, without those of TCP and IP.
+    pub fn bytes(&self) -> u64 {
+        self.0.pool.bytes() + self.0.answered.get()
+    }
+
     /// Returns the authenticator that peers share.
     pub fn auth(&self) -> &Authenticator<clock::System> {
         &self.0.auth
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -16,6 +16,7 @@
 use super::client::Client;
 use super::{Envelope, Sender};
 use crate::http::body::Body;
+use crate::http::pool::message_bytes;
 use crate::http::problem::text_response;
 use crate::http::server;
 use crate::supervisor::Signal;
@@ -120,6 +121,10 @@
         let text = serde_json::to_vec(&reply).expect("a reply serializes");
         let mut response = Response::new(Body::Whole(None));
         self.peer.auth().sign(response.headers_mut(), &text);
+        self.peer.count_answered(
+            message_bytes(&head.headers, body.len())
+                + message_bytes(response.headers(), text.len()),
+        );
         *response.body_mut() = Body::whole(text);
         response
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -77,6 +77,7 @@
     report: RefCell<Report<clock::System>>,
     incarnation: u64,
     last_request: Cell<u64>,
+    polled_bytes: Cell<u64>,
 }
 
 /// What requests need to know of the host's settings.
@@ -112,6 +113,12 @@
         self.report.borrow().burns()
     }
 
+    /// Returns the bytes that control has cost since the start, without those of TCP and IP.
+    pub fn control_bytes(&self) -> u64 {
+        let store = self.store.as_ref().map_or(0, objects::Client::bytes);
+        self.peer.bytes() + store + self.polled_bytes.get()
+    }
+
     /// Returns an identity that no other request of any host has.
     pub fn new_request_id(&self) -> CompactString {
         self.last_request.set(self.last_request.get() + 1);
@@ -248,6 +255,7 @@
         report: RefCell::new(Report::new(clock::System)),
         incarnation,
         last_request: Cell::new(0),
+        polled_bytes: Cell::new(0),
     });
     router.set_split(Arc::new(split));
     start_tasks(&router, &host, &supervisor);
--- a/src/store/objects.rs
+++ b/src/store/objects.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Returns the bytes of all calls in both directions, without those of TCP and IP.
+    pub fn bytes(&self) -> u64 {
+        self.pool.bytes()
+    }
+
     fn request(&self, method: Method, path: &str) -> Builder {
         Request::builder()
             .method(method)
