Make the generation a full state machine and sign event ids

Cause: an attempt was judged only by its frames and a fixed silence limit of 1.5 s, a silent engine could not be told from a slow batch, nothing limited resumes, a caller that left before the first frame was not noticed, and a caller whose router died could not continue because the event id was a position that proves nothing.

Change: relay::Generation takes events and returns actions. Deaths are counted by prompt digest, and only if a new connection shows that the engine is gone, so that a reset is not blamed on the prompt. Each answer runs in a task of its own that notices a caller who leaves at any stage. Event ids are signed cursors; a forged, foreign or mismatched one is refused not-run.

--- a/src/http/completions.rs
+++ b/src/http/completions.rs
@@ -1,8 +1,12 @@
 //! The completion endpoints for callers.
 
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
@@ -13,17 +17,23 @@
 use crate::account::Outcome;
 use crate::config::split::{Caller, Split};
 use crate::dispatch::{Guard, Placement};
+use crate::relay::cursor::{self, Cursor, Signer};
 use crate::relay::generation::Generation;
+use crate::relay::killer;
 use crate::relay::stream::{self, End, Gone, Sink};
 use crate::route::fleet::Need;
 use crate::route::prefix;
 use crate::router::Router;
 use crate::sched::scheduler::{Refusal, Work};
+use crate::util::within;
 use crate::wire::{self, Rank};
 
 /// Output tokens if the caller names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
+/// Longest time in which a caller must read the end of its stream.
+const LAST_EVENT_LIMIT: Duration = Duration::from_secs(30);
+
 /// Protocol of the caller's endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Format {
@@ -52,6 +62,8 @@
     seed: Option<u64>,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    resume_tokens: Vec<u32>,
 }
 
 /// A request that passed all checks.
@@ -62,6 +74,10 @@
     rank: Rank,
     need: Need,
     is_streamed: bool,
+    // Digest of caller and body, which a cursor is bound to.
+    body: u64,
+    // Whether the caller has all tokens and lacks only the end of the stream.
+    is_ended: bool,
 }
 
 /// Answers a completion request.
@@ -75,6 +91,34 @@
         Ok(checked) => checked,
         Err(problem) => return router.refused(problem),
     };
+    let prompt = killer::digest(&checked.request.model, &checked.request.prompt);
+    if router
+        .relay
+        .borrow()
+        .killers
+        .is_killer(prompt, Instant::now())
+    {
+        let detail = "several engines died while serving this prompt; change the prompt";
+        return router.refused(Problem::not_run(Reason::EngineKiller, detail));
+    }
+    if checked.is_ended {
+        return event_stream(Body::whole(sse::encode("", "", "[DONE]")));
+    }
+    // The answer is made in a task of its own, so that a caller who goes away at any time is
+    // noticed and the work is cancelled on the engine instead of being dropped half-way.
+    let (reply, response) = oneshot::channel();
+    let router_of_task = router.clone();
+    router.streams.spawn(async move {
+        answer(&router_of_task, format, checked, reply).await;
+    });
+    let stopping = |_| super::problem::text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+    response.await.unwrap_or_else(stopping)
+}
+
+/// Sends the response to the handler of the connection; closed once the caller is gone.
+type Reply = oneshot::Sender<Response<Body>>;
+
+async fn answer(router: &Rc<Router>, format: Format, checked: Checked, mut reply: Reply) {
     let work = Work {
         partner: checked.partner.clone(),
         team: checked.caller.team.clone(),
@@ -84,10 +128,22 @@
         prompt_tokens: prefix::tokens(&checked.request.prompt),
         max_tokens: checked.request.max_tokens,
     };
-    match router.dispatch.submit(work).await {
-        Ok(placement) if checked.is_streamed => streamed(router, format, checked, placement),
-        Ok(placement) => whole(router, format, checked, placement).await,
-        Err(refusal) => router.refused(problem_of(refusal)),
+    let placed = {
+        // The place is looked at first: a place that was given and then dropped would be lost.
+        let placing = pin!(router.dispatch.submit(work));
+        match select(placing, reply.cancellation()).await {
+            Either::Left((placed, _)) => placed,
+            Either::Right(_) => return,
+        }
+    };
+    match placed {
+        Ok(placement) if checked.is_streamed => {
+            streamed(router, format, checked, placement, reply).await;
+        }
+        Ok(placement) => whole(router, format, checked, placement, reply).await,
+        Err(refusal) => {
+            let _ = reply.send(router.refused(problem_of(refusal)));
+        }
     }
 }
 
@@ -98,7 +154,7 @@
         Reason::NoEngine => "no engine serves this model now; retry later",
         _ => "this host is leaving; retry at once to reach another host",
     };
-    Problem::not_run(refusal.reason, detail).retry_after(std::time::Duration::from_secs(1))
+    Problem::not_run(refusal.reason, detail).retry_after(Duration::from_secs(1))
 }
 
 fn check(
@@ -139,10 +195,17 @@
         return Err(Problem::not_run(Reason::BadRequest, detail));
     }
     let rank = rank_of(headers, &caller)?;
+    let body = body_digest(format, &caller, &request, &prompt, max_tokens);
+    let cursor = cursor_of(router, headers, &request, body)?;
+    let is_ended = cursor
+        .as_ref()
+        .is_some_and(|cursor| cursor.is_end || cursor.position >= max_tokens);
+    let version = cursor.as_ref().map(|cursor| cursor.version.clone());
+    let seed = cursor.map_or(request.seed, |cursor| Some(cursor.seed));
     let team = split.teams.get(&caller.team);
     let need = Need {
         model: request.model.clone(),
-        version: None,
+        version: version.clone(),
         blocks: prefix::blocks(&prompt),
         excluded: Vec::new(),
     };
@@ -152,20 +215,68 @@
         caller,
         need,
         is_streamed: request.stream,
+        body,
+        is_ended,
         request: wire::Request {
             request_id: router.new_request_id(),
             attempt: 0,
             model: request.model,
-            model_version: None,
+            model_version: version,
             prompt,
             max_tokens,
-            seed: request.seed.unwrap_or_else(rand::random),
+            seed: seed.unwrap_or_else(rand::random),
             priority: rank,
-            resume_tokens: Vec::new(),
+            resume_tokens: request.resume_tokens,
         },
     })
 }
 
+fn body_digest(
+    format: Format,
+    caller: &Caller,
+    request: &Request,
+    prompt: &str,
+    max_tokens: u32,
+) -> u64 {
+    let seed = request.seed.map(u64::to_le_bytes);
+    cursor::body_digest(&[
+        caller.team.as_bytes(),
+        caller.name.as_bytes(),
+        &[format as u8],
+        request.model.as_bytes(),
+        prompt.as_bytes(),
+        &max_tokens.to_le_bytes(),
+        seed.as_ref().map_or(&[], |seed| &seed[..]),
+    ])
+}
+
+/// Reads the cursor of a caller who continues a stream.
+fn cursor_of(
+    router: &Router,
+    headers: &HeaderMap,
+    request: &Request,
+    body: u64,
+) -> Result<Option<Cursor>, Problem> {
+    let refused = |detail: &str| Problem::not_run(Reason::BadCursor, detail);
+    let Some(id) = headers.get("last-event-id") else {
+        return match request.resume_tokens.is_empty() {
+            true => Ok(None),
+            false => Err(refused(
+                "resume_tokens came without a cursor; send the last event's id as Last-Event-ID",
+            )),
+        };
+    };
+    if !request.stream {
+        return Err(refused(
+            "only a stream can be continued; send stream: true, or leave Last-Event-ID out",
+        ));
+    }
+    let checked = router
+        .cursors
+        .check(id.to_str().unwrap_or(""), body, &request.resume_tokens);
+    checked.map(Some).map_err(|err| refused(&err.to_string()))
+}
+
 fn identify(split: &Split, headers: &HeaderMap) -> Result<Caller, Problem> {
     let key = headers
         .get(hyper::header::AUTHORIZATION)
@@ -276,23 +387,42 @@
     }
 }
 
-struct Events {
+struct Events<'a> {
     shaper: Shaper,
     writer: Writer,
+    signer: &'a Signer,
+    // The cursor after the last event, but for the digest of the tokens.
+    cursor: Cursor,
+    tokens: cursor::Tokens,
 }
 
-impl Sink for Events {
+impl Sink for Events<'_> {
     async fn emit(&mut self, frame: &wire::Frame) -> Result<(), Gone> {
-        let id = format!("{}", frame.position as usize + frame.tokens.len());
+        self.tokens.push(&frame.tokens);
+        self.cursor.tokens = self.tokens.digest();
+        self.cursor.position = frame.position + frame.tokens.len() as u32;
+        self.cursor.is_end = frame.finish_reason.is_some();
+        if self.cursor.version != frame.model_version {
+            self.cursor.version.clone_from(&frame.model_version);
+        }
+        let id = self.signer.sign(&self.cursor);
         let event = sse::encode("", &id, &self.shaper.event(frame));
         self.writer.send(event).await.map_err(|_| Gone)
     }
+
+    async fn gone(&mut self) {
+        self.writer.gone().await;
+    }
+
+    fn restart(&mut self) {
+        debug_assert_eq!(self.cursor.position, 0, "nothing was sent to the caller");
+    }
 }
 
-#[derive(Default)]
 struct Collected {
     text: String,
     finish_reason: Option<CompactString>,
+    reply: Reply,
 }
 
 impl Sink for Collected {
@@ -301,6 +431,14 @@
         self.finish_reason = frame.finish_reason.clone();
         Ok(())
     }
+
+    async fn gone(&mut self) {
+        self.reply.cancellation().await;
+    }
+
+    fn restart(&mut self) {
+        self.text.clear();
+    }
 }
 
 fn shaper(format: Format, checked: &Checked) -> Shaper {
@@ -311,42 +449,57 @@
     }
 }
 
-fn outcome(end: &End, generation: &Generation) -> Outcome {
+/// Returns what to note of a generation; `known` tokens were charged when they were first sent.
+fn outcome(end: &End, generation: &Generation, known: usize) -> Outcome {
     match end {
-        End::Complete => Outcome::Served(generation.tokens().len() as u64),
-        End::Gone | End::Failed(_) => Outcome::Failed,
+        End::Complete => Outcome::Served((generation.tokens().len() - known) as u64),
+        End::Failed(problem) if problem.work == wire::Work::NotRun => {
+            Outcome::Refused(problem.reason)
+        }
+        End::Gone(_) | End::Failed(_) => Outcome::Failed,
     }
 }
 
-fn streamed(
+async fn streamed(
     router: &Rc<Router>,
     format: Format,
     checked: Checked,
     placement: Placement,
-) -> Response<Body> {
+    reply: Reply,
+) {
+    let mut guard = Guard::new(router.dispatch.clone(), placement.ticket);
     let (writer, body) = Body::pieces();
-    let router_of_task = router.clone();
-    router.streams.spawn(async move {
-        let mut guard = Guard::new(router_of_task.dispatch.clone(), placement.ticket);
-        let shaper = shaper(format, &checked);
-        let mut generation = Generation::new(checked.request);
-        let mut sink = Events { shaper, writer };
-        let end = stream::run(
-            &router_of_task.dispatch,
-            placement,
-            checked.need,
-            &mut generation,
-            &mut sink,
-        )
-        .await;
-        guard.set(outcome(&end, &generation));
-        let last = match end {
-            End::Complete => sse::encode("", "", "[DONE]"),
-            End::Gone => return,
-            End::Failed(problem) => sse::encode("error", "", &problem.to_json()),
-        };
-        let _ = sink.writer.send(last).await;
-    });
+    // A caller who is gone is noticed by the writer.
+    let _ = reply.send(event_stream(body));
+    let mut tokens = cursor::Tokens::default();
+    tokens.push(&checked.request.resume_tokens);
+    let mut sink = Events {
+        shaper: shaper(format, &checked),
+        writer,
+        signer: &router.cursors,
+        cursor: Cursor {
+            body: checked.body,
+            version: CompactString::default(),
+            seed: checked.request.seed,
+            position: checked.request.resume_tokens.len() as u32,
+            is_end: false,
+            tokens: 0,
+        },
+        tokens,
+    };
+    let known = checked.request.resume_tokens.len();
+    let mut generation = Generation::new(checked.request, true);
+    let end = stream::run(router, placement, checked.need, &mut generation, &mut sink).await;
+    guard.set(outcome(&end, &generation, known));
+    let last = match end {
+        End::Complete => sse::encode("", "", "[DONE]"),
+        End::Gone(_) => return,
+        End::Failed(problem) => sse::encode("error", "", &problem.to_json()),
+    };
+    let _ = within(LAST_EVENT_LIMIT, sink.writer.send(last)).await;
+}
+
+fn event_stream(body: Body) -> Response<Body> {
     Response::builder()
         .header(hyper::header::CONTENT_TYPE, "text/event-stream")
         .header(hyper::header::CACHE_CONTROL, "no-store")
@@ -359,23 +512,22 @@
     format: Format,
     checked: Checked,
     placement: Placement,
-) -> Response<Body> {
+    reply: Reply,
+) {
     let mut guard = Guard::new(router.dispatch.clone(), placement.ticket);
     let shaper = shaper(format, &checked);
-    let mut generation = Generation::new(checked.request);
-    let mut sink = Collected::default();
-    let end = stream::run(
-        &router.dispatch,
-        placement,
-        checked.need,
-        &mut generation,
-        &mut sink,
-    )
-    .await;
-    guard.set(outcome(&end, &generation));
-    match end {
+    let mut generation = Generation::new(checked.request, false);
+    let mut sink = Collected {
+        text: String::new(),
+        finish_reason: None,
+        reply,
+    };
+    let end = stream::run(router, placement, checked.need, &mut generation, &mut sink).await;
+    guard.set(outcome(&end, &generation, 0));
+    let response = match end {
         End::Complete => json_response(&shaper.whole(&sink, &generation)),
         End::Failed(problem) => problem.into_response(),
-        End::Gone => super::problem::text_response(StatusCode::BAD_REQUEST, ""),
-    }
+        End::Gone(_) => return,
+    };
+    let _ = sink.reply.send(response);
 }
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -56,6 +56,8 @@
     Timeout,
     /// The caller closed the connection.
     CallerGone,
+    /// The caller read too slowly for too long.
+    SlowReader,
 }
 
 impl Reason {
@@ -73,7 +75,7 @@
             Self::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
             Self::OutcomeUnknown => StatusCode::CONFLICT,
             Self::EngineKiller | Self::VersionGone | Self::ResumeLimit => StatusCode::BAD_GATEWAY,
-            Self::Timeout | Self::CallerGone => StatusCode::GATEWAY_TIMEOUT,
+            Self::Timeout | Self::CallerGone | Self::SlowReader => StatusCode::GATEWAY_TIMEOUT,
             Self::NoEngine | Self::Leaving | Self::StoreUnavailable | Self::BackendUnavailable => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
@@ -105,6 +107,7 @@
             Self::BackendUnavailable => "backend-unavailable",
             Self::Timeout => "timeout",
             Self::CallerGone => "caller-gone",
+            Self::SlowReader => "slow-reader",
         }
     }
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,25 +1,30 @@
-//! Runs a generation: starts attempts, relays their frames, resumes broken ones.
+//! Runs a generation: performs the actions of its state and reports what happens.
 
+use std::collections::VecDeque;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
+use futures_util::future::{FutureExt, LocalBoxFuture, pending};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use log::{info, warn};
 
-use super::generation::{Fault, Generation, Next, Verdict};
-use crate::dispatch::{Handle, Health, Placement};
+use super::generation::{Action, Event, Generation, PROBE_LIMIT};
+use crate::dispatch::{Handle, Placement};
 use crate::engine;
 use crate::http::problem::{Problem, Reason};
-use crate::route::fleet::{Engine, Need};
+use crate::route::fleet::Need;
+use crate::router::Router;
+use crate::sched::scheduler::{Refusal, Ticket};
 use crate::util::within;
-use crate::wire::{self, Work};
+use crate::wire;
 
-/// Time without a frame after which an attempt is given up.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+/// Time for which a caller may leave output unread. Until then its engine's stream pauses.
+const SLOW_READER_LIMIT: Duration = Duration::from_secs(30);
 
-/// Time without a first frame after which an attempt is given up.
-const FIRST_FRAME_LIMIT: Duration = Duration::from_secs(10);
-
-/// Longest wait for a place for a resumed attempt.
-const RESUME_LIMIT: Duration = Duration::from_secs(20);
+/// A wait for the caller that is longer than this is no silence of the engine.
+const DRAIN_NOTICE: Duration = Duration::from_millis(20);
 
 /// Receives the output of a generation.
 pub trait Sink {
@@ -28,6 +33,12 @@
     /// # Errors
     /// The caller is gone.
     fn emit(&mut self, frame: &wire::Frame) -> impl Future<Output = Result<(), Gone>>;
+
+    /// Waits until the caller goes away.
+    fn gone(&mut self) -> impl Future<Output = ()>;
+
+    /// Forgets all output.
+    fn restart(&mut self);
 }
 
 /// The caller went away; the generation is cancelled.
@@ -39,124 +50,279 @@
 pub enum End {
     /// All tokens were emitted.
     Complete,
-    /// The caller is gone.
-    Gone,
+    /// The caller is gone, or was cut for the given reason.
+    Gone(Reason),
     /// The generation could not be completed.
     Failed(Problem),
 }
 
-enum Attempt {
-    Finished,
-    Gone,
-    Broken(Fault),
+/// The connection of the current attempt.
+enum Feed {
+    None,
+    Starting(LocalBoxFuture<'static, Result<engine::Stream, engine::Error>>),
+    Open(engine::Stream),
+}
+
+impl Feed {
+    /// Returns the next event of the attempt; cancelling the wait loses nothing.
+    async fn next(&mut self, attempt: u32) -> Event {
+        if let Self::Starting(starting) = self {
+            match starting.await {
+                Ok(stream) => *self = Self::Open(stream),
+                Err(err) => {
+                    *self = Self::None;
+                    return failed(attempt, &err);
+                }
+            }
+        }
+        let Self::Open(stream) = self else {
+            return pending().await;
+        };
+        match stream.next().await {
+            Ok(frame) => Event::Frame { attempt, frame },
+            Err(err) => {
+                *self = Self::None;
+                failed(attempt, &err)
+            }
+        }
+    }
+}
+
+fn failed(attempt: u32, err: &engine::Error) -> Event {
+    info!("event=stream_ended attempt={attempt} error={err:?}");
+    match err {
+        engine::Error::Refused(problem) => Event::Refused {
+            attempt,
+            leaving: problem.reason == Reason::Leaving,
+        },
+        engine::Error::Unreachable(_) => Event::Closed {
+            attempt,
+            sent: false,
+        },
+        engine::Error::Broken(_) => Event::Closed {
+            attempt,
+            sent: true,
+        },
+    }
+}
+
+type Placing = LocalBoxFuture<'static, Result<Placement, Refusal>>;
+
+struct Driver<'a, S> {
+    router: &'a Rc<Router>,
+    request_id: CompactString,
+    ticket: Ticket,
+    need: Need,
+    sink: &'a mut S,
+    feed: Feed,
+    placing: Option<Placing>,
+    probes: FuturesUnordered<LocalBoxFuture<'static, Event>>,
 }
 
 /// Runs a generation to its end, from its first placement on.
 pub async fn run<S: Sink>(
-    dispatch: &Handle,
-    mut placement: Placement,
+    router: &Rc<Router>,
+    placement: Placement,
     need: Need,
     generation: &mut Generation,
     sink: &mut S,
 ) -> End {
-    let mut excluded: Vec<Engine> = Vec::new();
-    loop {
-        let fault = match attempt(dispatch, &placement, generation, sink).await {
-            Attempt::Finished => return End::Complete,
-            Attempt::Gone => return End::Gone,
-            Attempt::Broken(fault) => fault,
-        };
-        warn!(
-            "event=attempt_broken engine={} attempt={} fault={fault:?} position={}",
-            placement.name,
-            generation.attempt(),
-            generation.tokens().len()
-        );
-        if fault != Fault::Refused {
-            dispatch.health(placement.engine, Health::Failed);
+    router.relay.borrow_mut().budget.start(Instant::now());
+    let mut driver = Driver {
+        router,
+        request_id: generation.request().request_id,
+        ticket: placement.ticket,
+        need,
+        sink,
+        feed: Feed::None,
+        placing: None,
+        probes: FuturesUnordered::new(),
+    };
+    let end = driver.run(generation, Event::Placed(placement)).await;
+    router.relay.borrow_mut().budget.end();
+    router.metrics.relayed("stale", generation.stale());
+    router
+        .metrics
+        .relayed("resumed", u64::from(generation.resumes()));
+    if let End::Gone(reason) = &end {
+        router.metrics.relayed(reason.as_str(), 1);
+    }
+    end
+}
+
+impl<S: Sink> Driver<'_, S> {
+    async fn run(&mut self, generation: &mut Generation, first: Event) -> End {
+        let mut event = first;
+        loop {
+            let mut actions = VecDeque::from(self.step(generation, event));
+            while let Some(action) = actions.pop_front() {
+                if let Some(end) = self.perform(generation, action, &mut actions).await {
+                    if matches!(end, End::Gone(_)) {
+                        self.abandon(generation);
+                    }
+                    return end;
+                }
+            }
+            event = self.next(generation).await;
+            if matches!(event, Event::Gone) {
+                self.abandon(generation);
+                return End::Gone(Reason::CallerGone);
+            }
         }
-        if generation.broken(fault) == Next::GiveUp {
-            return End::Failed(give_up(generation));
+    }
+
+    fn step(&self, generation: &mut Generation, event: Event) -> Vec<Action> {
+        let mut shared = self.router.relay.borrow_mut();
+        generation.handle(event, Instant::now(), &mut shared)
+    }
+
+    fn abandon(&mut self, generation: &mut Generation) {
+        for action in self.step(generation, Event::Gone) {
+            if let Action::Cancel { address, attempt } = action {
+                self.cancel(address, attempt);
+            }
+        }
+    }
+
+    async fn next(&mut self, generation: &Generation) -> Event {
+        let attempt = generation.attempt();
+        let deadline = generation.deadline();
+        let mut frame = pin!(self.feed.next(attempt).fuse());
+        let mut gone = pin!(self.sink.gone().fuse());
+        let mut place = pin!(placed(&mut self.placing).fuse());
+        let mut probed = pin!(answered(&mut self.probes).fuse());
+        let mut tick = pin!(due(deadline).fuse());
+        futures_util::select_biased! {
+            event = frame => event,
+            event = place => event,
+            () = gone => Event::Gone,
+            event = probed => event,
+            () = tick => Event::Tick,
         }
-        excluded.push(placement.engine);
+    }
+
+    async fn perform(
+        &mut self,
+        generation: &mut Generation,
+        action: Action,
+        actions: &mut VecDeque<Action>,
+    ) -> Option<End> {
+        match action {
+            Action::Emit(frame) => {
+                let tokens = frame.tokens.len() as u32;
+                self.router
+                    .dispatch
+                    .progress(self.ticket, tokens, frame.load);
+                let started = Instant::now();
+                match within(SLOW_READER_LIMIT, self.sink.emit(&frame)).await {
+                    None => return Some(End::Gone(Reason::SlowReader)),
+                    Some(Err(Gone)) => return Some(End::Gone(Reason::CallerGone)),
+                    Some(Ok(())) if started.elapsed() >= DRAIN_NOTICE => {
+                        actions.extend(self.step(generation, Event::Drained));
+                    }
+                    Some(Ok(())) => {}
+                }
+            }
+            Action::Start(placement) => self.start(generation.request(), &placement),
+            Action::Place {
+                version,
+                excluded,
+                limit,
+            } => self.place(version, excluded, limit),
+            Action::Probe { probe, address } => self.probe(probe, address),
+            Action::Cancel { address, attempt } => self.cancel(address, attempt),
+            Action::Broken {
+                placement,
+                fault,
+                health,
+            } => {
+                self.feed = Feed::None;
+                warn!(
+                    "event=attempt_broken request={} engine={} attempt={} fault={} position={}",
+                    self.request_id,
+                    placement.name,
+                    generation.attempt(),
+                    fault.as_str(),
+                    generation.tokens().len()
+                );
+                self.router.metrics.relayed(fault.as_str(), 1);
+                if let Some(health) = health {
+                    self.router.dispatch.health(placement.engine, health);
+                }
+            }
+            Action::Restart => self.sink.restart(),
+            Action::Finish => return Some(End::Complete),
+            Action::Fail(problem) => return Some(End::Failed(problem)),
+        }
+        None
+    }
+
+    fn start(&mut self, request: wire::Request, placement: &Placement) {
+        let address = placement.address.clone();
+        let starting = async move { engine::start(&address, &request).await };
+        self.feed = Feed::Starting(starting.boxed_local());
+    }
+
+    fn place(
+        &mut self,
+        version: Option<CompactString>,
+        excluded: Vec<crate::route::fleet::Engine>,
+        limit: Duration,
+    ) {
+        let dispatch: Handle = self.router.dispatch.clone();
+        let ticket = self.ticket;
         let need = Need {
-            version: generation.version().cloned(),
-            excluded: excluded.clone(),
-            ..need.clone()
+            version,
+            excluded,
+            ..self.need.clone()
         };
-        let deadline = Instant::now() + RESUME_LIMIT;
-        placement = match dispatch.replace(placement.ticket, need, deadline).await {
-            Ok(placement) => placement,
-            Err(_) => return End::Failed(no_engine(generation)),
+        let deadline = Instant::now() + limit;
+        let placing = async move { dispatch.replace(ticket, need, deadline).await };
+        self.placing = Some(placing.boxed_local());
+    }
+
+    fn probe(&mut self, probe: u32, address: CompactString) {
+        let request_id = self.request_id.clone();
+        let asking = async move {
+            let answer = engine::query(&address, &request_id, PROBE_LIMIT).await;
+            Event::Probed { probe, answer }
         };
+        self.probes.push(asking.boxed_local());
+    }
+
+    /// Cancels in a task of its own, which outlives the generation.
+    fn cancel(&self, address: CompactString, attempt: u32) {
+        let request_id = self.request_id.clone();
+        self.router.streams.spawn(async move {
+            engine::cancel(&address, &request_id, attempt).await;
+        });
     }
 }
 
-fn give_up(generation: &Generation) -> Problem {
-    let detail = "several engines died while serving this prompt; change the prompt";
-    Problem::new(Reason::EngineKiller, Work::Ran, detail)
-        .complete_tokens(generation.tokens().len() as u32)
+async fn placed(placing: &mut Option<Placing>) -> Event {
+    let Some(waiting) = placing else {
+        return pending().await;
+    };
+    let result = waiting.await;
+    *placing = None;
+    match result {
+        Ok(placement) => Event::Placed(placement),
+        Err(_) => Event::Unplaced,
+    }
 }
 
-fn no_engine(generation: &Generation) -> Problem {
-    let detail = "no engine with the same version took the generation over; \
-                  reconnect later with the last event id";
-    Problem::new(Reason::VersionGone, Work::Ran, detail)
-        .complete_tokens(generation.tokens().len() as u32)
-        .retry_after(Duration::from_secs(5))
+async fn answered(probes: &mut FuturesUnordered<LocalBoxFuture<'static, Event>>) -> Event {
+    match probes.next().await {
+        Some(event) => event,
+        None => pending().await,
+    }
 }
 
-async fn attempt<S: Sink>(
-    dispatch: &Handle,
-    placement: &Placement,
-    generation: &mut Generation,
-    sink: &mut S,
-) -> Attempt {
-    let request = generation.begin_attempt();
-    let started = within(
-        FIRST_FRAME_LIMIT,
-        engine::start(&placement.address, &request),
-    )
-    .await;
-    let mut stream = match started {
-        Some(Ok(stream)) => stream,
-        Some(Err(engine::Error::Refused(problem))) => {
-            info!(
-                "event=engine_refused engine={} reason={}",
-                placement.name,
-                problem.reason.as_str()
-            );
-            if problem.reason == Reason::Leaving {
-                dispatch.health(placement.engine, Health::Leaving);
-            }
-            return Attempt::Broken(Fault::Refused);
-        }
-        Some(Err(_)) => return Attempt::Broken(Fault::Died),
-        None => return Attempt::Broken(Fault::Silent),
-    };
-    let mut limit = FIRST_FRAME_LIMIT;
-    loop {
-        let frame = match within(limit, stream.next()).await {
-            Some(Ok(frame)) => frame,
-            Some(Err(_)) => return Attempt::Broken(Fault::Died),
-            None => {
-                engine::cancel(&placement.address, &request.request_id, request.attempt).await;
-                return Attempt::Broken(Fault::Silent);
-            }
-        };
-        limit = SILENCE_LIMIT;
-        let verdict = generation.accept(request.attempt, &frame);
-        match verdict {
-            Verdict::Stale => continue,
-            Verdict::Broken(fault) => return Attempt::Broken(fault),
-            Verdict::Emit | Verdict::Finish => {}
-        }
-        dispatch.progress(placement.ticket, frame.tokens.len() as u32, frame.load);
-        if sink.emit(&frame).await.is_err() {
-            return Attempt::Gone;
-        }
-        if verdict == Verdict::Finish {
-            return Attempt::Finished;
+async fn due(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => {
+            compio::time::sleep(deadline.saturating_duration_since(Instant::now())).await;
         }
+        None => pending().await,
     }
 }
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -24,11 +24,17 @@
     reason: ReasonValue,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Relayed {
+    event: &'static str,
+}
+
 /// The metrics of one router process.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Mutex<Registry>,
     refusals: Family<Refusal, Counter>,
+    relayed: Family<Relayed, Counter>,
 }
 
 impl Default for Metrics {
@@ -36,9 +42,12 @@
         let mut registry = Registry::with_prefix("bilberrypost");
         let refusals = Family::default();
         registry.register("refusals", "Refused requests by reason", refusals.clone());
+        let relayed = Family::default();
+        registry.register("relay", "Events of relayed generations", relayed.clone());
         Self {
             registry: Mutex::new(registry),
             refusals,
+            relayed,
         }
     }
 }
@@ -52,6 +61,13 @@
         self.refusals.get_or_create(&refusal).inc();
     }
 
+    /// Counts events of relayed generations, such as faults of attempts.
+    pub fn relayed(&self, event: &'static str, count: u64) {
+        if count > 0 {
+            self.relayed.get_or_create(&Relayed { event }).inc_by(count);
+        }
+    }
+
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/router.rs
+++ b/src/router.rs
@@ -27,6 +27,7 @@
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
+use crate::relay::{self, cursor::Signer};
 use crate::report::metrics::Metrics;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -66,6 +67,10 @@
     pub view: View,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// What the generations know together.
+    pub relay: RefCell<relay::Shared>,
+    /// Signs and checks event ids.
+    pub cursors: Signer,
     split: RefCell<Arc<Split>>,
     incarnation: u64,
     last_request: Cell<u64>,
@@ -207,6 +212,8 @@
         peer: peer_client(&host, incarnation),
         view: View::new(own.clone()),
         store: host.store.as_deref().map(objects::Client::new),
+        relay: RefCell::default(),
+        cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         split: RefCell::default(),
         incarnation,
         last_request: Cell::new(0),
