--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -33,6 +33,8 @@
     pub split: Vec<String>,
     /// Time after which a leaving host cuts what still runs.
     pub drain_limit: Duration,
+    /// Time for which a caller may leave output unread; until then its engine's stream pauses.
+    pub slow_reader_limit: Duration,
 }
 
 /// Text that must not show in logs, status or errors.
@@ -73,6 +75,7 @@
     "previous_key",
     "split",
     "drain_limit_ms",
+    "slow_reader_limit_ms",
 ];
 
 impl Host {
@@ -103,6 +106,7 @@
                 .map(String::from)
                 .collect(),
             drain_limit: section.millis("drain_limit_ms", Duration::from_secs(600))?,
+            slow_reader_limit: section.millis("slow_reader_limit_ms", Duration::from_secs(30))?,
         })
     }
 }
--- a/src/http/completions.rs
+++ b/src/http/completions.rs
@@ -31,9 +31,6 @@
 /// Output tokens if the caller names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
-/// Longest time in which a caller must read the end of its stream.
-const LAST_EVENT_LIMIT: Duration = Duration::from_secs(30);
-
 /// Protocol of the caller's endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Format {
@@ -496,7 +493,7 @@
         End::Gone(_) => return,
         End::Failed(problem) => sse::encode("error", "", &problem.to_json()),
     };
-    let _ = within(LAST_EVENT_LIMIT, sink.writer.send(last)).await;
+    let _ = within(router.host.slow_reader_limit, sink.writer.send(last)).await;
 }
 
 fn event_stream(body: Body) -> Response<Body> {
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -53,6 +53,8 @@
     pub gaps: Vec<Duration>,
     /// Id of the last event.
     pub cursor: String,
+    /// Id of the request that the host gave it.
+    pub request_id: CompactString,
     /// Numbers of the tokens, in order of arrival.
     pub received: Vec<u32>,
     /// Problem that the host reported.
@@ -63,6 +65,7 @@
 
 #[derive(Deserialize)]
 struct Chunk {
+    id: CompactString,
     model_version: CompactString,
     position: u32,
     tokens: Vec<u32>,
@@ -179,6 +182,7 @@
         return false;
     };
     answer.cursor.clone_from(&event.id);
+    answer.request_id = chunk.id;
     let sampler = Sampler::new(&call.model, &chunk.model_version, &call.prompt, call.seed);
     for (offset, token) in chunk.tokens.iter().enumerate() {
         let position = chunk.position + offset as u32;
--- a/src/relay/generation.rs
+++ b/src/relay/generation.rs
@@ -181,6 +181,8 @@
     Broken {
         /// Where it ran.
         placement: Placement,
+        /// The attempt.
+        attempt: u32,
         /// The fault.
         fault: Fault,
         /// What the fault says about the engine.
@@ -538,6 +540,7 @@
         let on_same = fault == Fault::Connection && tokens > 0;
         out.push(Action::Broken {
             placement: placement.clone(),
+            attempt,
             fault,
             health: (fault != Fault::Connection).then_some(Health::Failed),
         });
@@ -636,6 +639,7 @@
         self.excluded.push((running.placement.engine, now));
         out.push(Action::Broken {
             placement: running.placement,
+            attempt: self.request.attempt,
             fault: Fault::Refused,
             health: leaving.then_some(Health::Leaving),
         });
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -20,9 +20,6 @@
 use crate::util::within;
 use crate::wire;
 
-/// Time for which a caller may leave output unread. Until then its engine's stream pauses.
-const SLOW_READER_LIMIT: Duration = Duration::from_secs(30);
-
 /// A wait for the caller that is longer than this is no silence of the engine.
 const DRAIN_NOTICE: Duration = Duration::from_millis(20);
 
@@ -214,7 +211,7 @@
                     .dispatch
                     .progress(self.ticket, tokens, frame.load);
                 let started = Instant::now();
-                match within(SLOW_READER_LIMIT, self.sink.emit(&frame)).await {
+                match within(self.router.host.slow_reader_limit, self.sink.emit(&frame)).await {
                     None => return Some(End::Gone(Reason::SlowReader)),
                     Some(Err(Gone)) => return Some(End::Gone(Reason::CallerGone)),
                     Some(Ok(())) if started.elapsed() >= DRAIN_NOTICE => {
@@ -233,15 +230,15 @@
             Action::Cancel { address, attempt } => self.cancel(address, attempt),
             Action::Broken {
                 placement,
+                attempt,
                 fault,
                 health,
             } => {
                 self.feed = Feed::None;
                 warn!(
-                    "event=attempt_broken request={} engine={} attempt={} fault={} position={}",
+                    "event=attempt_broken request={} engine={} attempt={attempt} fault={} position={}",
                     self.request_id,
                     placement.name,
-                    generation.attempt(),
                     fault.as_str(),
                     generation.tokens().len()
                 );
--- a/src/router.rs
+++ b/src/router.rs
@@ -83,6 +83,8 @@
     pub name: CompactString,
     /// Failure domain.
     pub failure_domain: CompactString,
+    /// Time for which a caller may leave output unread.
+    pub slow_reader_limit: Duration,
 }
 
 impl Router {
@@ -203,6 +205,7 @@
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
+            slow_reader_limit: host.slow_reader_limit,
         },
         dispatch,
         metrics: Metrics::default(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -105,6 +105,10 @@
         self.signal(Signal::TERM);
     }
 
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let deadline = Instant::now() + HANG;
