--- a/src/router.rs
+++ b/src/router.rs
@@ -29,6 +29,7 @@
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
+use crate::relay::{self, cursor::Signer};
 use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
 use crate::store::objects;
@@ -73,6 +74,10 @@
     pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// What the generations know together.
+    pub relay: RefCell<relay::Shared>,
+    /// Signs and checks event ids.
+    pub cursors: Signer,
     split: RefCell<Arc<Split>>,
     report: RefCell<Report<clock::System>>,
     incarnation: u64,
@@ -87,6 +92,8 @@
     pub name: CompactString,
     /// Failure domain.
     pub failure_domain: CompactString,
+    /// Time for which a caller may leave output unread.
+    pub slow_reader_limit: Duration,
     /// Key of administrators.
     pub admin_key: Option<Secret>,
 }
@@ -239,6 +246,7 @@
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
+            slow_reader_limit: host.slow_reader_limit,
             admin_key: host.admin_key.clone(),
         },
         dispatch,
@@ -251,6 +259,8 @@
         view,
         members,
         store: host.store.as_deref().map(objects::Client::new),
+        relay: RefCell::default(),
+        cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         split: RefCell::default(),
         report: RefCell::new(Report::new(clock::System)),
         incarnation,
