--- a/src/http/completions.rs
+++ b/src/http/completions.rs
@@ -21,6 +21,8 @@
 use crate::relay::generation::Generation;
 use crate::relay::killer;
 use crate::relay::stream::{self, End, Gone, Sink};
+use crate::report::burn::{Indicator, Line};
+use crate::report::meter::Meter;
 use crate::route::fleet::Need;
 use crate::route::prefix;
 use crate::router::Router;
@@ -71,6 +73,7 @@
     rank: Rank,
     need: Need,
     is_streamed: bool,
+    arrived: Instant,
     // Digest of caller and body, which a cursor is bound to.
     body: u64,
     // Whether the caller has all tokens and lacks only the end of the stream.
@@ -139,11 +142,21 @@
         }
         Ok(placement) => whole(router, format, checked, placement, reply).await,
         Err(refusal) => {
+            accepted(router, &checked, false);
             let _ = reply.send(router.refused(problem_of(refusal)));
         }
     }
 }
 
+fn accepted(router: &Router, checked: &Checked, is_accepted: bool) {
+    let line = Line {
+        partner: checked.partner.clone(),
+        rank: checked.rank,
+        indicator: Indicator::Acceptance,
+    };
+    router.record(line, 1, u64::from(!is_accepted));
+}
+
 fn problem_of(refusal: Refusal) -> Problem {
     let detail = match refusal.reason {
         Reason::QueueFull => "the queue is full; retry after the stated time",
@@ -212,6 +225,7 @@
         caller,
         need,
         is_streamed: request.stream,
+        arrived: Instant::now(),
         body,
         is_ended,
         request: wire::Request {
@@ -485,8 +499,17 @@
         tokens,
     };
     let known = checked.request.resume_tokens.len();
+    accepted(router, &checked, true);
+    let mut meter = Meter::new(
+        &mut sink,
+        router,
+        checked.partner,
+        checked.rank,
+        checked.arrived,
+    );
     let mut generation = Generation::new(checked.request, true);
-    let end = stream::run(router, placement, checked.need, &mut generation, &mut sink).await;
+    let end = stream::run(router, placement, checked.need, &mut generation, &mut meter).await;
+    meter.end(&end);
     guard.set(outcome(&end, &generation, known));
     let last = match end {
         End::Complete => sse::encode("", "", "[DONE]"),
@@ -513,13 +536,22 @@
 ) {
     let mut guard = Guard::new(router.dispatch.clone(), placement.ticket);
     let shaper = shaper(format, &checked);
+    accepted(router, &checked, true);
     let mut generation = Generation::new(checked.request, false);
     let mut sink = Collected {
         text: String::new(),
         finish_reason: None,
         reply,
     };
-    let end = stream::run(router, placement, checked.need, &mut generation, &mut sink).await;
+    let mut meter = Meter::new(
+        &mut sink,
+        router,
+        checked.partner,
+        checked.rank,
+        checked.arrived,
+    );
+    let end = stream::run(router, placement, checked.need, &mut generation, &mut meter).await;
+    meter.end(&end);
     guard.set(outcome(&end, &generation, 0));
     let response = match end {
         End::Complete => json_response(&shaper.whole(&sink, &generation)),
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,4 +1,5 @@
 //! What operators see.
 
 pub mod burn;
+pub mod meter;
 pub mod metrics;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -21,6 +21,9 @@
 /// Key of the caller that [`SPLIT_HEAD`] names.
 pub const CALLER_KEY: &str = "test-caller-key";
 
+/// Key of administrators in tests that set one.
+pub const ADMIN_KEY: &str = "test-key-of-administrators";
+
 const PEER_KEY: &str = "test-key-between-routers";
 
 /// Runs a future on a runtime of its own.
@@ -317,6 +320,7 @@
 pub fn get<T: DeserializeOwned>(address: &str, path: &str) -> T {
     block_on(async {
         let request = client().get(format!("http://{address}{path}")).unwrap();
+        let request = request.bearer_auth(ADMIN_KEY).unwrap();
         request.send().await.unwrap().json().await.unwrap()
     })
 }
