--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -228,6 +228,7 @@
 /// Creates the handle and the task's future.
 pub fn create<C: Clock>(
     clock: C,
+    host: CompactString,
     failure_domain: CompactString,
     stop: Signal,
 ) -> (Handle, impl Future<Output = ()>) {
@@ -235,7 +236,7 @@
     let dispatch = Dispatch {
         split: Arc::default(),
         scheduler: Scheduler::new(clock.clone()),
-        fleet: Fleet::new(clock, failure_domain),
+        fleet: Fleet::new(clock, failure_domain).with_host(host),
         ledger: Ledger::default(),
         replies: BTreeMap::new(),
     };
--- a/src/router.rs
+++ b/src/router.rs
@@ -183,6 +183,7 @@
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
+        host.name.clone(),
         host.failure_domain.clone(),
         supervisor.stop_signal(),
     );
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,3 +1,4 @@
 //! Which request runs next.
 
+pub mod lease;
 pub mod scheduler;
