Share the fleet between hosts by capacity leases

Cause: each host scheduled on its own view, so the shares of partners followed the hosts where their work entered.

Change: an allocator for each failure domain, as pure logic, turns reports of demand and work into leases of 3 s by weighted max-min over partners, urgent first with the routine floor. Weights are corrected by measured work per place. It counts for each host the greatest lease that the host may believe in, and takes over with a warm-up of one lease period. Hosts report once a second by sched.report, keep the last lease, and then use capacity / hosts. The bound on overcommitment stands in sched/allocator.rs. The scheduler counts demand and obeys the total of a grant for now.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -14,8 +14,10 @@
 use crate::clock::Clock;
 use crate::config::split::Split;
 use crate::http::problem::Reason;
-use crate::route::fleet::{Engine, Fleet, Need};
+use crate::route::fleet::{Domain, Engine, Fleet, Need};
+use crate::sched::lease::{Demand, Grant};
 use crate::sched::scheduler::{Refusal, Scheduler, Ticket, Work};
+use crate::sched::share::Shares;
 use crate::supervisor::Signal;
 use crate::util::within;
 use crate::wire;
@@ -86,6 +88,9 @@
     pub reported_at: Option<Instant>,
 }
 
+/// What a report to allocators needs: demand, failure domains in use, and shares.
+pub type Asked = (Demand, BTreeMap<CompactString, Domain>, Shares);
+
 type Reply = oneshot::Sender<Result<Placement, Refusal>>;
 
 enum Message {
@@ -98,6 +103,8 @@
     Status(Engine, wire::Status),
     Split(Arc<Split>),
     Engines(oneshot::Sender<Vec<Polled>>),
+    Demand(oneshot::Sender<Asked>),
+    Grant(Grant),
     Overview(oneshot::Sender<Overview>),
 }
 
@@ -174,6 +181,18 @@
         answer.await.unwrap_or_default()
     }
 
+    /// Returns what the next report to allocators needs; work counts since the last call.
+    pub async fn demand(&self) -> Asked {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Demand(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// Puts a grant into force.
+    pub fn grant(&self, grant: Grant) {
+        self.send(Message::Grant(grant));
+    }
+
     /// Returns numbers for operators.
     pub async fn overview(&self) -> Overview {
         let (reply, answer) = oneshot::channel();
@@ -283,6 +302,12 @@
                 });
                 let _ = reply.send(engines.collect());
             }
+            Message::Demand(reply) => {
+                let demand = self.scheduler.demand();
+                let shares = Shares::of(&self.split);
+                let _ = reply.send((demand, self.fleet.domains(), shares));
+            }
+            Message::Grant(grant) => self.scheduler.set_grant(&grant),
             Message::Overview(reply) => {
                 let _ = reply.send(self.overview());
             }
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -117,6 +117,15 @@
     pub excluded: Vec<Engine>,
 }
 
+/// A failure domain that a host uses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Domain {
+    /// Places of the live engines that the host uses.
+    pub slots: u32,
+    /// Places of all live engines, as far as the host can tell.
+    pub capacity: u32,
+}
+
 /// The engines known to this host.
 #[derive(Debug)]
 pub struct Fleet<C: Clock> {
@@ -414,10 +423,10 @@
             .is_some_and(|at| age(at) <= REPORT_AGE_MAX)
     }
 
-    /// Returns the places of live engines by failure domain, for the domains that this host uses.
+    /// Returns the failure domains that this host uses.
     ///
-    /// Engines that this host does not use count with the mean of those that it uses.
-    pub fn capacity(&self) -> BTreeMap<CompactString, u32> {
+    /// Engines that it does not use count with the mean of those that it uses.
+    pub fn domains(&self) -> BTreeMap<CompactString, Domain> {
         let now = self.clock.now();
         let mut used: BTreeMap<&CompactString, (u32, u32)> = BTreeMap::new();
         for engine in self.engines.values().filter(|engine| engine.used) {
@@ -438,7 +447,8 @@
         };
         let of_domain = |(domain, (count, slots)): (&CompactString, (u32, u32))| {
             let all = u64::from(slots) * u64::from(listed(domain).max(count));
-            (domain.clone(), (all / u64::from(count)) as u32)
+            let capacity = (all / u64::from(count)) as u32;
+            (domain.clone(), Domain { slots, capacity })
         };
         used.into_iter().map(of_domain).collect()
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -28,6 +28,8 @@
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
 use crate::report::metrics::Metrics;
+use crate::sched::lease_task::{self, Allocators, Reporter};
+use crate::sched::share::Shares;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::{unix_ms, within};
@@ -64,6 +66,8 @@
     pub peer: peer::client::Client,
     /// Live routers.
     pub view: View,
+    /// Allocators of this host.
+    pub allocators: Allocators,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
     split: RefCell<Arc<Split>>,
@@ -88,6 +92,7 @@
 
     /// Puts a split into force.
     pub fn set_split(&self, split: Arc<Split>) {
+        self.allocators.shares(Shares::of(&split));
         self.dispatch.split(split.clone());
         *self.split.borrow_mut() = split;
     }
@@ -188,6 +193,9 @@
         supervisor.stop_signal(),
     );
     supervisor.spawn("dispatch", dispatch_task);
+    let (allocators, allocator_task) =
+        lease_task::allocators(clock::System, supervisor.stop_signal());
+    supervisor.spawn("allocators", allocator_task);
     let incarnation = unix_ms(clock::System.wall());
     let own = Peer {
         name: host.name.clone(),
@@ -207,6 +215,7 @@
         streams: Group::default(),
         peer: peer_client(&host, incarnation),
         view: View::new(own.clone()),
+        allocators,
         store: host.store.as_deref().map(objects::Client::new),
         split: RefCell::default(),
         incarnation,
@@ -260,11 +269,23 @@
         supervisor.stop_signal(),
     );
     supervisor.spawn("status", poll);
+    let reporter = Reporter {
+        dispatch: router.dispatch.clone(),
+        view: router.view.clone(),
+        peer: router.peer.clone(),
+        allocators: router.allocators.clone(),
+    };
+    supervisor.spawn(
+        "leases",
+        reporter.run(clock::System, supervisor.stop_signal()),
+    );
 }
 
 /// Collects the methods that other routers may call.
-fn methods(_router: &Rc<Router>) -> Methods {
-    Methods::default()
+fn methods(router: &Rc<Router>) -> Methods {
+    let mut methods = Methods::default();
+    router.allocators.add_methods(&mut methods);
+    methods
 }
 
 fn peers(members: &[wire::Member]) -> impl Iterator<Item = Peer> {
--- /dev/null
+++ b/src/sched/keeper.rs
@@ -0,0 +1,252 @@
+//! A host's side of leases: what it reports, and what it may use.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+
+use super::allocator::add_idle;
+use super::lease::{Class, Demand, Grant, LEASE, Lease, Report};
+use super::share::{self, Shares};
+use crate::clock::Clock;
+use crate::route::fleet::Domain;
+
+/// Time for which the greatest number of hosts counts, so that a host that is cut off and sees no
+/// other one does not take itself for the only one.
+const HOSTS_MEMORY: Duration = Duration::from_secs(60);
+
+/// Routers that count as sharers of a domain whatever the last lease says. The first leases of a new
+/// allocator count only the hosts that it has heard so far.
+const ROUTERS_MIN: u32 = 32;
+
+/// The greatest value of the last [`HOSTS_MEMORY`], or a later one.
+#[derive(Clone, Copy, Debug)]
+struct Peak {
+    value: u32,
+    at: Instant,
+}
+
+impl Peak {
+    fn set(&mut self, value: u32, now: Instant) {
+        if value >= self.value || now.duration_since(self.at) >= HOSTS_MEMORY {
+            *self = Self { value, at: now };
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Part {
+    // Part of this host's slots that lies in the domain, 0 to 1.
+    fraction: f64,
+    capacity: u32,
+    seq: u64,
+    lease: Option<(Lease, Instant)>,
+    hosts: Peak,
+    wants: BTreeMap<Class, u32>,
+    // Work since the start in tokens.
+    work: BTreeMap<Class, f64>,
+}
+
+impl Part {
+    fn valid(&self, now: Instant) -> Option<(&Lease, Instant)> {
+        let (lease, until) = self.lease.as_ref()?;
+        (*until > now).then_some((lease, *until))
+    }
+}
+
+/// The leases of one host.
+#[derive(Debug)]
+pub struct Keeper<C: Clock> {
+    clock: C,
+    shares: Shares,
+    routers: Peak,
+    parts: BTreeMap<CompactString, Part>,
+}
+
+impl<C: Clock> Keeper<C> {
+    /// Creates a keeper without leases.
+    pub fn new(clock: C, shares: Shares) -> Self {
+        let at = clock.now();
+        Self {
+            clock,
+            shares,
+            routers: Peak { value: 1, at },
+            parts: BTreeMap::new(),
+        }
+    }
+
+    /// Puts new shares into force.
+    pub fn set_shares(&mut self, shares: Shares) {
+        self.shares = shares;
+    }
+
+    /// Prepares a report to the allocator of each failure domain in use.
+    pub fn reports(
+        &mut self,
+        demand: &Demand,
+        domains: &BTreeMap<CompactString, Domain>,
+        routers: u32,
+    ) -> Vec<(CompactString, Report)> {
+        let now = self.clock.now();
+        self.routers.set(routers, now);
+        self.set_domains(domains, now);
+        let mut classes: BTreeMap<CompactString, Vec<_>> = BTreeMap::new();
+        for (class, want) in &demand.classes {
+            let wanted = self.spread(want.wanted);
+            let in_use = self.spread(want.in_use);
+            for (name, part) in &mut self.parts {
+                let work = part.work.entry(class.clone()).or_default();
+                *work += want.work as f64 * part.fraction;
+                part.wants.insert(class.clone(), wanted[name]);
+                let row = (
+                    class.partner.clone(),
+                    class.rank,
+                    wanted[name],
+                    in_use[name].min(wanted[name]),
+                    *work as u64,
+                );
+                classes.entry(name.clone()).or_default().push(row);
+            }
+        }
+        let names: Vec<_> = self.parts.keys().cloned().collect();
+        let report = |name: CompactString| {
+            let rows = classes.remove(&name).unwrap_or_default();
+            let report = self.report(&name, rows, now);
+            (name, report)
+        };
+        names.into_iter().map(report).collect()
+    }
+
+    fn set_domains(&mut self, domains: &BTreeMap<CompactString, Domain>, now: Instant) {
+        let slots: u32 = domains.values().map(|domain| domain.slots).sum();
+        self.parts.retain(|name, _| domains.contains_key(name));
+        for (name, domain) in domains {
+            let part = self.parts.entry(name.clone()).or_insert_with(|| Part {
+                fraction: 0.0,
+                capacity: 0,
+                seq: 0,
+                lease: None,
+                hosts: Peak { value: 1, at: now },
+                wants: BTreeMap::new(),
+                work: BTreeMap::new(),
+            });
+            part.fraction = f64::from(domain.slots) / f64::from(slots.max(1));
+            part.capacity = domain.capacity;
+            part.wants.clear();
+        }
+    }
+
+    /// Divides a count over the domains by the host's slots there. The remainder goes to another
+    /// domain each time.
+    fn spread(&self, count: u32) -> BTreeMap<CompactString, u32> {
+        let parts = self.parts.iter().enumerate();
+        let amounts = parts
+            .map(|(index, (name, part))| {
+                let turn = (index as u64 + part.seq) % self.parts.len() as u64;
+                let amount = f64::from(count) * part.fraction + turn as f64 * 1e-6;
+                (name.clone(), amount)
+            })
+            .collect();
+        share::round(&amounts, count)
+    }
+
+    fn report(
+        &mut self,
+        name: &CompactString,
+        classes: Vec<(CompactString, crate::wire::Rank, u32, u32, u64)>,
+        now: Instant,
+    ) -> Report {
+        let safe = self.safe(name);
+        let part = self
+            .parts
+            .get_mut(name)
+            .expect("reports go to known domains");
+        part.seq += 1;
+        let (lease, held, left) = match part.valid(now) {
+            Some((lease, until)) => (lease.seq, lease.total(), until - now),
+            None => (0, safe, Duration::ZERO),
+        };
+        Report {
+            seq: part.seq,
+            lease,
+            held,
+            held_ms: left.as_millis() as u32,
+            capacity: part.capacity,
+            classes,
+        }
+    }
+
+    /// Takes over the answer to a report that was sent at `sent_at`.
+    ///
+    /// Answers that arrive late, when a later one is in force, change nothing.
+    pub fn accept(&mut self, domain: &str, sent_at: Instant, lease: Lease) {
+        let now = self.clock.now();
+        let Some(part) = self.parts.get_mut(domain) else {
+            return;
+        };
+        let in_force = part.lease.as_ref().map_or(0, |(lease, _)| lease.seq);
+        let ttl = Duration::from_millis(lease.ttl_ms.into()).min(LEASE);
+        if lease.seq <= in_force || lease.seq > part.seq || sent_at + ttl <= now {
+            return;
+        }
+        part.hosts.set(lease.hosts, now);
+        part.lease = Some((lease, sent_at + ttl));
+    }
+
+    /// Returns the places that a host without a lease uses in a domain.
+    fn safe(&self, domain: &str) -> u32 {
+        let Some(part) = self.parts.get(domain) else {
+            return 0;
+        };
+        let sharers = match part.lease {
+            Some(_) => part.hosts.value.max(self.routers.value.min(ROUTERS_MIN)),
+            None => self.routers.value,
+        };
+        // One place keeps a host serving when hosts outnumber places.
+        (part.capacity / sharers.max(1)).max(part.capacity.min(1))
+    }
+
+    /// Returns what the host may use now, from leases or, where none is in force, without one.
+    pub fn grant(&self) -> Grant {
+        let now = self.clock.now();
+        let mut grant = Grant {
+            places: BTreeMap::new(),
+            work_per_s: BTreeMap::new(),
+            until: now + LEASE,
+        };
+        for (name, part) in &self.parts {
+            let Some((lease, until)) = part.valid(now) else {
+                self.add_safe(&mut grant.places, part, self.safe(name));
+                continue;
+            };
+            grant.until = grant.until.min(until);
+            for (partner, rank, count) in &lease.places {
+                let class = Class {
+                    partner: partner.clone(),
+                    rank: *rank,
+                };
+                *grant.places.entry(class).or_default() += count;
+            }
+            for (partner, rate) in &lease.work_per_s {
+                *grant.work_per_s.entry(partner.clone()).or_default() += f64::from(*rate);
+            }
+        }
+        grant
+    }
+
+    fn add_safe(&self, places: &mut BTreeMap<Class, u32>, part: &Part, safe: u32) {
+        let divided = share::round(&self.shares.divide(safe, &part.wants), safe);
+        let used: u32 = divided.values().sum();
+        for (class, count) in divided {
+            *places.entry(class).or_default() += count;
+        }
+        add_idle(places, &self.shares, safe.saturating_sub(used));
+    }
+
+    /// Returns the number of failure domains in use, and of those with a lease in force.
+    pub fn leased(&self) -> (usize, usize) {
+        let now = self.clock.now();
+        let valid = self.parts.values().filter(|part| part.valid(now).is_some());
+        (self.parts.len(), valid.count())
+    }
+}
--- a/src/sched/lease.rs
+++ b/src/sched/lease.rs
@@ -1,9 +1,10 @@
 //! Shares of the fleet between hosts.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use crate::wire::Rank;
 
@@ -47,3 +48,49 @@
     /// When the grant ends.
     pub until: Instant,
 }
+
+/// Time for which a lease lasts.
+pub const LEASE: Duration = Duration::from_secs(3);
+
+/// What a host tells the allocator of a failure domain.
+///
+/// It holds the part of the host's demand that falls on the domain.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Grows with each report of the host for this domain, from 1.
+    pub seq: u64,
+    /// `seq` of the report that the lease in force answered, 0 without one.
+    pub lease: u64,
+    /// Places that the host uses now, by lease or without one.
+    pub held: u32,
+    /// Time that the lease in force has left, 0 without one.
+    pub held_ms: u32,
+    /// Places of the domain's live engines as the host sees them.
+    pub capacity: u32,
+    /// Partner, rank, places wanted, places in use, and work in tokens since the host's start.
+    ///
+    /// Totals of work lose nothing when a report is lost, and count nothing twice.
+    pub classes: Vec<(CompactString, Rank, u32, u32, u64)>,
+}
+
+/// What the allocator answers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Lease {
+    /// `seq` of the report.
+    pub seq: u64,
+    /// Time for which the lease lasts, counted from when the report was sent.
+    pub ttl_ms: u32,
+    /// Hosts that share the domain.
+    pub hosts: u32,
+    /// Partner, rank and places.
+    pub places: Vec<(CompactString, Rank, u32)>,
+    /// Work on the domain by partner in tokens per second.
+    pub work_per_s: Vec<(CompactString, u32)>,
+}
+
+impl Lease {
+    /// Returns the places of all classes.
+    pub fn total(&self) -> u32 {
+        self.places.iter().map(|(_, _, count)| count).sum()
+    }
+}
--- /dev/null
+++ b/src/sched/lease_task.rs
@@ -0,0 +1,197 @@
+//! The tasks that report to allocators, and that answer as one.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use compact_str::{CompactString, format_compact};
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use log::{debug, info};
+use serde::{Deserialize, Serialize};
+
+use super::allocator::Allocator;
+use super::keeper::Keeper;
+use super::lease::{Lease, Report};
+use super::share::Shares;
+use crate::clock::Clock;
+use crate::dispatch::Handle;
+use crate::member::view::View;
+use crate::peer;
+use crate::peer::server::Methods;
+use crate::supervisor::Signal;
+use crate::util::within;
+
+/// Time between two reports.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest time for a report. It ends before the next one starts.
+const REPORT_LIMIT: Duration = Duration::from_millis(800);
+
+/// Time after which the grant is looked at again without a new lease, for leases that expire.
+const GRANT_PERIOD: Duration = Duration::from_millis(250);
+
+/// Parameters of `sched.report`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Params {
+    domain: CompactString,
+    report: Report,
+}
+
+enum Message {
+    Report(
+        CompactString,
+        u64,
+        CompactString,
+        Report,
+        oneshot::Sender<Lease>,
+    ),
+    Shares(Shares),
+}
+
+/// Sends messages to the allocator task.
+#[derive(Clone, Debug)]
+pub struct Allocators(mpsc::UnboundedSender<Message>);
+
+impl Allocators {
+    /// Passes a host's report for a failure domain on and waits for the lease.
+    async fn report(
+        &self,
+        host: CompactString,
+        incarnation: u64,
+        domain: CompactString,
+        report: Report,
+    ) -> Option<Lease> {
+        let (reply, answer) = oneshot::channel();
+        let message = Message::Report(host, incarnation, domain, report, reply);
+        self.0.unbounded_send(message).ok()?;
+        answer.await.ok()
+    }
+
+    /// Puts new shares into force.
+    pub fn shares(&self, shares: Shares) {
+        let _ = self.0.unbounded_send(Message::Shares(shares));
+    }
+
+    /// Adds the method that takes the reports of other hosts.
+    pub fn add_methods(&self, methods: &mut Methods) {
+        let allocators = self.clone();
+        methods.add("sched.report", move |from, params: Params| {
+            let allocators = allocators.clone();
+            async move {
+                let Params { domain, report } = params;
+                allocators
+                    .report(from.name, from.incarnation, domain, report)
+                    .await
+            }
+        });
+    }
+}
+
+/// Creates the handle and the task that holds the allocators of this host.
+pub fn allocators<C: Clock>(clock: C, stop: Signal) -> (Allocators, impl Future<Output = ()>) {
+    let (sender, mut messages) = mpsc::unbounded();
+    let task = async move {
+        let mut shares = Shares::default();
+        let mut held: BTreeMap<CompactString, Allocator<C>> = BTreeMap::new();
+        while !stop.is_given() {
+            let message = match within(PERIOD, messages.next()).await {
+                Some(Some(message)) => message,
+                Some(None) => return,
+                None => continue,
+            };
+            match message {
+                Message::Shares(new) => {
+                    shares = new;
+                    held.values_mut()
+                        .for_each(|allocator| allocator.set_shares(shares.clone()));
+                }
+                Message::Report(host, incarnation, domain, report, reply) => {
+                    let allocator = held.entry(domain).or_insert_with_key(|domain| {
+                        info!("event=allocator_started domain={domain}");
+                        Allocator::new(clock.clone(), shares.clone())
+                    });
+                    let _ = reply.send(allocator.report(&host, incarnation, &report));
+                }
+            }
+        }
+    };
+    (Allocators(sender), task)
+}
+
+/// What the reporting task works with.
+#[derive(Clone, Debug)]
+pub struct Reporter {
+    /// Source of demand, and taker of grants.
+    pub dispatch: Handle,
+    /// Live routers.
+    pub view: View,
+    /// Calls to other routers.
+    pub peer: peer::client::Client,
+    /// Allocators of this host.
+    pub allocators: Allocators,
+}
+
+impl Reporter {
+    /// Reports once a second and passes on what the host may use, until `stop` is given.
+    pub async fn run<C: Clock>(self, clock: C, stop: Signal) {
+        let keeper = RefCell::new(Keeper::new(clock.clone(), Shares::default()));
+        while !stop.is_given() {
+            let started = Instant::now();
+            let (demand, domains, shares) = self.dispatch.demand().await;
+            let routers = self.view.live().len() as u32;
+            keeper.borrow_mut().set_shares(shares);
+            let reports = keeper.borrow_mut().reports(&demand, &domains, routers);
+            self.grant(&keeper.borrow());
+            let sent_at = clock.now();
+            let answers = reports.into_iter().map(|(domain, report)| {
+                let (this, keeper) = (&self, &keeper);
+                async move {
+                    if let Some(lease) = this.report(domain.clone(), report).await {
+                        keeper.borrow_mut().accept(&domain, sent_at, lease);
+                        this.grant(&keeper.borrow());
+                    }
+                }
+            });
+            futures_util::future::join_all(answers).await;
+            while !stop.is_given() && started.elapsed() < PERIOD {
+                let left = PERIOD.saturating_sub(started.elapsed());
+                within(left.min(GRANT_PERIOD), stop.wait()).await;
+                self.grant(&keeper.borrow());
+            }
+        }
+    }
+
+    fn grant<C: Clock>(&self, keeper: &Keeper<C>) {
+        // Before the first engine is known there is nothing to share, and nothing to limit.
+        if keeper.leased().0 > 0 {
+            self.dispatch.grant(keeper.grant());
+        }
+    }
+
+    /// Reports to the allocator of a domain, which may be this host.
+    async fn report(&self, domain: CompactString, report: Report) -> Option<Lease> {
+        let owner = self
+            .view
+            .owner_in(&domain, &format_compact!("sched/{domain}"))?;
+        if owner.name == *self.view.own() {
+            let sender = self.peer.sender();
+            let allocators = &self.allocators;
+            return allocators
+                .report(sender.name, sender.incarnation, domain, report)
+                .await;
+        }
+        let params = Params { domain, report };
+        let call = self
+            .peer
+            .call(&owner.address, "sched.report", &params, REPORT_LIMIT);
+        match within(REPORT_LIMIT, call).await {
+            Some(Ok(lease)) => Some(lease),
+            Some(Err(err)) => {
+                debug!("event=report_failed allocator={} error={err}", owner.name);
+                None
+            }
+            None => None,
+        }
+    }
+}
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,4 +1,8 @@
 //! Which request runs next.
 
+pub mod allocator;
+pub mod keeper;
 pub mod lease;
+pub mod lease_task;
 pub mod scheduler;
+pub mod share;
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -1,10 +1,12 @@
 //! Queues of waiting work and the account of running work.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use compact_str::CompactString;
 use slotmap::SlotMap;
 
+use super::lease::{Class, Demand, Grant};
 use crate::clock::Clock;
 use crate::config::split::Split;
 use crate::http::problem::Reason;
@@ -54,6 +56,13 @@
     has_run: bool,
 }
 
+fn class(work: &Work) -> Class {
+    Class {
+        partner: work.partner.clone(),
+        rank: work.rank,
+    }
+}
+
 /// Decides which waiting work runs next, and on which engine.
 #[derive(Debug)]
 pub struct Scheduler<C: Clock> {
@@ -61,6 +70,8 @@
     items: SlotMap<Ticket, Item>,
     // Invariant: holds only tickets whose item has no engine.
     waiting: Vec<Ticket>,
+    work: BTreeMap<Class, u64>,
+    grant: Option<u32>,
 }
 
 impl<C: Clock> Scheduler<C> {
@@ -70,6 +81,8 @@
             clock,
             items: SlotMap::with_key(),
             waiting: Vec::new(),
+            work: BTreeMap::new(),
+            grant: None,
         }
     }
 
@@ -108,6 +121,10 @@
 
     /// Chooses the next work to start and its engine.
     pub fn next(&mut self, fleet: &Fleet<C>) -> Option<(Ticket, Engine)> {
+        let running = self.running() as u32;
+        if self.grant.is_some_and(|places| running >= places) {
+            return None;
+        }
         let items = &self.items;
         self.waiting
             .sort_by_key(|ticket| (items[*ticket].work.rank, items[*ticket].arrived));
@@ -146,7 +163,30 @@
     }
 
     /// Notes output of running work, in tokens.
-    pub fn progress(&mut self, _ticket: Ticket, _tokens: u32) {}
+    pub fn progress(&mut self, ticket: Ticket, tokens: u32) {
+        if let Some(item) = self.items.get(ticket) {
+            *self.work.entry(class(&item.work)).or_default() += u64::from(tokens);
+        }
+    }
+
+    /// Returns what the host wants, uses and has done since the last call.
+    pub fn demand(&mut self) -> Demand {
+        let mut demand = Demand::default();
+        for item in self.items.values() {
+            let want = demand.classes.entry(class(&item.work)).or_default();
+            want.wanted += 1;
+            want.in_use += u32::from(item.engine.is_some());
+        }
+        for (class, work) in std::mem::take(&mut self.work) {
+            demand.classes.entry(class).or_default().work = work;
+        }
+        demand
+    }
+
+    /// Limits the work that runs to the places of a grant.
+    pub fn set_grant(&mut self, grant: &Grant) {
+        self.grant = Some(grant.places.values().sum());
+    }
 
     /// Returns the engine and work of a ticket.
     pub fn get(&self, ticket: Ticket) -> Option<(Option<Engine>, &Work)> {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -211,7 +211,7 @@
     let leaving = key(&fleet, "engine-00001");
     fleet.set_leaving(leaving);
     fleet.set_members(&members);
-    assert_eq!(fleet.capacity()["fd-0"], SLOTS);
+    assert_eq!(fleet.domains()["fd-0"].capacity, SLOTS);
     for _ in 0..SLOTS / 2 {
         assert_eq!(place(&mut fleet, &[]), "engine-00002");
     }
@@ -236,7 +236,7 @@
     let clock = Manual::default();
     let fleet = fleet(&clock, &members(3, 1, 1), "router-0");
     clock.advance(Duration::from_secs(60));
-    assert_eq!(fleet.capacity()["fd-0"], 3 * SLOTS);
+    assert_eq!(fleet.domains()["fd-0"].capacity, 3 * SLOTS);
     assert!(fleet.choose(&need(&[])).is_some());
 }
 
@@ -314,12 +314,12 @@
     let members = members(12_000, 31, 770);
     let mut fleet = fleet(&clock, &members, "router-7");
     assert_eq!(fleet.iter().count(), 64);
-    let capacity = fleet.capacity();
+    let capacity = fleet.domains();
     assert_eq!(capacity.len(), 3, "{capacity:?}");
     assert!(
         capacity
             .values()
-            .all(|places| (387 * SLOTS..=388 * SLOTS).contains(places))
+            .all(|domain| (387 * SLOTS..=388 * SLOTS).contains(&domain.capacity))
     );
     let leaving = fleet.choose(&need(&[])).unwrap();
     let left = name(&fleet, leaving);
