--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -19,6 +19,8 @@
     pub listen: CompactString,
     /// Address for messages between routers, `IP:PORT`.
     pub peer_listen: CompactString,
+    /// Address under which other routers reach this one, if it is not `peer_listen`.
+    pub peer_address: Option<CompactString>,
     /// URL of the store, or `None` to run without one.
     pub store: Option<String>,
     /// URL of the membership list.
@@ -29,10 +31,14 @@
     pub key: Secret,
     /// Earlier key, accepted during rotation.
     pub previous_key: Option<Secret>,
+    /// Key of administrators; without one, reading is open and changing is refused.
+    pub admin_key: Option<Secret>,
     /// Split files for a host that runs without a store.
     pub split: Vec<String>,
     /// Time after which a leaving host cuts what still runs.
     pub drain_limit: Duration,
+    /// Time for which a caller may leave output unread; until then its engine's stream pauses.
+    pub slow_reader_limit: Duration,
 }
 
 /// Text that must not show in logs, status or errors.
@@ -45,6 +51,12 @@
         Self(bytes.into())
     }
 
+    /// Compares with a given value, in a time that does not depend on where they differ.
+    pub fn matches(&self, given: &[u8]) -> bool {
+        use sha2::{Digest, Sha256};
+        Sha256::digest(&self.0) == Sha256::digest(given)
+    }
+
     /// Returns the secret for use as a key.
     pub fn expose(&self) -> &[u8] {
         &self.0
@@ -66,13 +78,16 @@
     "region",
     "listen",
     "peer_listen",
+    "peer_address",
     "store",
     "members",
     "seeds",
     "key",
     "previous_key",
+    "admin_key",
     "split",
     "drain_limit_ms",
+    "slow_reader_limit_ms",
 ];
 
 impl Host {
@@ -91,18 +106,24 @@
             region: section.text("region").unwrap_or("default").into(),
             listen: address(&section, "listen")?,
             peer_listen: address(&section, "peer_listen")?,
+            peer_address: match section.text("peer_address") {
+                Some(_) => Some(address(&section, "peer_address")?),
+                None => None,
+            },
             store: url(&section, "store")?,
             members: url(&section, "members")?,
             seeds: section.words("seeds"),
             key: secret(&section, "key")?
                 .ok_or_else(|| section.error("key", "[host] lacks key; add key = …"))?,
             previous_key: secret(&section, "previous_key")?,
+            admin_key: secret(&section, "admin_key")?,
             split: section
                 .words("split")
                 .into_iter()
                 .map(String::from)
                 .collect(),
             drain_limit: section.millis("drain_limit_ms", Duration::from_secs(600))?,
+            slow_reader_limit: section.millis("slow_reader_limit_ms", Duration::from_secs(30))?,
         })
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,7 +14,7 @@
 use log::info;
 
 use crate::clock::{self, Clock};
-use crate::config::host::Host;
+use crate::config::host::{Host, Secret};
 use crate::config::split::Split;
 use crate::dispatch::{self, Handle};
 use crate::engine;
@@ -22,11 +22,15 @@
 use crate::http::completions::{self, Format};
 use crate::http::problem::{Problem, Reason};
 use crate::http::{admin, server};
+use crate::member;
 use crate::member::list;
+use crate::member::table::State;
 use crate::member::view::{Peer, View};
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
+use crate::relay::{self, cursor::Signer};
+use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
 use crate::sched::lease_task::{self, Allocators, Reporter};
 use crate::sched::share::Shares;
@@ -56,6 +60,8 @@
     pub dispatch: Handle,
     /// Metrics.
     pub metrics: Metrics,
+    /// Asks this process to leave.
+    pub stop: Signal,
     /// Given when the host starts to leave.
     pub leaving: Signal,
     /// Given when new work is refused.
@@ -68,11 +74,19 @@
     pub view: View,
     /// Allocators of this host.
     pub allocators: Allocators,
+    /// The membership task.
+    pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// What the generations know together.
+    pub relay: RefCell<relay::Shared>,
+    /// Signs and checks event ids.
+    pub cursors: Signer,
     split: RefCell<Arc<Split>>,
+    report: RefCell<Report<clock::System>>,
     incarnation: u64,
     last_request: Cell<u64>,
+    polled_bytes: Cell<u64>,
 }
 
 /// What requests need to know of the host's settings.
@@ -82,6 +96,10 @@
     pub name: CompactString,
     /// Failure domain.
     pub failure_domain: CompactString,
+    /// Time for which a caller may leave output unread.
+    pub slow_reader_limit: Duration,
+    /// Key of administrators.
+    pub admin_key: Option<Secret>,
 }
 
 impl Router {
@@ -97,6 +115,22 @@
         *self.split.borrow_mut() = split;
     }
 
+    /// Notes events of a service level, of which some missed the target.
+    pub fn record(&self, line: Line, events: u64, bad: u64) {
+        self.report.borrow_mut().record(line, events, bad);
+    }
+
+    /// Returns the service-level burn.
+    pub fn burns(&self) -> Vec<Burn> {
+        self.report.borrow().burns()
+    }
+
+    /// Returns the bytes that control has cost since the start, without those of TCP and IP.
+    pub fn control_bytes(&self) -> u64 {
+        let store = self.store.as_ref().map_or(0, objects::Client::bytes);
+        self.peer.bytes() + store + self.polled_bytes.get()
+    }
+
     /// Returns an identity that no other request of any host has.
     pub fn new_request_id(&self) -> CompactString {
         self.last_request.set(self.last_request.get() + 1);
@@ -127,7 +161,7 @@
         let router = &self.0;
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        if let Some(response) = admin::answer(router, path).await {
+        if let Some(response) = admin::answer(router, &head).await {
             return response;
         }
         if router.refusing.is_given() {
@@ -199,30 +233,52 @@
     let incarnation = unix_ms(clock::System.wall());
     let own = Peer {
         name: host.name.clone(),
-        address: format_compact!("{}", sockets.peers.local_addr()?),
+        address: match &host.peer_address {
+            Some(address) => address.clone(),
+            None => format_compact!("{}", sockets.peers.local_addr()?),
+        },
         failure_domain: host.failure_domain.clone(),
         region: host.region.clone(),
     };
+    let peer = peer_client(&host, incarnation);
+    let view = View::new(own.clone());
+    let (members, members_task) = member::task::create(
+        clock::System,
+        own,
+        view.clone(),
+        peer.clone(),
+        &host.seeds,
+        supervisor.stop_signal(),
+    );
+    supervisor.spawn("membership", members_task);
     let router = Rc::new(Router {
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
+            slow_reader_limit: host.slow_reader_limit,
+            admin_key: host.admin_key.clone(),
         },
         dispatch,
         metrics: Metrics::default(),
+        stop: stop.clone(),
         leaving: Signal::default(),
         refusing: Signal::default(),
         streams: Group::default(),
-        peer: peer_client(&host, incarnation),
-        view: View::new(own.clone()),
+        peer,
+        view,
+        members,
         allocators,
         store: host.store.as_deref().map(objects::Client::new),
+        relay: RefCell::default(),
+        cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         split: RefCell::default(),
+        report: RefCell::new(Report::new(clock::System)),
         incarnation,
         last_request: Cell::new(0),
+        polled_bytes: Cell::new(0),
     });
     router.set_split(Arc::new(split));
-    start_tasks(&router, &host, own, &supervisor);
+    start_tasks(&router, &host, &supervisor);
     let methods = methods(&router);
     supervisor.spawn(
         "peers",
@@ -241,6 +297,7 @@
     leave(&router, host.drain_limit, closed).await;
     let _ = serving.await;
     router.streams.join().await;
+    router.members.leave(State::Left).await;
     supervisor.stop().await;
     info!("event=stopped host={}", router.host.name);
     Ok(())
@@ -253,12 +310,12 @@
 }
 
 /// Starts the tasks that keep this host's state up to date.
-fn start_tasks(router: &Rc<Router>, host: &Host, own: Peer, supervisor: &Supervisor) {
+fn start_tasks(router: &Rc<Router>, host: &Host, supervisor: &Supervisor) {
     if let Some(url) = host.members.clone() {
         let dispatch = router.dispatch.clone();
-        let view = router.view.clone();
+        let table = router.members.clone();
         let take = move |members: Vec<wire::Member>| {
-            view.set(peers(&members).chain([own.clone()]));
+            table.listed(&members);
             dispatch.members(members);
         };
         supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
@@ -285,26 +342,14 @@
 fn methods(router: &Rc<Router>) -> Methods {
     let mut methods = Methods::default();
     router.allocators.add_methods(&mut methods);
+    router.members.add_methods(&mut methods);
     methods
 }
 
-fn peers(members: &[wire::Member]) -> impl Iterator<Item = Peer> {
-    let routers = members
-        .iter()
-        .filter(|member| member.kind == wire::Kind::Router && member.state == wire::Listing::Live);
-    routers.filter_map(|member| {
-        Some(Peer {
-            name: member.name.clone(),
-            address: member.peer_address.clone()?,
-            failure_domain: member.failure_domain.clone(),
-            region: member.region.clone(),
-        })
-    })
-}
-
 async fn leave(router: &Router, _limit: Duration, closed: Signal) {
     info!("event=leaving host={}", router.host.name);
     router.leaving.give();
+    router.members.leave(State::Leaving).await;
     compio::time::sleep(LEAVE_GRACE).await;
     router.refusing.give();
     closed.give();
