--- a/src/router.rs
+++ b/src/router.rs
@@ -32,6 +32,8 @@
 use crate::relay::{self, cursor::Signer};
 use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
+use crate::sched::lease_task::{self, Allocators, Reporter};
+use crate::sched::share::Shares;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::{unix_ms, within};
@@ -70,6 +72,8 @@
     pub peer: peer::client::Client,
     /// Live routers.
     pub view: View,
+    /// Allocators of this host.
+    pub allocators: Allocators,
     /// The membership task.
     pub members: member::task::Handle,
     /// The store, if the settings name one.
@@ -106,6 +110,7 @@
 
     /// Puts a split into force.
     pub fn set_split(&self, split: Arc<Split>) {
+        self.allocators.shares(Shares::of(&split));
         self.dispatch.split(split.clone());
         *self.split.borrow_mut() = split;
     }
@@ -217,10 +222,14 @@
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
+        host.name.clone(),
         host.failure_domain.clone(),
         supervisor.stop_signal(),
     );
     supervisor.spawn("dispatch", dispatch_task);
+    let (allocators, allocator_task) =
+        lease_task::allocators(clock::System, supervisor.stop_signal());
+    supervisor.spawn("allocators", allocator_task);
     let incarnation = unix_ms(clock::System.wall());
     let own = Peer {
         name: host.name.clone(),
@@ -258,6 +267,7 @@
         peer,
         view,
         members,
+        allocators,
         store: host.store.as_deref().map(objects::Client::new),
         relay: RefCell::default(),
         cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
@@ -316,11 +326,22 @@
         supervisor.stop_signal(),
     );
     supervisor.spawn("status", poll);
+    let reporter = Reporter {
+        dispatch: router.dispatch.clone(),
+        view: router.view.clone(),
+        peer: router.peer.clone(),
+        allocators: router.allocators.clone(),
+    };
+    supervisor.spawn(
+        "leases",
+        reporter.run(clock::System, supervisor.stop_signal()),
+    );
 }
 
 /// Collects the methods that other routers may call.
 fn methods(router: &Rc<Router>) -> Methods {
     let mut methods = Methods::default();
+    router.allocators.add_methods(&mut methods);
     router.members.add_methods(&mut methods);
     methods
 }
