Ask engines for status at a bounded rate and count its bytes

Cause: every engine without a stream of this host was asked each second; 35 engines of about 350 bytes an answer cost 12 KB/s, twice what all control may cost a host.

Change: route::poll chooses at most 2 engines in 250 ms, those unheard of for longest first; new engines are asked at once, unanswered ones again after 1 s. Status bytes count as control.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::http::client::{self, Exchange, post_json};
+use crate::http::pool::message_bytes;
 use crate::http::problem::Problem;
 use crate::http::sse;
 use crate::util::within;
@@ -92,11 +93,14 @@
 
 /// Asks for the state of a stream, over a new connection. `None` means no answer within `limit`.
 pub async fn query(address: &str, request_id: &str, limit: Duration) -> Option<wire::Stream> {
-    get(address, &format!("/v1/streams/{request_id}"), limit).await
+    let path = format!("/v1/streams/{request_id}");
+    let (stream, _) = get(address, &path, limit).await?;
+    Some(stream)
 }
 
-/// Asks for the status. `None` means no answer within `limit`.
-pub async fn status(address: &str, since: u64, limit: Duration) -> Option<wire::Status> {
+/// Asks for the status; also returns the bytes that this took. `None` means no answer within
+/// `limit`.
+pub async fn status(address: &str, since: u64, limit: Duration) -> Option<(wire::Status, u64)> {
     get(address, &format!("/v1/status?since={since}"), limit).await
 }
 
@@ -111,15 +115,17 @@
     address: &str,
     path: &str,
     limit: Duration,
-) -> Option<T> {
+) -> Option<(T, u64)> {
     let request = hyper::Request::get(path)
         .header(hyper::header::HOST, address)
         .body(http_body_util::Full::default())
         .ok()?;
+    let sent = message_bytes(request.headers(), path.len());
     let answer = async {
         let mut exchange = client::send(address, request, limit).await.ok()?;
         let body = exchange.rest(1024 * 1024).await.ok()?;
-        serde_json::from_slice(&body).ok()
+        let received = message_bytes(exchange.head.headers(), body.len());
+        Some((serde_json::from_slice(&body).ok()?, sent + received))
     };
     within(limit, answer).await?
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod cache;
 pub mod fleet;
+pub mod poll;
 pub mod prefix;
 mod select;
--- a/src/router.rs
+++ b/src/router.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Context;
 use compact_str::{CompactString, format_compact};
@@ -32,6 +32,7 @@
 use crate::relay::{self, cursor::Signer};
 use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
+use crate::route::poll::{self, Poller};
 use crate::sched::lease_task::{self, Allocators, Reporter};
 use crate::sched::share::Shares;
 use crate::store::objects;
@@ -42,9 +43,6 @@
 /// Time between a host's decision to leave and its refusal of new work, because the balancer lags.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
 
-/// Time without a load report after which an engine is asked.
-const STATUS_PERIOD: Duration = Duration::from_millis(1000);
-
 /// Longest time for a status request.
 const STATUS_LIMIT: Duration = Duration::from_millis(800);
 
@@ -320,11 +318,7 @@
         };
         supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
     }
-    let poll = poll_engines(
-        router.dispatch.clone(),
-        clock::System,
-        supervisor.stop_signal(),
-    );
+    let poll = poll_engines(router.clone(), clock::System, supervisor.stop_signal());
     supervisor.spawn("status", poll);
     let reporter = Reporter {
         dispatch: router.dispatch.clone(),
@@ -355,23 +349,23 @@
     closed.give();
 }
 
-/// Asks engines whose load was not reported lately, all of them at once.
-async fn poll_engines<C: Clock>(dispatch: Handle, clock: C, stop: Signal) {
+/// Asks engines whose load was not reported lately.
+async fn poll_engines<C: Clock>(router: Rc<Router>, clock: C, stop: Signal) {
+    let mut poller = Poller::new(clock);
     while !stop.is_given() {
-        let is_due = |at: Instant| clock.now().duration_since(at) >= STATUS_PERIOD;
-        let engines = dispatch.engines().await.into_iter();
-        let asked = engines.filter(|polled| polled.reported_at.is_none_or(is_due));
-        let answers = asked.map(|polled| {
-            let dispatch = dispatch.clone();
+        let engines = router.dispatch.engines().await;
+        let asked = poller.due(&engines).into_iter().map(|polled| {
+            let router = router.clone();
             async move {
                 let status = engine::status(&polled.address, polled.next_seq, STATUS_LIMIT);
-                if let Some(status) = status.await {
-                    dispatch.status(polled.engine, status);
+                if let Some((status, bytes)) = status.await {
+                    router.polled_bytes.set(router.polled_bytes.get() + bytes);
+                    router.dispatch.status(polled.engine, status);
                 }
             }
         });
-        futures_util::future::join_all(answers).await;
-        within(STATUS_PERIOD / 4, stop.wait()).await;
+        futures_util::future::join_all(asked).await;
+        within(poll::ROUND, stop.wait()).await;
     }
 }
 
