Add check of all settings files together

Cause: a route to a service that no file declares, shares on two scales or a setting before the first section were accepted and showed only in use. Sections [service NAME], with the default timeout of its routes, and [weight-store], with its rate limit, are new. Before: no check.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -15,6 +15,7 @@
                 .help("Log more; twice for details"),
         )
         .subcommand(serve())
+        .subcommand(check())
         .subcommand(demo())
         .subcommand(emulate())
 }
@@ -32,6 +33,19 @@
         )
 }
 
+fn check() -> Command {
+    Command::new("check")
+        .about("Check settings files together; errors name file, line and remedy")
+        .arg(files().required(true))
+}
+
+fn files() -> Arg {
+    Arg::new("files")
+        .value_name("FILE")
+        .num_args(1..)
+        .help("Settings files of all services")
+}
+
 fn demo() -> Command {
     Command::new("demo")
         .about("Run a router with emulated engines, store and backend service in one process")
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -51,7 +51,7 @@
         "[partner nubeatlas]\nshare = 60\n[partner niederbach]\nshare = 40\n\
          [team drafts]\npartner = nubeatlas\n[caller demo]\nteam = drafts\nrank = urgent\n\
          key_sha256 = {}\n[model atlas]\nversion = 1\n\
-         [route /lanes/reserve]\nservice = booking\nidempotent = no\n",
+         [service booking]\n[route /lanes/reserve]\nservice = booking\nidempotent = no\n",
         key_digest(KEY)
     )
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod args;
+mod check;
 mod demo;
 mod emulate;
 mod serve;
@@ -50,6 +51,7 @@
     let signals = compio::runtime::spawn(watch_signals(stop.clone()));
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::Serve::run(matches, stop).await,
+        Some(("check", matches)) => check::Check::run(matches, stop).await,
         Some(("emulate", matches)) => emulate::Emulate::run(matches, stop).await,
         Some(("demo", matches)) => demo::Demo::run(matches, stop).await,
         _ => unreachable!("clap accepts only the subcommands above"),
--- a/src/config/ini.rs
+++ b/src/config/ini.rs
@@ -57,6 +57,12 @@
     }
 
     fn check_repeats(&self) -> Result<(), Error> {
+        if let Some((name, _)) = self.ini.general_section().iter().next() {
+            let is_setting = |line: &str| line.trim().starts_with(name);
+            let line = self.text.lines().position(is_setting).unwrap_or(0) + 1;
+            let what = format!("{name} stands before the first section; move it into a section");
+            return Err(self.error(line, what));
+        }
         let mut seen = std::collections::BTreeSet::new();
         for section in self.sections() {
             if !seen.insert(section.title) {
@@ -122,6 +128,12 @@
         self.file.error(at.map_or(start, |at| start + at + 1), what)
     }
 
+    /// Returns the first word of the title, and the rest.
+    pub fn kind_and_name(&self) -> (&'a str, &'a str) {
+        let (kind, name) = self.title.split_once(' ').unwrap_or((self.title, ""));
+        (kind, name.trim())
+    }
+
     /// Returns a setting, if present.
     pub fn text(&self, name: &str) -> Option<&'a str> {
         self.properties.get(name)
--- a/src/config/split.rs
+++ b/src/config/split.rs
@@ -26,6 +26,36 @@
     pub ranks: BTreeMap<Rank, Target>,
     /// Routes to backend services by path prefix.
     pub routes: BTreeMap<CompactString, Route>,
+    /// Backend services by name.
+    #[serde(default)]
+    pub services: BTreeMap<CompactString, Service>,
+    /// The store that engines load weights from.
+    #[serde(default)]
+    pub weight_store: WeightStore,
+}
+
+/// A backend service.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Service {
+    /// Longest time for a call of routes that do not set their own.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub timeout: Duration,
+}
+
+/// Limits of the store that engines load weights from.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WeightStore {
+    /// Orders that load weights, of all engines together, in a minute.
+    pub loads_per_minute: u32,
+}
+
+impl Default for WeightStore {
+    fn default() -> Self {
+        Self {
+            loads_per_minute: 60,
+        }
+    }
 }
 
 /// A partner of the joint venture.
@@ -104,6 +134,9 @@
     pub timeout: Duration,
 }
 
+/// Longest time for a call if neither the route nor its service sets one.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+
 impl Target {
     /// Returns the targets of a rank that the split does not mention.
     pub fn default_of(rank: Rank) -> Self {
@@ -141,18 +174,25 @@
     /// A section is unknown or stands in two files, a setting is malformed, or a name refers to
     /// nothing.
     pub fn from_files(files: &[File]) -> Result<Self, Error> {
-        let mut split = Self::default();
-        for file in files {
-            for section in file.sections() {
-                split.add(&section)?;
-            }
+        let (split, mut errors) = Self::collect(files);
+        match errors.is_empty() {
+            true => Ok(split),
+            false => Err(errors.remove(0)),
         }
-        for file in files {
-            for section in file.sections() {
-                split.check(&section)?;
-            }
+    }
+
+    /// Builds the split from parsed files, and returns every fault besides.
+    pub(super) fn collect(files: &[File]) -> (Self, Vec<Error>) {
+        let mut split = Self::default();
+        let sections = || files.iter().flat_map(File::sections);
+        let mut errors: Vec<_> = sections()
+            .filter_map(|section| split.add(&section).err())
+            .collect();
+        split.inherit_timeouts(sections());
+        if errors.is_empty() {
+            errors.extend(sections().filter_map(|section| split.check(&section).err()));
         }
-        Ok(split)
+        (split, errors)
     }
 
     /// Returns the targets of a rank.
@@ -178,8 +218,12 @@
     }
 
     fn add(&mut self, section: &Section<'_>) -> Result<(), Error> {
-        let (kind, name) = section.title.split_once(' ').unwrap_or((section.title, ""));
-        let name = CompactString::from(name.trim());
+        if section.title == "weight-store" {
+            self.weight_store = weight_store(section)?;
+            return Ok(());
+        }
+        let (kind, name) = section.kind_and_name();
+        let name = CompactString::from(name);
         if name.is_empty() {
             let what = format!("[{kind}] lacks a name; write [{kind} NAME]");
             return Err(section.error("", what));
@@ -189,6 +233,12 @@
             "team" => insert(&mut self.teams, name, team(section)?),
             "caller" => {
                 let (digest, caller) = caller(section, name)?;
+                if let Some(other) = self.callers.get(&digest)
+                    && other.name != caller.name
+                {
+                    let what = format!("caller {} has this key too; give another", other.name);
+                    return Err(section.error("key_sha256", what));
+                }
                 insert(&mut self.callers, digest, caller)
             }
             "model" => insert(&mut self.models, name, model(section)?),
@@ -198,9 +248,11 @@
                 target(section, &name)?,
             ),
             "route" => insert(&mut self.routes, name, route(section)?),
+            "service" => insert(&mut self.services, name, service(section)?),
             _ => {
                 let what = format!(
-                    "section [{kind} …] is not known; use partner, team, caller, model, rank or route"
+                    "section [{kind} …] is not known; use partner, team, caller, model, rank, route, \
+                     service or weight-store"
                 );
                 return Err(section.error("", what));
             }
@@ -212,8 +264,21 @@
         Ok(())
     }
 
+    /// Gives routes without a timeout that of their service.
+    fn inherit_timeouts<'a>(&mut self, sections: impl Iterator<Item = Section<'a>>) {
+        for section in sections.filter(|section| section.text("timeout_ms").is_none()) {
+            let (kind, name) = section.kind_and_name();
+            if kind == "route"
+                && let Some(route) = self.routes.get_mut(name)
+                && let Some(service) = self.services.get(&route.service)
+            {
+                route.timeout = service.timeout;
+            }
+        }
+    }
+
     fn check(&self, section: &Section<'_>) -> Result<(), Error> {
-        let (kind, _) = section.title.split_once(' ').unwrap_or((section.title, ""));
+        let (kind, _) = section.kind_and_name();
         if kind == "team" {
             let partner = section.required("partner")?;
             if !self.partners.contains_key(partner) {
@@ -308,6 +373,21 @@
     })
 }
 
+fn service(section: &Section<'_>) -> Result<Service, Error> {
+    section.check_names(&["timeout_ms"])?;
+    Ok(Service {
+        timeout: section.millis("timeout_ms", DEFAULT_TIMEOUT)?,
+    })
+}
+
+fn weight_store(section: &Section<'_>) -> Result<WeightStore, Error> {
+    section.check_names(&["loads_per_minute"])?;
+    let default = WeightStore::default().loads_per_minute;
+    Ok(WeightStore {
+        loads_per_minute: positive(section, "loads_per_minute", default)?,
+    })
+}
+
 fn rank(section: &Section<'_>, name: &str) -> Result<Rank, Error> {
     match name {
         "urgent" => Ok(Rank::Urgent),
@@ -341,7 +421,7 @@
     Ok(Route {
         service: section.required("service")?.into(),
         idempotent: section.flag("idempotent", false)?,
-        timeout: section.millis("timeout_ms", Duration::from_secs(10))?,
+        timeout: section.millis("timeout_ms", DEFAULT_TIMEOUT)?,
     })
 }
 
