Publish split files as one revision, all or nothing

Cause: a split could only be read from files beside each host, so a change was never in force everywhere, and operators could not see or undo one. Change: bilberrypost publish checks all files, writes the content in chunks below 1 MB and puts config/current by conditional update; a lost response is resolved by reading back the writer id. A publisher that loses a race is told what changed and by whom. History keeps 32 revisions, with diff and undo. Before: no publishing. Conclusion: routers can follow config/current next.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -16,6 +16,8 @@
         )
         .subcommand(serve())
         .subcommand(check())
+        .subcommand(publish())
+        .subcommand(status())
         .subcommand(demo())
         .subcommand(emulate())
 }
@@ -39,6 +41,78 @@
         .arg(files().required(true))
 }
 
+fn publish() -> Command {
+    let revision = |name| {
+        Arg::new(name)
+            .value_name("REVISION")
+            .required(true)
+            .value_parser(value_parser!(u64))
+    };
+    Command::new("publish")
+        .about(
+            "Put settings files into force as one revision; exit codes: 0 in force, 2 refused, \
+             3 raced, 4 unknown",
+        )
+        .arg(
+            Arg::new("store")
+                .long("store")
+                .value_name("URL")
+                .global(true)
+                .help("Store, http://IP:PORT; by default that of the settings"),
+        )
+        .arg(
+            Arg::new("author")
+                .long("author")
+                .value_name("NAME")
+                .global(true)
+                .help("Who publishes, for the history"),
+        )
+        .arg(operator_file().global(true))
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("REVISION")
+                .global(true)
+                .value_parser(value_parser!(u64))
+                .help("Refuse unless this revision is in force"),
+        )
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Wait until every live host reports the revision"),
+        )
+        .arg(number("wait-limit", "30", "Longest wait in seconds").global(true))
+        .arg(files())
+        .subcommand(Command::new("history").about("List the revisions that are kept"))
+        .subcommand(
+            Command::new("diff")
+                .about("Show what differs between two revisions")
+                .arg(revision("from"))
+                .arg(revision("to")),
+        )
+        .subcommand(
+            Command::new("undo")
+                .about("Publish the content of an old revision under a new number")
+                .arg(revision("revision")),
+        )
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Show which live hosts have which revision")
+        .arg(operator_file())
+}
+
+fn operator_file() -> Arg {
+    Arg::new("config")
+        .short('c')
+        .long("config")
+        .value_name("FILE")
+        .help("Settings with an [operator] or [host] section: key, and members or seeds")
+}
+
 fn files() -> Arg {
     Arg::new("files")
         .value_name("FILE")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,12 +4,17 @@
 mod check;
 mod demo;
 mod emulate;
+mod publish;
 mod serve;
+mod status;
 
 use std::process::ExitCode;
 
+use anyhow::Context;
 use clap::ArgMatches;
 
+use crate::config::ini::File;
+use crate::config::operator::Operator;
 use crate::error::Error;
 use crate::supervisor::Signal;
 
@@ -52,6 +57,8 @@
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::Serve::run(matches, stop).await,
         Some(("check", matches)) => check::Check::run(matches, stop).await,
+        Some(("publish", matches)) => publish::Publish::run(matches, stop).await,
+        Some(("status", matches)) => status::Status::run(matches, stop).await,
         Some(("emulate", matches)) => emulate::Emulate::run(matches, stop).await,
         Some(("demo", matches)) => demo::Demo::run(matches, stop).await,
         _ => unreachable!("clap accepts only the subcommands above"),
@@ -60,6 +67,20 @@
     result
 }
 
+/// Reads the settings that `-c FILE` names, if it is given.
+fn operator(matches: &ArgMatches) -> anyhow::Result<Option<Operator>> {
+    let Some(path) = matches.get_one::<String>("config") else {
+        return Ok(None);
+    };
+    let text = std::fs::read_to_string(path)
+        .map_err(|err| Error::Refused(err.to_string()))
+        .with_context(|| format!("could not read {path}; check the path"))?;
+    let operator = File::parse(path, &text).and_then(|file| Operator::from_file(&file));
+    Ok(Some(
+        operator.map_err(|err| Error::Refused(err.to_string()))?,
+    ))
+}
+
 async fn watch_signals(stop: Signal) {
     use futures_util::future::select;
     let terminate = Box::pin(compio::signal::unix::signal(15));
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,30 @@
+//! `bilberrypost status`
+
+use clap::ArgMatches;
+
+use super::Run;
+use crate::error::Error;
+use crate::supervisor::Signal;
+
+pub(super) struct Status;
+
+impl Run for Status {
+    async fn run(matches: &ArgMatches, _stop: Signal) -> anyhow::Result<()> {
+        let operator = super::operator(matches)?
+            .ok_or_else(|| Error::Refused("no settings; add -c FILE".into()))?;
+        let hosts = operator.hosts().await?;
+        for host in &hosts {
+            let report = match host.report {
+                Some(report) => format!("revision={} ready={}", report.revision, report.ready),
+                None => "revision=unknown ready=unknown".into(),
+            };
+            let (name, domain) = (&host.name, &host.failure_domain);
+            println!("host={name} failure_domain={domain} {report}");
+        }
+        if hosts.iter().any(|host| host.report.is_none()) {
+            let what = "a host did not answer; check that it runs and has the same key";
+            return Err(Error::Unknown(what.into()).into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/config/diff.rs
@@ -0,0 +1,93 @@
+//! What differs between two splits, for operators.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use super::split::Split;
+
+/// Returns a line for each setting that differs, such as `partners.a.share: 50 -> 60`.
+///
+/// Callers stand under their names; of their keys it only shows that they changed.
+pub fn lines(from: &Split, to: &Split) -> Vec<String> {
+    let (from, to) = (settings(from), settings(to));
+    let mut lines = Vec::new();
+    for (path, old) in &from {
+        match to.get(path) {
+            None => lines.push(format!("{path}: {} -> removed", shown(path, old))),
+            Some(new) if new != old && is_key(path) => lines.push(format!("{path}: changed")),
+            Some(new) if new != old => lines.push(format!("{path}: {old} -> {new}")),
+            Some(_) => {}
+        }
+    }
+    let added = to.iter().filter(|(path, _)| !from.contains_key(*path));
+    lines.extend(added.map(|(path, new)| format!("{path}: added {}", shown(path, new))));
+    lines.sort();
+    lines
+}
+
+fn is_key(path: &str) -> bool {
+    path.ends_with(".key_sha256")
+}
+
+fn shown<'a>(path: &str, value: &'a str) -> &'a str {
+    if is_key(path) { "…" } else { value }
+}
+
+fn settings(split: &Split) -> BTreeMap<String, String> {
+    let mut found = BTreeMap::new();
+    let mut value = serde_json::to_value(split).expect("a split serializes");
+    if let Some(callers) = value.get_mut("callers").and_then(Value::as_object_mut) {
+        for (digest, mut caller) in std::mem::take(callers) {
+            caller["key_sha256"] = digest.clone().into();
+            let name = caller["name"].as_str().unwrap_or(&digest).to_owned();
+            callers.insert(name, caller);
+        }
+    }
+    flatten(String::new(), &value, &mut found);
+    found
+}
+
+fn flatten(path: String, value: &Value, found: &mut BTreeMap<String, String>) {
+    let Value::Object(fields) = value else {
+        found.insert(path, value.to_string());
+        return;
+    };
+    for (name, value) in fields {
+        let path = match path.is_empty() {
+            true => name.clone(),
+            false => format!("{path}.{name}"),
+        };
+        flatten(path, value, found);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::ini::File;
+
+    /// Guards against a change that the operator is not told of, and against keys in output.
+    #[test]
+    fn names_each_change() {
+        let digest = |digit: &str| digit.repeat(64);
+        let split = |share: u32, key: &str, rest: &str| {
+            let text = format!(
+                "[partner a]\nshare = {share}\n[team t]\npartner = a\n\
+                 [caller c]\nteam = t\nkey_sha256 = {key}\n{rest}"
+            );
+            Split::from_files(&[File::parse("s.ini", &text).unwrap()]).unwrap()
+        };
+        let old = split(50, &digest("a"), "[service x]\ntimeout_ms = 5\n");
+        let new = split(60, &digest("b"), "[service y]\ntimeout_ms = 5\n");
+        let expected = [
+            "callers.c.key_sha256: changed",
+            "partners.a.cost_share: 50 -> 60",
+            "partners.a.share: 50 -> 60",
+            "services.x.timeout: 5 -> removed",
+            "services.y.timeout: added 5",
+        ];
+        assert_eq!(lines(&old, &new), expected);
+        assert!(lines(&old, &old).is_empty());
+    }
+}
--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -116,7 +116,7 @@
     Ok(text.into())
 }
 
-fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
+pub(super) fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
     };
@@ -127,7 +127,7 @@
     Ok(Some(text.trim_end_matches('/').into()))
 }
 
-fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
+pub(super) fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
     };
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,10 @@
 //! Settings: of one host, and of the shared split.
 
 pub mod check;
+pub mod diff;
 pub mod host;
 pub mod ini;
+pub mod operator;
+pub mod publish;
+pub mod revision;
 pub mod split;
