Keep the newest revision in force on every host

Cause: routers took the split from files beside them, so a published revision reached none of them. Change: config::task watches config/current on two routers of each failure domain; the others learn the number from peer messages or from an exchange with one peer each 500 ms, and fetch the content by config.fetch or from the store. A host applies only a higher revision, and at its start waits for a peer or 1 s before it trusts the store, whose reads may be stale. In an outage it takes split and membership list from its seeds (config.join); without any source it refuses with reason no-settings, which /readyz shows too. Calls after a failure are spread over 2 s; the first retry is not, because a silent connection shows only after 3 s and a change may take 4 s. tests/config.rs runs real processes. Before: no host followed the store.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -40,7 +40,7 @@
             "curl -N http://{address}/v1/completions -H 'Authorization: Bearer {KEY}' \
              -d '{{\"model\":\"atlas\",\"prompt\":\"Sky notes:\",\"max_tokens\":20,\"stream\":true}}'"
         );
-        router::run(sockets, host, split, stop).await?;
+        router::run(sockets, host, Some(split), stop).await?;
         platform.stop().await;
         Ok(())
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,3 +8,4 @@
 pub mod publish;
 pub mod revision;
 pub mod split;
+pub mod task;
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,19 +14,23 @@
 use log::info;
 
 use crate::clock::{self, Clock};
-use crate::config::host::Host;
+use crate::config::host::{Host, Secret};
 use crate::config::split::Split;
+use crate::config::task::{self, Sources};
 use crate::dispatch::{self, Handle};
 use crate::engine;
 use crate::http::body::Body;
 use crate::http::completions::{self, Format};
 use crate::http::problem::{Problem, Reason};
 use crate::http::{admin, server};
+use crate::member;
 use crate::member::list;
+use crate::member::table::State;
 use crate::member::view::{Peer, View};
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
+use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -54,6 +58,8 @@
     pub dispatch: Handle,
     /// Metrics.
     pub metrics: Metrics,
+    /// Asks this process to leave.
+    pub stop: Signal,
     /// Given when the host starts to leave.
     pub leaving: Signal,
     /// Given when new work is refused.
@@ -64,9 +70,15 @@
     pub peer: peer::client::Client,
     /// Live routers.
     pub view: View,
+    /// The membership task.
+    pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// The revision in force.
+    pub config: task::State,
     split: RefCell<Arc<Split>>,
+    listing: RefCell<Vec<wire::Member>>,
+    report: RefCell<Report<clock::System>>,
     incarnation: u64,
     last_request: Cell<u64>,
 }
@@ -78,6 +90,8 @@
     pub name: CompactString,
     /// Failure domain.
     pub failure_domain: CompactString,
+    /// Key of administrators.
+    pub admin_key: Option<Secret>,
 }
 
 impl Router {
@@ -92,6 +106,35 @@
         *self.split.borrow_mut() = split;
     }
 
+    /// Returns the membership list as it was read last.
+    pub fn listing(&self) -> Vec<wire::Member> {
+        self.listing.borrow().clone()
+    }
+
+    /// Takes over the membership list.
+    pub fn set_listing(&self, listing: Vec<wire::Member>) {
+        self.members.listed(&listing);
+        self.dispatch.members(listing.clone());
+        *self.listing.borrow_mut() = listing;
+    }
+
+    /// Takes over a peer's membership list if this host could not read one.
+    pub fn hint_listing(&self, listing: Vec<wire::Member>) {
+        if self.listing.borrow().is_empty() {
+            self.set_listing(listing);
+        }
+    }
+
+    /// Notes events of a service level, of which some missed the target.
+    pub fn record(&self, line: Line, events: u64, bad: u64) {
+        self.report.borrow_mut().record(line, events, bad);
+    }
+
+    /// Returns the service-level burn.
+    pub fn burns(&self) -> Vec<Burn> {
+        self.report.borrow().burns()
+    }
+
     /// Returns an identity that no other request of any host has.
     pub fn new_request_id(&self) -> CompactString {
         self.last_request.set(self.last_request.get() + 1);
@@ -122,9 +165,13 @@
         let router = &self.0;
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        if let Some(response) = admin::answer(router, path).await {
+        if let Some(response) = admin::answer(router, &head).await {
             return response;
         }
+        if let Some(reason) = router.config.not_ready() {
+            let problem = Problem::not_run(Reason::NoSettings, reason);
+            return router.refused(problem.retry_after(Duration::from_secs(1)));
+        }
         if router.refusing.is_given() {
             let detail = "this host is leaving; retry at once to reach another host";
             let problem = Problem::not_run(Reason::Leaving, detail);
@@ -177,9 +224,16 @@
 
 /// Runs a router process until `stop` is given and all work has ended.
 ///
+/// `split` is in force until the first revision is published.
+///
 /// # Errors
 /// A socket has no address.
-pub async fn run(sockets: Sockets, host: Host, split: Split, stop: Signal) -> anyhow::Result<()> {
+pub async fn run(
+    sockets: Sockets,
+    host: Host,
+    split: Option<Split>,
+    stop: Signal,
+) -> anyhow::Result<()> {
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
@@ -190,30 +244,57 @@
     let incarnation = unix_ms(clock::System.wall());
     let own = Peer {
         name: host.name.clone(),
-        address: format_compact!("{}", sockets.peers.local_addr()?),
+        address: match &host.peer_address {
+            Some(address) => address.clone(),
+            None => format_compact!("{}", sockets.peers.local_addr()?),
+        },
         failure_domain: host.failure_domain.clone(),
         region: host.region.clone(),
     };
+    let peer = peer_client(&host, incarnation);
+    let view = View::new(own.clone());
+    let (members, members_task) = member::task::create(
+        clock::System,
+        own,
+        view.clone(),
+        peer.clone(),
+        &host.seeds,
+        supervisor.stop_signal(),
+    );
+    supervisor.spawn("membership", members_task);
     let router = Rc::new(Router {
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
+            admin_key: host.admin_key.clone(),
         },
         dispatch,
         metrics: Metrics::default(),
+        stop: stop.clone(),
         leaving: Signal::default(),
         refusing: Signal::default(),
         streams: Group::default(),
-        peer: peer_client(&host, incarnation),
-        view: View::new(own.clone()),
+        peer,
+        view,
+        members,
         store: host.store.as_deref().map(objects::Client::new),
+        config: task::State::default(),
         split: RefCell::default(),
+        listing: RefCell::default(),
+        report: RefCell::new(Report::new(clock::System)),
         incarnation,
         last_request: Cell::new(0),
     });
-    router.set_split(Arc::new(split));
-    start_tasks(&router, &host, own, &supervisor);
-    let methods = methods(&router);
+    start_tasks(&router, &host, &supervisor);
+    let mut methods = Methods::default();
+    router.members.add_methods(&mut methods);
+    let sources = Sources {
+        seeds: host.seeds.clone(),
+        files: split,
+    };
+    let stop_signal = supervisor.stop_signal();
+    let config = task::create(router.clone(), sources, &mut methods, stop_signal);
+    supervisor.spawn("config", config);
     supervisor.spawn(
         "peers",
         peer::server::run(
@@ -231,6 +312,7 @@
     leave(&router, host.drain_limit, closed).await;
     let _ = serving.await;
     router.streams.join().await;
+    router.members.leave(State::Left).await;
     supervisor.stop().await;
     info!("event=stopped host={}", router.host.name);
     Ok(())
@@ -243,14 +325,10 @@
 }
 
 /// Starts the tasks that keep this host's state up to date.
-fn start_tasks(router: &Rc<Router>, host: &Host, own: Peer, supervisor: &Supervisor) {
+fn start_tasks(router: &Rc<Router>, host: &Host, supervisor: &Supervisor) {
     if let Some(url) = host.members.clone() {
-        let dispatch = router.dispatch.clone();
-        let view = router.view.clone();
-        let take = move |members: Vec<wire::Member>| {
-            view.set(peers(&members).chain([own.clone()]));
-            dispatch.members(members);
-        };
+        let router = router.clone();
+        let take = move |members| router.set_listing(members);
         supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
     }
     let poll = poll_engines(
@@ -261,28 +339,10 @@
     supervisor.spawn("status", poll);
 }
 
-/// Collects the methods that other routers may call.
-fn methods(_router: &Rc<Router>) -> Methods {
-    Methods::default()
-}
-
-fn peers(members: &[wire::Member]) -> impl Iterator<Item = Peer> {
-    let routers = members
-        .iter()
-        .filter(|member| member.kind == wire::Kind::Router && member.state == wire::Listing::Live);
-    routers.filter_map(|member| {
-        Some(Peer {
-            name: member.name.clone(),
-            address: member.peer_address.clone()?,
-            failure_domain: member.failure_domain.clone(),
-            region: member.region.clone(),
-        })
-    })
-}
-
 async fn leave(router: &Router, _limit: Duration, closed: Signal) {
     info!("event=leaving host={}", router.host.name);
     router.leaving.give();
+    router.members.leave(State::Leaving).await;
     compio::time::sleep(LEAVE_GRACE).await;
     router.refusing.give();
     closed.give();
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,319 @@
+//! Publishing and its way to all hosts, with real processes and a faulty store.
+
+mod support;
+
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use bilberrypost::config::revision::{CURRENT, Current};
+use bilberrypost::load::client;
+use bilberrypost::store::objects::{Client, Objects};
+use serde_json::{Value, json};
+use support::{Cluster, block_on, call, get, is_ready, run, split, wait_until};
+
+fn with_share(share: usize) -> String {
+    split().replace("share = 50", &format!("share = {share}"))
+}
+
+fn file(cluster: &Cluster, share: usize) -> String {
+    cluster.write(&format!("share-{share}.ini"), &with_share(share))
+}
+
+fn publish(cluster: &Cluster, author: &str, share: usize) -> (i32, String) {
+    let (operator, file) = (cluster.operator(), file(cluster, share));
+    run(&["publish", "-c", &operator, "--author", author, &file])
+}
+
+fn in_background(cluster: &Cluster, author: &str, share: usize) -> Child {
+    let (operator, file) = (cluster.operator(), file(cluster, share));
+    Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
+        .args(["publish", "-c", &operator, "--author", author, &file])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+fn revision(address: &str) -> u64 {
+    let status: Value = get(address, "/admin/v1/status");
+    status["config"]["revision"].as_u64().unwrap()
+}
+
+fn everywhere(cluster: &Cluster, number: u64) {
+    for router in &cluster.routers {
+        let address = &router.address;
+        wait_until("the revision is in force", || revision(address) >= number);
+        assert_eq!(revision(address), number);
+        assert!(is_ready(address));
+    }
+}
+
+fn stored(cluster: &Cluster) -> Option<Current> {
+    let store = Client::new(&cluster.store.address);
+    let object = block_on(store.get(CURRENT)).unwrap();
+    object.map(|object| serde_json::from_slice(&object.body).unwrap())
+}
+
+fn seeds(cluster: &Cluster) -> String {
+    let addresses = cluster.routers.iter();
+    let addresses: Vec<_> = addresses
+        .map(|router| router.field("peer_address").unwrap())
+        .collect();
+    format!("seeds = {}\n", addresses.join(" "))
+}
+
+/// A cluster with revision 1 in force on some routers.
+fn cluster(routers: usize) -> Cluster {
+    let mut cluster = Cluster::start();
+    for _ in 0..routers {
+        let seeds = seeds(&cluster);
+        cluster.published_router(&seeds);
+    }
+    assert!(!is_ready(&cluster.routers[0].address));
+    let (code, printed) = publish(&cluster, "anna", 50);
+    assert_eq!(code, 0, "{printed}");
+    everywhere(&cluster, 1);
+    cluster
+}
+
+/// Guards against two publishers that both believe to be in force, and against a host that takes
+/// neither or both.
+#[test]
+fn racing_publishers() {
+    let cluster = cluster(3);
+    let mut expected = 1;
+    for round in 0..4 {
+        let shares: Vec<_> = (0..4).map(|author| 100 + 10 * round + author).collect();
+        let racing = shares.iter().enumerate();
+        let racing: Vec<_> = racing
+            .map(|(author, share)| in_background(&cluster, &format!("author-{author}"), *share))
+            .collect();
+        let codes: Vec<_> = racing
+            .into_iter()
+            .map(|mut child| child.wait().unwrap().code().unwrap())
+            .collect();
+        assert!(codes.iter().all(|code| [0, 3].contains(code)), "{codes:?}");
+        let winners = codes.iter().filter(|code| **code == 0).count() as u64;
+        assert!(winners > 0, "{codes:?}");
+        expected += winners;
+        assert_eq!(stored(&cluster).unwrap().latest.revision, expected);
+    }
+    everywhere(&cluster, expected);
+}
+
+/// Guards against a publisher that overwrites what it was not made for, and is not told.
+#[test]
+fn a_late_publisher_is_told_what_changed() {
+    let cluster = cluster(1);
+    assert_eq!(publish(&cluster, "bert", 60).0, 0);
+    let (operator, file) = (cluster.operator(), file(&cluster, 70));
+    let args = [
+        "publish", "-c", &operator, "--author", "carl", "--base", "1",
+    ];
+    let (code, printed) = run(&[&args[..], &[&file]].concat());
+    assert_eq!(code, 3, "{printed}");
+    assert!(printed.contains("revision 2 by bert"), "{printed}");
+    assert!(
+        printed.contains("partners.nubeatlas.share: 50 -> 60"),
+        "{printed}"
+    );
+    assert_eq!(stored(&cluster).unwrap().latest.revision, 2);
+}
+
+/// Guards against a publisher that reports a failure for a write that took effect, or writes twice.
+#[test]
+fn lost_answers_of_the_store() {
+    let cluster = cluster(2);
+    cluster.store_faults(&json!({"lost_answers": 0.5}));
+    for share in 51..55 {
+        let (code, printed) = publish(&cluster, "anna", share);
+        assert_eq!(code, 0, "{printed}");
+    }
+    everywhere(&cluster, 5);
+}
+
+/// Guards against hosts that go back to an older revision because the store shows one.
+#[test]
+fn stale_reads_do_not_revert() {
+    let mut cluster = cluster(3);
+    assert_eq!(publish(&cluster, "anna", 60).0, 0);
+    everywhere(&cluster, 2);
+    cluster.store_faults(&json!({"stale_reads": 1.0}));
+    cluster.restart_router(1);
+    let address = cluster.routers[1].address.clone();
+    let mut seen = Vec::new();
+    wait_until("the host is back", || {
+        seen.push(revision(&address));
+        is_ready(&address)
+    });
+    assert!(!seen.contains(&1), "{seen:?}");
+    everywhere(&cluster, 2);
+    cluster.store_faults(&json!({"stale_reads": 0.5}));
+    // A publisher that reads an old version is refused by the condition, and tries again here.
+    wait_until("a publisher succeeds", || {
+        publish(&cluster, "bert", 70).0 == 0
+    });
+    let latest = |cluster: &Cluster| {
+        (0..20)
+            .filter_map(|_| stored(cluster))
+            .map(|c| c.latest.revision)
+            .max()
+    };
+    assert_eq!(latest(&cluster), Some(3));
+    everywhere(&cluster, 3);
+}
+
+/// Guards against requests that fail in an outage, and against a host that cannot start in one.
+#[test]
+fn outage_of_the_store() {
+    let mut cluster = cluster(3);
+    for _ in 0..2 {
+        cluster.engine(&[]);
+    }
+    let addresses: Vec<_> = cluster.routers.iter().map(|r| r.address.clone()).collect();
+    let answer = |address: &str, seed| {
+        let answer = block_on(client::complete(address, &call("Sky notes:", 30, seed)));
+        assert!(answer.complete, "{answer:?}");
+    };
+    for address in &addresses {
+        wait_until("the router sees the engines", || {
+            let status: Value = get(address, "/admin/v1/status");
+            let engines = status["dispatch"]["engines"].as_object().unwrap();
+            engines.values().filter(|e| e["version"] != "").count() == 2
+        });
+    }
+    cluster.store_faults(&json!({"outage": true}));
+    support::put(&cluster.members.address, "/v1/emulation/outage", &true);
+    for round in 0..10 {
+        addresses.iter().for_each(|address| answer(address, round));
+    }
+    let settings = seeds(&cluster);
+    let late = cluster.published_router(&settings);
+    let address = cluster.routers[late].address.clone();
+    wait_until("the late host serves", || is_ready(&address));
+    assert_eq!(revision(&address), 1);
+    wait_until("the late host sees the engines", || {
+        let status: Value = get(&address, "/admin/v1/status");
+        status["dispatch"]["engines"].as_object().unwrap().len() == 2
+    });
+    answer(&address, 99);
+    cluster.store_faults(&json!({"outage": false}));
+    assert_eq!(publish(&cluster, "anna", 60).0, 0);
+    everywhere(&cluster, 2);
+}
+
+/// Guards against a host without any settings that takes work as if it had some.
+#[test]
+fn a_host_without_sources_says_so() {
+    let mut cluster = Cluster::start();
+    cluster.store_faults(&json!({"outage": true}));
+    cluster.published_router("seeds = 127.0.0.1:1\n");
+    let address = cluster.routers[0].address.clone();
+    let answer = block_on(client::complete(&address, &call("Sky notes:", 5, 1)));
+    let problem = answer.problem.expect("a refusal");
+    assert_eq!(problem.reason.as_str(), "no-settings");
+    assert!(!is_ready(&address));
+    cluster.store_faults(&json!({"outage": false}));
+    assert_eq!(publish(&cluster, "anna", 50).0, 0);
+    everywhere(&cluster, 1);
+}
+
+/// Guards against a revision of which some chunks are in force, and against chunks of a dead
+/// publisher that are kept for ever.
+#[test]
+fn a_publisher_killed_before_current_changes_nothing() {
+    let cluster = cluster(2);
+    // The answer to the first chunk never arrives, so the publisher cannot get further.
+    cluster.store_faults(&json!({"lost_answers": 1.0}));
+    let mut killed = in_background(&cluster, "bert", 90);
+    let store = Client::new(&cluster.store.address);
+    let chunks = || block_on(store.list("config/chunks/")).unwrap().len();
+    wait_until("the chunk is in the store", || chunks() == 2);
+    killed.kill().unwrap();
+    killed.wait().unwrap();
+    cluster.store_faults(&json!({}));
+    assert_eq!(stored(&cluster).unwrap().latest.revision, 1);
+    everywhere(&cluster, 1);
+    assert_eq!(publish(&cluster, "anna", 60).0, 0);
+    everywhere(&cluster, 2);
+    assert_eq!(chunks(), 2);
+}
+
+/// Guards against an undo that lowers the number, and against hosts whose state is not shown.
+#[test]
+fn undo_history_and_status() {
+    let cluster = cluster(2);
+    let operator = cluster.operator();
+    assert_eq!(publish(&cluster, "bert", 60).0, 0);
+    let undo = [
+        "publish", "-c", &operator, "--author", "carl", "--wait", "undo", "1",
+    ];
+    let (code, printed) = run(&undo);
+    assert_eq!(code, 0, "{printed}");
+    assert!(printed.contains("on every live host hosts=2"), "{printed}");
+    everywhere(&cluster, 3);
+    let (_, history) = run(&["publish", "-c", &operator, "history"]);
+    assert_eq!(history.lines().count(), 3, "{history}");
+    let (_, diff) = run(&["publish", "-c", &operator, "diff", "2", "3"]);
+    assert!(
+        diff.contains("partners.nubeatlas.share: 60 -> 50"),
+        "{diff}"
+    );
+    let (code, status) = run(&["status", "-c", &operator]);
+    assert_eq!(
+        (code, status.matches("revision=3").count()),
+        (0, 2),
+        "{status}"
+    );
+    let stranger = cluster.write(
+        "stranger.ini",
+        &format!(
+            "[operator]\nmembers = http://{}\nkey = another-key-than-the-routers\n",
+            cluster.members.address
+        ),
+    );
+    let (code, status) = run(&["status", "-c", &stranger]);
+    assert_eq!(
+        (code, status.matches("revision=unknown").count()),
+        (4, 2),
+        "{status}"
+    );
+    assert!(!(status + &printed).contains("another-key"));
+}
+
+/// Guards against a content above 1 MB that does not reach hosts, from the store or from peers.
+#[test]
+fn a_large_content_reaches_all() {
+    let mut cluster = cluster(3);
+    let services: String = (0..30_000)
+        .map(|number| format!("[service service-with-a-long-name-{number}]\n"))
+        .collect();
+    let file = cluster.write("large.ini", &(with_share(50) + &services));
+    let operator = cluster.operator();
+    let (code, printed) = run(&["publish", "-c", &operator, "--author", "anna", &file]);
+    assert_eq!(code, 0, "{printed}");
+    assert!(stored(&cluster).unwrap().latest.chunks.len() > 1);
+    everywhere(&cluster, 2);
+    cluster.store_faults(&json!({"outage": true}));
+    let settings = seeds(&cluster);
+    cluster.published_router(&settings);
+    everywhere(&cluster, 2);
+}
+
+/// Guards against watches that hang on connections that went silent.
+#[test]
+fn silent_connections_to_the_store() {
+    let mut cluster = Cluster::start();
+    let proxy = support::Proxy::start(&cluster.store.address);
+    let direct = std::mem::replace(&mut cluster.store.address, proxy.address().into());
+    for _ in 0..2 {
+        cluster.published_router("");
+    }
+    cluster.store.address = direct;
+    assert_eq!(publish(&cluster, "anna", 50).0, 0);
+    everywhere(&cluster, 1);
+    std::thread::sleep(Duration::from_millis(300));
+    proxy.set(bilberrypost::emulate::proxy::Fault::Silence);
+    assert_eq!(publish(&cluster, "anna", 60).0, 0);
+    everywhere(&cluster, 2);
+}
