--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -40,7 +40,7 @@
             "curl -N http://{address}/v1/completions -H 'Authorization: Bearer {KEY}' \
              -d '{{\"model\":\"atlas\",\"prompt\":\"Sky notes:\",\"max_tokens\":20,\"stream\":true}}'"
         );
-        router::run(sockets, host, split, stop).await?;
+        router::run(sockets, host, Some(split), stop).await?;
         platform.stop().await;
         Ok(())
     }
@@ -51,7 +51,7 @@
         "[partner nubeatlas]\nshare = 60\n[partner niederbach]\nshare = 40\n\
          [team drafts]\npartner = nubeatlas\n[caller demo]\nteam = drafts\nrank = urgent\n\
          key_sha256 = {}\n[model atlas]\nversion = 1\n\
-         [route /lanes/reserve]\nservice = booking\nidempotent = no\n",
+         [service booking]\n[route /lanes/reserve]\nservice = booking\nidempotent = no\n",
         key_digest(KEY)
     )
 }
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -32,6 +32,8 @@
     NoEngine,
     /// This host is leaving.
     Leaving,
+    /// The host has no settings yet.
+    NoSettings,
     /// No engine with the generation's version is left.
     VersionGone,
     /// Several engines died while serving this prompt.
@@ -76,9 +78,11 @@
             Self::OutcomeUnknown => StatusCode::CONFLICT,
             Self::EngineKiller | Self::VersionGone | Self::ResumeLimit => StatusCode::BAD_GATEWAY,
             Self::Timeout | Self::CallerGone | Self::SlowReader => StatusCode::GATEWAY_TIMEOUT,
-            Self::NoEngine | Self::Leaving | Self::StoreUnavailable | Self::BackendUnavailable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoSettings
+            | Self::NoEngine
+            | Self::Leaving
+            | Self::StoreUnavailable
+            | Self::BackendUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -95,6 +99,7 @@
             Self::DeadlineUnreachable => "deadline-unreachable",
             Self::NoEngine => "no-engine",
             Self::Leaving => "leaving",
+            Self::NoSettings => "no-settings",
             Self::VersionGone => "version-gone",
             Self::EngineKiller => "engine-killer",
             Self::ResumeLimit => "resume-limit",
--- a/src/router.rs
+++ b/src/router.rs
@@ -16,6 +16,7 @@
 use crate::clock::{self, Clock};
 use crate::config::host::{Host, Secret};
 use crate::config::split::Split;
+use crate::config::task::{self, Sources};
 use crate::dispatch::{self, Handle};
 use crate::engine;
 use crate::http::body::Body;
@@ -80,7 +81,10 @@
     pub relay: RefCell<relay::Shared>,
     /// Signs and checks event ids.
     pub cursors: Signer,
+    /// The revision in force.
+    pub config: task::State,
     split: RefCell<Arc<Split>>,
+    listing: RefCell<Vec<wire::Member>>,
     report: RefCell<Report<clock::System>>,
     incarnation: u64,
     last_request: Cell<u64>,
@@ -113,6 +117,25 @@
         *self.split.borrow_mut() = split;
     }
 
+    /// Returns the membership list as it was read last.
+    pub fn listing(&self) -> Vec<wire::Member> {
+        self.listing.borrow().clone()
+    }
+
+    /// Takes over the membership list.
+    pub fn set_listing(&self, listing: Vec<wire::Member>) {
+        self.members.listed(&listing);
+        self.dispatch.members(listing.clone());
+        *self.listing.borrow_mut() = listing;
+    }
+
+    /// Takes over a peer's membership list if this host could not read one.
+    pub fn hint_listing(&self, listing: Vec<wire::Member>) {
+        if self.listing.borrow().is_empty() {
+            self.set_listing(listing);
+        }
+    }
+
     /// Notes events of a service level, of which some missed the target.
     pub fn record(&self, line: Line, events: u64, bad: u64) {
         self.report.borrow_mut().record(line, events, bad);
@@ -162,6 +185,10 @@
         if let Some(response) = admin::answer(router, &head).await {
             return response;
         }
+        if let Some(reason) = router.config.not_ready() {
+            let problem = Problem::not_run(Reason::NoSettings, reason);
+            return router.refused(problem.retry_after(Duration::from_secs(1)));
+        }
         if router.refusing.is_given() {
             let detail = "this host is leaving; retry at once to reach another host";
             let problem = Problem::not_run(Reason::Leaving, detail);
@@ -214,9 +241,16 @@
 
 /// Runs a router process until `stop` is given and all work has ended.
 ///
+/// `split` is in force until the first revision is published.
+///
 /// # Errors
 /// A socket has no address.
-pub async fn run(sockets: Sockets, host: Host, split: Split, stop: Signal) -> anyhow::Result<()> {
+pub async fn run(
+    sockets: Sockets,
+    host: Host,
+    split: Option<Split>,
+    stop: Signal,
+) -> anyhow::Result<()> {
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
@@ -269,15 +303,25 @@
         store: host.store.as_deref().map(objects::Client::new),
         relay: RefCell::default(),
         cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
+        config: task::State::default(),
         split: RefCell::default(),
+        listing: RefCell::default(),
         report: RefCell::new(Report::new(clock::System)),
         incarnation,
         last_request: Cell::new(0),
         polled_bytes: Cell::new(0),
     });
-    router.set_split(Arc::new(split));
     start_tasks(&router, &host, &supervisor);
-    let methods = methods(&router);
+    let mut methods = Methods::default();
+    router.members.add_methods(&mut methods);
+    router.allocators.add_methods(&mut methods);
+    let sources = Sources {
+        seeds: host.seeds.clone(),
+        files: split,
+    };
+    let stop_signal = supervisor.stop_signal();
+    let config = task::create(router.clone(), sources, &mut methods, stop_signal);
+    supervisor.spawn("config", config);
     supervisor.spawn(
         "peers",
         peer::server::run(
@@ -310,12 +354,8 @@
 /// Starts the tasks that keep this host's state up to date.
 fn start_tasks(router: &Rc<Router>, host: &Host, supervisor: &Supervisor) {
     if let Some(url) = host.members.clone() {
-        let dispatch = router.dispatch.clone();
-        let table = router.members.clone();
-        let take = move |members: Vec<wire::Member>| {
-            table.listed(&members);
-            dispatch.members(members);
-        };
+        let router = router.clone();
+        let take = move |members| router.set_listing(members);
         supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
     }
     let poll = poll_engines(router.clone(), clock::System, supervisor.stop_signal());
@@ -332,14 +372,6 @@
     );
 }
 
-/// Collects the methods that other routers may call.
-fn methods(router: &Rc<Router>) -> Methods {
-    let mut methods = Methods::default();
-    router.allocators.add_methods(&mut methods);
-    router.members.add_methods(&mut methods);
-    methods
-}
-
 async fn leave(router: &Router, _limit: Duration, closed: Signal) {
     info!("event=leaving host={}", router.host.name);
     router.leaving.give();
