Run calls to backend services, keyed ones at most once

Cause: routes of the split had no implementation, and a non-idempotent call had nothing that keeps it from running twice.

Change: http/backend.rs calls the backend servers of a service, with the fewest running calls and the own failure domain first, and repeats idempotent calls within a budget. claim/ keeps claims and outcomes in logs of conditional writes, one for each of four ranges; a claim is granted after its record is in the log. Hosts announce their leaving to their peers, finish what runs, and cut at a second signal or the drain limit.

Conclusion: the pure logic holds; tests with real processes follow.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -97,6 +97,8 @@
     Members(Vec<wire::Member>),
     Status(Engine, wire::Status),
     Split(Arc<Split>),
+    Submitted(CompactString),
+    Ended(CompactString, Outcome),
     Engines(oneshot::Sender<Vec<Polled>>),
     Overview(oneshot::Sender<Overview>),
 }
@@ -167,6 +169,16 @@
         self.send(Message::Split(split));
     }
 
+    /// Notes the arrival of a call to a backend service in the account of its partner.
+    pub fn submitted(&self, partner: &CompactString) {
+        self.send(Message::Submitted(partner.clone()));
+    }
+
+    /// Notes the end of a call to a backend service that was submitted before.
+    pub fn ended(&self, partner: &CompactString, outcome: Outcome) {
+        self.send(Message::Ended(partner.clone(), outcome));
+    }
+
     /// Returns what a poll of each engine needs to know.
     pub async fn engines(&self) -> Vec<Polled> {
         let (reply, answer) = oneshot::channel();
@@ -273,6 +285,8 @@
             Message::Members(members) => self.fleet.set_members(&members),
             Message::Status(engine, status) => self.fleet.set_status(engine, &status),
             Message::Split(split) => self.split = split,
+            Message::Submitted(partner) => self.ledger.submit(&partner),
+            Message::Ended(partner, outcome) => self.ledger.end(&partner, outcome),
             Message::Engines(reply) => {
                 let engines = self.fleet.iter().map(|(key, engine)| Polled {
                     engine: key,
--- a/src/emulate/backend.rs
+++ b/src/emulate/backend.rs
@@ -61,8 +61,8 @@
     }
 }
 
-impl server::Service for Backend {
-    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+impl Backend {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let header = |name: &str| {
             let value = head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -106,3 +106,14 @@
         json_response(&confirmation)
     }
 }
+
+impl server::Service for Backend {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let request_id = request.headers().get("x-request-id").cloned();
+        let mut response = self.answer(request).await;
+        if let Some(id) = request_id {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        response
+    }
+}
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -9,6 +9,8 @@
 use futures_util::{SinkExt, Stream};
 use hyper::body::{Frame, SizeHint};
 
+use super::server::Entry;
+
 /// Pieces that wait for a slow reader before the writer has to wait too.
 const BUFFERED_PIECES: usize = 16;
 
@@ -24,6 +26,8 @@
         /// Dropped with the body, which tells the writer that the reader is gone.
         _reader: oneshot::Receiver<()>,
     },
+    /// Keeps a request among the running ones until it is sent.
+    Held(Box<Self>, Entry),
 }
 
 /// Writes the pieces of a body.
@@ -44,6 +48,12 @@
         Self::Whole(Some(bytes.into()))
     }
 
+    /// Keeps `entry` until the body is sent or dropped.
+    #[must_use]
+    pub fn held(self, entry: Entry) -> Self {
+        Self::Held(Box::new(self), entry)
+    }
+
     /// Creates a body that is written piece by piece.
     pub fn pieces() -> (Writer, Self) {
         let (sender, receiver) = mpsc::channel(BUFFERED_PIECES);
@@ -84,11 +94,16 @@
             Self::Pieces { receiver, .. } => Pin::new(receiver)
                 .poll_next(cx)
                 .map(|piece| piece.map(|piece| Ok(Frame::data(piece)))),
+            Self::Held(body, _) => Pin::new(body.as_mut()).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Pieces { .. } => false,
+            Self::Held(body, _) => body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -97,6 +112,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Pieces { .. } => SizeHint::default(),
+            Self::Held(body, _) => body.size_hint(),
         }
     }
 }
--- a/src/http/completions.rs
+++ b/src/http/completions.rs
@@ -166,7 +166,7 @@
     })
 }
 
-fn identify(split: &Split, headers: &HeaderMap) -> Result<Caller, Problem> {
+pub(super) fn identify(split: &Split, headers: &HeaderMap) -> Result<Caller, Problem> {
     let key = headers
         .get(hyper::header::AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints for callers and operators, and the pieces that they share.
 
 pub mod admin;
+pub mod backend;
 pub mod body;
 pub mod client;
 pub mod completions;
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -50,6 +50,8 @@
     StoreUnavailable,
     /// The outcome of an earlier call with the key is not known.
     OutcomeUnknown,
+    /// An earlier call with the key ran, and its answer is not kept.
+    AlreadyRan,
     /// The backend server could not be reached or refused.
     BackendUnavailable,
     /// The request took longer than its limit.
@@ -71,7 +73,7 @@
             Self::QueueFull | Self::DeadlineUnreachable => StatusCode::TOO_MANY_REQUESTS,
             Self::KeyExpired => StatusCode::GONE,
             Self::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::OutcomeUnknown => StatusCode::CONFLICT,
+            Self::OutcomeUnknown | Self::AlreadyRan => StatusCode::CONFLICT,
             Self::EngineKiller | Self::VersionGone | Self::ResumeLimit => StatusCode::BAD_GATEWAY,
             Self::Timeout | Self::CallerGone => StatusCode::GATEWAY_TIMEOUT,
             Self::NoEngine | Self::Leaving | Self::StoreUnavailable | Self::BackendUnavailable => {
@@ -102,6 +104,7 @@
             Self::KeyConflict => "key-conflict",
             Self::StoreUnavailable => "store-unavailable",
             Self::OutcomeUnknown => "outcome-unknown",
+            Self::AlreadyRan => "already-ran",
             Self::BackendUnavailable => "backend-unavailable",
             Self::Timeout => "timeout",
             Self::CallerGone => "caller-gone",
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,10 +1,12 @@
 //! The accept loop: each connection is a task that this loop joins.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
@@ -22,12 +24,64 @@
 /// Time in which a caller must send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time between two looks at whether a host is idle.
+const IDLE_PERIOD: Duration = Duration::from_millis(20);
+
 /// Answers requests.
 pub trait Service: 'static {
     /// Answers one request.
     fn call(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
 }
 
+/// The requests that a host runs.
+#[derive(Clone, Debug, Default)]
+pub struct Requests(Rc<RefCell<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    last: u64,
+    running: BTreeMap<u64, (String, Instant)>,
+}
+
+/// A running request; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Entry {
+    requests: Requests,
+    number: u64,
+}
+
+impl Requests {
+    /// Notes a request; `what` describes it in the log.
+    pub fn begin(&self, what: String) -> Entry {
+        let mut state = self.0.borrow_mut();
+        state.last += 1;
+        let number = state.last;
+        state.running.insert(number, (what, Instant::now()));
+        Entry {
+            requests: self.clone(),
+            number,
+        }
+    }
+
+    /// Returns what runs and since when, the oldest first.
+    pub fn running(&self) -> Vec<(String, Instant)> {
+        self.0.borrow().running.values().cloned().collect()
+    }
+
+    /// Waits until no request runs.
+    pub async fn idle(&self) {
+        while !self.0.borrow().running.is_empty() {
+            compio::time::sleep(IDLE_PERIOD).await;
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.requests.0.borrow_mut().running.remove(&self.number);
+    }
+}
+
 /// Serves connections until `stop` is given and all connections have ended.
 ///
 /// Running requests are finished after `stop`; idle connections are closed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! docs/design.md describes the parts and how they work together.
 
 pub mod account;
+pub mod claim;
 pub mod clock;
 pub mod cmd;
 pub mod config;
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -26,6 +26,9 @@
 #[derive(Clone, Debug)]
 pub struct View {
     own: CompactString,
+    listed: Rc<RefCell<BTreeMap<CompactString, Peer>>>,
+    // Incarnations that announced their leaving, while the list still shows the host.
+    leaving: Rc<RefCell<BTreeMap<CompactString, u64>>>,
     // Invariant: holds only routers that are live, neither leaving nor suspected.
     live: Rc<RefCell<BTreeMap<CompactString, Peer>>>,
 }
@@ -33,16 +36,47 @@
 impl View {
     /// Creates the view of a host that sees only itself.
     pub fn new(own: Peer) -> Self {
-        Self {
+        let view = Self {
             own: own.name.clone(),
-            live: Rc::new(RefCell::new(BTreeMap::from([(own.name.clone(), own)]))),
-        }
+            listed: Rc::default(),
+            leaving: Rc::default(),
+            live: Rc::default(),
+        };
+        view.set([own]);
+        view
     }
 
     /// Replaces the live routers.
     pub fn set(&self, live: impl IntoIterator<Item = Peer>) {
         let live = live.into_iter().map(|peer| (peer.name.clone(), peer));
-        *self.live.borrow_mut() = live.collect();
+        *self.listed.borrow_mut() = live.collect();
+        let listed = self.listed.borrow();
+        let mut leaving = self.leaving.borrow_mut();
+        leaving.retain(|name, _| listed.contains_key(name));
+        drop((listed, leaving));
+        self.update();
+    }
+
+    fn update(&self) {
+        let leaving = self.leaving.borrow();
+        let mut live = self.listed.borrow().clone();
+        live.retain(|name, _| !leaving.contains_key(name));
+        *self.live.borrow_mut() = live;
+    }
+
+    /// Notes that a host announced that it leaves; the list lags behind.
+    pub fn set_leaving(&self, name: &CompactString, incarnation: u64) {
+        self.leaving.borrow_mut().insert(name.clone(), incarnation);
+        self.update();
+    }
+
+    /// Notes a message of a host; a later incarnation does not leave.
+    pub fn heard(&self, name: &CompactString, incarnation: u64) {
+        let left = self.leaving.borrow().get(name).copied();
+        if left.is_some_and(|left| left < incarnation) {
+            self.leaving.borrow_mut().remove(name);
+            self.update();
+        }
     }
 
     /// Returns the name of this host.
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,6 +1,7 @@
 //! One router process: its parts and their tasks.
 
 use std::cell::{Cell, RefCell};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,16 +9,23 @@
 use anyhow::Context;
 use compact_str::{CompactString, format_compact};
 use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
-use log::info;
+use log::{info, warn};
 
+use crate::claim;
 use crate::clock::{self, Clock};
 use crate::config::host::Host;
 use crate::config::split::Split;
 use crate::dispatch::{self, Handle};
 use crate::engine;
+use crate::http::backend::{self, Servers};
 use crate::http::body::Body;
 use crate::http::completions::{self, Format};
 use crate::http::problem::{Problem, Reason};
@@ -36,6 +44,12 @@
 /// Time between a host's decision to leave and its refusal of new work, because the balancer lags.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
 
+/// Longest time to write the last claim records.
+const RELEASE_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Longest time to tell one peer that this host leaves.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(400);
+
 /// Time without a load report after which an engine is asked.
 const STATUS_PERIOD: Duration = Duration::from_millis(1000);
 
@@ -58,7 +72,7 @@
     pub leaving: Signal,
     /// Given when new work is refused.
     pub refusing: Signal,
-    /// Tasks of streamed answers.
+    /// Tasks of streamed answers and of calls to backend services.
     pub streams: Group,
     /// Calls to other routers.
     pub peer: peer::client::Client,
@@ -66,6 +80,12 @@
     pub view: View,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// Claims on calls that run at most once; needs a store.
+    pub claims: Option<claim::task::Handle>,
+    /// Servers of backend services.
+    pub backends: backend::Shared,
+    /// Requests that were accepted and are not answered in full.
+    pub requests: server::Requests,
     split: RefCell<Arc<Split>>,
     incarnation: u64,
     last_request: Cell<u64>,
@@ -130,23 +150,28 @@
             let problem = Problem::not_run(Reason::Leaving, detail);
             return router.refused(problem.retry_after(Duration::ZERO));
         }
-        let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
-            let detail = format!("the body broke off or exceeds {BODY_LIMIT} bytes; shorten it");
-            return router.refused(Problem::not_run(Reason::PromptTooLong, detail));
-        };
-        let body = body.to_bytes();
-        let format = match (&head.method, path) {
-            (&Method::POST, "/v1/completions") => Format::Completion,
-            (&Method::POST, "/v1/chat/completions") => Format::Chat,
-            _ => {
-                let detail = "no such path; use POST /v1/completions";
-                return router.refused(Problem::not_run(Reason::NotFound, detail));
-            }
-        };
-        completions::complete(router, format, &head.headers, &body).await
+        let entry = router.requests.begin(format!("{} {path}", head.method));
+        accepted(router, head, body)
+            .await
+            .map(|body| body.held(entry))
     }
 }
 
+/// Answers a request that was accepted, which is finished even if the host leaves.
+async fn accepted(router: &Rc<Router>, head: Parts, body: Incoming) -> Response<Body> {
+    let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
+        let detail = format!("the body broke off or exceeds {BODY_LIMIT} bytes; shorten it");
+        return router.refused(Problem::not_run(Reason::PromptTooLong, detail));
+    };
+    let body = body.to_bytes();
+    let format = match (&head.method, head.uri.path()) {
+        (&Method::POST, "/v1/completions") => Format::Completion,
+        (&Method::POST, "/v1/chat/completions") => Format::Chat,
+        _ => return backend::answer(router, head, body).await,
+    };
+    completions::complete(router, format, &head.headers, &body).await
+}
+
 /// The sockets that a router process listens on.
 #[derive(Debug)]
 pub struct Sockets {
@@ -194,6 +219,14 @@
         failure_domain: host.failure_domain.clone(),
         region: host.region.clone(),
     };
+    let peer = peer_client(&host, incarnation);
+    let view = View::new(own.clone());
+    let store = host.store.as_deref().map(objects::Client::new);
+    let mut methods = Methods::default();
+    let claims = store.as_ref().map(|store| {
+        claim::task::start(store, incarnation, &view, &peer, &mut methods, &supervisor)
+    });
+    let servers = Servers::new(clock::System, host.failure_domain.clone());
     let router = Rc::new(Router {
         host: HostView {
             name: host.name.clone(),
@@ -204,16 +237,19 @@
         leaving: Signal::default(),
         refusing: Signal::default(),
         streams: Group::default(),
-        peer: peer_client(&host, incarnation),
-        view: View::new(own.clone()),
-        store: host.store.as_deref().map(objects::Client::new),
+        peer,
+        view,
+        store,
+        claims,
+        backends: Rc::new(RefCell::new(servers)),
+        requests: server::Requests::default(),
         split: RefCell::default(),
         incarnation,
         last_request: Cell::new(0),
     });
     router.set_split(Arc::new(split));
     start_tasks(&router, &host, own, &supervisor);
-    let methods = methods(&router);
+    add_methods(&router, &mut methods, &supervisor);
     supervisor.spawn(
         "peers",
         peer::server::run(
@@ -227,11 +263,12 @@
     let front = Rc::new(Front(router.clone()));
     let serving = compio::runtime::spawn(server::serve(sockets.callers, front, closed.clone()));
     info!("event=serving host={}", router.host.name);
+    let cut = Signal::default();
+    let signals = compio::runtime::spawn(watch_second_signal(cut.clone()));
     stop.wait().await;
-    leave(&router, host.drain_limit, closed).await;
-    let _ = serving.await;
-    router.streams.join().await;
+    leave(&router, host.drain_limit, cut, closed, serving).await;
     supervisor.stop().await;
+    signals.cancel().await;
     info!("event=stopped host={}", router.host.name);
     Ok(())
 }
@@ -247,8 +284,10 @@
     if let Some(url) = host.members.clone() {
         let dispatch = router.dispatch.clone();
         let view = router.view.clone();
+        let backends = router.backends.clone();
         let take = move |members: Vec<wire::Member>| {
             view.set(peers(&members).chain([own.clone()]));
+            backends.borrow_mut().set_members(&members);
             dispatch.members(members);
         };
         supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
@@ -261,9 +300,41 @@
     supervisor.spawn("status", poll);
 }
 
-/// Collects the methods that other routers may call.
-fn methods(_router: &Rc<Router>) -> Methods {
-    Methods::default()
+/// Adds the methods that other routers may call.
+fn add_methods(router: &Rc<Router>, methods: &mut Methods, supervisor: &Supervisor) {
+    let (sender, leaving) = mpsc::unbounded();
+    methods.add("member.leaving", move |from: peer::Sender, ()| {
+        let sent = sender.unbounded_send(from);
+        async move { sent.ok() }
+    });
+    let heard = router.peer.listen();
+    let stop = supervisor.stop_signal();
+    supervisor.spawn(
+        "leaving",
+        note_leaving(router.view.clone(), leaving, heard, stop),
+    );
+}
+
+/// Keeps hosts that announced their leaving out of the view until they start again.
+async fn note_leaving(
+    view: View,
+    mut leaving: mpsc::UnboundedReceiver<peer::Sender>,
+    mut heard: mpsc::UnboundedReceiver<peer::Sender>,
+    stop: Signal,
+) {
+    while !stop.is_given() {
+        let stopped = pin!(stop.wait());
+        match select(stopped, select(leaving.next(), heard.next())).await {
+            Either::Right((Either::Left((Some(from), _)), _)) => {
+                info!("event=peer_leaving host={}", from.name);
+                view.set_leaving(&from.name, from.incarnation);
+            }
+            Either::Right((Either::Right((Some(from), _)), _)) => {
+                view.heard(&from.name, from.incarnation);
+            }
+            _ => return,
+        }
+    }
 }
 
 fn peers(members: &[wire::Member]) -> impl Iterator<Item = Peer> {
@@ -280,12 +351,92 @@
     })
 }
 
-async fn leave(router: &Router, _limit: Duration, closed: Signal) {
+/// Finishes what runs, hands over the duties of this host and closes its doors, in at most `limit`
+/// or until `cut` is given.
+async fn leave(
+    router: &Rc<Router>,
+    limit: Duration,
+    cut: Signal,
+    closed: Signal,
+    serving: JoinHandle<()>,
+) {
     info!("event=leaving host={}", router.host.name);
+    let refusing_at = Instant::now() + LEAVE_GRACE;
     router.leaving.give();
-    compio::time::sleep(LEAVE_GRACE).await;
+    let mut serving = Some(serving);
+    let drained = async {
+        hand_over(router).await;
+        compio::time::sleep(refusing_at.saturating_duration_since(Instant::now())).await;
+        router.refusing.give();
+        router.requests.idle().await;
+        router.streams.join().await;
+        closed.give();
+        if let Some(serving) = &mut serving {
+            let _ = serving.await;
+        }
+        if let Some(claims) = &router.claims {
+            claims.confirmed().await;
+        }
+    };
+    let ended = within(limit, cut.wait());
+    let is_drained = matches!(select(pin!(drained), pin!(ended)).await, Either::Left(_));
+    if is_drained {
+        return;
+    }
     router.refusing.give();
+    let running = router.requests.running();
+    warn!(
+        "event=drain_cut host={} requests={}",
+        router.host.name,
+        running.len()
+    );
+    for (request, since) in running {
+        warn!(
+            "event=request_cut request={request:?} age_ms={}",
+            since.elapsed().as_millis()
+        );
+    }
     closed.give();
+    router.streams.cancel().await;
+    if let Some(serving) = serving {
+        serving.cancel().await;
+    }
+}
+
+/// Releases the ranges of this host and tells its peers that it leaves.
+async fn hand_over(router: &Router) {
+    let own = router.peer.sender();
+    router.view.set_leaving(&own.name, own.incarnation);
+    if let Some(claims) = &router.claims {
+        // Without the store nothing can be written, and the next owner reads what is there.
+        let released = within(RELEASE_LIMIT, claims.leave()).await;
+        info!("event=ranges_released complete={}", released.is_some());
+    }
+    let told = router.view.live().into_iter().map(|peer| async move {
+        let call = router
+            .peer
+            .call(&peer.address, "member.leaving", &(), ANNOUNCE_LIMIT);
+        let told: Result<(), _> = call.await;
+        told.inspect_err(|err| info!("event=not_told host={} error={err:?}", peer.name))
+            .ok()
+    });
+    futures_util::future::join_all(told).await;
+}
+
+/// Gives `cut` at the second signal to end.
+async fn watch_second_signal(cut: Signal) {
+    let second = |number| async move {
+        // The default action, which ends the process, returns with the last listener of a signal;
+        // this one is never dropped before the end.
+        let mut held = Box::pin(compio::signal::unix::signal(number));
+        let _ = futures_util::poll!(&mut held);
+        let _ = compio::signal::unix::signal(number).await;
+        let _ = compio::signal::unix::signal(number).await;
+        drop(held);
+    };
+    select(pin!(second(15)), pin!(second(2))).await;
+    cut.give();
+    std::future::pending::<()>().await;
 }
 
 /// Asks engines whose load was not reported lately, all of them at once.
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -103,6 +103,13 @@
         handles.push(compio::runtime::spawn(task));
     }
 
+    /// Cancels all tasks.
+    pub async fn cancel(&self) {
+        for handle in self.0.take() {
+            handle.cancel().await;
+        }
+    }
+
     /// Waits for the end of all tasks.
     pub async fn join(&self) {
         loop {
--- /dev/null
+++ b/tests/histories.rs
@@ -0,0 +1,467 @@
+//! Random histories of claims with several owners, late and lost writes, outages and pauses.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use bilberrypost::claim::log::{Error, Log, Owner};
+use bilberrypost::claim::range::{Answer, Range};
+use bilberrypost::claim::record::{Answered, Claim, Key, Outcome, Record, Report};
+use bilberrypost::clock::{Clock, Manual};
+use bilberrypost::store::fake::{Fake, Fault};
+use bilberrypost::util::unix_ms;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const OWNERS: usize = 3;
+const HISTORIES: u64 = 500;
+const STEPS: usize = 1500;
+const CLAIM_LIMIT: Duration = Duration::from_secs(4);
+
+enum Message {
+    Claim(Claim, Instant),
+    Outcome(Report),
+}
+
+#[derive(Default)]
+struct Mailbox {
+    inbox: VecDeque<Message>,
+    // Nonce of the request, whether the answer is to an outcome, and the answer.
+    outbox: VecDeque<(u64, bool, Answer)>,
+}
+
+type Mail = Rc<RefCell<Mailbox>>;
+
+async fn yield_once() {
+    let mut waited = false;
+    std::future::poll_fn(|_| match std::mem::replace(&mut waited, true) {
+        true => Poll::Ready(()),
+        false => Poll::Pending,
+    })
+    .await;
+}
+
+/// An owner that always believes that the range is its own.
+async fn own(store: Fake, clock: Manual, owner: Owner, mail: Mail) {
+    let log = Log::new(store, 0, owner).seal_bytes(700);
+    let mut range: Range<Fake, Manual, (u64, bool)> = Range::new(clock.clone(), log);
+    loop {
+        if !range.is_held() {
+            let _ = range.open(|_| true).await;
+        }
+        let messages = std::mem::take(&mut mail.borrow_mut().inbox);
+        for message in messages {
+            match message {
+                Message::Claim(claim, until) => {
+                    let nonce = claim.nonce;
+                    range.claim(claim, (nonce, false), until);
+                }
+                Message::Outcome(report) => {
+                    let nonce = report.nonce;
+                    range.outcome(report, (nonce, true));
+                }
+            }
+        }
+        for ((nonce, is_outcome), answer) in range.settle() {
+            mail.borrow_mut()
+                .outbox
+                .push_back((nonce, is_outcome, answer));
+        }
+        if range.next_write() == Some(Duration::ZERO) {
+            let _ = range.flush().await;
+        }
+        for ((nonce, is_outcome), answer) in range.settle() {
+            mail.borrow_mut()
+                .outbox
+                .push_back((nonce, is_outcome, answer));
+        }
+        range.expire().await;
+        yield_once().await;
+    }
+}
+
+struct Host {
+    mail: Mail,
+    task: Pin<Box<dyn Future<Output = ()>>>,
+    paused_until: usize,
+    incarnation: u64,
+}
+
+struct Request {
+    claim: Claim,
+    asked_at: Instant,
+    is_open: bool,
+    report: Option<Outcome>,
+}
+
+struct World {
+    random: StdRng,
+    clock: Manual,
+    store: Fake,
+    hosts: Vec<Host>,
+    requests: BTreeMap<u64, Request>,
+    runs: BTreeMap<Key, u32>,
+    granted: u32,
+    recorded: u32,
+}
+
+fn host(store: &Fake, clock: &Manual, number: usize, incarnation: u64) -> Host {
+    let mail = Mail::default();
+    let owner = Owner {
+        name: format!("host-{number}").into(),
+        incarnation,
+    };
+    Host {
+        task: Box::pin(own(store.clone(), clock.clone(), owner, mail.clone())),
+        mail,
+        paused_until: 0,
+        incarnation,
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let (clock, store) = (Manual::default(), Fake::default());
+        store.set_stepped(true);
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            hosts: (0..OWNERS)
+                .map(|number| host(&store, &clock, number, 1))
+                .collect(),
+            clock,
+            store,
+            requests: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            granted: 0,
+            recorded: 0,
+        }
+    }
+
+    fn chance(&mut self, one_in: u32) -> bool {
+        self.random.random_range(0..one_in) == 0
+    }
+
+    /// One of a few keys, so that several requests use the same.
+    fn key(&mut self) -> Key {
+        let issued = unix_ms(self.clock.wall()) / 400_000 * 400_000;
+        let number = self.random.random_range(0..4_u128);
+        let uuid = (u128::from(issued) << 80) | (7 << 76) | (2 << 62) | number;
+        Key::parse(&format!("{uuid:032x}")).unwrap()
+    }
+
+    fn request(&mut self) {
+        let claim = Claim {
+            key: self.key(),
+            body: [u8::from(self.chance(20)); 16],
+            caller: 1,
+            nonce: self.random.random(),
+            claimant: "host-0".into(),
+            limit_ms: 1000,
+        };
+        let request = Request {
+            claim,
+            asked_at: self.clock.now(),
+            is_open: true,
+            report: None,
+        };
+        self.requests.insert(request.claim.nonce, request);
+    }
+
+    fn send(&mut self, message: Message) {
+        let number = self.random.random_range(0..OWNERS);
+        self.hosts[number]
+            .mail
+            .borrow_mut()
+            .inbox
+            .push_back(message);
+    }
+
+    /// Lets a random request ask, give up, or report.
+    fn act(&mut self) {
+        let count = self.requests.len();
+        if count == 0 {
+            return;
+        }
+        let index = self.random.random_range(0..count);
+        let now = self.clock.now();
+        let request = self.requests.values_mut().nth(index).unwrap();
+        let nonce = request.claim.nonce;
+        if request.is_open && now - request.asked_at >= CLAIM_LIMIT {
+            request.is_open = false;
+            request.report = Some(Outcome::NotRun);
+        }
+        if request.is_open {
+            let message = Message::Claim(request.claim.clone(), now + CLAIM_LIMIT);
+            self.send(message);
+        } else if let Some(outcome) = request.report.clone() {
+            let report = Report {
+                key: request.claim.key,
+                nonce,
+                outcome,
+            };
+            self.send(Message::Outcome(report));
+        }
+    }
+
+    fn deliver(&mut self, number: usize) {
+        let answer = self.hosts[number].mail.borrow_mut().outbox.pop_front();
+        let Some((nonce, is_outcome, answer)) = answer else {
+            return;
+        };
+        // Answers get lost.
+        if self.chance(10) {
+            return;
+        }
+        let fate = self.random.random_range(0..6);
+        let now = self.clock.now();
+        let Some(request) = self.requests.get_mut(&nonce) else {
+            return;
+        };
+        if is_outcome {
+            if answer == Answer::Noted {
+                request.report = None;
+            }
+            return;
+        }
+        if !request.is_open || now - request.asked_at >= CLAIM_LIMIT {
+            return;
+        }
+        match answer {
+            Answer::Granted => {
+                request.is_open = false;
+                self.granted += 1;
+                request.report = match fate {
+                    // The back end refused.
+                    0 => Some(Outcome::NotRun),
+                    // The claimant died before or after the run.
+                    1 => None,
+                    2 => Some(Outcome::Unknown),
+                    _ => Some(Outcome::Answered(Answered {
+                        status: 200,
+                        content_type: "".into(),
+                        body: Some("done".into()),
+                    })),
+                };
+                if fate != 0 {
+                    let runs = self.runs.entry(request.claim.key).or_default();
+                    *runs += 1;
+                    assert_eq!(*runs, 1, "{:?} ran twice", request.claim.key);
+                }
+            }
+            Answer::Recorded(outcome) => {
+                request.is_open = false;
+                self.recorded += 1;
+                if matches!(outcome, Outcome::Answered(_)) {
+                    let runs = self.runs.get(&request.claim.key);
+                    assert_eq!(runs, Some(&1), "an answer without a run");
+                }
+            }
+            Answer::Running => request.asked_at = now,
+            Answer::Conflict | Answer::Expired | Answer::Unavailable => request.is_open = false,
+            Answer::Moved | Answer::Noted => {}
+        }
+    }
+
+    fn disturb(&mut self, step: usize) {
+        let faults = [
+            Fault::AnswerLost,
+            Fault::RequestLost,
+            Fault::Late,
+            Fault::Unavailable,
+        ];
+        let is_calm = self.store.writes() % 64 < 16;
+        if self.chance(40) && !is_calm {
+            let fault = faults[self.random.random_range(0..faults.len())];
+            self.store.script([None, Some(fault)]);
+        }
+        if self.chance(40) {
+            self.store.script_stale([false, true]);
+        }
+        if self.chance(20) {
+            self.store.land();
+        }
+        if self.chance(150) {
+            self.store.set_down(true);
+        }
+        if self.chance(30) {
+            self.store.set_down(false);
+        }
+        let number = self.random.random_range(0..OWNERS);
+        if self.chance(40) {
+            self.hosts[number].paused_until = step + self.random.random_range(10..500);
+        }
+        if self.chance(200) {
+            let incarnation = self.hosts[number].incarnation + 1;
+            self.hosts[number] = host(&self.store, &self.clock, number, incarnation);
+        }
+        let passed = match self.random.random_range(0..400) {
+            0 => Duration::from_secs(300),
+            1..=3 => Duration::from_secs(30),
+            _ => Duration::from_millis(self.random.random_range(0..40)),
+        };
+        self.clock.advance(passed);
+    }
+
+    fn poll(&mut self, number: usize) {
+        let mut context = Context::from_waker(Waker::noop());
+        let polled = self.hosts[number].task.as_mut().poll(&mut context);
+        assert!(polled.is_pending());
+    }
+
+    fn run(&mut self) {
+        for step in 0..STEPS {
+            self.disturb(step);
+            if self.chance(8) {
+                self.request();
+            }
+            self.act();
+            let number = self.random.random_range(0..OWNERS);
+            self.deliver(number);
+            let number = self.random.random_range(0..OWNERS);
+            if self.hosts[number].paused_until <= step {
+                self.poll(number);
+            }
+        }
+    }
+
+    /// Lets one owner work without faults until a new key is granted.
+    fn recover(&mut self) {
+        self.store.recover();
+        self.store.land();
+        self.clock.advance(Duration::from_secs(3600));
+        let before = self.granted;
+        self.requests.clear();
+        for _ in 0..3000 {
+            if self.granted > before {
+                return;
+            }
+            let now = self.clock.now();
+            self.requests
+                .retain(|_, request| request.is_open && now - request.asked_at < CLAIM_LIMIT);
+            if self.requests.is_empty() {
+                self.request();
+            }
+            let claim = self.requests.values().next().unwrap().claim.clone();
+            let until = self.clock.now() + CLAIM_LIMIT;
+            let message = Message::Claim(claim, until);
+            self.hosts[0].mail.borrow_mut().inbox.push_back(message);
+            self.clock.advance(Duration::from_millis(40));
+            while !self.hosts[0].mail.borrow().outbox.is_empty() {
+                self.deliver(0);
+            }
+            self.poll(0);
+        }
+        panic!("no key is granted after the faults");
+    }
+}
+
+/// Guards against a key that is granted twice, an answer without a run, and a log that no owner
+/// can go on with after its faults.
+#[test]
+fn no_key_runs_twice() {
+    let (mut granted, mut recorded) = (0, 0);
+    for seed in 0..HISTORIES {
+        let result = std::panic::catch_unwind(|| {
+            let mut world = World::new(seed);
+            world.run();
+            world.recover();
+            (world.granted, world.recorded)
+        });
+        let (grants, records) = result.unwrap_or_else(|_| panic!("failed with seed {seed}"));
+        granted += grants;
+        recorded += records;
+    }
+    // The histories mean something only if calls run and repeats are answered.
+    assert!(granted > 5 * HISTORIES as u32, "{granted} grants");
+    assert!(recorded > HISTORIES as u32, "{recorded} recorded answers");
+    println!("histories={HISTORIES} grants={granted} recorded={recorded}");
+}
+
+fn log(store: &Fake, name: &str) -> Log<Fake> {
+    let owner = Owner {
+        name: name.into(),
+        incarnation: 1,
+    };
+    // Each append seals its object.
+    Log::new(store.clone(), 0, owner).seal_bytes(1)
+}
+
+fn now<T>(future: impl Future<Output = T>) -> T {
+    let mut future = std::pin::pin!(future);
+    let mut context = Context::from_waker(Waker::noop());
+    match future.as_mut().poll(&mut context) {
+        Poll::Ready(value) => value,
+        Poll::Pending => panic!("the store waits"),
+    }
+}
+
+fn line(issued_ms: u64) -> String {
+    let uuid = (u128::from(issued_ms) << 80) | (7 << 76) | (2 << 62);
+    let report = Report {
+        key: Key::parse(&format!("{uuid:032x}")).unwrap(),
+        nonce: 1,
+        outcome: Outcome::Unknown,
+    };
+    let mut text = String::new();
+    Record::Outcome(report).write(&mut text);
+    text
+}
+
+const ISSUED_MS: u64 = 1_700_000_000_000;
+const AFTER_RETENTION_MS: u64 = ISSUED_MS + 800_000;
+
+/// Lets an owner seal objects and delete those whose keys have expired.
+fn move_on(log: &mut Log<Fake>) {
+    for _ in 0..4 {
+        assert_eq!(now(log.append(&line(ISSUED_MS))), Ok(line(ISSUED_MS)));
+    }
+    while now(log.delete_expired(AFTER_RETENTION_MS)).unwrap() {}
+}
+
+/// Guards against an owner that was paused until the objects of later owners had expired, and
+/// that creates the next object of its own view anew.
+#[test]
+fn long_paused_owner_cannot_go_on() {
+    let store = Fake::default();
+    let (mut old, mut new) = (log(&store, "old"), log(&store, "new"));
+    now(old.open()).unwrap();
+    now(old.append(&line(ISSUED_MS))).unwrap();
+    now(new.open()).unwrap();
+    move_on(&mut new);
+    assert_eq!(now(old.append(&line(ISSUED_MS))), Err(Error::Lost));
+    assert!(!old.is_held());
+    assert!(now(new.append(&line(ISSUED_MS))).is_ok());
+    assert!(
+        now(old.open()).is_ok(),
+        "the range can be taken over afterwards"
+    );
+}
+
+/// Guards against a first owner that was paused between seeing no object and creating one.
+#[test]
+fn long_paused_first_owner_cannot_start_anew() {
+    let store = Fake::default();
+    let (mut old, mut new) = (log(&store, "old"), log(&store, "new"));
+    store.set_stepped(true);
+    let mut context = Context::from_waker(Waker::noop());
+    let mut opening = Box::pin(old.open());
+    // The listing takes effect in the second step, and its answer waits for the third.
+    for _ in 0..2 {
+        assert!(opening.as_mut().poll(&mut context).is_pending());
+    }
+    store.set_stepped(false);
+    now(new.open()).unwrap();
+    move_on(&mut new);
+    let opened = match opening.as_mut().poll(&mut context) {
+        Poll::Ready(opened) => opened,
+        Poll::Pending => panic!("the store waits"),
+    };
+    assert!(opened.is_err(), "{opened:?}");
+    drop(opening);
+    assert!(now(new.append(&line(ISSUED_MS))).is_ok());
+    assert_eq!(now(old.open()).map(|records| records.len()), Ok(2));
+}
