--- a/src/http/completions.rs
+++ b/src/http/completions.rs
@@ -288,7 +288,7 @@
     checked.map(Some).map_err(|err| refused(&err.to_string()))
 }
 
-fn identify(split: &Split, headers: &HeaderMap) -> Result<Caller, Problem> {
+pub(super) fn identify(split: &Split, headers: &HeaderMap) -> Result<Caller, Problem> {
     let key = headers
         .get(hyper::header::AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,24 +1,30 @@
 //! One router process: its parts and their tasks.
 
 use std::cell::{Cell, RefCell};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use compact_str::{CompactString, format_compact};
 use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
+use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
-use log::info;
+use log::{info, warn};
 
+use crate::claim;
 use crate::clock::{self, Clock};
 use crate::config::host::{Host, Secret};
 use crate::config::split::Split;
 use crate::config::task::{self, Sources};
 use crate::dispatch::{self, Handle};
 use crate::engine;
+use crate::http::backend::{self, Servers};
 use crate::http::body::Body;
 use crate::http::completions::{self, Format};
 use crate::http::problem::{Problem, Reason};
@@ -44,6 +50,9 @@
 /// Time between a host's decision to leave and its refusal of new work, because the balancer lags.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
 
+/// Longest time to write the last claim records.
+const RELEASE_LIMIT: Duration = Duration::from_millis(1000);
+
 /// Longest time for a status request.
 const STATUS_LIMIT: Duration = Duration::from_millis(800);
 
@@ -65,7 +74,7 @@
     pub leaving: Signal,
     /// Given when new work is refused.
     pub refusing: Signal,
-    /// Tasks of streamed answers.
+    /// Tasks of streamed answers and of calls to backend services.
     pub streams: Group,
     /// Calls to other routers.
     pub peer: peer::client::Client,
@@ -83,6 +92,12 @@
     pub cursors: Signer,
     /// The revision in force.
     pub config: task::State,
+    /// Claims on calls that run at most once; needs a store.
+    pub claims: Option<claim::task::Handle>,
+    /// Servers of backend services.
+    pub backends: backend::Shared,
+    /// Requests that were accepted and are not answered in full.
+    pub requests: server::Requests,
     split: RefCell<Arc<Split>>,
     listing: RefCell<Vec<wire::Member>>,
     report: RefCell<Report<clock::System>>,
@@ -126,6 +141,7 @@
     pub fn set_listing(&self, listing: Vec<wire::Member>) {
         self.members.listed(&listing);
         self.dispatch.members(listing.clone());
+        self.backends.borrow_mut().set_members(&listing);
         *self.listing.borrow_mut() = listing;
     }
 
@@ -194,23 +210,28 @@
             let problem = Problem::not_run(Reason::Leaving, detail);
             return router.refused(problem.retry_after(Duration::ZERO));
         }
-        let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
-            let detail = format!("the body broke off or exceeds {BODY_LIMIT} bytes; shorten it");
-            return router.refused(Problem::not_run(Reason::PromptTooLong, detail));
-        };
-        let body = body.to_bytes();
-        let format = match (&head.method, path) {
-            (&Method::POST, "/v1/completions") => Format::Completion,
-            (&Method::POST, "/v1/chat/completions") => Format::Chat,
-            _ => {
-                let detail = "no such path; use POST /v1/completions";
-                return router.refused(Problem::not_run(Reason::NotFound, detail));
-            }
-        };
-        completions::complete(router, format, &head.headers, &body).await
+        let entry = router.requests.begin(format!("{} {path}", head.method));
+        accepted(router, head, body)
+            .await
+            .map(|body| body.held(entry))
     }
 }
 
+/// Answers a request that was accepted, which is finished even if the host leaves.
+async fn accepted(router: &Rc<Router>, head: Parts, body: Incoming) -> Response<Body> {
+    let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
+        let detail = format!("the body broke off or exceeds {BODY_LIMIT} bytes; shorten it");
+        return router.refused(Problem::not_run(Reason::PromptTooLong, detail));
+    };
+    let body = body.to_bytes();
+    let format = match (&head.method, head.uri.path()) {
+        (&Method::POST, "/v1/completions") => Format::Completion,
+        (&Method::POST, "/v1/chat/completions") => Format::Chat,
+        _ => return backend::answer(router, head, body).await,
+    };
+    completions::complete(router, format, &head.headers, &body).await
+}
+
 /// The sockets that a router process listens on.
 #[derive(Debug)]
 pub struct Sockets {
@@ -283,6 +304,12 @@
         supervisor.stop_signal(),
     );
     supervisor.spawn("membership", members_task);
+    let store = host.store.as_deref().map(objects::Client::new);
+    let mut methods = Methods::default();
+    let claims = store.as_ref().map(|store| {
+        claim::task::start(store, incarnation, &view, &peer, &mut methods, &supervisor)
+    });
+    let servers = Servers::new(clock::System, host.failure_domain.clone());
     let router = Rc::new(Router {
         host: HostView {
             name: host.name.clone(),
@@ -300,10 +327,13 @@
         view,
         members,
         allocators,
-        store: host.store.as_deref().map(objects::Client::new),
         relay: RefCell::default(),
         cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         config: task::State::default(),
+        store,
+        claims,
+        backends: Rc::new(RefCell::new(servers)),
+        requests: server::Requests::default(),
         split: RefCell::default(),
         listing: RefCell::default(),
         report: RefCell::new(Report::new(clock::System)),
@@ -312,7 +342,6 @@
         polled_bytes: Cell::new(0),
     });
     start_tasks(&router, &host, &supervisor);
-    let mut methods = Methods::default();
     router.members.add_methods(&mut methods);
     router.allocators.add_methods(&mut methods);
     let sources = Sources {
@@ -335,12 +364,13 @@
     let front = Rc::new(Front(router.clone()));
     let serving = compio::runtime::spawn(server::serve(sockets.callers, front, closed.clone()));
     info!("event=serving host={}", router.host.name);
+    let cut = Signal::default();
+    let signals = compio::runtime::spawn(watch_second_signal(cut.clone()));
     stop.wait().await;
-    leave(&router, host.drain_limit, closed).await;
-    let _ = serving.await;
-    router.streams.join().await;
+    leave(&router, host.drain_limit, cut, closed, serving).await;
     router.members.leave(State::Left).await;
     supervisor.stop().await;
+    signals.cancel().await;
     info!("event=stopped host={}", router.host.name);
     Ok(())
 }
@@ -372,13 +402,82 @@
     );
 }
 
-async fn leave(router: &Router, _limit: Duration, closed: Signal) {
+/// Finishes what runs, hands over the duties of this host and closes its doors, in at most `limit`
+/// or until `cut` is given.
+async fn leave(
+    router: &Rc<Router>,
+    limit: Duration,
+    cut: Signal,
+    closed: Signal,
+    serving: JoinHandle<()>,
+) {
     info!("event=leaving host={}", router.host.name);
+    let refusing_at = Instant::now() + LEAVE_GRACE;
     router.leaving.give();
-    router.members.leave(State::Leaving).await;
-    compio::time::sleep(LEAVE_GRACE).await;
+    let mut serving = Some(serving);
+    let drained = async {
+        hand_over(router).await;
+        compio::time::sleep(refusing_at.saturating_duration_since(Instant::now())).await;
+        router.refusing.give();
+        router.requests.idle().await;
+        router.streams.join().await;
+        closed.give();
+        if let Some(serving) = &mut serving {
+            let _ = serving.await;
+        }
+        if let Some(claims) = &router.claims {
+            claims.confirmed().await;
+        }
+    };
+    let ended = within(limit, cut.wait());
+    let is_drained = matches!(select(pin!(drained), pin!(ended)).await, Either::Left(_));
+    if is_drained {
+        return;
+    }
     router.refusing.give();
+    let running = router.requests.running();
+    warn!(
+        "event=drain_cut host={} requests={}",
+        router.host.name,
+        running.len()
+    );
+    for (request, since) in running {
+        warn!(
+            "event=request_cut request={request:?} age_ms={}",
+            since.elapsed().as_millis()
+        );
+    }
     closed.give();
+    router.streams.cancel().await;
+    if let Some(serving) = serving {
+        serving.cancel().await;
+    }
+}
+
+/// Releases the ranges of this host and tells its peers that it leaves.
+async fn hand_over(router: &Router) {
+    if let Some(claims) = &router.claims {
+        // Without the store nothing can be written, and the next owner reads what is there.
+        let released = within(RELEASE_LIMIT, claims.leave()).await;
+        info!("event=ranges_released complete={}", released.is_some());
+    }
+    router.members.leave(State::Leaving).await;
+}
+
+/// Gives `cut` at the second signal to end.
+async fn watch_second_signal(cut: Signal) {
+    let second = |number| async move {
+        // The default action, which ends the process, returns with the last listener of a signal;
+        // this one is never dropped before the end.
+        let mut held = Box::pin(compio::signal::unix::signal(number));
+        let _ = futures_util::poll!(&mut held);
+        let _ = compio::signal::unix::signal(number).await;
+        let _ = compio::signal::unix::signal(number).await;
+        drop(held);
+    };
+    select(pin!(second(15)), pin!(second(2))).await;
+    cut.give();
+    std::future::pending::<()>().await;
 }
 
 /// Asks engines whose load was not reported lately.
