Schedule by rank, partner, team and caller

Cause: waiting work was sorted by rank and arrival, one large caller could fill the queue, and each decision sorted all waiting requests and asked for an engine for each of them.

Change: a tree of start-time fair queues with O(log n) decisions, charged in tokens at dispatch and corrected as output grows; a floor for routine work; bounds on the queues of caller, team and partner; refusal of work that cannot start in time by the measured rate; a limit of running work for each engine from the time between tokens; pausing of routine generations, off by default; grants that bound classes and lend unused places. Urgent work may wait in an engine's own queue, and routine work below its floor goes there with the same priority, since it would never find a free place otherwise. A request whose caller left after its placement was sent no longer counts as running.

Nothing was measured on real processes yet.

--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -33,6 +33,44 @@
     pub split: Vec<String>,
     /// Time after which a leaving host cuts what still runs.
     pub drain_limit: Duration,
+    /// Order in which waiting work starts.
+    pub scheduler: Order,
+    /// How engines are chosen.
+    pub route: Choice,
+    /// What urgent work does while routine work holds all places.
+    pub preemption: Preemption,
+}
+
+/// Order in which waiting work starts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Order {
+    /// By rank, and fairly between partners, teams and callers.
+    #[default]
+    Fair,
+    /// First come, first served; a baseline for benches.
+    Fifo,
+}
+
+/// How engines are chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Choice {
+    /// By cached prefix, load and failure domain.
+    #[default]
+    Scored,
+    /// By load alone; a baseline for benches.
+    LeastLoaded,
+}
+
+/// What urgent work does while routine work holds all places.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Preemption {
+    /// It waits on this host; a baseline for benches.
+    Wait,
+    /// A bounded part waits in the engines' own queues, which order by priority.
+    #[default]
+    Queue,
+    /// As `Queue`, and routine work on the same engine is paused.
+    Pause,
 }
 
 /// Text that must not show in logs, status or errors.
@@ -73,6 +111,9 @@
     "previous_key",
     "split",
     "drain_limit_ms",
+    "scheduler",
+    "route",
+    "preemption",
 ];
 
 impl Host {
@@ -103,6 +144,28 @@
                 .map(String::from)
                 .collect(),
             drain_limit: section.millis("drain_limit_ms", Duration::from_secs(600))?,
+            scheduler: word(
+                &section,
+                "scheduler",
+                &[("fair", Order::Fair), ("fifo", Order::Fifo)],
+            )?,
+            route: word(
+                &section,
+                "route",
+                &[
+                    ("scored", Choice::Scored),
+                    ("least_loaded", Choice::LeastLoaded),
+                ],
+            )?,
+            preemption: word(
+                &section,
+                "preemption",
+                &[
+                    ("wait", Preemption::Wait),
+                    ("queue", Preemption::Queue),
+                    ("pause", Preemption::Pause),
+                ],
+            )?,
         })
     }
 }
@@ -116,6 +179,22 @@
     Ok(text.into())
 }
 
+fn word<T: Copy + Default>(
+    section: &Section<'_>,
+    name: &str,
+    words: &[(&str, T)],
+) -> Result<T, Error> {
+    let Some(text) = section.text(name) else {
+        return Ok(T::default());
+    };
+    let found = words.iter().find(|(word, _)| *word == text);
+    found.map(|(_, value)| *value).ok_or_else(|| {
+        let known: Vec<_> = words.iter().map(|(word, _)| *word).collect();
+        let what = format!("{name} = {text} is not known; use {}", known.join(" or "));
+        section.error(name, what)
+    })
+}
+
 fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
@@ -157,6 +236,11 @@
                 "h.ini:2: [host] has no setting nam",
             ),
             ("name = h1\n", "", "h.ini:1: [host] lacks name"),
+            (
+                "name = h1",
+                "name = h1\nscheduler = fast",
+                "h.ini:3: scheduler = fast is not known",
+            ),
             ("[host]", "[hast]", "h.ini:1: no [host] section"),
         ];
         for (from, to, expected) in cases {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,13 +12,16 @@
 
 use crate::account::{Ledger, Outcome};
 use crate::clock::Clock;
+use crate::config::host::{Choice, Host, Order, Preemption};
 use crate::config::split::Split;
 use crate::http::problem::Reason;
 use crate::route::fleet::{Engine, Fleet, Need};
-use crate::sched::scheduler::{Refusal, Scheduler, Ticket, Work};
+use crate::sched::lease::{Demand, Grant};
+use crate::sched::limit::{Limits, Use};
+use crate::sched::scheduler::{Refusal, Scheduler, Start, Ticket, Work};
 use crate::supervisor::Signal;
 use crate::util::within;
-use crate::wire;
+use crate::wire::{self, Rank};
 
 /// Longest time between two looks at deadlines.
 const TICK: Duration = Duration::from_millis(50);
@@ -36,6 +39,38 @@
     pub address: CompactString,
     /// Version that it serves.
     pub version: CompactString,
+    /// Place in the engine's own queue.
+    pub priority: Rank,
+    /// Given when the attempt is to give way: cancel it and ask for a new placement.
+    pub paused: Signal,
+}
+
+/// How this host decides.
+#[derive(Clone, Debug, Default)]
+pub struct Policy {
+    /// Failure domain whose engines are preferred.
+    pub failure_domain: CompactString,
+    /// Order in which waiting work starts.
+    pub order: Order,
+    /// How engines are chosen.
+    pub choice: Choice,
+    /// What urgent work does while routine work holds all places.
+    pub preemption: Preemption,
+}
+
+impl Policy {
+    /// Returns the policy of a host's settings.
+    pub fn of(host: &Host) -> Self {
+        Self {
+            failure_domain: match host.route {
+                Choice::Scored => host.failure_domain.clone(),
+                Choice::LeastLoaded => CompactString::default(),
+            },
+            order: host.scheduler,
+            choice: host.route,
+            preemption: host.preemption,
+        }
+    }
 }
 
 /// What became of an engine in the eyes of a connection's task.
@@ -97,10 +132,19 @@
     Members(Vec<wire::Member>),
     Status(Engine, wire::Status),
     Split(Arc<Split>),
+    Grant(Grant),
+    Demand(oneshot::Sender<Demand>),
     Engines(oneshot::Sender<Vec<Polled>>),
     Overview(oneshot::Sender<Overview>),
 }
 
+/// Answer of a task that has ended.
+const STOPPING: Result<Placement, Refusal> = Err(Refusal {
+    reason: Reason::Leaving,
+    scope: None,
+    retry_after: Duration::ZERO,
+});
+
 /// Sends messages to the dispatch task.
 #[derive(Clone, Debug)]
 pub struct Handle(mpsc::UnboundedSender<Message>);
@@ -111,7 +155,13 @@
     /// # Errors
     /// The work was refused; it did not run.
     pub async fn submit(&self, work: Work) -> Result<Placement, Refusal> {
-        self.place(|reply| Message::Submit(work, reply)).await
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Submit(work, reply));
+        let mut unclaimed = Unclaimed {
+            handle: self,
+            answer,
+        };
+        (&mut unclaimed.answer).await.unwrap_or(STOPPING)
     }
 
     /// Asks for a place for the next attempt of a request, until `deadline`.
@@ -124,17 +174,9 @@
         need: Need,
         deadline: Instant,
     ) -> Result<Placement, Refusal> {
-        self.place(|reply| Message::Replace(ticket, need, deadline, reply))
-            .await
-    }
-
-    async fn place(&self, make: impl FnOnce(Reply) -> Message) -> Result<Placement, Refusal> {
-        let stopping = Refusal {
-            reason: Reason::Leaving,
-        };
         let (reply, answer) = oneshot::channel();
-        self.send(make(reply));
-        answer.await.unwrap_or(Err(stopping))
+        self.send(Message::Replace(ticket, need, deadline, reply));
+        answer.await.unwrap_or(STOPPING)
     }
 
     /// Notes output of running work, in tokens, and the load that came with it.
@@ -167,6 +209,18 @@
         self.send(Message::Split(split));
     }
 
+    /// Puts a lease into force.
+    pub fn grant(&self, grant: Grant) {
+        self.send(Message::Grant(grant));
+    }
+
+    /// Returns what this host asks for, and starts a new count of work.
+    pub async fn demand(&self) -> Demand {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Demand(reply));
+        answer.await.unwrap_or_default()
+    }
+
     /// Returns what a poll of each engine needs to know.
     pub async fn engines(&self) -> Vec<Polled> {
         let (reply, answer) = oneshot::channel();
@@ -187,12 +241,36 @@
     }
 }
 
+/// Ends a request whose caller left after its placement was sent and before it was taken.
+struct Unclaimed<'a> {
+    handle: &'a Handle,
+    answer: oneshot::Receiver<Result<Placement, Refusal>>,
+}
+
+impl Drop for Unclaimed<'_> {
+    fn drop(&mut self) {
+        if let Ok(Some(Ok(placement))) = self.answer.try_recv() {
+            let outcome = Outcome::Refused(Reason::CallerGone);
+            self.handle.finish(placement.ticket, outcome);
+        }
+    }
+}
+
 struct Dispatch<C: Clock> {
+    clock: C,
+    choice: Choice,
     split: Arc<Split>,
     scheduler: Scheduler<C>,
     fleet: Fleet<C>,
+    limits: Limits<C>,
     ledger: Ledger,
     replies: BTreeMap<Ticket, Reply>,
+    // Signals of running attempts.
+    paused: BTreeMap<Ticket, Signal>,
+    // Whether something changed that a decision depends on.
+    is_changed: bool,
+    // When deadlines and callers that left were looked at last.
+    looked_at: Instant,
 }
 
 /// Finishes a request when its task ends, also when the task is cancelled.
@@ -228,16 +306,22 @@
 /// Creates the handle and the task's future.
 pub fn create<C: Clock>(
     clock: C,
-    failure_domain: CompactString,
+    policy: Policy,
     stop: Signal,
 ) -> (Handle, impl Future<Output = ()>) {
     let (sender, receiver) = mpsc::unbounded();
     let dispatch = Dispatch {
         split: Arc::default(),
-        scheduler: Scheduler::new(clock.clone()),
-        fleet: Fleet::new(clock, failure_domain),
+        scheduler: Scheduler::with_policy(clock.clone(), policy.order, policy.preemption),
+        fleet: Fleet::new(clock.clone(), policy.failure_domain),
+        limits: Limits::new(clock.clone()),
         ledger: Ledger::default(),
         replies: BTreeMap::new(),
+        paused: BTreeMap::new(),
+        is_changed: false,
+        looked_at: clock.now(),
+        choice: policy.choice,
+        clock,
     };
     (Handle(sender), dispatch.run(receiver, stop))
 }
@@ -256,10 +340,13 @@
     }
 
     fn handle(&mut self, message: Message) {
+        // Output without a load report frees no place, and most messages are of this kind.
+        self.is_changed |= !matches!(message, Message::Progress(_, _, None));
         match message {
             Message::Submit(work, reply) => self.submit(work, reply),
             Message::Replace(ticket, need, deadline, reply) => {
                 self.release(ticket);
+                self.paused.remove(&ticket);
                 self.scheduler.requeue(ticket, need, deadline);
                 self.replies.insert(ticket, reply);
             }
@@ -270,9 +357,20 @@
             }
             Message::Health(engine, Health::Failed) => self.fleet.set_failed(engine),
             Message::Health(engine, Health::Leaving) => self.fleet.set_leaving(engine),
-            Message::Members(members) => self.fleet.set_members(&members),
+            Message::Members(members) => {
+                self.fleet.set_members(&members);
+                self.limits
+                    .retain(|engine| self.fleet.get(engine).is_some());
+            }
             Message::Status(engine, status) => self.fleet.set_status(engine, &status),
-            Message::Split(split) => self.split = split,
+            Message::Split(split) => {
+                self.scheduler.set_split(&split);
+                self.split = split;
+            }
+            Message::Grant(grant) => self.scheduler.set_grant(&grant),
+            Message::Demand(reply) => {
+                let _ = reply.send(self.scheduler.demand());
+            }
             Message::Engines(reply) => {
                 let engines = self.fleet.iter().map(|(key, engine)| Polled {
                     engine: key,
@@ -288,7 +386,10 @@
         }
     }
 
-    fn submit(&mut self, work: Work, reply: Reply) {
+    fn submit(&mut self, mut work: Work, reply: Reply) {
+        if self.choice == Choice::LeastLoaded {
+            work.need.blocks.clear();
+        }
         let partner = work.partner.clone();
         self.ledger.submit(&partner);
         match self.scheduler.submit(work, &self.split) {
@@ -303,9 +404,23 @@
     }
 
     fn progress(&mut self, ticket: Ticket, tokens: u32, load: Option<wire::Load>) {
-        self.scheduler.progress(ticket, tokens);
-        let engine = self.scheduler.get(ticket).and_then(|(engine, _)| engine);
-        if let (Some(engine), Some(load)) = (engine, load) {
+        let gap = self.scheduler.progress(ticket, tokens);
+        let Some((Some(engine), work)) = self.scheduler.get(ticket) else {
+            return;
+        };
+        if let (Some(gap), Some(state)) = (gap, self.fleet.get(engine)) {
+            let used = Use {
+                own: state.own,
+                slots: state.slots,
+            };
+            let target = self.split.target(work.rank).between_tokens;
+            let limit = self.limits.observe(engine, work.rank, gap, target, used);
+            if let Some(limit) = limit {
+                self.fleet.set_limit(engine, limit);
+                self.is_changed = true;
+            }
+        }
+        if let Some(load) = load {
             self.fleet.set_load(engine, load);
         }
     }
@@ -320,12 +435,32 @@
         if let Some((_, work)) = self.scheduler.get(ticket) {
             self.ledger.end(&work.partner.clone(), outcome);
         }
+        if matches!(outcome, Outcome::Served(_)) {
+            self.scheduler.learn(ticket);
+        }
         self.replies.remove(&ticket);
+        self.paused.remove(&ticket);
         self.scheduler.remove(ticket);
     }
 
     fn decide(&mut self) {
-        self.drop_abandoned();
+        let now = self.clock.now();
+        if now.duration_since(self.looked_at) >= TICK {
+            self.looked_at = now;
+            self.drop_abandoned();
+            self.expire();
+            self.pause();
+            self.is_changed = true;
+        }
+        if !std::mem::take(&mut self.is_changed) {
+            return;
+        }
+        while let Some(start) = self.scheduler.next(&self.fleet) {
+            self.start(start);
+        }
+    }
+
+    fn expire(&mut self) {
         for (ticket, refusal) in self.scheduler.expire(&self.fleet) {
             if !self.scheduler.has_run(ticket) {
                 self.end_waiting(ticket, refusal);
@@ -335,8 +470,14 @@
                 let _ = reply.send(Err(refusal));
             }
         }
-        while let Some((ticket, engine)) = self.scheduler.next(&self.fleet) {
-            self.start(ticket, engine);
+    }
+
+    fn pause(&mut self) {
+        for ticket in self.scheduler.pause(&self.split) {
+            if let Some(signal) = self.paused.remove(&ticket) {
+                info!("event=paused");
+                signal.give();
+            }
         }
     }
 
@@ -364,7 +505,8 @@
         }
     }
 
-    fn start(&mut self, ticket: Ticket, engine: Engine) {
+    fn start(&mut self, start: Start) {
+        let Start { ticket, engine, .. } = start;
         let Some((_, work)) = self.scheduler.get(ticket) else {
             return;
         };
@@ -382,9 +524,16 @@
             name: state.name.clone(),
             address: state.address.clone(),
             version: state.version.clone(),
+            priority: start.priority,
+            paused: Signal::default(),
         };
-        if let Some(reply) = self.replies.remove(&ticket) {
-            let _ = reply.send(Ok(placement));
+        self.paused.insert(ticket, placement.paused.clone());
+        let reply = self.replies.remove(&ticket);
+        let is_unsent = reply.is_none_or(|reply| reply.send(Ok(placement)).is_err());
+        // A later attempt is ended by the guard of its connection's task.
+        if is_unsent && self.scheduler.attempts(ticket) == 1 {
+            self.release(ticket);
+            self.end(ticket, Outcome::Refused(Reason::CallerGone));
         }
     }
 
--- a/src/http/completions.rs
+++ b/src/http/completions.rs
@@ -18,7 +18,7 @@
 use crate::route::fleet::Need;
 use crate::route::prefix;
 use crate::router::Router;
-use crate::sched::scheduler::{Refusal, Work};
+use crate::sched::scheduler::{Refusal, Scope, Work};
 use crate::wire::{self, Rank};
 
 /// Output tokens if the caller names no limit.
@@ -92,13 +92,24 @@
 }
 
 fn problem_of(refusal: Refusal) -> Problem {
-    let detail = match refusal.reason {
-        Reason::QueueFull => "the queue is full; retry after the stated time",
-        Reason::DeadlineUnreachable => "the work could not start in time; retry later",
-        Reason::NoEngine => "no engine serves this model now; retry later",
+    let detail = match (refusal.reason, refusal.scope) {
+        (Reason::QueueFull, Some(Scope::Caller)) => {
+            "the queue of this caller is full; retry after the stated time"
+        }
+        (Reason::QueueFull, Some(Scope::Team)) => {
+            "the queue of this caller's team is full; retry after the stated time"
+        }
+        (Reason::QueueFull, Some(Scope::Partner)) => {
+            "the queue of this caller's partner is full; retry after the stated time"
+        }
+        (Reason::QueueFull, None) => "the queue is full; retry after the stated time",
+        (Reason::DeadlineUnreachable, _) => {
+            "the work cannot start in time; retry after the stated time"
+        }
+        (Reason::NoEngine, _) => "no engine serves this model now; retry later",
         _ => "this host is leaving; retry at once to reach another host",
     };
-    Problem::not_run(refusal.reason, detail).retry_after(std::time::Duration::from_secs(1))
+    Problem::not_run(refusal.reason, detail).retry_after(refusal.retry_after)
 }
 
 fn check(
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::{Either, select};
 use log::{info, warn};
 
 use super::generation::{Fault, Generation, Next, Verdict};
@@ -49,6 +50,8 @@
     Finished,
     Gone,
     Broken(Fault),
+    /// The dispatch task asked to give way to urgent work.
+    Paused,
 }
 
 /// Runs a generation to its end, from its first placement on.
@@ -65,6 +68,19 @@
             Attempt::Finished => return End::Complete,
             Attempt::Gone => return End::Gone,
             Attempt::Broken(fault) => fault,
+            Attempt::Paused => {
+                let need = Need {
+                    version: generation.version().cloned(),
+                    excluded: excluded.clone(),
+                    ..need.clone()
+                };
+                let deadline = Instant::now() + RESUME_LIMIT;
+                placement = match dispatch.replace(placement.ticket, need, deadline).await {
+                    Ok(placement) => placement,
+                    Err(_) => return End::Failed(no_engine(generation)),
+                };
+                continue;
+            }
         };
         warn!(
             "event=attempt_broken engine={} attempt={} fault={fault:?} position={}",
@@ -112,7 +128,10 @@
     generation: &mut Generation,
     sink: &mut S,
 ) -> Attempt {
-    let request = generation.begin_attempt();
+    let request = wire::Request {
+        priority: placement.priority,
+        ..generation.begin_attempt()
+    };
     let started = within(
         FIRST_FRAME_LIMIT,
         engine::start(&placement.address, &request),
@@ -136,7 +155,16 @@
     };
     let mut limit = FIRST_FRAME_LIMIT;
     loop {
-        let frame = match within(limit, stream.next()).await {
+        let next = within(limit, stream.next());
+        let paused = placement.paused.wait();
+        let next = match select(std::pin::pin!(next), std::pin::pin!(paused)).await {
+            Either::Left((next, _)) => next,
+            Either::Right(_) => {
+                engine::cancel(&placement.address, &request.request_id, request.attempt).await;
+                return Attempt::Paused;
+            }
+        };
+        let frame = match next {
             Some(Ok(frame)) => frame,
             Some(Err(_)) => return Attempt::Broken(Fault::Died),
             None => {
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -44,6 +44,8 @@
     pub next_seq: u64,
     /// Streams that this host runs there.
     pub own: u32,
+    /// Streams that this host may run there.
+    pub limit: u32,
     /// Streams that this host started there since the last report.
     pub own_since_report: u32,
     /// Whether it takes no new work.
@@ -134,6 +136,7 @@
             reported_at: None,
             next_seq: 0,
             own: 0,
+            limit: u32::MAX,
             own_since_report: 0,
             leaving: member.state == wire::Listing::Leaving,
             avoid_until: None,
@@ -200,14 +203,27 @@
         }
     }
 
+    /// Bounds the streams that this host runs on an engine.
+    pub fn set_limit(&mut self, key: Engine, limit: u32) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.limit = limit;
+        }
+    }
+
     /// Chooses an engine with a free place.
     pub fn choose(&self, need: &Need) -> Option<Engine> {
+        self.choose_beyond(need, 0)
+    }
+
+    /// Chooses an engine with a free place, or with less than `beyond` requests that wait there.
+    pub fn choose_beyond(&self, need: &Need, beyond: u32) -> Option<Engine> {
         let now = self.clock.now();
         let usable = self.engines.iter().filter(|(key, engine)| {
             engine.takes_work(now)
                 && engine.fits(need)
                 && !need.excluded.contains(key)
-                && engine.expected_load() < engine.slots
+                && engine.own < engine.limit.saturating_add(beyond)
+                && engine.expected_load() < engine.slots + beyond
         });
         let score = |engine: &State| {
             let cached = engine.cached_blocks(&need.blocks) as f64;
@@ -274,7 +290,8 @@
         self.own_since_report = 0;
     }
 
-    fn cached_blocks(&self, blocks: &[u64]) -> usize {
+    /// Returns how many of the blocks, from the first on, are in the engine's cache.
+    pub fn cached_blocks(&self, blocks: &[u64]) -> usize {
         blocks
             .iter()
             .take_while(|block| self.blocks.contains(block))
--- a/src/router.rs
+++ b/src/router.rs
@@ -183,7 +183,7 @@
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
-        host.failure_domain.clone(),
+        dispatch::Policy::of(&host),
         supervisor.stop_signal(),
     );
     supervisor.spawn("dispatch", dispatch_task);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,3 +1,6 @@
 //! Which request runs next.
 
+pub mod lease;
+pub mod limit;
 pub mod scheduler;
+pub mod tree;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -225,13 +225,18 @@
 
     /// Starts a router with a split file and waits until it sees `engines` engines.
     pub fn router(&mut self, split: &str, engines: usize) -> usize {
+        self.router_with(split, engines, "")
+    }
+
+    /// As [`Cluster::router`], with more lines in the host's settings.
+    pub fn router_with(&mut self, split: &str, engines: usize, settings: &str) -> usize {
         let index = self.routers.len();
         let split_path = self.folder.path().join(format!("split-{index}.ini"));
         std::fs::write(&split_path, split).unwrap();
         let host = format!(
             "[host]\nname = router-{index}\nfailure_domain = {}\nlisten = 127.0.0.1:0\n\
              peer_listen = 127.0.0.1:0\nstore = http://{}\nmembers = http://{}\n\
-             key = {PEER_KEY}\nsplit = {}\n",
+             key = {PEER_KEY}\nsplit = {}\n{settings}",
             domain(index),
             self.store.address,
             self.members.address,
