--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -105,6 +105,10 @@
         self.signal(Signal::TERM);
     }
 
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let deadline = Instant::now() + HANG;
@@ -228,7 +232,17 @@
         self.router_with(split, engines, "")
     }
 
-    /// As [`Cluster::router`], with more lines in the host's settings.
+    /// Starts a router whose peers reach it through a proxy; returns the proxy.
+    pub fn proxied_router(&mut self, split: &str, engines: usize) -> Proxy {
+        let proxy = Proxy::start("127.0.0.1:1");
+        let settings = format!("peer_address = {}\n", proxy.address());
+        let index = self.router_with(split, engines, &settings);
+        let upstream = self.routers[index].field("peer_address").unwrap();
+        put(&proxy.control, "/v1/emulation/upstream", &upstream);
+        proxy
+    }
+
+    /// Starts a router with further lines in its `[host]` section.
     pub fn router_with(&mut self, split: &str, engines: usize, settings: &str) -> usize {
         let index = self.routers.len();
         let split_path = self.folder.path().join(format!("split-{index}.ini"));
