--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -91,6 +91,8 @@
     pub next_seq: u64,
     /// Streams that this host runs there.
     pub own: u32,
+    /// Streams that this host may run there.
+    pub limit: u32,
     /// Streams that this host started there since the last report.
     pub own_since_report: u32,
     /// Whether it takes no new work.
@@ -353,13 +355,28 @@
         domains.map(|(_, members)| members.len()).sum()
     }
 
+    /// Bounds the streams that this host runs on an engine.
+    pub fn set_limit(&mut self, key: Engine, limit: u32) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.limit = limit;
+        }
+    }
+
     /// Chooses an engine with a free place.
     pub fn choose(&self, need: &Need) -> Option<Engine> {
+        self.choose_beyond(need, 0)
+    }
+
+    /// Chooses an engine with a free place, or with less than `beyond` requests that wait there.
+    pub fn choose_beyond(&self, need: &Need, beyond: u32) -> Option<Engine> {
         let now = self.clock.now();
         let hosts_per_engine = self.hosts_per_engine(&need.model);
         let costs: Vec<_> = self
             .candidates(need, now)
-            .filter(|(_, engine)| engine.expected_load() < engine.slots)
+            .filter(|(_, engine)| {
+                engine.own < engine.limit.saturating_add(beyond)
+                    && engine.expected_load() < engine.slots + beyond
+            })
             .map(|(key, engine)| (key, self.cost(engine, need, hosts_per_engine, now)))
             .collect();
         let lowest = costs.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
@@ -487,6 +504,7 @@
             reported_at: None,
             next_seq: 0,
             own: 0,
+            limit: u32::MAX,
             own_since_report: 0,
             leaving: false,
             used: true,
--- a/src/router.rs
+++ b/src/router.rs
@@ -275,8 +275,7 @@
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
-        host.name.clone(),
-        host.failure_domain.clone(),
+        dispatch::Policy::of(&host),
         supervisor.stop_signal(),
     );
     supervisor.spawn("dispatch", dispatch_task);
