--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use bilberrypost::emulate::engine::Totals;
 use bilberrypost::emulate::proxy::Fault;
@@ -16,6 +18,7 @@
 use compio::bytes::Bytes;
 use futures_util::future::select;
 use http_body_util::Full;
+use serde_json::json;
 use support::{CALLER_KEY, Cluster, HANG, Proxy, block_on, call, domain, get, split, wait_until};
 
 /// Engines behind proxies, and routers that know the proxies.
@@ -235,14 +238,26 @@
     assert_eq!(fleet.started(), 1);
 }
 
+fn raw_request(router: &str, body: String) -> hyper::Request<Full<Bytes>> {
+    hyper::Request::post("/v1/completions")
+        .header("host", router)
+        .header("authorization", format!("Bearer {CALLER_KEY}"))
+        .body(Full::new(Bytes::from(body)))
+        .unwrap()
+}
+
 /// Makes a call and abandons it when `leave` is set.
-fn vanish(router: String, call: Call, leave: Arc<AtomicBool>) -> JoinHandle<()> {
+fn vanish(router: String, body: serde_json::Value, leave: Arc<AtomicBool>) -> JoinHandle<()> {
     thread::spawn(move || {
         block_on(async {
-            let answer = Box::pin(client::complete(&router, &call));
+            let request = raw_request(&router, body.to_string());
+            let answer = Box::pin(async {
+                let mut exchange = http_client::send(&router, request, HANG).await.unwrap();
+                while let Ok(Some(_)) = exchange.next().await {}
+            });
             let left = Box::pin(async {
                 while !leave.load(Ordering::Relaxed) {
-                    compio::time::sleep(std::time::Duration::from_millis(5)).await;
+                    compio::time::sleep(Duration::from_millis(5)).await;
                 }
             });
             select(answer, left).await;
@@ -250,14 +265,23 @@
     })
 }
 
+fn body(prompt: &str, is_streamed: bool) -> serde_json::Value {
+    json!({"model": "atlas", "prompt": prompt, "max_tokens": 8000, "stream": is_streamed})
+}
+
 /// Guards against engines that work for callers who went away, at any stage.
 #[test]
 fn vanishing_caller_is_cancelled() {
     let fleet = Fleet::shaped(&[&["--slots", "1"]], 1);
-    let prompts = ["Sky notes: gone.", "Sky notes: [fault late@600000]"];
-    for (index, prompt) in prompts.into_iter().enumerate() {
+    let calls = [
+        body("Sky notes: gone.", true),
+        body("Sky notes: [fault late@600000]", true),
+        body("Sky notes: gone.", false),
+        body("Sky notes: [fault late@600000]", false),
+    ];
+    for (index, call) in calls.into_iter().enumerate() {
         let leave = Arc::new(AtomicBool::new(false));
-        let caller = vanish(fleet.router(0), call(prompt, 8000, 7), leave.clone());
+        let caller = vanish(fleet.router(0), call, leave.clone());
         let count = index as u64 + 1;
         wait_until("the call runs", || fleet.totals(0).started == count);
         leave.store(true, Ordering::Relaxed);
@@ -266,6 +290,46 @@
     }
 }
 
+/// Guards against a caller that reads nothing and holds an engine's place for good.
+#[test]
+fn slow_reader_is_cut() {
+    let mut cluster = Cluster::start();
+    cluster.engine(&["--step-us", "50", "--step-per-stream-us", "0"]);
+    // More output than the buffers of the system hold.
+    let split = split() + "max_tokens = 1000000\n";
+    cluster.router_with(&split, 1, "slow_reader_limit_ms = 300\n");
+    let router = cluster.routers[0].address.clone();
+    let mut call = body("Sky notes: slow.", true);
+    call["max_tokens"] = json!(1_000_000);
+    let reader = std::net::TcpStream::connect(&router).unwrap();
+    let text = call.to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: {router}\r\n\
+         authorization: Bearer {CALLER_KEY}\r\ncontent-length: {}\r\n\r\n{text}",
+        text.len()
+    );
+    (&reader).write_all(head.as_bytes()).unwrap();
+    wait_until("it is cancelled", || {
+        let totals: Totals = get(&cluster.engines[0].address, "/v1/emulation/totals");
+        totals.cancelled == 1
+    });
+    let counted = "relay_total{event=\"slow-reader\"} 1";
+    wait_until("the cut is counted", || metrics(&router).contains(counted));
+    drop(reader);
+}
+
+fn metrics(router: &str) -> String {
+    block_on(async {
+        let request = hyper::Request::get("/metrics")
+            .header("host", router)
+            .body(Full::default())
+            .unwrap();
+        let mut exchange = http_client::send(router, request, HANG).await.unwrap();
+        let text = exchange.rest(1024 * 1024).await.unwrap();
+        String::from_utf8(text).unwrap()
+    })
+}
+
 /// Guards against a place that is held, or an account that stays open, for a caller who left
 /// while the request waited.
 #[test]
@@ -278,11 +342,8 @@
     let first = fleet.ask(call("Sky notes: first.", 400, 7));
     wait_until("the first call runs", || fleet.totals(0).decoded > 0);
     let leave = Arc::new(AtomicBool::new(false));
-    let caller = vanish(
-        fleet.router(0),
-        call("Sky notes: second.", 400, 7),
-        leave.clone(),
-    );
+    let second = body("Sky notes: second.", true);
+    let caller = vanish(fleet.router(0), second, leave.clone());
     wait_until("the second call waits", || account()["submitted"] == 2);
     leave.store(true, Ordering::Relaxed);
     caller.join().unwrap();
@@ -317,11 +378,7 @@
 
 fn post_raw(router: &str, body: String) -> (u16, Problem) {
     block_on(async {
-        let request = hyper::Request::post("/v1/completions")
-            .header("host", router)
-            .header("authorization", format!("Bearer {CALLER_KEY}"))
-            .body(Full::new(Bytes::from(body)))
-            .unwrap();
+        let request = raw_request(router, body);
         let exchange = within(HANG, http_client::send(router, request, HANG)).await;
         let mut exchange = exchange.unwrap().unwrap();
         let body = exchange.rest(64 * 1024).await.unwrap();
