--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -32,6 +32,8 @@
     NoEngine,
     /// This host is leaving.
     Leaving,
+    /// The host has no settings yet.
+    NoSettings,
     /// No engine with the generation's version is left.
     VersionGone,
     /// Several engines died while serving this prompt.
@@ -50,6 +52,8 @@
     StoreUnavailable,
     /// The outcome of an earlier call with the key is not known.
     OutcomeUnknown,
+    /// An earlier call with the key ran, and its answer is not kept.
+    AlreadyRan,
     /// The backend server could not be reached or refused.
     BackendUnavailable,
     /// The request took longer than its limit.
@@ -73,12 +77,14 @@
             Self::QueueFull | Self::DeadlineUnreachable => StatusCode::TOO_MANY_REQUESTS,
             Self::KeyExpired => StatusCode::GONE,
             Self::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::OutcomeUnknown => StatusCode::CONFLICT,
+            Self::OutcomeUnknown | Self::AlreadyRan => StatusCode::CONFLICT,
             Self::EngineKiller | Self::VersionGone | Self::ResumeLimit => StatusCode::BAD_GATEWAY,
             Self::Timeout | Self::CallerGone | Self::SlowReader => StatusCode::GATEWAY_TIMEOUT,
-            Self::NoEngine | Self::Leaving | Self::StoreUnavailable | Self::BackendUnavailable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoSettings
+            | Self::NoEngine
+            | Self::Leaving
+            | Self::StoreUnavailable
+            | Self::BackendUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -95,6 +101,7 @@
             Self::DeadlineUnreachable => "deadline-unreachable",
             Self::NoEngine => "no-engine",
             Self::Leaving => "leaving",
+            Self::NoSettings => "no-settings",
             Self::VersionGone => "version-gone",
             Self::EngineKiller => "engine-killer",
             Self::ResumeLimit => "resume-limit",
@@ -104,6 +111,7 @@
             Self::KeyConflict => "key-conflict",
             Self::StoreUnavailable => "store-unavailable",
             Self::OutcomeUnknown => "outcome-unknown",
+            Self::AlreadyRan => "already-ran",
             Self::BackendUnavailable => "backend-unavailable",
             Self::Timeout => "timeout",
             Self::CallerGone => "caller-gone",
--- a/src/relay/generation.rs
+++ b/src/relay/generation.rs
@@ -130,6 +130,11 @@
         /// Whether the engine takes no new work.
         leaving: bool,
     },
+    /// The attempt is to give way to urgent work and go on later.
+    Paused {
+        /// Attempt that is to give way.
+        attempt: u32,
+    },
     /// The answer to a question about a stream, `None` if there was none in time.
     Probed {
         /// Number of the question.
@@ -366,11 +371,12 @@
             Event::Refused { attempt, leaving } if self.is_current(attempt) => {
                 self.refused(leaving, now, out);
             }
+            Event::Paused { attempt } if self.is_current(attempt) => self.paused(now, out),
             Event::Probed { probe, answer } => self.probed(probe, answer, now, shared, out),
             Event::Drained => self.drained(now, shared),
             Event::Tick => self.tick(now, shared, out),
             Event::Gone => self.abandon(out),
-            Event::Closed { .. } | Event::Refused { .. } => {}
+            Event::Closed { .. } | Event::Refused { .. } | Event::Paused { .. } => {}
         }
         actions
     }
@@ -655,6 +661,17 @@
         }
     }
 
+    /// Gives the engine up without a fault and asks for another place.
+    fn paused(&mut self, now: Instant, out: &mut Vec<Action>) {
+        // Output of another sampler cannot be continued.
+        if self.is_counter == Some(false) && !self.tokens.is_empty() {
+            return;
+        }
+        self.may_have_run = true;
+        self.abandon(out);
+        self.place(now, out);
+    }
+
     fn drained(&mut self, now: Instant, shared: &Shared) {
         if let State::Running(running) = &mut self.state {
             running.last = now;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -17,6 +17,7 @@
 use crate::route::fleet::Need;
 use crate::router::Router;
 use crate::sched::scheduler::{Refusal, Ticket};
+use crate::supervisor::Signal;
 use crate::util::within;
 use crate::wire;
 
@@ -112,6 +113,8 @@
     need: Need,
     sink: &'a mut S,
     feed: Feed,
+    // Given when the current attempt is to give way.
+    paused: Signal,
     placing: Option<Placing>,
     probes: FuturesUnordered<LocalBoxFuture<'static, Event>>,
 }
@@ -132,6 +135,7 @@
         need,
         sink,
         feed: Feed::None,
+        paused: placement.paused.clone(),
         placing: None,
         probes: FuturesUnordered::new(),
     };
@@ -187,6 +191,7 @@
         let mut frame = pin!(self.feed.next(attempt).fuse());
         let mut gone = pin!(self.sink.gone().fuse());
         let mut place = pin!(placed(&mut self.placing).fuse());
+        let mut paused = pin!(given(&mut self.paused, attempt).fuse());
         let mut probed = pin!(answered(&mut self.probes).fuse());
         let mut tick = pin!(due(deadline).fuse());
         futures_util::select_biased! {
@@ -194,6 +199,7 @@
             event = place => event,
             () = gone => Event::Gone,
             event = probed => event,
+            event = paused => event,
             () = tick => Event::Tick,
         }
     }
@@ -225,7 +231,10 @@
                 version,
                 excluded,
                 limit,
-            } => self.place(version, excluded, limit),
+            } => {
+                self.feed = Feed::None;
+                self.place(version, excluded, limit);
+            }
             Action::Probe { probe, address } => self.probe(probe, address),
             Action::Cancel { address, attempt } => self.cancel(address, attempt),
             Action::Broken {
@@ -256,6 +265,11 @@
 
     fn start(&mut self, request: wire::Request, placement: &Placement) {
         let address = placement.address.clone();
+        let request = wire::Request {
+            priority: placement.priority,
+            ..request
+        };
+        self.paused = placement.paused.clone();
         let starting = async move { engine::start(&address, &request).await };
         self.feed = Feed::Starting(starting.boxed_local());
     }
@@ -308,6 +322,14 @@
     }
 }
 
+/// Reports once that an attempt is to give way.
+async fn given(paused: &mut Signal, attempt: u32) -> Event {
+    paused.wait().await;
+    // The generation may have to go on, so the signal must not be seen again.
+    *paused = Signal::default();
+    Event::Paused { attempt }
+}
+
 async fn answered(probes: &mut FuturesUnordered<LocalBoxFuture<'static, Event>>) -> Event {
     match probes.next().await {
         Some(event) => event,
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,3 +1,10 @@
 //! Which request runs next.
 
+pub mod allocator;
+pub mod keeper;
+pub mod lease;
+pub mod lease_task;
+pub mod limit;
 pub mod scheduler;
+pub mod share;
+pub mod tree;
