Test keyed calls and leaving with real processes

Cause: the claim log was tested as pure logic alone.

A host that leaves tells its peers before it releases its ranges, and keeps them while it is the only host. The emulated backend server refuses with queue-full for X-Fault: refuse, so that a refused call does not mark the server as leaving.

--- a/src/claim/task.rs
+++ b/src/claim/task.rs
@@ -1,6 +1,7 @@
 //! The tasks that own the ranges of this host, and what claimants need of them.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,7 @@
 use super::range::{Answer, Range};
 use super::record::{Claim, Outcome, RANGES, Report};
 use crate::clock;
-use crate::member::view::View;
+use crate::member::view::{Peer, View};
 use crate::peer;
 use crate::peer::server::Methods;
 use crate::store::objects::{Client, Objects};
@@ -96,9 +97,7 @@
     outboxes: Vec<mpsc::UnboundedSender<Report>>,
     // Outcomes that no owner has confirmed yet.
     unconfirmed: Cell<usize>,
-    leaving: Signal,
-    // Ranges whose owner task has not released them since `leaving`.
-    unreleased: Cell<u32>,
+    held: RefCell<BTreeSet<u32>>,
 }
 
 /// Claims keys on behalf of callers.
@@ -132,8 +131,7 @@
         ranges: channels.iter().map(|(sender, _)| sender.clone()).collect(),
         outboxes: outboxes.iter().map(|(sender, _)| sender.clone()).collect(),
         unconfirmed: Cell::new(0),
-        leaving: Signal::default(),
-        unreleased: Cell::new(RANGES),
+        held: RefCell::default(),
     }));
     add_methods(&handle, methods);
     let owner = Owner {
@@ -224,8 +222,7 @@
             claim: claim.clone(),
             relayed: false,
         };
-        let owner = self.0.view.owner(&duty(range))?;
-        if owner.name != *self.0.view.own() {
+        if let Some(owner) = self.other_owner(range) {
             return self.ask_peer(&owner.address, &ask).await;
         }
         let (reply, answer) = oneshot::channel();
@@ -234,6 +231,13 @@
         within(ASK_LIMIT, answer).await?.ok()
     }
 
+    /// Returns the owner of a range, `None` if it is this host. A host that leaves keeps its
+    /// ranges while there is no other.
+    fn other_owner(&self, range: u32) -> Option<Peer> {
+        let owner = self.0.view.owner(&duty(range))?;
+        (owner.name != *self.0.view.own()).then_some(owner)
+    }
+
     async fn ask_peer(&self, address: &str, ask: &Ask) -> Option<Answer> {
         let call = self.0.peer.call(address, "claim.claim", ask, ASK_LIMIT);
         call.await
@@ -277,8 +281,7 @@
     }
 
     async fn send_reports(&self, range: u32, reports: &[Report]) -> Option<bool> {
-        let owner = self.0.view.owner(&duty(range))?;
-        if owner.name != *self.0.view.own() {
+        if let Some(owner) = self.other_owner(range) {
             let params = Reports {
                 range,
                 reports: reports.to_vec(),
@@ -293,10 +296,18 @@
         within(ASK_LIMIT, answer).await?.ok()
     }
 
-    /// Writes the last records and releases the ranges of this host, which takes none again.
-    pub async fn leave(&self) {
-        self.0.leaving.give();
-        while self.0.unreleased.get() > 0 {
+    /// Returns the ranges that this host holds, as far as it knows.
+    pub fn held(&self) -> Vec<u32> {
+        self.0.held.borrow().iter().copied().collect()
+    }
+
+    /// Waits until the last records of the ranges that other hosts own now are written and these
+    /// ranges are released.
+    pub async fn released(&self) {
+        while { self.held() }
+            .into_iter()
+            .any(|range| self.other_owner(range).is_some())
+        {
             compio::time::sleep(RETRY).await;
         }
     }
@@ -356,8 +367,6 @@
 
 impl<S: Objects> Task<S> {
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>, stop: Signal) {
-        let leaving = self.handle.0.leaving.clone();
-        let mut is_released = false;
         while !stop.is_given() {
             let wake = self.range.next_write().unwrap_or(TICK).min(TICK);
             if let Some(Some(message)) = within(wake, messages.next()).await {
@@ -367,11 +376,14 @@
                 }
             }
             self.step().await;
-            if leaving.is_given() && !is_released && !self.range.is_held() {
-                is_released = true;
-                let unreleased = &self.handle.0.unreleased;
-                unreleased.set(unreleased.get().saturating_sub(1));
-            }
+            let mut held = self.handle.0.held.borrow_mut();
+            match self.range.is_held() {
+                true => held.insert(self.number),
+                false => held.remove(&self.number),
+            };
+        }
+        if self.range.is_held() {
+            self.flush().await;
         }
         self.range.release();
         self.answer();
@@ -379,8 +391,7 @@
     }
 
     fn owns(&self) -> bool {
-        let inner = &self.handle.0;
-        !inner.leaving.is_given() && inner.view.owns(&duty(self.number))
+        self.handle.other_owner(self.number).is_none()
     }
 
     fn handle(&mut self, message: Message) {
@@ -418,9 +429,7 @@
                 claim,
                 relayed: true,
             };
-            let owner = handle.0.view.owner(&duty(number));
-            let owner = owner.filter(|owner| owner.name != *handle.0.view.own());
-            let answer = match owner {
+            let answer = match handle.other_owner(number) {
                 Some(owner) => handle.ask_peer(&owner.address, &ask).await,
                 None => None,
             };
@@ -437,8 +446,7 @@
         }
         self.answer();
         let is_due = |range: &Range<S, _, _>| range.next_write() == Some(Duration::ZERO);
-        let is_leaving = self.handle.0.leaving.is_given();
-        if self.range.is_held() && (is_due(&self.range) || is_leaving) {
+        if self.range.is_held() && is_due(&self.range) {
             self.flush().await;
             self.answer();
         }
--- a/src/emulate/backend.rs
+++ b/src/emulate/backend.rs
@@ -77,10 +77,14 @@
             _ => {}
         }
         let fault = header("x-fault");
-        if self.leaving.get() || fault == "refuse" {
+        if self.leaving.get() {
             let detail = "the backend server takes no new work; use another one";
             return Problem::not_run(Reason::Leaving, detail).into_response();
         }
+        if fault == "refuse" {
+            let detail = "the backend server is full; use another one";
+            return Problem::not_run(Reason::QueueFull, detail).into_response();
+        }
         if head.method == Method::GET {
             return text_response(StatusCode::OK, format!("calendar of {}", head.uri.path()));
         }
--- a/src/http/backend.rs
+++ b/src/http/backend.rs
@@ -4,6 +4,7 @@
 //! and an attempt that sent no byte is known as such.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -144,6 +145,13 @@
         }
     }
 
+    /// Returns the servers that take work, by name, with the running calls of this host.
+    pub fn overview(&self) -> BTreeMap<CompactString, u32> {
+        let open = self.servers.values().filter(|state| !state.leaving);
+        open.map(|state| (state.name.clone(), state.running))
+            .collect()
+    }
+
     /// Chooses a server for an attempt, which ends with [`Servers::end`].
     ///
     /// Servers outside `tried` that did not fail lately go first, then those with the fewest
--- a/src/router.rs
+++ b/src/router.rs
@@ -403,15 +403,10 @@
     }
 }
 
-/// Releases the ranges of this host and tells its peers that it leaves.
+/// Tells the peers that this host leaves, and releases its ranges to them.
 async fn hand_over(router: &Router) {
     let own = router.peer.sender();
     router.view.set_leaving(&own.name, own.incarnation);
-    if let Some(claims) = &router.claims {
-        // Without the store nothing can be written, and the next owner reads what is there.
-        let released = within(RELEASE_LIMIT, claims.leave()).await;
-        info!("event=ranges_released complete={}", released.is_some());
-    }
     let told = router.view.live().into_iter().map(|peer| async move {
         let call = router
             .peer
@@ -421,6 +416,11 @@
             .ok()
     });
     futures_util::future::join_all(told).await;
+    if let Some(claims) = &router.claims {
+        // Without the store nothing can be written, and the next owner reads what is there.
+        let released = within(RELEASE_LIMIT, claims.released()).await;
+        info!("event=ranges_released complete={}", released.is_some());
+    }
 }
 
 /// Gives `cut` at the second signal to end.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -40,9 +40,15 @@
 impl Process {
     /// Starts the program and waits for the line that says where it listens.
     pub fn start(args: &[&str]) -> Self {
+        Self::start_logging(args, Stdio::inherit())
+    }
+
+    /// Starts the program with its log written to `log`.
+    pub fn start_logging(args: &[&str], log: Stdio) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
             .args(args)
             .stdout(Stdio::piped())
+            .stderr(log)
             .spawn()
             .expect("the program starts");
         let output = BufReader::new(child.stdout.take().unwrap());
@@ -131,6 +137,8 @@
     pub engines: Vec<Process>,
     pub backends: Vec<Process>,
     pub routers: Vec<Process>,
+    /// Further lines of the settings of routers that start from now on.
+    pub settings: String,
     folder: tempfile::TempDir,
 }
 
@@ -158,6 +166,7 @@
             engines: Vec::new(),
             backends: Vec::new(),
             routers: Vec::new(),
+            settings: String::new(),
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -223,6 +232,15 @@
         Process::start(&args)
     }
 
+    fn log_path(&self, router: usize) -> std::path::PathBuf {
+        self.folder.path().join(format!("router-{router}.log"))
+    }
+
+    /// Returns what a router wrote to its log.
+    pub fn log(&self, router: usize) -> String {
+        std::fs::read_to_string(self.log_path(router)).unwrap()
+    }
+
     /// Starts a router with a split file and waits until it sees `engines` engines.
     pub fn router(&mut self, split: &str, engines: usize) -> usize {
         let index = self.routers.len();
@@ -231,15 +249,18 @@
         let host = format!(
             "[host]\nname = router-{index}\nfailure_domain = {}\nlisten = 127.0.0.1:0\n\
              peer_listen = 127.0.0.1:0\nstore = http://{}\nmembers = http://{}\n\
-             key = {PEER_KEY}\nsplit = {}\n",
+             key = {PEER_KEY}\nsplit = {}\n{}",
             domain(index),
             self.store.address,
             self.members.address,
-            split_path.display()
+            split_path.display(),
+            self.settings
         );
         let host_path = self.folder.path().join(format!("host-{index}.ini"));
         std::fs::write(&host_path, host).unwrap();
-        let router = Process::start(&["serve", "-c", host_path.to_str().unwrap()]);
+        let log = std::fs::File::create(self.log_path(index)).unwrap();
+        let args = ["serve", "-c", host_path.to_str().unwrap()];
+        let router = Process::start_logging(&args, log.into());
         let address = router.address.clone();
         self.list_member(&Member {
             name: format!("router-{index}").into(),
