--- a/src/router.rs
+++ b/src/router.rs
@@ -42,7 +42,8 @@
 use crate::wire;
 
 /// Time between a host's decision to leave and its refusal of new work, because the balancer lags.
-const LEAVE_GRACE: Duration = Duration::from_secs(2);
+/// It is below the limit of 2 s by the time that signals and busy tasks may take.
+const LEAVE_GRACE: Duration = Duration::from_millis(1900);
 
 /// Longest time to write the last claim records.
 const RELEASE_LIMIT: Duration = Duration::from_millis(1000);
