--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -56,6 +56,8 @@
             "live": router.view.live(),
             "active": router.view.is_active(),
             "control_bytes": router.control_bytes(),
+            "backends": router.backends.borrow().overview(),
+            "ranges": router.claims.as_ref().map(|claims| claims.held()),
             "config": router.config.overview(),
             "dispatch": router.dispatch.overview().await,
         })),
--- a/src/router.rs
+++ b/src/router.rs
@@ -48,7 +48,8 @@
 use crate::wire;
 
 /// Time between a host's decision to leave and its refusal of new work, because the balancer lags.
-const LEAVE_GRACE: Duration = Duration::from_secs(2);
+/// It is below the limit of 2 s by the time that signals and busy tasks may take.
+const LEAVE_GRACE: Duration = Duration::from_millis(1900);
 
 /// Longest time to write the last claim records.
 const RELEASE_LIMIT: Duration = Duration::from_millis(1000);
@@ -453,14 +454,14 @@
     }
 }
 
-/// Releases the ranges of this host and tells its peers that it leaves.
+/// Tells the peers that this host leaves, and releases its ranges to them.
 async fn hand_over(router: &Router) {
+    router.members.leave(State::Leaving).await;
     if let Some(claims) = &router.claims {
         // Without the store nothing can be written, and the next owner reads what is there.
-        let released = within(RELEASE_LIMIT, claims.leave()).await;
+        let released = within(RELEASE_LIMIT, claims.released()).await;
         info!("event=ranges_released complete={}", released.is_some());
     }
-    router.members.leave(State::Leaving).await;
 }
 
 /// Gives `cut` at the second signal to end.
