Shorten the messages between routers

Change: one authentication header of 128 bits instead of three, the sender as an array, no content type, a host's own news only while they are new; the bench tells bytes by the other end and takes fleet sizes as arguments.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use support::{Cluster, get, split, wait_until};
 
-/// Fleet sizes that are measured.
+/// Fleet sizes that are measured unless the command line names others.
 const SIZES: [usize; 4] = [4, 8, 16, 32];
 
 /// Size to which the measured lines are extended.
@@ -25,11 +25,14 @@
 /// Not used for chance events; real processes draw their own.
 const SEED: u64 = 1;
 
+/// Other ends of control traffic.
+const PARTIES: [&str; 3] = ["peers", "store", "engines"];
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Sample {
     cpu_s: f64,
     memory_mb: f64,
-    bytes: f64,
+    bytes: [f64; 3],
 }
 
 impl Sample {
@@ -38,7 +41,7 @@
         Self {
             cpu_s: cpu_seconds(pid),
             memory_mb: memory_mb(pid),
-            bytes: status["control_bytes"].as_f64().unwrap(),
+            bytes: PARTIES.map(|party| status["control_bytes"][party].as_f64().unwrap()),
         }
     }
 }
@@ -75,7 +78,7 @@
     nodes: f64,
     core_percent: f64,
     memory_mb: f64,
-    bytes_per_s: f64,
+    bytes_per_s: [f64; 3],
     store_writes_per_s: f64,
     store_reads_per_s: f64,
 }
@@ -116,7 +119,9 @@
         nodes: nodes as f64,
         core_percent: mean(&|before, after| (after.cpu_s - before.cpu_s) / seconds * 100.0),
         memory_mb: mean(&|_, after| after.memory_mb),
-        bytes_per_s: mean(&|before, after| (after.bytes - before.bytes) / seconds),
+        bytes_per_s: [0, 1, 2].map(|party| {
+            mean(&|before, after| (after.bytes[party] - before.bytes[party]) / seconds)
+        }),
         store_writes_per_s: (calls_after.writes - calls_before.writes) as f64 / seconds,
         store_reads_per_s: (calls_after.reads - calls_before.reads) as f64 / seconds,
     }
@@ -124,16 +129,24 @@
 
 fn main() {
     println!("seed {SEED}");
-    println!("nodes  core %  memory MB  control B/s  store writes/s  store reads/s");
+    println!(
+        "nodes  core %  memory MB  peers B/s  store B/s  engines B/s  store writes/s  store reads/s"
+    );
     let mut all = Vec::new();
-    for size in SIZES {
+    let sizes: Vec<_> = std::env::args()
+        .filter_map(|arg| arg.parse().ok())
+        .collect();
+    let sizes = if sizes.is_empty() { &SIZES[..] } else { &sizes };
+    for size in sizes.iter().copied() {
         let m = measure(size);
         println!(
-            "{:>5}  {:>6.3}  {:>9.1}  {:>11.0}  {:>14.2}  {:>13.2}",
+            "{:>5}  {:>6.3}  {:>9.1}  {:>9.0}  {:>9.0}  {:>11.0}  {:>14.2}  {:>13.2}",
             m.nodes,
             m.core_percent,
             m.memory_mb,
-            m.bytes_per_s,
+            m.bytes_per_s[0],
+            m.bytes_per_s[1],
+            m.bytes_per_s[2],
             m.store_writes_per_s,
             m.store_reads_per_s
         );
@@ -150,7 +163,7 @@
     };
     let core = at_full_size("core percent", |m| m.core_percent);
     let memory = at_full_size("memory MB", |m| m.memory_mb);
-    let bytes = at_full_size("control bytes/s", |m| m.bytes_per_s);
+    let bytes = at_full_size("control bytes/s", |m| m.bytes_per_s.iter().sum());
     let writes = at_full_size("store writes/s, whole fleet", |m| m.store_writes_per_s);
     // Reads come from watchers, whose number depends on the failure domains, not on the nodes.
     let watchers = |m: &Measured| m.store_reads_per_s / m.nodes.min(6.0);
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -29,6 +29,9 @@
 /// second, each with two messages of at most 5 news of 200 bytes.
 const NEWS_PER_MESSAGE: usize = 4;
 
+/// Messages that carry a change of this host's own state; those who hear it spread it further.
+const OWN_NEWS_MESSAGES: u32 = 32;
+
 /// Time between two comparisons of whole tables.
 const SYNC_PERIOD: Duration = Duration::from_secs(30);
 
@@ -95,6 +98,8 @@
     clock: C,
     rng: StdRng,
     own: News,
+    // Messages that still carry this host's own news.
+    own_to_tell: u32,
     // Invariant: never holds this host.
     entries: BTreeMap<CompactString, Entry>,
     // Names in the platform's list as read last.
@@ -123,6 +128,7 @@
                 refutation: 0,
                 state: State::Live,
             },
+            own_to_tell: OWN_NEWS_MESSAGES,
             entries: BTreeMap::new(),
             listed: BTreeSet::new(),
             round: Vec::new(),
@@ -183,9 +189,13 @@
     fn refute(&mut self, news: &News) {
         let is_current = news.incarnation == self.own.incarnation || news.incarnation == 0;
         let is_wrong = matches!(news.state, State::Suspect | State::Dead);
-        if is_current && is_wrong && news.refutation >= self.own.refutation {
+        if !is_current || !is_wrong {
+            return;
+        }
+        if news.refutation >= self.own.refutation {
             self.own.refutation = news.refutation + 1;
         }
+        self.own_to_tell = OWN_NEWS_MESSAGES;
     }
 
     fn insert(&mut self, news: News) {
@@ -357,6 +367,7 @@
     /// Says that this host leaves.
     pub fn leave(&mut self, state: State) {
         self.own.state = state;
+        self.own_to_tell = OWN_NEWS_MESSAGES;
     }
 
     /// Returns this host's own news.
@@ -364,9 +375,13 @@
         &self.own
     }
 
-    /// Returns the news for the next message, this host's own first.
+    /// Returns the news for the next message, this host's own first while they are new.
     pub fn news(&mut self) -> Vec<News> {
-        let mut news = vec![self.own.clone()];
+        let mut news = Vec::new();
+        if self.own_to_tell > 0 {
+            self.own_to_tell -= 1;
+            news.push(self.own.clone());
+        }
         let mut fresh: Vec<_> = self
             .entries
             .values_mut()
--- a/src/peer/auth.rs
+++ b/src/peer/auth.rs
@@ -16,9 +16,12 @@
 /// Greatest age of a message, and greatest difference of clocks.
 const WINDOW: Duration = Duration::from_secs(60);
 
-const TIME: &str = "x-peer-time";
-const NONCE: &str = "x-peer-nonce";
-const MAC: &str = "x-peer-mac";
+/// Header with time, nonce and code in hex. One short header instead of three keeps the messages
+/// that each host sends all the time small.
+const HEADER: &str = "x-auth";
+
+/// Bytes of the code that are kept; 128 bits cannot be guessed.
+const CODE_BYTES: usize = 16;
 
 /// Why a message was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -58,16 +61,17 @@
         }
     }
 
-    /// Adds the headers that authenticate `body`.
+    /// Adds the header that authenticates `body`.
     pub fn sign(&self, headers: &mut HeaderMap, body: &[u8]) {
         let time = unix_ms(self.clock.wall());
         let nonce = rand::random();
         let code = code(&self.key, time, nonce, body).finalize().into_bytes();
-        let hex: String = code.iter().map(|byte| format!("{byte:02x}")).collect();
-        headers.insert(TIME, HeaderValue::from(time));
-        headers.insert(NONCE, HeaderValue::from(nonce));
-        if let Ok(value) = HeaderValue::from_str(&hex) {
-            headers.insert(MAC, value);
+        let hex: String = code[..CODE_BYTES]
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        if let Ok(value) = HeaderValue::from_str(&format!("{time:x}-{nonce:x}-{hex}")) {
+            headers.insert(HEADER, value);
         }
     }
 
@@ -76,17 +80,12 @@
     /// # Errors
     /// The message is forged, expired or replayed.
     pub fn check(&self, headers: &HeaderMap, body: &[u8]) -> Result<(), Error> {
-        let number = |name| {
-            let value: &HeaderValue = headers.get(name).ok_or(Error::Missing)?;
-            let text = value.to_str().map_err(|_| Error::Missing)?;
-            text.parse::<u64>().map_err(|_| Error::Missing)
+        let value = headers.get(HEADER).and_then(|value| value.to_str().ok());
+        let (time, nonce, sent) = value.and_then(parse).ok_or(Error::Missing)?;
+        let is_valid = |key: &Secret| {
+            let code = code(key, time, nonce, body);
+            code.verify_truncated_left(&sent).is_ok()
         };
-        let (time, nonce) = (number(TIME)?, number(NONCE)?);
-        let sent = headers
-            .get(MAC)
-            .and_then(|value| from_hex(value.as_bytes()));
-        let sent = sent.ok_or(Error::Missing)?;
-        let is_valid = |key: &Secret| code(key, time, nonce, body).verify_slice(&sent).is_ok();
         if !is_valid(&self.key) && !self.previous.as_ref().is_some_and(is_valid) {
             return Err(Error::Forged);
         }
@@ -104,6 +103,15 @@
     }
 }
 
+fn parse(text: &str) -> Option<(u64, u64, [u8; CODE_BYTES])> {
+    let mut parts = text.split('-');
+    let time = u64::from_str_radix(parts.next()?, 16).ok()?;
+    let nonce = u64::from_str_radix(parts.next()?, 16).ok()?;
+    let code = parts.next().filter(|code| code.len() == 2 * CODE_BYTES)?;
+    let code = u128::from_str_radix(code, 16).ok()?;
+    Some((time, nonce, code.to_be_bytes()))
+}
+
 fn code(key: &Secret, time: u64, nonce: u64, body: &[u8]) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(key.expose()).expect("any length is allowed");
     mac.update(&time.to_le_bytes());
@@ -112,16 +120,6 @@
     mac
 }
 
-fn from_hex(text: &[u8]) -> Option<Vec<u8>> {
-    let digit = |byte: u8| (byte as char).to_digit(16);
-    text.chunks(2)
-        .map(|pair| match pair {
-            [high, low] => Some((digit(*high)? * 16 + digit(*low)?) as u8),
-            _ => None,
-        })
-        .collect()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -125,7 +125,6 @@
         let body = body.to_string();
         let mut request = Request::post("/rpc")
             .header(hyper::header::HOST, address)
-            .header(hyper::header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body.clone())))
             .map_err(|err| Error::Unsent(err.to_string()))?;
         self.0.auth.sign(request.headers_mut(), body.as_bytes());
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,8 +7,9 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-/// Who sent a message.
+/// Who sent a message; written as an array, because every message carries it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(CompactString, u64, u64)", into = "(CompactString, u64, u64)")]
 pub struct Sender {
     /// Name of the host.
     pub name: CompactString,
@@ -18,6 +19,22 @@
     pub revision: u64,
 }
 
+impl From<(CompactString, u64, u64)> for Sender {
+    fn from((name, incarnation, revision): (CompactString, u64, u64)) -> Self {
+        Self {
+            name,
+            incarnation,
+            revision,
+        }
+    }
+}
+
+impl From<Sender> for (CompactString, u64, u64) {
+    fn from(sender: Sender) -> Self {
+        (sender.name, sender.incarnation, sender.revision)
+    }
+}
+
 /// Parameters or result of a call, with its sender.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Envelope<T> {
--- a/src/router.rs
+++ b/src/router.rs
@@ -16,6 +16,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use log::{info, warn};
+use serde::Serialize;
 
 use crate::claim;
 use crate::clock::{self, Clock};
@@ -107,6 +108,17 @@
     polled_bytes: Cell<u64>,
 }
 
+/// Bytes that control has cost, by the other end.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ControlBytes {
+    /// Calls to and of other routers.
+    pub peers: u64,
+    /// Calls to the store.
+    pub store: u64,
+    /// Status of engines.
+    pub engines: u64,
+}
+
 /// What requests need to know of the host's settings.
 #[derive(Clone, Debug)]
 pub struct HostView {
@@ -164,9 +176,12 @@
     }
 
     /// Returns the bytes that control has cost since the start, without those of TCP and IP.
-    pub fn control_bytes(&self) -> u64 {
-        let store = self.store.as_ref().map_or(0, objects::Client::bytes);
-        self.peer.bytes() + store + self.polled_bytes.get()
+    pub fn control_bytes(&self) -> ControlBytes {
+        ControlBytes {
+            peers: self.peer.bytes(),
+            store: self.store.as_ref().map_or(0, objects::Client::bytes),
+            engines: self.polled_bytes.get(),
+        }
     }
 
     /// Returns an identity that no other request of any host has.
