--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -58,6 +58,8 @@
     Timeout,
     /// The caller closed the connection.
     CallerGone,
+    /// The caller read too slowly for too long.
+    SlowReader,
 }
 
 impl Reason {
@@ -75,7 +77,7 @@
             Self::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
             Self::OutcomeUnknown => StatusCode::CONFLICT,
             Self::EngineKiller | Self::VersionGone | Self::ResumeLimit => StatusCode::BAD_GATEWAY,
-            Self::Timeout | Self::CallerGone => StatusCode::GATEWAY_TIMEOUT,
+            Self::Timeout | Self::CallerGone | Self::SlowReader => StatusCode::GATEWAY_TIMEOUT,
             Self::NoSettings
             | Self::NoEngine
             | Self::Leaving
@@ -110,6 +112,7 @@
             Self::BackendUnavailable => "backend-unavailable",
             Self::Timeout => "timeout",
             Self::CallerGone => "caller-gone",
+            Self::SlowReader => "slow-reader",
         }
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -30,8 +30,11 @@
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
+use crate::relay::{self, cursor::Signer};
 use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
+use crate::sched::lease_task::{self, Allocators, Reporter};
+use crate::sched::share::Shares;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::{unix_ms, within};
@@ -70,17 +73,24 @@
     pub peer: peer::client::Client,
     /// Live routers.
     pub view: View,
+    /// Allocators of this host.
+    pub allocators: Allocators,
     /// The membership task.
     pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
     /// The revision in force.
     pub config: task::State,
+    /// What the generations know together.
+    pub relay: RefCell<relay::Shared>,
+    /// Signs and checks event ids.
+    pub cursors: Signer,
     split: RefCell<Arc<Split>>,
     listing: RefCell<Vec<wire::Member>>,
     report: RefCell<Report<clock::System>>,
     incarnation: u64,
     last_request: Cell<u64>,
+    polled_bytes: Cell<u64>,
 }
 
 /// What requests need to know of the host's settings.
@@ -90,6 +100,8 @@
     pub name: CompactString,
     /// Failure domain.
     pub failure_domain: CompactString,
+    /// Time for which a caller may leave output unread.
+    pub slow_reader_limit: Duration,
     /// Key of administrators.
     pub admin_key: Option<Secret>,
 }
@@ -102,6 +114,7 @@
 
     /// Puts a split into force.
     pub fn set_split(&self, split: Arc<Split>) {
+        self.allocators.shares(Shares::of(&split));
         self.dispatch.split(split.clone());
         *self.split.borrow_mut() = split;
     }
@@ -135,6 +148,12 @@
         self.report.borrow().burns()
     }
 
+    /// Returns the bytes that control has cost since the start, without those of TCP and IP.
+    pub fn control_bytes(&self) -> u64 {
+        let store = self.store.as_ref().map_or(0, objects::Client::bytes);
+        self.peer.bytes() + store + self.polled_bytes.get()
+    }
+
     /// Returns an identity that no other request of any host has.
     pub fn new_request_id(&self) -> CompactString {
         self.last_request.set(self.last_request.get() + 1);
@@ -237,10 +256,14 @@
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
+        host.name.clone(),
         host.failure_domain.clone(),
         supervisor.stop_signal(),
     );
     supervisor.spawn("dispatch", dispatch_task);
+    let (allocators, allocator_task) =
+        lease_task::allocators(clock::System, supervisor.stop_signal());
+    supervisor.spawn("allocators", allocator_task);
     let incarnation = unix_ms(clock::System.wall());
     let own = Peer {
         name: host.name.clone(),
@@ -266,6 +289,7 @@
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
+            slow_reader_limit: host.slow_reader_limit,
             admin_key: host.admin_key.clone(),
         },
         dispatch,
@@ -277,17 +301,20 @@
         peer,
         view,
         members,
+        allocators,
         store: host.store.as_deref().map(objects::Client::new),
         config: task::State::default(),
+        relay: RefCell::default(),
+        cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         split: RefCell::default(),
         listing: RefCell::default(),
         report: RefCell::new(Report::new(clock::System)),
         incarnation,
         last_request: Cell::new(0),
+        polled_bytes: Cell::new(0),
     });
     start_tasks(&router, &host, &supervisor);
-    let mut methods = Methods::default();
-    router.members.add_methods(&mut methods);
+    let mut methods = methods(&router);
     let sources = Sources {
         seeds: host.seeds.clone(),
         files: split,
@@ -337,6 +364,24 @@
         supervisor.stop_signal(),
     );
     supervisor.spawn("status", poll);
+    let reporter = Reporter {
+        dispatch: router.dispatch.clone(),
+        view: router.view.clone(),
+        peer: router.peer.clone(),
+        allocators: router.allocators.clone(),
+    };
+    supervisor.spawn(
+        "leases",
+        reporter.run(clock::System, supervisor.stop_signal()),
+    );
+}
+
+/// Collects the methods that other routers may call.
+fn methods(router: &Rc<Router>) -> Methods {
+    let mut methods = Methods::default();
+    router.allocators.add_methods(&mut methods);
+    router.members.add_methods(&mut methods);
+    methods
 }
 
 async fn leave(router: &Router, _limit: Duration, closed: Signal) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -21,6 +21,9 @@
 /// Key of the caller that [`SPLIT_HEAD`] names.
 pub const CALLER_KEY: &str = "test-caller-key";
 
+/// Key of administrators in tests that set one.
+pub const ADMIN_KEY: &str = "test-key-of-administrators";
+
 const PEER_KEY: &str = "test-key-between-routers";
 
 /// Runs a future on a runtime of its own.
@@ -105,6 +108,10 @@
         self.signal(Signal::TERM);
     }
 
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let deadline = Instant::now() + HANG;
@@ -386,6 +393,7 @@
 pub fn get<T: DeserializeOwned>(address: &str, path: &str) -> T {
     block_on(async {
         let request = client().get(format!("http://{address}{path}")).unwrap();
+        let request = request.bearer_auth(ADMIN_KEY).unwrap();
         request.send().await.unwrap().json().await.unwrap()
     })
 }
