Give orders to engines under a lease in the store

Cause: a split could declare a model's version and adapters, but nothing made engines load them. Change: store::lease holds orders/lease with a fencing number that grows with each holder. The holder counts from before its write and stops one bound (1 s) before the end of the 5 s; a candidate waits for 6 s after it first saw the version. orders::plan decides without clock and sockets: one engine of a model at a time, above min_serving_percent (rounded down, so that a few engines can change at all), with loads spaced by the weight store's rate. Ids depend on revision, engine and action only, so two holders give the same one. The lease is looked at again after the connection to the engine is open. Orders are given only for a published split, not for local files, which can differ between hosts. Before: no orders.

--- a/src/config/task.rs
+++ b/src/config/task.rs
@@ -115,6 +115,11 @@
             .map_or(0, |package| package.record.revision)
     }
 
+    /// Returns whether the split in force was published, and not read from local files.
+    pub fn is_stored(&self) -> bool {
+        self.package.borrow().is_some()
+    }
+
     /// Returns why the host has no settings to serve with, `None` if it has.
     pub fn not_ready(&self) -> Option<&'static str> {
         (!self.ready.get()).then(|| self.reason.get())
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -56,6 +56,7 @@
             "live": router.view.live(),
             "active": router.view.is_active(),
             "config": router.config.overview(),
+            "orders": router.orders.overview(),
             "control_bytes": router.control_bytes(),
             "dispatch": router.dispatch.overview().await,
         })),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod load;
 pub mod member;
+pub mod orders;
 pub mod peer;
 pub mod relay;
 pub mod report;
--- /dev/null
+++ b/src/orders/mod.rs
@@ -0,0 +1,4 @@
+//! Orders to engines: which versions and adapters they load.
+
+pub mod plan;
+pub mod task;
--- a/src/router.rs
+++ b/src/router.rs
@@ -27,6 +27,7 @@
 use crate::member::list;
 use crate::member::table::State;
 use crate::member::view::{Peer, View};
+use crate::orders;
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
@@ -81,6 +82,8 @@
     pub store: Option<objects::Client>,
     /// The revision in force.
     pub config: task::State,
+    /// The lease on orders to engines.
+    pub orders: orders::task::State,
     /// What the generations know together.
     pub relay: RefCell<relay::Shared>,
     /// Signs and checks event ids.
@@ -304,6 +307,7 @@
         allocators,
         store: host.store.as_deref().map(objects::Client::new),
         config: task::State::default(),
+        orders: orders::task::State::default(),
         relay: RefCell::default(),
         cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         split: RefCell::default(),
@@ -322,6 +326,8 @@
     let stop_signal = supervisor.stop_signal();
     let config = task::create(router.clone(), sources, &mut methods, stop_signal);
     supervisor.spawn("config", config);
+    let orders = orders::task::run(router.clone(), supervisor.stop_signal());
+    supervisor.spawn("orders", orders);
     supervisor.spawn(
         "peers",
         peer::server::run(
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,4 +1,5 @@
 //! The platform's object API.
 
 pub mod fake;
+pub mod lease;
 pub mod objects;
