--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -109,6 +109,11 @@
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// Returns the hex SHA-256 of a split's content.
+pub fn digest_of(split: &Split) -> String {
+    digest(&serde_json::to_vec(split).expect("a split serializes"))
+}
+
 /// Reads [`CURRENT`]; `None` if nothing was ever published.
 ///
 /// # Errors
--- a/src/config/task.rs
+++ b/src/config/task.rs
@@ -83,10 +83,12 @@
 }
 
 /// Numbers for operators.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Overview {
     /// Revision in force, 0 for that of local files or for none.
     pub revision: u64,
+    /// Hex SHA-256 of the split in force, computed from the split itself.
+    pub digest: String,
     /// Whether the host has settings to serve with.
     pub ready: bool,
     /// Whether this host watches the store.
@@ -100,6 +102,7 @@
 pub struct State {
     // Invariant: the package of the revision in force; its number only grows.
     package: RefCell<Option<Arc<Package>>>,
+    digest: RefCell<String>,
     ready: Cell<bool>,
     reason: Cell<&'static str>,
     watches: Cell<bool>,
@@ -129,6 +132,7 @@
     pub fn overview(&self) -> Overview {
         Overview {
             revision: self.revision(),
+            digest: self.digest.borrow().clone(),
             ready: self.ready.get(),
             watches: self.watches.get(),
             store_calls: self.store_calls.get(),
@@ -237,6 +241,7 @@
     }
 
     fn serve(&self, split: Split) {
+        *self.router.config.digest.borrow_mut() = revision::digest_of(&split);
         self.router.set_split(Arc::new(split));
         self.router.config.ready.set(true);
     }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -300,6 +300,35 @@
     everywhere(&cluster, 2);
 }
 
+/// Guards against a change that reaches only the routers that watch the store.
+#[test]
+fn routers_that_do_not_watch_learn_from_peers() {
+    let mut cluster = Cluster::start();
+    for _ in 0..4 {
+        cluster.published_router_in("fd-a", "");
+    }
+    assert_eq!(publish(&cluster, "anna", 50).0, 0);
+    everywhere(&cluster, 1);
+    let config = |address: &str, field: &str| {
+        let status: Value = get(address, "/admin/v1/status");
+        status["config"][field].clone()
+    };
+    let addresses: Vec<_> = cluster.routers.iter().map(|r| r.address.clone()).collect();
+    wait_until("two routers watch", || {
+        let watching = addresses.iter().filter(|a| config(a, "watches") == true);
+        watching.count() == 2
+    });
+    let others = addresses.iter().filter(|a| config(a, "watches") == false);
+    let calls: Vec<_> = others.map(|a| (a, config(a, "store_calls"))).collect();
+    assert_eq!(publish(&cluster, "anna", 60).0, 0);
+    everywhere(&cluster, 2);
+    for (address, before) in calls {
+        let made = config(address, "store_calls").as_u64().unwrap() - before.as_u64().unwrap();
+        // A recheck of the store can fall into this time; it is one call, or two with the content.
+        assert!(made <= 2, "{address} made {made} calls to the store");
+    }
+}
+
 /// Guards against watches that hang on connections that went silent.
 #[test]
 fn silent_connections_to_the_store() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -138,6 +138,7 @@
     pub engines: Vec<Process>,
     pub backends: Vec<Process>,
     pub routers: Vec<Process>,
+    domains: Vec<String>,
     folder: tempfile::TempDir,
 }
 
@@ -165,6 +166,7 @@
             engines: Vec::new(),
             backends: Vec::new(),
             routers: Vec::new(),
+            domains: Vec::new(),
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -251,7 +253,7 @@
         let split_path = self.path(&format!("split-{index}.ini"));
         std::fs::write(&split_path, split).unwrap();
         let settings = format!("split = {split_path}\n{settings}");
-        let address = self.start_router(index, &settings);
+        let address = self.start_router(index, &domain(index), &settings);
         wait_until("the router has its settings", || is_ready(&address));
         wait_until("the router sees the engines", || {
             known_engines(&address) >= engines
@@ -261,34 +263,39 @@
 
     /// Starts a router that takes its split from the store or from peers; returns its index.
     pub fn published_router(&mut self, settings: &str) -> usize {
+        let domain = domain(self.routers.len());
+        self.published_router_in(&domain, settings)
+    }
+
+    /// Starts such a router in a failure domain; returns its index.
+    pub fn published_router_in(&mut self, domain: &str, settings: &str) -> usize {
         let index = self.routers.len();
-        self.start_router(index, settings);
+        self.start_router(index, domain, settings);
         index
     }
 
-    fn start_router(&mut self, index: usize, settings: &str) -> String {
+    fn start_router(&mut self, index: usize, domain: &str, settings: &str) -> String {
         let host = format!(
             "[host]\nname = router-{index}\nfailure_domain = {}\nlisten = 127.0.0.1:0\n\
              peer_listen = 127.0.0.1:0\nstore = http://{}\nmembers = http://{}\n\
              key = {PEER_KEY}\n{settings}",
-            domain(index),
-            self.store.address,
-            self.members.address,
+            domain, self.store.address, self.members.address,
         );
         std::fs::write(self.path(&format!("host-{index}.ini")), host).unwrap();
-        let router = self.router_process(index);
+        let router = self.router_process(index, domain);
         let address = router.address.clone();
         self.routers.push(router);
+        self.domains.push(domain.into());
         address
     }
 
     /// Kills a router and starts it again with its settings.
     pub fn restart_router(&mut self, index: usize) {
         self.routers[index].kill();
-        self.routers[index] = self.router_process(index);
+        self.routers[index] = self.router_process(index, &self.domains[index]);
     }
 
-    fn router_process(&self, index: usize) -> Process {
+    fn router_process(&self, index: usize, domain: &str) -> Process {
         let host = self.path(&format!("host-{index}.ini"));
         let router = Process::start(&["serve", "-c", &host]);
         self.list_member(&Member {
@@ -296,7 +303,7 @@
             kind: Kind::Router,
             address: router.address.as_str().into(),
             peer_address: router.field("peer_address").map(Into::into),
-            failure_domain: domain(index).into(),
+            failure_domain: domain.into(),
             region: "default".into(),
             state: Listing::Live,
             service: "".into(),
