Tell the next holder of the lease which orders are under way

Cause: a new holder could order a second engine of a model while the first one, ordered by the holder before, was still loading. Change: the holder writes the engines with orders under way into the lease before it gives an order; the next holder begins with these engines. Conclusion: one engine of a model at a time also holds across holders.

--- a/src/orders/plan.rs
+++ b/src/orders/plan.rs
@@ -58,23 +58,33 @@
     given: BTreeMap<CompactString, Given>,
     // Ids that an engine accepted, but whose effect did not show in time: they are used up.
     used: BTreeSet<CompactString>,
+    // Engines to which the holder before was giving orders; they come first, because one of them
+    // may be out of service already.
+    inherited: BTreeSet<CompactString>,
     next_load: Instant,
 }
 
 impl Plan {
-    /// Creates the plan of a host that took the lease at `now`.
+    /// Creates the plan of a host that took the lease at `now`; `inherited` are the engines that the
+    /// holder before had under way.
     ///
     /// The first load waits for a whole interval, because the holder before may just have given
     /// one.
-    pub fn new(split: &Split, now: Instant) -> Self {
+    pub fn new(split: &Split, inherited: BTreeSet<CompactString>, now: Instant) -> Self {
         Self {
             given: BTreeMap::new(),
             used: BTreeSet::new(),
+            inherited,
             next_load: now + interval(split),
         }
     }
 
-    /// Returns the orders to give now: at most one for each model, and one for the weight store.
+    /// Returns the engines that have orders under way.
+    pub fn under_way(&self) -> impl Iterator<Item = &CompactString> {
+        self.given.keys()
+    }
+
+    /// Returns the order to give now; each model has one under way at most.
     pub fn next(
         &mut self,
         split: &Split,
@@ -133,7 +143,10 @@
         let due = engines
             .iter()
             .filter_map(|engine| Some((engine, missing(engine, name, model)?)));
-        let (engine, action) = due.min_by_key(|(engine, _)| (serves(engine), &engine.name))?;
+        let (engine, action) = due.min_by_key(|(engine, _)| {
+            let is_inherited = self.inherited.contains(&engine.name);
+            (!is_inherited, serves(engine), &engine.name)
+        })?;
         if serves(engine) && serving <= floor {
             return None;
         }
@@ -278,7 +291,7 @@
         ];
         for (engines, expected) in cases {
             let start = Instant::now();
-            let mut plan = Plan::new(&split("2"), start);
+            let mut plan = Plan::new(&split("2"), BTreeSet::new(), start);
             assert_eq!(
                 plan.next(&split("2"), 7, &engines, start),
                 None,
@@ -294,7 +307,7 @@
         }
     }
 
-    /// Guards against two engines that change at once, a rate above the weight store's, and ids
+    /// Guards against two engines that change at once, also after a change of the holder, a rate above the weight store's, and ids
     /// that differ between holders or stay when an order had no effect.
     #[test]
     fn one_at_a_time_under_one_id() {
@@ -304,10 +317,14 @@
             engine("a", "1", &["fog"], false),
             engine("b", "1", &["fog"], false),
         ];
-        let mut plan = Plan::new(&split, start);
+        let mut plan = Plan::new(&split, BTreeSet::new(), start);
         let first = plan.next(&split, 7, &engines, second(start, 1)).unwrap();
-        let other = Plan::new(&split, start).next(&split, 7, &engines, second(start, 1));
+        let other =
+            Plan::new(&split, BTreeSet::new(), start).next(&split, 7, &engines, second(start, 1));
         assert_eq!(Some(&first), other.as_ref());
+        let mut heir = Plan::new(&split, BTreeSet::from(["b".into()]), start);
+        let next = heir.next(&split, 7, &engines, second(start, 1)).unwrap();
+        assert_eq!(next.engine, "b");
         plan.begin(&split, &first, second(start, 1));
         plan.answered("a", false);
         assert_eq!(plan.next(&split, 7, &engines, second(start, 1)), None);
--- a/src/orders/task.rs
+++ b/src/orders/task.rs
@@ -20,7 +20,7 @@
 use crate::http::client::{Connection, post_json};
 use crate::router::Router;
 use crate::store::lease::{Lease, Terms};
-use crate::store::objects::{Client, Condition, Objects};
+use crate::store::objects::{self, Client, Condition, Objects};
 use crate::supervisor::Signal;
 use crate::util::{unix_ms, within};
 use crate::wire::{Kind, Listing};
@@ -184,7 +184,9 @@
             let now = clock::System.now();
             let is_new = plan.as_ref().is_none_or(|(of, _)| *of != fencing);
             if is_new {
-                *plan = Some((fencing, Plan::new(&split, now)));
+                let inherited = self.lease.inherited();
+                let inherited = inherited.split_whitespace().map(Into::into).collect();
+                *plan = Some((fencing, Plan::new(&split, inherited, now)));
             }
             plan.as_mut()
                 .and_then(|(_, plan)| plan.next(&split, revision, &engines, now))
@@ -229,7 +231,10 @@
             action: next.action.clone(),
         };
         self.is_giving.set(true);
-        let outcome = self.send(&next.address, &order).await;
+        let outcome = match self.announce().await {
+            Ok(()) => self.send(&next.address, &order).await,
+            Err(err) => Outcome::Failed(err.to_string()),
+        };
         self.is_giving.set(false);
         self.with_plan(|plan, _| {
             plan.answered(&next.engine, matches!(outcome, Outcome::Accepted));
@@ -254,6 +259,16 @@
         }
     }
 
+    /// Tells the next holder which engines have orders under way, before one is given.
+    async fn announce(&self) -> Result<(), objects::Error> {
+        let mut note = String::new();
+        self.with_plan(|plan, _| {
+            let names: Vec<_> = plan.under_way().map(CompactString::as_str).collect();
+            note = names.join(" ");
+        });
+        self.lease.announce(note).await
+    }
+
     async fn send(&self, address: &str, order: &Order) -> Outcome {
         let failed = |err: crate::http::client::Error| Outcome::Failed(err.to_string());
         let mut connection = match Connection::open(address, CALL_LIMIT).await {
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -5,7 +5,7 @@
 //! present version, and waits for the whole lease and a bound. Both use their own monotonic clock
 //! only, so no two hosts act at once unless their clocks drift by more than a bound over a lease.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -40,6 +40,9 @@
     pub renewal: u64,
     /// Wall-clock end in milliseconds since the Unix epoch, for operators only.
     pub expires_at_ms: u64,
+    /// What the holder tells the next one.
+    #[serde(default)]
+    pub note: String,
     /// Whether the holder gave the lease up before its end.
     #[serde(default)]
     pub released: bool,
@@ -72,6 +75,9 @@
     held: Cell<Option<Held>>,
     seen: Cell<Option<Seen>>,
     renewals: Cell<u64>,
+    note: RefCell<String>,
+    stored_note: RefCell<String>,
+    inherited: RefCell<String>,
 }
 
 impl<O: Objects, C: Clock> Lease<O, C> {
@@ -87,6 +93,32 @@
             held: Cell::new(None),
             seen: Cell::new(None),
             renewals: Cell::new(0),
+            note: RefCell::default(),
+            stored_note: RefCell::default(),
+            inherited: RefCell::default(),
+        }
+    }
+
+    /// Returns the note of the holder before this one.
+    pub fn inherited(&self) -> String {
+        self.inherited.borrow().clone()
+    }
+
+    /// Writes a note for the next holder.
+    ///
+    /// # Errors
+    /// It is not certain that the store holds the note.
+    pub async fn announce(&self, note: String) -> Result<(), Error> {
+        if *self.stored_note.borrow() == note {
+            return Ok(());
+        }
+        let held = self.held.get().ok_or(Error::Conflict)?;
+        self.note.replace(note.clone());
+        self.renew(held).await?;
+        // A renewal that was under way can have won with the note before.
+        match *self.stored_note.borrow() == note {
+            true => Ok(()),
+            false => Err(Error::Conflict),
         }
     }
 
@@ -150,6 +182,7 @@
             fencing,
             renewal: self.renewals.get(),
             expires_at_ms: unix_ms(self.clock.wall() + self.terms.length),
+            note: self.note.borrow().clone(),
             released: false,
         }
     }
@@ -172,6 +205,7 @@
             }
             Err(err) => return Err(err),
         };
+        self.stored_note.replace(record.note);
         self.hold(fencing, version, since);
         Ok(())
     }
@@ -205,6 +239,7 @@
                 Some(held) => held.since,
                 None => self.clock.now() - self.terms.length,
             };
+            self.stored_note.replace(found.note);
             self.hold(found.fencing, version, since);
             return Ok(());
         }
@@ -239,6 +274,8 @@
         let waited = self.clock.now().duration_since(seen.at);
         let is_over = waited >= self.terms.length + self.terms.bound;
         if version == seen.version && (is_over || found.released) {
+            self.note.replace(found.note.clone());
+            self.inherited.replace(found.note);
             return self.write(found.fencing + 1, Condition::Is(version)).await;
         }
         Ok(())
@@ -301,7 +338,7 @@
         });
     }
 
-    /// Guards against a wait that a renewal does not start again.
+    /// Guards against a wait that a renewal does not start again, and against a lost note.
     #[test]
     fn renewals_keep_others_out() {
         block_on(async {
@@ -313,9 +350,12 @@
                 assert_eq!((old.fencing(), new.fencing()), (Some(1), None));
                 clock.advance(Duration::from_secs(1));
             }
+            old.announce("engine-7".into()).await.unwrap();
             old.release().await;
             new.step().await.unwrap();
             assert_eq!((old.fencing(), new.fencing()), (None, Some(2)));
+            assert_eq!(new.inherited(), "engine-7");
+            old.announce("engine-8".into()).await.unwrap_err();
         });
     }
 
