--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -59,6 +59,7 @@
             "backends": router.backends.borrow().overview(),
             "ranges": router.claims.as_ref().map(|claims| claims.held()),
             "config": router.config.overview(),
+            "orders": router.orders.overview(),
             "dispatch": router.dispatch.overview().await,
         })),
         (&Method::GET, "report") => json_response(&router.burns()),
