Leave places to urgent work and to callers below their share

Change: callers that run more than 1.25 times their part, and routine work while urgent callers are active, leave one place in sixteen of each engine free and do not wait in engines' queues. The bench reports the parts of the capacity that routine and all work got. benches/fairness.rs measures the decision and small callers.

--- /dev/null
+++ b/benches/fairness.rs
@@ -0,0 +1,347 @@
+//! Cost of a decision at full size, and small callers beside a large one.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bilberrypost::clock::Manual;
+use bilberrypost::config::split::{Partner, Split, Team, key_digest};
+use bilberrypost::load::client::{self, Call};
+use bilberrypost::route::fleet::{Fleet, Need};
+use bilberrypost::sched::scheduler::{Scheduler, Ticket, Work};
+use bilberrypost::wire::{self, Rank};
+use compact_str::format_compact;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Map, Value, json};
+use support::Cluster;
+
+const SEED: u64 = 13;
+
+/// Teams and engines of the design's full size.
+const TEAMS: usize = 420;
+const DESIGN_ENGINES: usize = 12_000;
+
+/// Decisions of which the median is taken.
+const DECISIONS: usize = 2_000;
+
+/// Requests of each team that wait during the decisions.
+const WAITING: usize = 6;
+
+const PARTNERS: usize = 6;
+
+/// Shape of the smaller user: 20 engines, 6 routers.
+const ENGINES: usize = 20;
+const ROUTERS: usize = 6;
+const SLOTS: u32 = 16;
+
+/// Step of an engine with an empty batch, and what each stream adds: the default shape, slowed
+/// until a token of a full batch takes 32 of the 41 ms allowed, to spare the machine.
+const STEP_US: u32 = 21_000;
+const STEP_PER_STREAM_US: u32 = 700;
+
+const TOKENS: (u32, u32) = (40, 120);
+
+/// Small callers, their joint load in parts of the capacity, and what one other asks more than one
+/// of them.
+const SMALL: usize = 10;
+const SMALL_LOAD: f64 = 0.4;
+const LARGE_FACTOR: f64 = 20.0;
+
+const WARM: Duration = Duration::from_secs(8);
+const MEASURE: Duration = Duration::from_secs(30);
+
+/// Time that counts for a request that got no answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A scheduler with waiting work, and engines with free places.
+struct Decisions {
+    scheduler: Scheduler<Manual>,
+    fleet: Fleet<Manual>,
+    split: Split,
+    rng: StdRng,
+}
+
+impl Decisions {
+    fn new(teams: usize, engines: usize) -> Self {
+        let clock = Manual::default();
+        let mut split = Split::default();
+        for partner in 0..PARTNERS {
+            let cost_share = 10 + partner as u32;
+            let partner = Partner {
+                share: cost_share,
+                cost_share,
+            };
+            split
+                .partners
+                .insert(format_compact!("p{cost_share}"), partner);
+        }
+        for team in 0..teams {
+            let team_of = Team {
+                partner: format_compact!("p{}", 10 + team % PARTNERS),
+                weight: 1 + team as u32 % 3,
+            };
+            split.teams.insert(format_compact!("t{team}"), team_of);
+        }
+        let mut fleet = Fleet::new(clock.clone(), "fd-0".into());
+        let members: Vec<_> = (0..engines).map(member).collect();
+        fleet.set_members(&members);
+        let keys: Vec<_> = fleet.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            fleet.set_status(key, &status());
+        }
+        let mut decisions = Self {
+            scheduler: Scheduler::new(clock),
+            fleet,
+            split,
+            rng: StdRng::seed_from_u64(SEED),
+        };
+        for team in 0..teams {
+            for _ in 0..WAITING {
+                decisions.submit(team);
+            }
+        }
+        decisions
+    }
+
+    fn submit(&mut self, team: usize) {
+        let rank = [Rank::Urgent, Rank::Routine][self.rng.random_range(0..2)];
+        let work = Work {
+            partner: format_compact!("p{}", 10 + team % PARTNERS),
+            team: format_compact!("t{team}"),
+            caller: format_compact!("c{}", self.rng.random_range(0..4)),
+            rank,
+            need: Need {
+                model: "atlas".into(),
+                blocks: (0..16).map(|block| (team * 100 + block) as u64).collect(),
+                ..Need::default()
+            },
+            prompt_tokens: 1024,
+            max_tokens: self.rng.random_range(50..500),
+        };
+        self.scheduler
+            .submit(work, &self.split)
+            .expect("the queues have room");
+    }
+
+    /// Returns the time of one decision, with the choice of the engine.
+    fn decide(&mut self) -> (Duration, Ticket) {
+        let started = Instant::now();
+        let start = self.scheduler.next(&self.fleet).expect("a place is free");
+        (started.elapsed(), start.ticket)
+    }
+
+    /// Returns the median time of a decision in microseconds.
+    fn median_us(&mut self) -> f64 {
+        let mut times: Vec<_> = (0..DECISIONS)
+            .map(|_| {
+                let (time, ticket) = self.decide();
+                let (_, work) = self.scheduler.get(ticket).expect("it runs");
+                let team = work.team[1..].parse().expect("teams have numbers");
+                self.scheduler.progress(ticket, 60);
+                self.scheduler.remove(ticket);
+                self.submit(team);
+                time
+            })
+            .collect();
+        times.sort();
+        times[DECISIONS / 2].as_secs_f64() * 1e6
+    }
+}
+
+fn member(index: usize) -> wire::Member {
+    wire::Member {
+        name: format_compact!("engine-{index}"),
+        kind: wire::Kind::Engine,
+        address: format_compact!("127.0.0.1:{}", 1 + index % 60_000),
+        peer_address: None,
+        failure_domain: format_compact!("fd-{}", index % 31),
+        region: "default".into(),
+        state: wire::Listing::Live,
+        service: "atlas".into(),
+    }
+}
+
+fn status() -> wire::Status {
+    wire::Status {
+        name: "engine".into(),
+        failure_domain: "fd-0".into(),
+        models: vec![wire::Model {
+            model: "atlas".into(),
+            version: "1".into(),
+            adapters: Vec::new(),
+        }],
+        role: "serve".into(),
+        slots: 16,
+        load: wire::Load::default(),
+        leaving: false,
+        next_seq: 0,
+        events: Vec::new(),
+    }
+}
+
+/// Measures a decision alone, with how it grows; returns the figure at full size.
+fn decisions(result: &mut Map<String, Value>) {
+    println!("teams  engines  decision us");
+    let grid = [
+        (42, 64),
+        (TEAMS, 64),
+        (42, 1_000),
+        (TEAMS, 1_000),
+        (TEAMS, 4_000),
+        (TEAMS, DESIGN_ENGINES),
+    ];
+    let mut last = 0.0;
+    for (teams, engines) in grid {
+        last = Decisions::new(teams, engines).median_us();
+        println!("{teams:5}  {engines:7}  {last:.2}");
+    }
+    result.insert(
+        "decision_us_420x12000".into(),
+        json!((last * 100.0).round() / 100.0),
+    );
+}
+
+fn small_split() -> String {
+    let mut text = String::from(
+        "[partner niederbach]\nshare = 1\n[team lanes]\npartner = niederbach\n\
+         [model atlas]\nversion = 1\n[rank routine]\nqueue_limit_ms = 10000\n",
+    );
+    for caller in 0..=SMALL {
+        let digest = key_digest(&key(caller));
+        text += &format!("[caller c{caller}]\nteam = lanes\nkey_sha256 = {digest}\n");
+    }
+    text
+}
+
+fn key(caller: usize) -> String {
+    format!("key-of-caller-{caller}")
+}
+
+fn capacity() -> f64 {
+    let step_us = STEP_US + STEP_PER_STREAM_US * SLOTS;
+    (ENGINES as u32 * SLOTS) as f64 * 1e6 / f64::from(step_us)
+}
+
+/// Sends the requests of all callers to one router; returns the times to the first token of small
+/// callers that were measured, `PATIENCE` for those without an answer.
+async fn send(address: String, large_factor: f64, router: u64) -> Vec<Duration> {
+    let mut rng = StdRng::seed_from_u64(SEED + router);
+    let of_small = SMALL_LOAD * capacity() * 2.0 / f64::from(TOKENS.0 + TOKENS.1);
+    let per_caller = of_small / SMALL as f64;
+    let per_s = (of_small + large_factor * per_caller) / ROUTERS as f64;
+    let small_part = of_small / (of_small + large_factor * per_caller);
+    let seen: Rc<RefCell<Vec<Duration>>> = Rc::default();
+    let mut tasks = Vec::new();
+    let mut planned = 0;
+    let started = Instant::now();
+    let mut at = 0.0;
+    while at < (WARM + MEASURE).as_secs_f64() {
+        at += -rng.random_range(f64::EPSILON..1.0).ln() / per_s;
+        let instant = started + Duration::from_secs_f64(at);
+        compio::time::sleep(instant.saturating_duration_since(Instant::now())).await;
+        let is_small = rng.random_bool(small_part);
+        let caller = match is_small {
+            true => rng.random_range(0..SMALL),
+            false => SMALL,
+        };
+        let seed = rng.random();
+        let call = Call {
+            key: key(caller),
+            prompt: format!("When is a lane free? {seed:x}"),
+            max_tokens: rng.random_range(TOKENS.0..=TOKENS.1),
+            seed,
+            patience: 2 * PATIENCE,
+            ..support::call("", 1, 1)
+        };
+        let is_measured = is_small && at > WARM.as_secs_f64();
+        planned += usize::from(is_measured);
+        let (address, seen) = (address.clone(), seen.clone());
+        let task = compio::runtime::spawn(async move {
+            let answer = client::complete(&address, &call).await;
+            let first = answer.first_token.filter(|_| answer.complete);
+            if let (true, Some(first)) = (is_measured, first) {
+                seen.borrow_mut().push(first);
+            }
+        });
+        tasks.push((is_measured, task));
+    }
+    let until = Instant::now() + PATIENCE;
+    for (_, task) in tasks.iter_mut().filter(|(is_measured, _)| *is_measured) {
+        let left = until.saturating_duration_since(Instant::now());
+        let _ = compio::time::timeout(left, task).await;
+    }
+    let mut seen = seen.take();
+    seen.resize(planned, PATIENCE);
+    seen
+}
+
+/// Returns the p95 time to the first token of small callers in milliseconds.
+fn small_ttft_ms(settings: &str, large_factor: f64) -> f64 {
+    let mut cluster = Cluster::start();
+    let (slots, step, per_stream) = (
+        SLOTS.to_string(),
+        STEP_US.to_string(),
+        STEP_PER_STREAM_US.to_string(),
+    );
+    for _ in 0..ENGINES {
+        cluster.engine(&[
+            "--slots",
+            &slots,
+            "--step-us",
+            &step,
+            "--step-per-stream-us",
+            &per_stream,
+        ]);
+    }
+    for _ in 0..ROUTERS {
+        cluster.router_with(&small_split(), ENGINES, settings);
+    }
+    let threads: Vec<_> = (0..ROUTERS)
+        .map(|index| {
+            let address = cluster.routers[index].address.clone();
+            let sending = move || support::block_on(send(address, large_factor, index as u64));
+            std::thread::spawn(sending)
+        })
+        .collect();
+    let mut seen: Vec<_> = threads
+        .into_iter()
+        .flat_map(|thread| thread.join().expect("the load ran"))
+        .collect();
+    seen.sort();
+    let at = |part: f64| seen[(part * (seen.len() - 1) as f64) as usize].as_secs_f64() * 1e3;
+    println!(
+        "{}large x{large_factor}: {} small requests, p50 {:.0} ms, p95 {:.0} ms, p99 {:.0} ms",
+        settings.replace('\n', ", "),
+        seen.len(),
+        at(0.5),
+        at(0.95),
+        at(0.99)
+    );
+    at(0.95)
+}
+
+/// Measures small callers with and without a large one.
+fn small_callers(result: &mut Map<String, Value>) {
+    for (name, settings) in [
+        ("small_ttft_ratio", ""),
+        ("baseline_small_ttft_ratio", "scheduler = fifo\n"),
+    ] {
+        let alone = small_ttft_ms(settings, 0.0);
+        let beside = small_ttft_ms(settings, LARGE_FACTOR);
+        let ratio = beside / alone;
+        result.insert(name.into(), json!((ratio * 100.0).round() / 100.0));
+    }
+}
+
+fn main() {
+    println!("seed {SEED}");
+    let mut result = Map::new();
+    result.insert("seed".into(), json!(SEED));
+    decisions(&mut result);
+    small_callers(&mut result);
+    println!("{}", Value::Object(result));
+}
--- /dev/null
+++ b/benches/ranks.rs
@@ -0,0 +1,377 @@
+//! Time to first token of urgent work within its share, with routine work at three times the
+//! fleet's capacity and then with urgent work itself flooding.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bilberrypost::config::split::key_digest;
+use bilberrypost::emulate::engine::Totals;
+use bilberrypost::load::client::{self, Call};
+use bilberrypost::wire::Rank;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use support::{Cluster, get};
+
+const SEED: u64 = 11;
+
+const ROUTERS: usize = 6;
+
+const ENGINES: usize = 35;
+
+const SLOTS: u32 = 16;
+
+/// Step of an engine with an empty batch, and what each stream adds: the default shape, slowed
+/// until a token of a full batch takes 32 of the 41 ms allowed, to spare the machine.
+const STEP_US: u32 = 21_000;
+
+const STEP_PER_STREAM_US: u32 = 700;
+
+/// Tokens of preamble that all requests of a team share.
+const PREAMBLE_TOKENS: usize = 1024;
+
+/// Prefix blocks of an engine's cache: the preambles of four of the ten teams.
+const CACHE_BLOCKS: &str = "64";
+
+/// Output tokens of routine and flooding work, and of urgent work within its share.
+const LONG: (u32, u32) = (60, 180);
+const SHORT: (u32, u32) = (20, 60);
+
+/// Load in parts of the fleet's capacity.
+const FLOOD: f64 = 3.0;
+const URGENT: f64 = 0.2;
+
+/// Load before each measurement, until queues are full.
+const WARM: Duration = Duration::from_secs(6);
+
+const MEASURE: Duration = Duration::from_secs(12);
+
+/// Time that counts for a request that was refused or failed, and longest wait for the last ones.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Partner, team, and its part of the routine work; two teams are large.
+const TEAMS: [(&str, &str, f64); 10] = [
+    ("a", "a1", 0.40),
+    ("a", "a2", 0.05),
+    ("a", "a3", 0.05),
+    ("a", "a4", 0.03),
+    ("b", "b1", 0.25),
+    ("b", "b2", 0.05),
+    ("b", "b3", 0.05),
+    ("c", "c1", 0.04),
+    ("c", "c2", 0.04),
+    ("c", "c3", 0.04),
+];
+
+/// Team whose urgent work floods.
+const FLOODING: usize = 0;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    Routine,
+    Urgent,
+    Flood,
+}
+
+#[derive(Clone, Debug)]
+struct Arrival {
+    at: Duration,
+    team: usize,
+    kind: Kind,
+    tokens: u32,
+    seed: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: Duration,
+    /// When it ended.
+    ended: Duration,
+    tokens: u32,
+    kind: Kind,
+    /// Time to the first token, if there was one.
+    first: Option<Duration>,
+    /// Tokens in the wrong place.
+    wrong: u32,
+}
+
+fn capacity() -> f64 {
+    let step_us = STEP_US + STEP_PER_STREAM_US * SLOTS;
+    (ENGINES as u32 * SLOTS) as f64 * 1e6 / f64::from(step_us)
+}
+
+/// Draws the arrivals of one kind of work with `load` parts of the capacity.
+fn arrivals(
+    kind: Kind,
+    load: f64,
+    (from, to): (Duration, Duration),
+    teams: &[(usize, f64)],
+    rng: &mut StdRng,
+) -> Vec<Arrival> {
+    let (least, most) = match kind {
+        Kind::Urgent => SHORT,
+        Kind::Routine | Kind::Flood => LONG,
+    };
+    let per_s = load * capacity() * 2.0 / f64::from(least + most);
+    let total: f64 = teams.iter().map(|(_, weight)| weight).sum();
+    let mut drawn = Vec::new();
+    let mut at = from.as_secs_f64();
+    loop {
+        at += -rng.random_range(f64::EPSILON..1.0).ln() / per_s;
+        if at >= to.as_secs_f64() {
+            return drawn;
+        }
+        let mut left = rng.random_range(0.0..total);
+        let chosen = teams.iter().find(|(_, weight)| {
+            left -= weight;
+            left < 0.0
+        });
+        drawn.push(Arrival {
+            at: Duration::from_secs_f64(at),
+            team: chosen.unwrap_or(&teams[0]).0,
+            kind,
+            tokens: rng.random_range(least..=most),
+            seed: rng.random(),
+        });
+    }
+}
+
+/// First measurement: routine work floods. Second: urgent work of one team does.
+fn plan() -> Vec<Arrival> {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let half = WARM + MEASURE;
+    let routine: Vec<_> = (0..TEAMS.len()).map(|team| (team, TEAMS[team].2)).collect();
+    let all: Vec<_> = (0..TEAMS.len()).map(|team| (team, 1.0)).collect();
+    let others: Vec<_> = all[..]
+        .iter()
+        .filter(|(team, _)| *team != FLOODING)
+        .copied()
+        .collect();
+    let first = (Duration::ZERO, half);
+    let second = (half, 2 * half);
+    let mut plan = arrivals(Kind::Routine, FLOOD, first, &routine, &mut rng);
+    plan.extend(arrivals(Kind::Urgent, URGENT, first, &all, &mut rng));
+    plan.extend(arrivals(Kind::Routine, 1.0, second, &routine, &mut rng));
+    plan.extend(arrivals(
+        Kind::Flood,
+        FLOOD,
+        second,
+        &[(FLOODING, 1.0)],
+        &mut rng,
+    ));
+    plan.extend(arrivals(Kind::Urgent, URGENT, second, &others, &mut rng));
+    plan.sort_by_key(|arrival| arrival.at);
+    plan
+}
+
+fn key(team: usize) -> String {
+    format!("key-of-{}", TEAMS[team].1)
+}
+
+fn split() -> String {
+    let mut text = String::from(
+        "[partner a]\nshare = 50\n[partner b]\nshare = 30\n[partner c]\nshare = 20\n\
+         [model atlas]\nversion = 1\n\
+         [rank urgent]\nqueue_limit_ms = 10000\n[rank routine]\nqueue_limit_ms = 15000\n",
+    );
+    for (index, (partner, team, _)) in TEAMS.iter().enumerate() {
+        let digest = key_digest(&key(index));
+        text += &format!(
+            "[team {team}]\npartner = {partner}\n\
+             [caller {team}]\nteam = {team}\nmay_be_urgent = yes\nkey_sha256 = {digest}\n"
+        );
+    }
+    text
+}
+
+fn call(arrival: &Arrival) -> Call {
+    let team = TEAMS[arrival.team].1;
+    let preamble = format!("Rules of team {team}. ").repeat(PREAMBLE_TOKENS * 4 / 18);
+    Call {
+        key: key(arrival.team),
+        prompt: format!("{preamble}Notes {:x}.", arrival.seed),
+        max_tokens: arrival.tokens,
+        seed: arrival.seed,
+        rank: match arrival.kind {
+            Kind::Routine => Rank::Routine,
+            Kind::Urgent | Kind::Flood => Rank::Urgent,
+        },
+        patience: 2 * PATIENCE,
+        ..support::call("", 1, 1)
+    }
+}
+
+/// Sends the arrivals of one router, and waits for those that are measured.
+async fn send(address: String, arrivals: Vec<Arrival>, started: Instant) -> Vec<Seen> {
+    let seen: Rc<RefCell<Vec<Seen>>> = Rc::default();
+    let mut tasks = Vec::new();
+    for arrival in arrivals {
+        let wait = (started + arrival.at).saturating_duration_since(Instant::now());
+        compio::time::sleep(wait).await;
+        let (address, seen) = (address.clone(), seen.clone());
+        let is_measured = arrival.kind == Kind::Urgent;
+        let task = compio::runtime::spawn(async move {
+            let answer = client::complete(&address, &call(&arrival)).await;
+            seen.borrow_mut().push(Seen {
+                at: arrival.at,
+                ended: started.elapsed(),
+                tokens: answer.tokens,
+                kind: arrival.kind,
+                first: answer.first_token.filter(|_| answer.complete),
+                wrong: answer.missing + answer.repeated + answer.foreign,
+            });
+        });
+        tasks.push((is_measured, task));
+    }
+    let until = Instant::now() + PATIENCE;
+    for (_, task) in tasks.iter_mut().filter(|(is_measured, _)| *is_measured) {
+        let left = until.saturating_duration_since(Instant::now());
+        let _ = compio::time::timeout(left, task).await;
+    }
+    seen.take()
+}
+
+#[derive(Debug)]
+struct Outcome {
+    /// p50 and p95 of the two measurements in milliseconds.
+    p50_ms: [f64; 2],
+    p95_ms: [f64; 2],
+    /// Urgent requests within their share, and those that got no answer.
+    urgent: [usize; 2],
+    unserved: [usize; 2],
+    /// Tokens of the routine and of all requests that ended, in percent of the capacity.
+    routine_percent: [f64; 2],
+    all_percent: [f64; 2],
+    hit_percent: f64,
+    cancelled: u64,
+}
+
+fn run(settings: &str) -> Outcome {
+    let mut cluster = Cluster::start();
+    let (slots, step, per_stream) = (
+        SLOTS.to_string(),
+        STEP_US.to_string(),
+        STEP_PER_STREAM_US.to_string(),
+    );
+    for _ in 0..ENGINES {
+        cluster.engine(&[
+            "--slots",
+            &slots,
+            "--step-us",
+            &step,
+            "--step-per-stream-us",
+            &per_stream,
+            "--cache-blocks",
+            CACHE_BLOCKS,
+        ]);
+    }
+    for _ in 0..ROUTERS {
+        cluster.router_with(&split(), ENGINES, settings);
+    }
+    let plan = plan();
+    let started = Instant::now() + Duration::from_millis(200);
+    let threads: Vec<_> = (0..ROUTERS)
+        .map(|index| {
+            let address = cluster.routers[index].address.clone();
+            let own = plan.iter().skip(index).step_by(ROUTERS).cloned().collect();
+            std::thread::spawn(move || support::block_on(send(address, own, started)))
+        })
+        .collect();
+    let seen: Vec<Seen> = threads
+        .into_iter()
+        .flat_map(|thread| thread.join().expect("the load ran"))
+        .collect();
+    outcome(&cluster, &plan, &seen)
+}
+
+fn outcome(cluster: &Cluster, plan: &[Arrival], seen: &[Seen]) -> Outcome {
+    let wrong: u32 = seen.iter().map(|seen| seen.wrong).sum();
+    assert_eq!(wrong, 0, "tokens were missing, repeated or mixed");
+    let half = WARM + MEASURE;
+    let in_window =
+        |at: Duration, window: u32| at >= half * window + WARM && at < half * (window + 1);
+    let mut outcome = Outcome {
+        p50_ms: [0.0; 2],
+        p95_ms: [0.0; 2],
+        urgent: [0; 2],
+        unserved: [0; 2],
+        routine_percent: [0.0; 2],
+        all_percent: [0.0; 2],
+        hit_percent: 0.0,
+        cancelled: 0,
+    };
+    for window in 0..2 {
+        let index = window as usize;
+        let of_kind = |kind| {
+            seen.iter()
+                .filter(move |seen| seen.kind == kind && in_window(seen.at, window))
+        };
+        let mut firsts: Vec<_> = of_kind(Kind::Urgent)
+            .filter_map(|seen| seen.first)
+            .collect();
+        let planned = plan.iter().filter(|arrival| arrival.kind == Kind::Urgent);
+        let planned = planned
+            .filter(|arrival| in_window(arrival.at, window))
+            .count();
+        outcome.urgent[index] = planned;
+        outcome.unserved[index] = planned - firsts.len();
+        let percent = |counts: fn(&Seen) -> bool| {
+            let ended = seen.iter().filter(|seen| in_window(seen.ended, window));
+            let tokens: u32 = ended
+                .filter(|seen| counts(seen))
+                .map(|seen| seen.tokens)
+                .sum();
+            100.0 * f64::from(tokens) / (capacity() * MEASURE.as_secs_f64())
+        };
+        outcome.routine_percent[index] = percent(|seen| seen.kind == Kind::Routine);
+        outcome.all_percent[index] = percent(|_| true);
+        firsts.resize(planned, PATIENCE);
+        firsts.sort();
+        let at = |part: f64| firsts[(part * (planned - 1) as f64) as usize].as_secs_f64() * 1e3;
+        outcome.p50_ms[index] = at(0.50);
+        outcome.p95_ms[index] = at(0.95);
+    }
+    let (mut cached, mut prefilled) = (0, 0);
+    for engine in &cluster.engines {
+        let totals: Totals = get(&engine.address, "/v1/emulation/totals");
+        cached += totals.cached;
+        prefilled += totals.prefilled;
+        outcome.cancelled += totals.cancelled;
+    }
+    outcome.hit_percent = 100.0 * cached as f64 / (cached + prefilled).max(1) as f64;
+    outcome
+}
+
+fn worst(values: [f64; 2]) -> f64 {
+    values[0].max(values[1])
+}
+
+fn main() {
+    println!("seed {SEED}, capacity {:.0} tokens/s", capacity());
+    let cases = [
+        ("queue", "preemption = queue\n"),
+        ("pause", "preemption = pause\n"),
+        ("wait", "preemption = wait\n"),
+        ("first come", "scheduler = fifo\n"),
+        ("least loaded", "scheduler = fifo\nroute = least_loaded\n"),
+    ];
+    let outcomes = cases.map(|(name, settings)| {
+        let outcome = run(settings);
+        println!("{name}: {outcome:?}");
+        outcome
+    });
+    let [ours, _, _, first_come, least_loaded] = &outcomes;
+    let baseline = worst(first_come.p95_ms).min(worst(least_loaded.p95_ms));
+    let result = json!({
+        "seed": SEED,
+        "urgent_ttft_p95_ms": worst(ours.p95_ms).round(),
+        "baseline_urgent_ttft_p95_ms": baseline.round(),
+        "prefix_hit_percent": (10.0 * ours.hit_percent).round() / 10.0,
+        "baseline_prefix_hit_percent": (10.0 * least_loaded.hit_percent).round() / 10.0,
+    });
+    println!("{result}");
+}
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -68,6 +68,27 @@
     pub excluded: Vec<Engine>,
 }
 
+/// How many of an engine's places new work may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Room {
+    /// All but one in sixteen.
+    Spare,
+    /// All.
+    Free,
+    /// All, and so many more may wait in the engine's own queue.
+    Queue(u32),
+}
+
+impl Room {
+    fn of(self, slots: u32) -> u32 {
+        match self {
+            Self::Spare => slots - slots / 16,
+            Self::Free => slots,
+            Self::Queue(more) => slots.saturating_add(more),
+        }
+    }
+}
+
 /// The engines known to this host.
 #[derive(Debug)]
 pub struct Fleet<C: Clock> {
@@ -212,18 +233,18 @@
 
     /// Chooses an engine with a free place.
     pub fn choose(&self, need: &Need) -> Option<Engine> {
-        self.choose_beyond(need, 0)
+        self.choose_with(need, Room::Free)
     }
 
-    /// Chooses an engine with a free place, or with less than `beyond` requests that wait there.
-    pub fn choose_beyond(&self, need: &Need, beyond: u32) -> Option<Engine> {
+    /// Chooses an engine that has room for new work.
+    pub fn choose_with(&self, need: &Need, room: Room) -> Option<Engine> {
         let now = self.clock.now();
         let usable = self.engines.iter().filter(|(key, engine)| {
             engine.takes_work(now)
                 && engine.fits(need)
                 && !need.excluded.contains(key)
-                && engine.own < engine.limit.saturating_add(beyond)
-                && engine.expected_load() < engine.slots + beyond
+                && engine.own < room.of(engine.limit)
+                && engine.expected_load() < room.of(engine.slots)
         });
         let score = |engine: &State| {
             let cached = engine.cached_blocks(&need.blocks) as f64;
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -7,12 +7,12 @@
 use slotmap::SlotMap;
 
 use super::lease::{Class, Demand, Grant, Want};
-use super::tree::{Path, Place, Tree};
+use super::tree::{Node, Path, Place, Tree};
 use crate::clock::Clock;
 use crate::config::host::{Order, Preemption};
 use crate::config::split::Split;
 use crate::http::problem::Reason;
-use crate::route::fleet::{self, Engine, Fleet, Need};
+use crate::route::fleet::{self, Engine, Fleet, Need, Room};
 use crate::wire::Rank;
 
 slotmap::new_key_type! {
@@ -44,6 +44,9 @@
 /// Time of waiting work after which the measured rate shows what the fleet can do.
 const RATE_SETTLED: Duration = Duration::from_secs(3);
 
+/// Time after its last request for which places are left to a caller.
+const ACTIVE: Duration = Duration::from_secs(10);
+
 /// Seconds of routine work that count towards its floor when urgent work comes.
 const FLOOR_CREDIT_S: f64 = 0.5;
 
@@ -155,7 +158,7 @@
     /// When output came last.
     output_at: Option<Instant>,
     /// Node of the caller that is charged.
-    caller: super::tree::Node,
+    caller: Node,
     pauses: u32,
     // When a paused request is given up; it goes first once `deadline` has passed.
     given_up: Option<Instant>,
@@ -180,6 +183,8 @@
     // Started requests that wait for another engine.
     resuming: BTreeMap<u64, Ticket>,
     meter: Meter,
+    // Active callers with the instant of their last request.
+    active: BTreeMap<Node, Instant>,
 }
 
 /// Decides which waiting work runs next, and on which engine.
@@ -325,6 +330,9 @@
             is_pausing: false,
         });
         pool.tree.hold(caller);
+        if pool.active.insert(caller, now).is_none() {
+            pool.tree.set_active(caller, true);
+        }
         let place = pool.tree.push(caller, ticket, expected);
         self.items[ticket].stage = Stage::Queued(place);
         self.deadlines.insert((now + limit, ticket));
@@ -390,8 +398,11 @@
             (Stage::Resuming(number), Some(pool)) => {
                 pool.resuming.remove(&number);
             }
-            (Stage::Running(engine, since), _) => {
+            (Stage::Running(engine, since), pool) => {
                 self.running -= 1;
+                if let Some(pool) = pool {
+                    pool.tree.set_running(item.caller, false);
+                }
                 remove_running(&mut self.routine, engine, (since, ticket));
                 self.starting.remove(&(since, ticket));
                 if let Some(want) = self.classes.get_mut(&class(&item.work)) {
@@ -417,6 +428,9 @@
         item.attempts += 1;
         item.given_up = None;
         self.running += 1;
+        if let Some(pool) = self.pools.get_mut(&item.work.need.model) {
+            pool.tree.set_running(item.caller, true);
+        }
         match item.work.rank {
             Rank::Routine if item.pauses < PAUSES_MAX => {
                 self.routine
@@ -460,7 +474,9 @@
             for (number, ticket) in tried {
                 let need = &self.items[ticket].work.need;
                 let free = fleet.choose(need);
-                if let Some(engine) = free.or_else(|| fleet.choose_beyond(need, URGENT_QUEUED)) {
+                if let Some(engine) =
+                    free.or_else(|| fleet.choose_with(need, Room::Queue(URGENT_QUEUED)))
+                {
                     return Some(Start {
                         ticket,
                         engine,
@@ -482,17 +498,30 @@
             let own = self.head(pool, |class| self.has_own_place(class));
             let ticket = own.or_else(|| self.head(pool, |_| self.has_lent_place()))?;
             let work = &self.items[ticket].work;
+            let caller = self.items[ticket].caller;
             // Routine work below its floor goes like urgent work, whose queues at the engines
             // would otherwise never leave it a free place.
             let priority = match work.rank {
                 Rank::Routine if pool.tree.is_floor_due() => Rank::Urgent,
                 rank => rank,
             };
-            let may_queue = priority == Rank::Urgent
-                && self.order == Order::Fair
-                && self.preemption != Preemption::Wait;
-            let free = fleet.choose(&work.need);
-            let queue = || may_queue.then(|| fleet.choose_beyond(&work.need, URGENT_QUEUED))?;
+            // Work of those who have their share already leaves places to others, which would
+            // else wait for the end of a generation. The engines' queues know no shares.
+            let is_fair = self.order == Order::Fair;
+            let is_urgent = priority == Rank::Urgent;
+            let is_below_floor = priority != work.rank;
+            let gives_way = is_fair
+                && !is_below_floor
+                && (pool.tree.is_over_share(caller)
+                    || !is_urgent && pool.tree.is_active(Rank::Urgent));
+            let may_queue = is_fair && is_urgent && !gives_way;
+            let may_queue = may_queue && self.preemption != Preemption::Wait;
+            let free = match gives_way {
+                true => fleet.choose_with(&work.need, Room::Spare),
+                false => fleet.choose(&work.need),
+            };
+            let room = Room::Queue(URGENT_QUEUED);
+            let queue = || may_queue.then(|| fleet.choose_with(&work.need, room))?;
             Some(Start {
                 ticket,
                 engine: free.or_else(queue)?,
@@ -681,6 +710,7 @@
         Self {
             tree: Tree::new(floor_percent),
             resuming: BTreeMap::new(),
+            active: BTreeMap::new(),
             meter: Meter {
                 marked: now,
                 work: [0.0; 2],
@@ -691,7 +721,7 @@
     }
 
     /// Checks the bounds of the queues that a new request of a caller would join.
-    fn check_queues(&self, caller: super::tree::Node, partners: usize) -> Result<(), Refusal> {
+    fn check_queues(&self, caller: Node, partners: usize) -> Result<(), Refusal> {
         let of_caller = QUEUE_LIMIT / partners.max(1) / 8;
         let [caller, team, partner] = self.tree.waiting_above(caller);
         let is_contended = self.tree.waiting() > caller;
@@ -714,7 +744,7 @@
     /// Checks that a new request of a caller can start within `limit`.
     fn check_wait(
         &self,
-        caller: super::tree::Node,
+        caller: Node,
         rank: Rank,
         limit: Duration,
         now: Instant,
@@ -729,7 +759,7 @@
     }
 
     /// Returns the expected wait of a new request; `None` until the rate is known.
-    fn wait(&self, caller: super::tree::Node, rank: Rank, now: Instant) -> Option<Duration> {
+    fn wait(&self, caller: Node, rank: Rank, now: Instant) -> Option<Duration> {
         let since = self.meter.backlogged?;
         if now.duration_since(since) < RATE_SETTLED {
             return None;
@@ -766,6 +796,14 @@
             *work = 0.0;
         }
         meter.marked = now;
+        let tree = &mut self.tree;
+        self.active.retain(|caller, at| {
+            let stays = tree.is_held(*caller) || now.duration_since(*at) < ACTIVE;
+            if !stays {
+                tree.set_active(*caller, false);
+            }
+            stays
+        });
         self.tree
             .set_credit(FLOOR_CREDIT_S * meter.rate.iter().sum::<f64>());
     }
--- a/src/sched/tree.rs
+++ b/src/sched/tree.rs
@@ -23,6 +23,9 @@
 /// Weight of a rank without a floor, small enough that the other one always goes first.
 const WEIGHT_MIN: f64 = 1e-3;
 
+/// Part of its share above which a caller is held back; shares vary by single requests.
+const OVER_SHARE: f64 = 1.25;
+
 /// A virtual time, ordered.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Tag(f64);
@@ -56,6 +59,13 @@
     ready_weight: f64,
     // Requests of a caller that wait or run.
     held: u32,
+    // Requests that run, of callers and ranks.
+    running: u32,
+    // Invariant: for a caller whether it counts as active, for others the number of active
+    // children.
+    active: u32,
+    // Invariant: the sum of the weights of the active children.
+    active_weight: f64,
     // Requests of a caller in order; empty on other levels.
     queue: BTreeMap<i64, T>,
     // Invariant: requests in the queues of this node and of all nodes below.
@@ -173,11 +183,16 @@
     }
 
     fn set_weight(&mut self, node: Node, weight: f64) {
-        let old = std::mem::replace(&mut self.nodes[node].weight, weight);
-        if self.nodes[node].waiting > 0 && old != weight {
-            let parent = self.nodes[node].parent;
+        let state = &mut self.nodes[node];
+        let old = std::mem::replace(&mut state.weight, weight);
+        let (is_ready, is_active) = (state.waiting > 0, state.active > 0);
+        let parent = state.parent;
+        if is_ready && old != weight {
             self.nodes[parent].ready_weight += weight - old;
         }
+        if is_active && old != weight {
+            self.nodes[parent].active_weight += weight - old;
+        }
     }
 
     /// Sets the weights of all partners and teams, given by level (1 partner, 2 team) and name.
@@ -238,6 +253,64 @@
         }
     }
 
+    /// Returns whether a caller has requests that wait or run.
+    pub fn is_held(&self, caller: Node) -> bool {
+        self.nodes.get(caller).is_some_and(|state| state.held > 0)
+    }
+
+    /// Notes that a request of a caller starts (`true`) or stops to run.
+    pub fn set_running(&mut self, caller: Node, starts: bool) {
+        let Some(team) = self.nodes.get(caller).map(|state| state.parent) else {
+            return;
+        };
+        let rank = self.nodes[self.nodes[team].parent].parent;
+        for node in [caller, rank] {
+            let running = &mut self.nodes[node].running;
+            *running = match starts {
+                true => *running + 1,
+                false => *running - 1,
+            };
+        }
+    }
+
+    /// Sets whether a caller counts as active when shares are compared.
+    pub fn set_active(&mut self, caller: Node, active: bool) {
+        let mut node = caller;
+        while node != self.root && self.nodes.contains_key(node) {
+            let state = &mut self.nodes[node];
+            state.active = match active {
+                true => state.active + 1,
+                false => state.active - 1,
+            };
+            let (parent, weight) = (state.parent, state.weight);
+            match (active, state.active) {
+                (true, 1) => self.nodes[parent].active_weight += weight,
+                (false, 0) => self.nodes[parent].active_weight -= weight,
+                _ => return,
+            }
+            node = parent;
+        }
+    }
+
+    /// Returns whether a rank has an active caller.
+    pub fn is_active(&self, rank: Rank) -> bool {
+        self.nodes[self.ranks[rank_index(rank)]].active > 0
+    }
+
+    /// Returns whether a caller runs clearly more than its part of what its rank runs.
+    pub fn is_over_share(&self, caller: Node) -> bool {
+        let running = f64::from(self.nodes[caller].running);
+        let mut part = 1.0;
+        let mut node = caller;
+        while !self.ranks.contains(&node) {
+            let state = &self.nodes[node];
+            let parent = &self.nodes[state.parent];
+            part *= state.weight / parent.active_weight.max(state.weight);
+            node = state.parent;
+        }
+        part < 1.0 && running > OVER_SHARE * part * f64::from(self.nodes[node].running)
+    }
+
     fn add(&mut self, caller: Node, work: f64) {
         let mut node = caller;
         while node != self.root {
@@ -425,6 +498,7 @@
                     && !self.ranks.contains(node)
                     && state.children.is_empty()
                     && state.held == 0
+                    && state.active == 0
                     && state.waiting == 0
                     && state.start <= self.nodes[state.parent].virtual_time
             })
@@ -451,6 +525,9 @@
             ready: BTreeSet::new(),
             ready_weight: 0.0,
             held: 0,
+            running: 0,
+            active: 0,
+            active_weight: 0.0,
             queue: BTreeMap::new(),
             waiting: 0,
             work: 0.0,
--- a/tests/sched.rs
+++ b/tests/sched.rs
@@ -350,6 +350,34 @@
     assert!((percent - 37.5).abs() <= 2.0, "{percent}");
 }
 
+/// Guards against a flood that leaves no place to urgent work and to callers below their share,
+/// and against places that stay unused while nobody else is active.
+#[test]
+fn flood_leaves_places_to_others() {
+    let mut sim = Sim::new(1, 16, Preemption::Queue, split(""));
+    for _ in 0..40 {
+        sim.submit(work("a", "x", Rank::Routine, 1000), 1000)
+            .unwrap();
+    }
+    sim.tick();
+    assert_eq!(sim.scheduler.running(), 16, "nobody else is active");
+    let other = sim.submit(work("b", "x", Rank::Routine, 10), 10).unwrap();
+    sim.tick();
+    assert!(sim.scheduler.get(other).unwrap().0.is_none());
+    sim.end(other);
+    for _ in 0..3 {
+        let running = |ticket: &&Ticket| sim.scheduler.get(**ticket).unwrap().0.is_some();
+        let first = *sim.left.keys().find(running).unwrap();
+        sim.end(first);
+        sim.tick();
+        assert_eq!(sim.scheduler.running(), 15);
+    }
+    let other = sim.submit(work("b", "x", Rank::Routine, 10), 10).unwrap();
+    assert_eq!(sim.tick(), [other]);
+    let urgent = sim.submit(work("b", "x", Rank::Urgent, 10), 10).unwrap();
+    assert_eq!(sim.tick(), [urgent], "it waits in the engine's queue");
+}
+
 /// Guards against queues without bounds, and against a flood that fills the queues of others.
 #[test]
 fn queues_are_bounded_by_caller_team_and_partner() {
