--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -119,6 +119,28 @@
     pub excluded: Vec<Engine>,
 }
 
+/// How many of an engine's places new work may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Room {
+    /// All but one in sixteen.
+    Spare,
+    /// All.
+    Free,
+    /// All, and so many more may wait in the engine's own queue.
+    Queue(u32),
+}
+
+impl Room {
+    /// Returns how many of `places` may be taken.
+    pub fn of(self, places: u32) -> u32 {
+        match self {
+            Self::Spare => places - places / 16,
+            Self::Free => places,
+            Self::Queue(more) => places.saturating_add(more),
+        }
+    }
+}
+
 /// A failure domain that a host uses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Domain {
@@ -364,18 +386,17 @@
 
     /// Chooses an engine with a free place.
     pub fn choose(&self, need: &Need) -> Option<Engine> {
-        self.choose_beyond(need, 0)
+        self.choose_with(need, Room::Free)
     }
 
-    /// Chooses an engine with a free place, or with less than `beyond` requests that wait there.
-    pub fn choose_beyond(&self, need: &Need, beyond: u32) -> Option<Engine> {
+    /// Chooses an engine that has room for new work.
+    pub fn choose_with(&self, need: &Need, room: Room) -> Option<Engine> {
         let now = self.clock.now();
         let hosts_per_engine = self.hosts_per_engine(&need.model);
         let costs: Vec<_> = self
             .candidates(need, now)
             .filter(|(_, engine)| {
-                engine.own < engine.limit.saturating_add(beyond)
-                    && engine.expected_load() < engine.slots + beyond
+                engine.own < room.of(engine.limit) && engine.expected_load() < room.of(engine.slots)
             })
             .map(|(key, engine)| (key, self.cost(engine, need, hosts_per_engine, now)))
             .collect();
