--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -54,6 +54,7 @@
             "active": router.view.is_active(),
             "control_bytes": router.control_bytes(),
             "dispatch": router.dispatch.overview().await,
+            "leases": *router.leases.borrow(),
         })),
         (&Method::GET, "report") => json_response(&router.burns()),
         (&Method::POST, "leave") => {
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,7 +14,7 @@
 use log::info;
 
 use crate::clock::{self, Clock};
-use crate::config::host::{Host, Secret};
+use crate::config::host::{Host, Order, Secret};
 use crate::config::split::Split;
 use crate::dispatch::{self, Handle};
 use crate::engine;
@@ -32,7 +32,7 @@
 use crate::relay::{self, cursor::Signer};
 use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
-use crate::sched::lease_task::{self, Allocators, Reporter};
+use crate::sched::lease_task::{self, Allocators, Board, Reporter};
 use crate::sched::share::Shares;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -74,6 +74,8 @@
     pub view: View,
     /// Allocators of this host.
     pub allocators: Allocators,
+    /// Places that this host may use by failure domain.
+    pub leases: Board,
     /// The membership task.
     pub members: member::task::Handle,
     /// The store, if the settings name one.
@@ -222,8 +224,7 @@
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
-        host.name.clone(),
-        host.failure_domain.clone(),
+        dispatch::Policy::of(&host),
         supervisor.stop_signal(),
     );
     supervisor.spawn("dispatch", dispatch_task);
@@ -268,6 +269,7 @@
         view,
         members,
         allocators,
+        leases: Board::default(),
         store: host.store.as_deref().map(objects::Client::new),
         relay: RefCell::default(),
         cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
@@ -326,11 +328,16 @@
         supervisor.stop_signal(),
     );
     supervisor.spawn("status", poll);
+    // The baseline order of benches knows no shares.
+    if host.scheduler == Order::Fifo {
+        return;
+    }
     let reporter = Reporter {
         dispatch: router.dispatch.clone(),
         view: router.view.clone(),
         peer: router.peer.clone(),
         allocators: router.allocators.clone(),
+        board: router.leases.clone(),
     };
     supervisor.spawn(
         "leases",
--- a/src/sched/keeper.rs
+++ b/src/sched/keeper.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use serde::Serialize;
 
 use super::allocator::add_idle;
 use super::lease::{Class, Demand, Grant, LEASE, Lease, Report};
@@ -54,6 +55,15 @@
     }
 }
 
+/// What a host may use in a failure domain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Held {
+    /// Places.
+    pub places: u32,
+    /// Whether a lease is in force.
+    pub leased: bool,
+}
+
 /// The leases of one host.
 #[derive(Debug)]
 pub struct Keeper<C: Clock> {
@@ -243,10 +253,17 @@
         add_idle(places, &self.shares, safe.saturating_sub(used));
     }
 
-    /// Returns the number of failure domains in use, and of those with a lease in force.
-    pub fn leased(&self) -> (usize, usize) {
+    /// Returns the places in each failure domain in use, and whether they come from a lease.
+    pub fn domains(&self) -> BTreeMap<CompactString, Held> {
         let now = self.clock.now();
-        let valid = self.parts.values().filter(|part| part.valid(now).is_some());
-        (self.parts.len(), valid.count())
+        let held = |(name, part): (&CompactString, &Part)| {
+            let lease = part.valid(now).map(|(lease, _)| lease.total());
+            let held = Held {
+                places: lease.unwrap_or_else(|| self.safe(name)),
+                leased: lease.is_some(),
+            };
+            (name.clone(), held)
+        };
+        self.parts.iter().map(held).collect()
     }
 }
--- a/tests/lease_logic.rs
+++ b/tests/lease_logic.rs
@@ -189,7 +189,7 @@
         }
         let host = &mut self.hosts[index];
         host.grant = host.keeper.grant();
-        if host.keeper.leased().1 == 0 {
+        if host.keeper.domains().values().all(|held| !held.leased) {
             host.without_lease_at = Some(now);
         }
         for (class, ends) in &mut host.running {
--- a/tests/relay_state.rs
+++ b/tests/relay_state.rs
@@ -29,6 +29,8 @@
         name: format_compact!("engine-{number}"),
         address: format_compact!("address-{number}"),
         version: version.into(),
+        priority: Rank::Routine,
+        paused: Default::default(),
     }
 }
 
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -343,11 +343,11 @@
     with_events.events = (0..64).map(|seq| event(seq, seq)).collect();
     with_events.next_seq = 64;
     fleet.set_status(engine, &with_events);
-    assert_eq!(fleet.get(engine).unwrap().cached(&need(&[0, 1, 2])), 3);
+    assert_eq!(fleet.get(engine).unwrap().cached_blocks(&[0, 1, 2]), 3);
     with_events.events = vec![event(66, 100)];
     with_events.next_seq = 67;
     fleet.set_status(engine, &with_events);
-    let cached = |blocks: &[u64]| fleet.get(engine).unwrap().cached(&need(blocks));
+    let cached = |blocks: &[u64]| fleet.get(engine).unwrap().cached_blocks(blocks);
     assert_eq!((cached(&[0]), cached(&[1]), cached(&[2])), (0, 0, 1));
     assert_eq!(fleet.get(engine).unwrap().next_seq, 67);
 }
