Keep leases within the capacity on both sides of a partition

Cause: a router that saw no other one took over all allocators and leased the whole capacity to itself, found by the new test with a proxy that cuts off peers.

--- a/src/sched/lease_task.rs
+++ b/src/sched/lease_task.rs
@@ -145,10 +145,11 @@
         let last = Cell::new(None);
         while !stop.is_given() {
             let started = Instant::now();
-            let (demand, domains, shares) = self.dispatch.demand().await;
-            let routers = self.view.live().len() as u32;
-            keeper.borrow_mut().set_shares(shares);
-            let reports = keeper.borrow_mut().reports(&demand, &domains, routers);
+            let asked = self.dispatch.demand().await;
+            keeper.borrow_mut().set_shares(asked.shares);
+            let reports = keeper
+                .borrow_mut()
+                .reports(&asked.demand, &asked.domains, asked.routers);
             self.grant(&keeper.borrow(), &last);
             let sent_at = clock.now();
             let answers = reports.into_iter().map(|(domain, report)| {
