--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -129,6 +129,27 @@
     pub capacity: u32,
 }
 
+/// How many of an engine's places new work may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Room {
+    /// All but one in sixteen.
+    Spare,
+    /// All.
+    Free,
+    /// All, and so many more may wait in the engine's own queue.
+    Queue(u32),
+}
+
+impl Room {
+    fn of(self, slots: u32) -> u32 {
+        match self {
+            Self::Spare => slots - slots / 16,
+            Self::Free => slots,
+            Self::Queue(more) => slots.saturating_add(more),
+        }
+    }
+}
+
 /// The engines known to this host.
 #[derive(Debug)]
 pub struct Fleet<C: Clock> {
@@ -369,18 +390,17 @@
 
     /// Chooses an engine with a free place.
     pub fn choose(&self, need: &Need) -> Option<Engine> {
-        self.choose_beyond(need, 0)
+        self.choose_with(need, Room::Free)
     }
 
-    /// Chooses an engine with a free place, or with less than `beyond` requests that wait there.
-    pub fn choose_beyond(&self, need: &Need, beyond: u32) -> Option<Engine> {
+    /// Chooses an engine that has room for new work.
+    pub fn choose_with(&self, need: &Need, room: Room) -> Option<Engine> {
         let now = self.clock.now();
         let hosts_per_engine = self.hosts_per_engine(&need.model);
         let costs: Vec<_> = self
             .candidates(need, now)
             .filter(|(_, engine)| {
-                engine.own < engine.limit.saturating_add(beyond)
-                    && engine.expected_load() < engine.slots.saturating_add(beyond)
+                engine.own < room.of(engine.limit) && engine.expected_load() < room.of(engine.slots)
             })
             .map(|(key, engine)| (key, self.cost(engine, need, hosts_per_engine)))
             .collect();
