--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -216,7 +216,7 @@
     })
 }
 
-fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
+pub(super) fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
     };
@@ -227,7 +227,7 @@
     Ok(Some(text.trim_end_matches('/').into()))
 }
 
-fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
+pub(super) fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
     };
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -151,6 +151,8 @@
     Members(Vec<wire::Member>),
     Status(Engine, wire::Status),
     Split(Arc<Split>),
+    Submitted(CompactString),
+    Ended(CompactString, Outcome),
     Engines(oneshot::Sender<Vec<Polled>>),
     Demand(oneshot::Sender<Asked>),
     Grant(Grant),
@@ -228,6 +230,16 @@
         self.send(Message::Split(split));
     }
 
+    /// Notes the arrival of a call to a backend service in the account of its partner.
+    pub fn submitted(&self, partner: &CompactString) {
+        self.send(Message::Submitted(partner.clone()));
+    }
+
+    /// Notes the end of a call to a backend service that was submitted before.
+    pub fn ended(&self, partner: &CompactString, outcome: Outcome) {
+        self.send(Message::Ended(partner.clone(), outcome));
+    }
+
     /// Returns what a poll of each engine needs to know.
     pub async fn engines(&self) -> Vec<Polled> {
         let (reply, answer) = oneshot::channel();
@@ -387,6 +399,8 @@
                 self.scheduler.set_split(&split);
                 self.split = split;
             }
+            Message::Submitted(partner) => self.ledger.submit(&partner),
+            Message::Ended(partner, outcome) => self.ledger.end(&partner, outcome),
             Message::Engines(reply) => {
                 let engines = self.fleet.iter().map(|(key, engine)| Polled {
                     engine: key,
--- a/src/emulate/backend.rs
+++ b/src/emulate/backend.rs
@@ -61,8 +61,8 @@
     }
 }
 
-impl server::Service for Backend {
-    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+impl Backend {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let header = |name: &str| {
             let value = head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -77,10 +77,14 @@
             _ => {}
         }
         let fault = header("x-fault");
-        if self.leaving.get() || fault == "refuse" {
+        if self.leaving.get() {
             let detail = "the backend server takes no new work; use another one";
             return Problem::not_run(Reason::Leaving, detail).into_response();
         }
+        if fault == "refuse" {
+            let detail = "the backend server is full; use another one";
+            return Problem::not_run(Reason::QueueFull, detail).into_response();
+        }
         if head.method == Method::GET {
             return text_response(StatusCode::OK, format!("calendar of {}", head.uri.path()));
         }
@@ -106,3 +110,14 @@
         json_response(&confirmation)
     }
 }
+
+impl server::Service for Backend {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let request_id = request.headers().get("x-request-id").cloned();
+        let mut response = self.answer(request).await;
+        if let Some(id) = request_id {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        response
+    }
+}
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -22,6 +22,9 @@
         "/readyz" if router.leaving.is_given() => {
             text_response(StatusCode::SERVICE_UNAVAILABLE, "leaving\n")
         }
+        "/readyz" if let Some(reason) = router.config.not_ready() => {
+            text_response(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n"))
+        }
         "/readyz" => text_response(StatusCode::OK, "ready\n"),
         "/metrics" => text_response(StatusCode::OK, router.metrics.text()),
         _ => return None,
@@ -53,6 +56,9 @@
             "live": router.view.live(),
             "active": router.view.is_active(),
             "control_bytes": router.control_bytes(),
+            "backends": router.backends.borrow().overview(),
+            "ranges": router.claims.as_ref().map(|claims| claims.held()),
+            "config": router.config.overview(),
             "dispatch": router.dispatch.overview().await,
             "leases": *router.leases.borrow(),
         })),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -43,9 +43,15 @@
 impl Process {
     /// Starts the program and waits for the line that says where it listens.
     pub fn start(args: &[&str]) -> Self {
+        Self::start_logging(args, Stdio::inherit())
+    }
+
+    /// Starts the program with its log written to `log`.
+    pub fn start_logging(args: &[&str], log: Stdio) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
             .args(args)
             .stdout(Stdio::piped())
+            .stderr(log)
             .spawn()
             .expect("the program starts");
         let output = BufReader::new(child.stdout.take().unwrap());
@@ -138,6 +144,8 @@
     pub engines: Vec<Process>,
     pub backends: Vec<Process>,
     pub routers: Vec<Process>,
+    /// Further lines of the settings of routers that start from now on.
+    pub settings: String,
     folder: tempfile::TempDir,
 }
 
@@ -165,6 +173,7 @@
             engines: Vec::new(),
             backends: Vec::new(),
             routers: Vec::new(),
+            settings: String::new(),
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -230,6 +239,15 @@
         Process::start(&args)
     }
 
+    fn log_path(&self, router: usize) -> std::path::PathBuf {
+        self.folder.path().join(format!("router-{router}.log"))
+    }
+
+    /// Returns what a router wrote to its log.
+    pub fn log(&self, router: usize) -> String {
+        std::fs::read_to_string(self.log_path(router)).unwrap()
+    }
+
     /// Starts a router with a split file and waits until it sees `engines` engines.
     pub fn router(&mut self, split: &str, engines: usize) -> usize {
         self.router_with(split, engines, "")
@@ -248,37 +266,112 @@
     /// Starts a router with further lines in its `[host]` section.
     pub fn router_with(&mut self, split: &str, engines: usize, settings: &str) -> usize {
         let index = self.routers.len();
-        let split_path = self.folder.path().join(format!("split-{index}.ini"));
+        let split_path = self.path(&format!("split-{index}.ini"));
         std::fs::write(&split_path, split).unwrap();
+        let settings = format!("split = {split_path}\n{settings}");
+        let address = self.start_router(index, &settings);
+        wait_until("the router has its settings", || is_ready(&address));
+        wait_until("the router sees the engines", || {
+            known_engines(&address) >= engines
+        });
+        index
+    }
+
+    /// Starts a router that takes its split from the store or from peers; returns its index.
+    pub fn published_router(&mut self, settings: &str) -> usize {
+        let index = self.routers.len();
+        self.start_router(index, settings);
+        index
+    }
+
+    fn start_router(&mut self, index: usize, settings: &str) -> String {
         let host = format!(
             "[host]\nname = router-{index}\nfailure_domain = {}\nlisten = 127.0.0.1:0\n\
              peer_listen = 127.0.0.1:0\nstore = http://{}\nmembers = http://{}\n\
-             key = {PEER_KEY}\nsplit = {}\n{settings}",
+             key = {PEER_KEY}\n{settings}{}",
             domain(index),
             self.store.address,
             self.members.address,
-            split_path.display()
+            self.settings
         );
-        let host_path = self.folder.path().join(format!("host-{index}.ini"));
-        std::fs::write(&host_path, host).unwrap();
-        let router = Process::start(&["serve", "-c", host_path.to_str().unwrap()]);
+        std::fs::write(self.path(&format!("host-{index}.ini")), host).unwrap();
+        let router = self.router_process(index);
         let address = router.address.clone();
+        self.routers.push(router);
+        address
+    }
+
+    /// Kills a router and starts it again with its settings.
+    pub fn restart_router(&mut self, index: usize) {
+        self.routers[index].kill();
+        self.routers[index] = self.router_process(index);
+    }
+
+    fn router_process(&self, index: usize) -> Process {
+        let host = self.path(&format!("host-{index}.ini"));
+        let log = std::fs::File::create(self.log_path(index)).unwrap();
+        let router = Process::start_logging(&["serve", "-c", &host], log.into());
         self.list_member(&Member {
             name: format!("router-{index}").into(),
             kind: Kind::Router,
-            address: address.as_str().into(),
+            address: router.address.as_str().into(),
             peer_address: router.field("peer_address").map(Into::into),
             failure_domain: domain(index).into(),
             region: "default".into(),
             state: Listing::Live,
             service: "".into(),
         });
-        self.routers.push(router);
-        wait_until("the router sees the engines", || {
-            known_engines(&address) >= engines
-        });
-        index
+        router
+    }
+
+    /// Returns the path of a file of this cluster.
+    pub fn path(&self, name: &str) -> String {
+        self.folder.path().join(name).to_str().unwrap().into()
+    }
+
+    /// Writes a file and returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.path(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Writes the settings of an operator and returns their path.
+    pub fn operator(&self) -> String {
+        let settings = format!(
+            "[operator]\nstore = http://{}\nmembers = http://{}\nkey = {PEER_KEY}\n",
+            self.store.address, self.members.address
+        );
+        let path = self.path("operator.ini");
+        // Publishers that run already must not see half of the file.
+        std::fs::rename(self.write("operator.new", &settings), &path).unwrap();
+        path
     }
+
+    /// Sets faults of the store.
+    pub fn store_faults(&self, faults: &serde_json::Value) {
+        put(&self.store.address, "/v1/emulation/faults", faults);
+    }
+}
+
+/// Runs the program to its end; returns the exit code and what it printed.
+pub fn run(args: &[&str]) -> (i32, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
+        .args(args)
+        .output()
+        .expect("the program starts");
+    let printed = [output.stdout, output.stderr].concat();
+    let code = output.status.code().expect("the program was not killed");
+    (code, String::from_utf8_lossy(&printed).into_owned())
+}
+
+/// Returns whether a router has settings and takes work.
+pub fn is_ready(address: &str) -> bool {
+    block_on(async {
+        let request = client().get(format!("http://{address}/readyz")).unwrap();
+        let response = request.send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    })
 }
 
 fn known_engines(router: &str) -> usize {
