--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -61,6 +61,7 @@
             "config": router.config.overview(),
             "orders": router.orders.overview(),
             "dispatch": router.dispatch.overview().await,
+            "leases": *router.leases.borrow(),
         })),
         (&Method::GET, "report") => json_response(&router.burns()),
         (&Method::POST, "leave") => {
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -38,10 +38,9 @@
 /// been on its way when the engine started to leave.
 const STATUSES_TO_RETURN: u32 = 2;
 
-/// Age of a report, beyond that of the newest one of all engines, that marks an engine as
-/// unresponsive. Status is asked for once a second, so this is three missed answers. The comparison
-/// with the newest report keeps a host that was paused itself from losing all its engines.
-const REPORT_AGE_MAX: Duration = Duration::from_millis(3500);
+/// Unanswered status requests in a row after which an engine counts as no capacity. One may be lost
+/// because this host was paused.
+const MISSES_MAX: u32 = 2;
 
 // The terms of an engine's cost in milliseconds of expected delay.
 
@@ -101,6 +100,8 @@
     used: bool,
     // Statuses in a row that denied leaving.
     denials: u32,
+    // Status requests in a row without an answer.
+    misses: u32,
     failures: u32,
     failed_at: Option<Instant>,
     cache: Cache,
@@ -166,7 +167,6 @@
     names: BTreeMap<CompactString, Engine>,
     // Invariant: holds the used engines of `engines` by the model that they serve.
     by_model: BTreeMap<CompactString, Vec<Engine>>,
-    newest_report: Option<Instant>,
     // Draws do not change what is known, so `choose` takes a shared reference.
     draws: RefCell<StdRng>,
 }
@@ -184,7 +184,6 @@
             engines: SlotMap::with_key(),
             names: BTreeMap::new(),
             by_model: BTreeMap::new(),
-            newest_report: None,
             draws: RefCell::new(StdRng::seed_from_u64(0)),
         }
     }
@@ -307,7 +306,6 @@
             engine.failed_at = None;
         }
         engine.set_load(status.load, now);
-        self.newest_report = Some(now);
         if serves_another {
             self.index();
         }
@@ -333,7 +331,6 @@
         let now = self.clock.now();
         if let Some(engine) = self.engines.get_mut(key) {
             engine.set_load(load, now);
-            self.newest_report = Some(now);
             if engine.is_out_of_backoff(now) {
                 engine.failures = 0;
             }
@@ -353,6 +350,14 @@
         }
     }
 
+    /// Notes that an engine did not answer a status request, so that it is used last until it is
+    /// heard again.
+    pub fn set_unanswered(&mut self, key: Engine) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.misses += 1;
+        }
+    }
+
     /// Notes that an engine takes no new work.
     pub fn set_leaving(&mut self, key: Engine) {
         let Some(engine) = self.engines.get_mut(key) else {
@@ -398,7 +403,7 @@
             .filter(|(_, engine)| {
                 engine.own < room.of(engine.limit) && engine.expected_load() < room.of(engine.slots)
             })
-            .map(|(key, engine)| (key, self.cost(engine, need, hosts_per_engine, now)))
+            .map(|(key, engine)| (key, self.cost(engine, need, hosts_per_engine)))
             .collect();
         let lowest = costs.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
         let equal: Vec<_> = costs
@@ -433,34 +438,26 @@
     }
 
     /// Returns the expected delay in milliseconds of new work on an engine.
-    fn cost(&self, engine: &State, need: &Need, hosts_per_engine: f64, now: Instant) -> f64 {
+    fn cost(&self, engine: &State, need: &Need, hosts_per_engine: f64) -> f64 {
         let slots = f64::from(engine.slots.max(1));
         let reported = f64::from(engine.reported.running + engine.reported.queued);
         // All hosts saw the same report and act on it alike.
         let expected = reported + f64::from(engine.own_since_report) * hosts_per_engine;
         let expected = expected.max(f64::from(engine.own));
         let queued = (expected - slots).max(0.0) / slots;
-        let cached = f64::from(cached_tokens(engine.cached(need)));
+        let cached = f64::from(cached_tokens(engine.cached_blocks(&need.blocks)));
         let mut cost = OCCUPANCY_MS * (expected / slots).min(1.0) + QUEUE_MS * queued;
         cost += f64::from(engine.reported.step_us) / 1000.0;
         cost -= (cached * CACHED_TOKEN_MS).min(CACHED_MS_MAX);
         if engine.failure_domain != self.failure_domain {
             cost += FAR_MS;
         }
-        if !self.is_responsive(engine, now) {
+        if engine.misses > 0 {
             cost += UNRESPONSIVE_MS;
         }
         cost
     }
 
-    fn is_responsive(&self, engine: &State, now: Instant) -> bool {
-        let newest = self.newest_report.unwrap_or(now);
-        let age = |at: Instant| newest.saturating_duration_since(at);
-        engine
-            .reported_at
-            .is_some_and(|at| age(at) <= REPORT_AGE_MAX)
-    }
-
     /// Returns the failure domains that this host uses.
     ///
     /// Engines that it does not use count with the mean of those that it uses.
@@ -469,9 +466,8 @@
         let mut used: BTreeMap<&CompactString, (u32, u32)> = BTreeMap::new();
         for engine in self.engines.values().filter(|engine| engine.used) {
             let (count, slots) = used.entry(&engine.failure_domain).or_default();
-            let is_live = engine.takes_work(now)
-                && !engine.version.is_empty()
-                && self.is_responsive(engine, now);
+            let is_live =
+                engine.takes_work(now) && !engine.version.is_empty() && engine.misses < MISSES_MAX;
             *count += 1;
             *slots += if is_live { engine.slots } else { 0 };
         }
@@ -491,6 +487,11 @@
         used.into_iter().map(of_domain).collect()
     }
 
+    /// Returns the number of routers in the platform's list.
+    pub fn routers(&self) -> u32 {
+        self.routers as u32
+    }
+
     /// Notes that this host starts a stream on an engine.
     pub fn begin(&mut self, key: Engine, blocks: &[u64]) {
         if let Some(engine) = self.engines.get_mut(key) {
@@ -530,6 +531,7 @@
             leaving: false,
             used: true,
             denials: 0,
+            misses: 0,
             failures: 0,
             failed_at: None,
             cache: Cache::default(),
@@ -555,9 +557,9 @@
                 .is_none_or(|version| *version == self.version)
     }
 
-    /// Returns the number of leading prefix blocks of a request that are believed cached.
-    pub fn cached(&self, need: &Need) -> usize {
-        self.cache.count(&need.blocks)
+    /// Returns how many of the blocks, from the first on, are believed to be in the engine's cache.
+    pub fn cached_blocks(&self, blocks: &[u64]) -> usize {
+        self.cache.count(blocks)
     }
 
     /// Returns the streams expected there: those reported and those sent since.
@@ -570,6 +572,7 @@
         self.reported = load;
         self.reported_at = Some(now);
         self.own_since_report = 0;
+        self.misses = 0;
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -20,10 +20,10 @@
 
 use crate::claim;
 use crate::clock::{self, Clock};
-use crate::config::host::{Host, Secret};
+use crate::config::host::{Host, Order, Secret};
 use crate::config::split::Split;
 use crate::config::task::{self, Sources};
-use crate::dispatch::{self, Handle};
+use crate::dispatch::{self, Handle, Health};
 use crate::engine;
 use crate::http::backend::{self, Servers};
 use crate::http::body::Body;
@@ -42,7 +42,7 @@
 use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
 use crate::route::poll::{self, Poller};
-use crate::sched::lease_task::{self, Allocators, Reporter};
+use crate::sched::lease_task::{self, Allocators, Board, Reporter};
 use crate::sched::share::Shares;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -85,6 +85,8 @@
     pub view: View,
     /// Allocators of this host.
     pub allocators: Allocators,
+    /// Places that this host may use by failure domain.
+    pub leases: Board,
     /// The membership task.
     pub members: member::task::Handle,
     /// The store, if the settings name one.
@@ -350,6 +352,7 @@
         view,
         members,
         allocators,
+        leases: Board::default(),
         relay: RefCell::default(),
         cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         config: task::State::default(),
@@ -416,11 +419,16 @@
     }
     let poll = poll_engines(router.clone(), clock::System, supervisor.stop_signal());
     supervisor.spawn("status", poll);
+    // The baseline order of benches knows no shares.
+    if host.scheduler == Order::Fifo {
+        return;
+    }
     let reporter = Reporter {
         dispatch: router.dispatch.clone(),
         view: router.view.clone(),
         peer: router.peer.clone(),
         allocators: router.allocators.clone(),
+        board: router.leases.clone(),
     };
     supervisor.spawn(
         "leases",
@@ -515,10 +523,11 @@
             let router = router.clone();
             async move {
                 let status = engine::status(&polled.address, polled.next_seq, STATUS_LIMIT);
-                if let Some((status, bytes)) = status.await {
-                    router.count_polled(bytes);
-                    router.dispatch.status(polled.engine, status);
-                }
+                let Some((status, bytes)) = status.await else {
+                    return router.dispatch.health(polled.engine, Health::Unanswered);
+                };
+                router.count_polled(bytes);
+                router.dispatch.status(polled.engine, status);
             }
         });
         futures_util::future::join_all(asked).await;
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -459,7 +459,7 @@
             return;
         }
         let cached = fleet.get(engine).map_or(0, |engine| {
-            fleet::cached_tokens(engine.cached(&item.work.need))
+            fleet::cached_tokens(engine.cached_blocks(&item.work.need.blocks))
         });
         let cached = f64::from(cached.min(item.work.prompt_tokens));
         pool.tree.charge(item.caller, -PREFILL_WORK * cached);
