Lease all failure domains of a small region from one allocator

Change: up to 12 hosts of a region share one pool of places instead of one for each failure domain; 4 engines instead of 8 are asked a second.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -70,7 +70,8 @@
     let (mx, my) = (sx / n, sy / n);
     let sxy: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
     let sxx: f64 = points.iter().map(|p| (p.0 - mx) * (p.0 - mx)).sum();
-    let slope = sxy / sxx;
+    // One size alone gives no slope.
+    let slope = if sxx > 0.0 { sxy / sxx } else { 0.0 };
     (my - slope * mx, slope)
 }
 
--- a/src/route/poll.rs
+++ b/src/route/poll.rs
@@ -1,7 +1,7 @@
 //! Which engines are asked for their status, and when.
 //!
 //! Load arrives on the frames of streams. Engines without a stream of this host are asked in turn,
-//! at a rate that does not grow with their number, so that asking costs under 3 KB/s.
+//! at a rate that does not grow with their number, so that asking costs under 2 KB/s.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -13,8 +13,8 @@
 /// Time between two rounds.
 pub const ROUND: Duration = Duration::from_millis(250);
 
-/// Engines asked in a round: 8 a second, each about 350 bytes.
-const ENGINES_PER_ROUND: usize = 2;
+/// Engines asked in a round: 4 a second, each about 400 bytes.
+const ENGINES_PER_ROUND: usize = 1;
 
 /// Engines asked in a round that were never heard of, so that a new host is soon of use.
 const NEW_PER_ROUND: usize = 16;
--- a/src/sched/lease_task.rs
+++ b/src/sched/lease_task.rs
@@ -20,12 +20,16 @@
 use crate::member::view::View;
 use crate::peer;
 use crate::peer::server::Methods;
+use crate::route::fleet::Domain;
 use crate::supervisor::Signal;
 use crate::util::within;
 
 /// Time between two reports.
 const PERIOD: Duration = Duration::from_secs(1);
 
+/// Hosts of a region up to which one allocator leases all of its failure domains.
+const ONE_POOL_HOSTS: usize = 12;
+
 /// Longest time for a report. It ends before the next one starts.
 const REPORT_LIMIT: Duration = Duration::from_millis(800);
 
@@ -147,9 +151,11 @@
             let started = Instant::now();
             let asked = self.dispatch.demand().await;
             keeper.borrow_mut().set_shares(asked.shares);
-            let reports = keeper
-                .borrow_mut()
-                .reports(&asked.demand, &asked.domains, asked.routers);
+            let reports = keeper.borrow_mut().reports(
+                &asked.demand,
+                &self.pools(asked.domains),
+                asked.routers,
+            );
             self.grant(&keeper.borrow(), &last);
             let sent_at = clock.now();
             let answers = reports.into_iter().map(|(domain, report)| {
@@ -170,6 +176,25 @@
         }
     }
 
+    /// Returns what is leased together: each failure domain, or all of them where few hosts share a
+    /// region, since every pool costs a host a call a second.
+    fn pools(&self, domains: BTreeMap<CompactString, Domain>) -> BTreeMap<CompactString, Domain> {
+        let live = self.view.live();
+        let own = live.iter().find(|peer| peer.name == *self.view.own());
+        let Some(own) = own else {
+            return domains;
+        };
+        let hosts = live.iter().filter(|peer| peer.region == own.region).count();
+        if hosts > ONE_POOL_HOSTS || domains.is_empty() {
+            return domains;
+        }
+        let pool = Domain {
+            slots: domains.values().map(|domain| domain.slots).sum(),
+            capacity: domains.values().map(|domain| domain.capacity).sum(),
+        };
+        BTreeMap::from([(format_compact!("region/{}", own.region), pool)])
+    }
+
     /// Passes a grant on if its places changed or the last one is a period old.
     ///
     /// The scheduler charges the fleet's work from grant to grant; short times between them would
