Make the size of a region with one lease pool a setting and test its loss

Cause: tests/lease.rs expects an allocator for each failure domain, and three of its tests failed with the pool of a small region.

Change: region_pool_hosts, 12 by default; the tests of allocators for each failure domain set 0, and a new test kills the only allocator of a region.

--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -35,6 +35,8 @@
     pub admin_key: Option<Secret>,
     /// Split files for a host that runs without a store.
     pub split: Vec<String>,
+    /// Hosts of a region up to which one allocator leases all of its failure domains.
+    pub region_pool_hosts: usize,
     /// Time after which a leaving host cuts what still runs.
     pub drain_limit: Duration,
     /// Order in which waiting work starts.
@@ -125,6 +127,7 @@
     "previous_key",
     "admin_key",
     "split",
+    "region_pool_hosts",
     "drain_limit_ms",
     "scheduler",
     "route",
@@ -164,6 +167,7 @@
                 .into_iter()
                 .map(String::from)
                 .collect(),
+            region_pool_hosts: section.value("region_pool_hosts", 12)?,
             drain_limit: section.millis("drain_limit_ms", Duration::from_secs(600))?,
             scheduler: word(
                 &section,
--- a/src/router.rs
+++ b/src/router.rs
@@ -429,6 +429,7 @@
         peer: router.peer.clone(),
         allocators: router.allocators.clone(),
         board: router.leases.clone(),
+        region_pool_hosts: host.region_pool_hosts,
     };
     supervisor.spawn(
         "leases",
--- a/src/sched/lease_task.rs
+++ b/src/sched/lease_task.rs
@@ -27,9 +27,6 @@
 /// Time between two reports.
 const PERIOD: Duration = Duration::from_secs(1);
 
-/// Hosts of a region up to which one allocator leases all of its failure domains.
-const ONE_POOL_HOSTS: usize = 12;
-
 /// Longest time for a report. It ends before the next one starts.
 const REPORT_LIMIT: Duration = Duration::from_millis(800);
 
@@ -140,6 +137,8 @@
     pub allocators: Allocators,
     /// Where operators see what this host may use.
     pub board: Board,
+    /// Hosts of a region up to which one allocator leases all of its failure domains.
+    pub region_pool_hosts: usize,
 }
 
 impl Reporter {
@@ -185,7 +184,7 @@
             return domains;
         };
         let hosts = live.iter().filter(|peer| peer.region == own.region).count();
-        if hosts > ONE_POOL_HOSTS || domains.is_empty() {
+        if hosts > self.region_pool_hosts || domains.is_empty() {
             return domains;
         }
         let pool = Domain {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -4,6 +4,7 @@
 
 use bilberrypost::emulate::proxy::Fault;
 use bilberrypost::load::client;
+use bilberrypost::member::rendezvous;
 use serde_json::Value;
 use support::{Cluster, Proxy, block_on, call, get, split, wait_until};
 
@@ -11,9 +12,15 @@
 const SLOTS: u64 = 6;
 const ROUTERS: usize = 3;
 
-/// Three routers and engines, one of each in each of three failure domains.
+/// Three routers and engines, one of each in each of three failure domains, with an allocator for
+/// each failure domain.
 fn start() -> (Cluster, Vec<Proxy>) {
+    start_with("region_pool_hosts = 0\n", ENGINES)
+}
+
+fn start_with(settings: &str, pools: usize) -> (Cluster, Vec<Proxy>) {
     let mut cluster = Cluster::start();
+    cluster.settings = settings.into();
     for _ in 0..ENGINES {
         cluster.engine(&["--slots", "6"]);
     }
@@ -22,7 +29,7 @@
         .collect();
     for index in 0..ROUTERS {
         wait_until("all leases are in force", || {
-            leased(&cluster, index) == ENGINES
+            leased(&cluster, index) == pools
         });
     }
     wait_until("the whole capacity is leased", || {
@@ -78,6 +85,25 @@
     });
 }
 
+/// Guards against the loss of the only allocator of a region.
+#[test]
+fn work_goes_on_without_the_regions_allocator() {
+    let (mut cluster, _proxies) = start_with("", 1);
+    let names = ["router-0", "router-1", "router-2"];
+    let owner = rendezvous::owner("sched/region/default", names).unwrap();
+    let lost = names.iter().position(|name| *name == owner).unwrap();
+    cluster.routers[lost].kill();
+    let left: Vec<_> = (0..ROUTERS).filter(|index| *index != lost).collect();
+    for index in &left {
+        assert_serves(&cluster, *index, 7);
+    }
+    wait_until("the share of the lost router is leased again", || {
+        let leased = left.iter().all(|index| leased(&cluster, *index) == 1);
+        let total: u64 = left.iter().map(|index| places(&cluster, *index)).sum();
+        leased && total == SLOTS * ENGINES as u64
+    });
+}
+
 /// Guards against a host that stops, or takes the whole fleet for itself, when its peers cannot be
 /// reached.
 #[test]
