--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -21,6 +21,7 @@
         .subcommand(demo())
         .subcommand(emulate())
         .subcommand(report())
+        .subcommand(load())
 }
 
 fn serve() -> Command {
@@ -156,6 +157,43 @@
         )
 }
 
+fn load() -> Command {
+    Command::new("load")
+        .about("Send open-loop load and check every answer token by token")
+        .arg(
+            Arg::new("routers")
+                .value_name("IP:PORT")
+                .num_args(1..)
+                .required(true)
+                .help("Routers, taken in turn"),
+        )
+        .arg(
+            Arg::new("key-file")
+                .long("key-file")
+                .value_name("FILE")
+                .required(true)
+                .help("File that holds the key of the caller"),
+        )
+        .arg(text("model", "atlas", "Model"))
+        .arg(text("rate", "10", "Calls a second"))
+        .arg(number("seconds", "10", "Time in which calls start"))
+        .arg(number("prompt-words", "100", "Words of a prompt"))
+        .arg(number("max-tokens", "100", "Output tokens of a call"))
+        .arg(number("urgent-percent", "0", "Percentage of urgent calls"))
+        .arg(number(
+            "patience-ms",
+            "10000",
+            "Longest time without an event",
+        ))
+        .arg(number("seed", "1", "Seed of arrivals and prompts"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print one JSON object"),
+        )
+}
+
 fn emulate() -> Command {
     Command::new("emulate")
         .about("Run one stand-in for an outside system")
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,81 @@
+//! `bilberrypost load`
+
+use std::time::Duration;
+
+use anyhow::Context;
+use clap::ArgMatches;
+
+use super::Run;
+use crate::error::Error;
+use crate::load::tool::{self, Plan, Summary, Times};
+use crate::supervisor::Signal;
+
+pub(super) struct Load;
+
+impl Run for Load {
+    async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()> {
+        let summary = tool::run(plan(matches)?, &stop).await;
+        match matches.get_flag("json") {
+            true => println!("{}", serde_json::to_string(&summary)?),
+            false => print(&summary),
+        }
+        if !summary.is_exact() {
+            let what = "an answer lacks, repeats or mixes tokens; see the summary";
+            return Err(Error::Refused(what.into()).into());
+        }
+        Ok(())
+    }
+}
+
+fn plan(matches: &ArgMatches) -> anyhow::Result<Plan> {
+    let text = |name| matches.get_one::<String>(name).expect("has a default");
+    let number = |name| *matches.get_one::<u64>(name).expect("has a default");
+    let path = text("key-file");
+    let key = std::fs::read_to_string(path)
+        .with_context(|| format!("could not read {path}; check the path"))?;
+    let rate: f64 = text("rate").parse().context("rate is not a number")?;
+    anyhow::ensure!(
+        rate > 0.0 && rate.is_finite(),
+        "rate = {rate} cannot be used; give calls a second above 0"
+    );
+    Ok(Plan {
+        routers: matches
+            .get_many::<String>("routers")
+            .expect("required")
+            .cloned()
+            .collect(),
+        key: key.trim().into(),
+        model: text("model").into(),
+        rate,
+        duration: Duration::from_secs(number("seconds")),
+        prompt_words: number("prompt-words") as u32,
+        max_tokens: number("max-tokens") as u32,
+        urgent_percent: number("urgent-percent") as u32,
+        patience: Duration::from_millis(number("patience-ms")),
+        seed: number("seed"),
+    })
+}
+
+fn print(summary: &Summary) {
+    println!(
+        "seed {}: {} calls, {} complete, {} refused, {} failed, {} reconnects",
+        summary.seed,
+        summary.calls,
+        summary.complete,
+        summary.refused,
+        summary.failed,
+        summary.reconnects
+    );
+    println!(
+        "{} tokens, {} missing, {} repeated, {} mixed",
+        summary.tokens, summary.missing, summary.repeated, summary.mixed
+    );
+    let line = |name: &str, times: &Times| {
+        println!(
+            "{name}: p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+            times.p50_ms, times.p95_ms, times.p99_ms, times.max_ms
+        );
+    };
+    line("first token", &summary.first_token);
+    line("between tokens", &summary.between_tokens);
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod demo;
 mod emulate;
+mod load;
 mod publish;
 mod report;
 mod serve;
@@ -61,6 +62,7 @@
         Some(("publish", matches)) => publish::Publish::run(matches, stop).await,
         Some(("status", matches)) => status::Status::run(matches, stop).await,
         Some(("emulate", matches)) => emulate::Emulate::run(matches, stop).await,
+        Some(("load", matches)) => load::Load::run(matches, stop).await,
         Some(("report", matches)) => report::Report::run(matches, stop).await,
         Some(("demo", matches)) => demo::Demo::run(matches, stop).await,
         _ => unreachable!("clap accepts only the subcommands above"),
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -84,8 +84,13 @@
 
 /// Makes a streamed call and checks its answer.
 pub async fn complete(address: &str, call: &Call) -> Answer {
+    observe(address, call, |_| {}).await
+}
+
+/// Makes a streamed call, checks its answer and shows it after each event.
+pub async fn observe(address: &str, call: &Call, seen: impl FnMut(&Answer)) -> Answer {
     let mut answer = Answer::default();
-    follow(address, call, &mut answer).await;
+    follow(address, call, &mut answer, seen).await;
     answer
 }
 
@@ -93,10 +98,10 @@
 pub async fn reconnect(address: &str, call: &Call, answer: &mut Answer) {
     answer.broken = None;
     answer.problem = None;
-    follow(address, call, answer).await;
+    follow(address, call, answer, |_| {}).await;
 }
 
-async fn follow(address: &str, call: &Call, answer: &mut Answer) {
+async fn follow(address: &str, call: &Call, answer: &mut Answer, mut seen: impl FnMut(&Answer)) {
     let started = Instant::now();
     let request = request(address, call, answer);
     let exchange = within(call.patience, client::send(address, request, call.patience)).await;
@@ -126,6 +131,7 @@
                 Some(_) => answer.gaps.push(now - last),
             }
             last = now;
+            seen(answer);
         }
         match within(call.patience, exchange.next()).await {
             Some(Ok(Some(piece))) if parser.push(&piece).is_ok() => {}
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,3 +1,4 @@
 //! Open-loop load that checks every answer token by token.
 
 pub mod client;
+pub mod tool;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -30,3 +30,34 @@
     assert!(answer.complete, "{answer:?}");
     assert_eq!((answer.missing, answer.repeated, answer.foreign), (0, 0, 0));
 }
+
+/// Guards against a load tool that loses calls, or that misses an answer that is wrong.
+#[test]
+fn load_checks_every_answer() {
+    let mut cluster = Cluster::start();
+    for _ in 0..2 {
+        cluster.engine(&[]);
+    }
+    cluster.router(&split(), 2);
+    let folder = tempfile::tempdir().unwrap();
+    let key = folder.path().join("key");
+    std::fs::write(&key, support::CALLER_KEY).unwrap();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
+        .args([
+            "load",
+            &cluster.routers[0].address,
+            "--json",
+            "--seconds",
+            "2",
+        ])
+        .args(["--max-tokens", "20", "--key-file"])
+        .arg(&key)
+        .output()
+        .unwrap();
+    let summary: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert!(output.status.success(), "{summary}");
+    let number = |name: &str| summary[name].as_u64().unwrap();
+    assert!(number("calls") > 0, "{summary}");
+    assert_eq!(number("complete"), number("calls"), "{summary}");
+    assert_eq!(number("tokens"), 20 * number("calls"), "{summary}");
+}
