--- a/src/relay/generation.rs
+++ b/src/relay/generation.rs
@@ -18,7 +18,7 @@
 const RESUMED_LIMIT: Duration = Duration::from_millis(400);
 
 /// Time for frames on the way to arrive after the engine showed a position ahead of ours.
-const GRACE: Duration = Duration::from_millis(60);
+const GRACE: Duration = Duration::from_millis(40);
 
 /// Time between two questions about a stream that waits or is being prefilled.
 const WAIT_INTERVAL: Duration = Duration::from_secs(1);
