--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -583,7 +583,7 @@
                 let address = &cluster.routers[*router].address;
                 let status: serde_json::Value = get(address, "/admin/v1/status");
                 status["backends"].as_object().unwrap().len() == 3
-                    && status["routers"].as_array().unwrap().len() == 2 + DRAINS.0
+                    && status["live"].as_array().unwrap().len() == 2 + DRAINS.0
             })
         });
         let visits: Vec<_> = leaving
--- a/src/claim/task.rs
+++ b/src/claim/task.rs
@@ -391,7 +391,8 @@
     }
 
     fn owns(&self) -> bool {
-        self.handle.other_owner(self.number).is_none()
+        let view = &self.handle.0.view;
+        view.owns(&duty(self.number)) || view.live().is_empty()
     }
 
     fn handle(&mut self, message: Message) {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -17,7 +17,10 @@
         let text = std::fs::read_to_string(path)
             .with_context(|| format!("could not read {path}; check the path"))?;
         let host = Host::from_file(&File::parse(path, &text)?)?;
-        let split = router::read_split(&host.split)?;
+        let split = match host.split.is_empty() {
+            true => None,
+            false => Some(router::read_split(&host.split)?),
+        };
         let sockets = Sockets::bind(&host).await?;
         println!(
             "ready kind=router peer_address={} address={}",
--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -19,6 +19,8 @@
     pub listen: CompactString,
     /// Address for messages between routers, `IP:PORT`.
     pub peer_listen: CompactString,
+    /// Address under which other routers reach this one, if it is not `peer_listen`.
+    pub peer_address: Option<CompactString>,
     /// URL of the store, or `None` to run without one.
     pub store: Option<String>,
     /// URL of the membership list.
@@ -29,10 +31,52 @@
     pub key: Secret,
     /// Earlier key, accepted during rotation.
     pub previous_key: Option<Secret>,
+    /// Key of administrators; without one, reading is open and changing is refused.
+    pub admin_key: Option<Secret>,
     /// Split files for a host that runs without a store.
     pub split: Vec<String>,
     /// Time after which a leaving host cuts what still runs.
     pub drain_limit: Duration,
+    /// Order in which waiting work starts.
+    pub scheduler: Order,
+    /// How engines are chosen.
+    pub route: Choice,
+    /// What urgent work does while routine work holds all places.
+    pub preemption: Preemption,
+    /// Time for which a caller may leave output unread; until then its engine's stream pauses.
+    pub slow_reader_limit: Duration,
+}
+
+/// Order in which waiting work starts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Order {
+    /// By rank, and fairly between partners, teams and callers.
+    #[default]
+    Fair,
+    /// First come, first served; a baseline for benches.
+    Fifo,
+}
+
+/// How engines are chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Choice {
+    /// By cached prefix, load and failure domain.
+    #[default]
+    Scored,
+    /// By load alone; a baseline for benches.
+    LeastLoaded,
+}
+
+/// What urgent work does while routine work holds all places.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Preemption {
+    /// It waits on this host; a baseline for benches.
+    Wait,
+    /// A bounded part waits in the engines' own queues, which order by priority.
+    #[default]
+    Queue,
+    /// As `Queue`, and routine work on the same engine is paused.
+    Pause,
 }
 
 /// Text that must not show in logs, status or errors.
@@ -45,6 +89,12 @@
         Self(bytes.into())
     }
 
+    /// Compares with a given value, in a time that does not depend on where they differ.
+    pub fn matches(&self, given: &[u8]) -> bool {
+        use sha2::{Digest, Sha256};
+        Sha256::digest(&self.0) == Sha256::digest(given)
+    }
+
     /// Returns the secret for use as a key.
     pub fn expose(&self) -> &[u8] {
         &self.0
@@ -66,13 +116,19 @@
     "region",
     "listen",
     "peer_listen",
+    "peer_address",
     "store",
     "members",
     "seeds",
     "key",
     "previous_key",
+    "admin_key",
     "split",
     "drain_limit_ms",
+    "scheduler",
+    "route",
+    "preemption",
+    "slow_reader_limit_ms",
 ];
 
 impl Host {
@@ -91,18 +147,46 @@
             region: section.text("region").unwrap_or("default").into(),
             listen: address(&section, "listen")?,
             peer_listen: address(&section, "peer_listen")?,
+            peer_address: match section.text("peer_address") {
+                Some(_) => Some(address(&section, "peer_address")?),
+                None => None,
+            },
             store: url(&section, "store")?,
             members: url(&section, "members")?,
             seeds: section.words("seeds"),
             key: secret(&section, "key")?
                 .ok_or_else(|| section.error("key", "[host] lacks key; add key = …"))?,
             previous_key: secret(&section, "previous_key")?,
+            admin_key: secret(&section, "admin_key")?,
             split: section
                 .words("split")
                 .into_iter()
                 .map(String::from)
                 .collect(),
             drain_limit: section.millis("drain_limit_ms", Duration::from_secs(600))?,
+            scheduler: word(
+                &section,
+                "scheduler",
+                &[("fair", Order::Fair), ("fifo", Order::Fifo)],
+            )?,
+            route: word(
+                &section,
+                "route",
+                &[
+                    ("scored", Choice::Scored),
+                    ("least_loaded", Choice::LeastLoaded),
+                ],
+            )?,
+            preemption: word(
+                &section,
+                "preemption",
+                &[
+                    ("wait", Preemption::Wait),
+                    ("queue", Preemption::Queue),
+                    ("pause", Preemption::Pause),
+                ],
+            )?,
+            slow_reader_limit: section.millis("slow_reader_limit_ms", Duration::from_secs(30))?,
         })
     }
 }
@@ -116,7 +200,23 @@
     Ok(text.into())
 }
 
-fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
+fn word<T: Copy + Default>(
+    section: &Section<'_>,
+    name: &str,
+    words: &[(&str, T)],
+) -> Result<T, Error> {
+    let Some(text) = section.text(name) else {
+        return Ok(T::default());
+    };
+    let found = words.iter().find(|(word, _)| *word == text);
+    found.map(|(_, value)| *value).ok_or_else(|| {
+        let known: Vec<_> = words.iter().map(|(word, _)| *word).collect();
+        let what = format!("{name} = {text} is not known; use {}", known.join(" or "));
+        section.error(name, what)
+    })
+}
+
+pub(super) fn url(section: &Section<'_>, name: &str) -> Result<Option<String>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
     };
@@ -127,7 +227,7 @@
     Ok(Some(text.trim_end_matches('/').into()))
 }
 
-fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
+pub(super) fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
     };
@@ -157,6 +257,11 @@
                 "h.ini:2: [host] has no setting nam",
             ),
             ("name = h1\n", "", "h.ini:1: [host] lacks name"),
+            (
+                "name = h1",
+                "name = h1\nscheduler = fast",
+                "h.ini:3: scheduler = fast is not known",
+            ),
             ("[host]", "[hast]", "h.ini:1: no [host] section"),
         ];
         for (from, to, expected) in cases {
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -32,6 +32,8 @@
     NoEngine,
     /// This host is leaving.
     Leaving,
+    /// The host has no settings yet.
+    NoSettings,
     /// No engine with the generation's version is left.
     VersionGone,
     /// Several engines died while serving this prompt.
@@ -58,6 +60,8 @@
     Timeout,
     /// The caller closed the connection.
     CallerGone,
+    /// The caller read too slowly for too long.
+    SlowReader,
 }
 
 impl Reason {
@@ -75,10 +79,12 @@
             Self::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
             Self::OutcomeUnknown | Self::AlreadyRan => StatusCode::CONFLICT,
             Self::EngineKiller | Self::VersionGone | Self::ResumeLimit => StatusCode::BAD_GATEWAY,
-            Self::Timeout | Self::CallerGone => StatusCode::GATEWAY_TIMEOUT,
-            Self::NoEngine | Self::Leaving | Self::StoreUnavailable | Self::BackendUnavailable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Timeout | Self::CallerGone | Self::SlowReader => StatusCode::GATEWAY_TIMEOUT,
+            Self::NoSettings
+            | Self::NoEngine
+            | Self::Leaving
+            | Self::StoreUnavailable
+            | Self::BackendUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -95,6 +101,7 @@
             Self::DeadlineUnreachable => "deadline-unreachable",
             Self::NoEngine => "no-engine",
             Self::Leaving => "leaving",
+            Self::NoSettings => "no-settings",
             Self::VersionGone => "version-gone",
             Self::EngineKiller => "engine-killer",
             Self::ResumeLimit => "resume-limit",
@@ -108,6 +115,7 @@
             Self::BackendUnavailable => "backend-unavailable",
             Self::Timeout => "timeout",
             Self::CallerGone => "caller-gone",
+            Self::SlowReader => "slow-reader",
         }
     }
 }
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -1,16 +1,16 @@
 //! What the other parts of a router see of the membership.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::rendezvous;
 
 /// A router as a peer.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Peer {
     /// Name of its host.
     pub name: CompactString,
@@ -26,57 +26,27 @@
 #[derive(Clone, Debug)]
 pub struct View {
     own: CompactString,
-    listed: Rc<RefCell<BTreeMap<CompactString, Peer>>>,
-    // Incarnations that announced their leaving, while the list still shows the host.
-    leaving: Rc<RefCell<BTreeMap<CompactString, u64>>>,
     // Invariant: holds only routers that are live, neither leaving nor suspected.
     live: Rc<RefCell<BTreeMap<CompactString, Peer>>>,
+    is_active: Rc<Cell<bool>>,
+    doubted: Rc<RefCell<Vec<CompactString>>>,
 }
 
 impl View {
     /// Creates the view of a host that sees only itself.
     pub fn new(own: Peer) -> Self {
-        let view = Self {
+        Self {
             own: own.name.clone(),
-            listed: Rc::default(),
-            leaving: Rc::default(),
-            live: Rc::default(),
-        };
-        view.set([own]);
-        view
+            live: Rc::new(RefCell::new(BTreeMap::from([(own.name.clone(), own)]))),
+            is_active: Rc::new(Cell::new(true)),
+            doubted: Rc::default(),
+        }
     }
 
     /// Replaces the live routers.
     pub fn set(&self, live: impl IntoIterator<Item = Peer>) {
         let live = live.into_iter().map(|peer| (peer.name.clone(), peer));
-        *self.listed.borrow_mut() = live.collect();
-        let listed = self.listed.borrow();
-        let mut leaving = self.leaving.borrow_mut();
-        leaving.retain(|name, _| listed.contains_key(name));
-        drop((listed, leaving));
-        self.update();
-    }
-
-    fn update(&self) {
-        let leaving = self.leaving.borrow();
-        let mut live = self.listed.borrow().clone();
-        live.retain(|name, _| !leaving.contains_key(name));
-        *self.live.borrow_mut() = live;
-    }
-
-    /// Notes that a host announced that it leaves; the list lags behind.
-    pub fn set_leaving(&self, name: &CompactString, incarnation: u64) {
-        self.leaving.borrow_mut().insert(name.clone(), incarnation);
-        self.update();
-    }
-
-    /// Notes a message of a host; a later incarnation does not leave.
-    pub fn heard(&self, name: &CompactString, incarnation: u64) {
-        let left = self.leaving.borrow().get(name).copied();
-        if left.is_some_and(|left| left < incarnation) {
-            self.leaving.borrow_mut().remove(name);
-            self.update();
-        }
+        *self.live.borrow_mut() = live.collect();
     }
 
     /// Returns the name of this host.
@@ -103,7 +73,30 @@
 
     /// Returns whether this host should hold a duty.
     pub fn owns(&self, duty: &str) -> bool {
-        self.owner(duty).is_some_and(|owner| owner.name == self.own)
+        self.is_active() && self.owner(duty).is_some_and(|owner| owner.name == self.own)
+    }
+
+    /// Says whether this host may act on duties.
+    pub fn set_active(&self, is_active: bool) {
+        self.is_active.set(is_active);
+    }
+
+    /// Returns whether this host may act on duties: it neither leaves nor returns from a pause.
+    pub fn is_active(&self) -> bool {
+        self.is_active.get()
+    }
+
+    /// Notes that a call to a peer failed, so that the peer is probed at once.
+    pub fn doubt(&self, name: &str) {
+        let mut doubted = self.doubted.borrow_mut();
+        if !doubted.iter().any(|known| known == name) {
+            doubted.push(name.into());
+        }
+    }
+
+    /// Returns and forgets the doubted peers.
+    pub fn take_doubted(&self) -> Vec<CompactString> {
+        self.doubted.take()
     }
 
     /// Returns the live router of a failure domain that should hold a duty of that domain, or of
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,3 +1,5 @@
 //! What operators see.
 
+pub mod burn;
+pub mod meter;
 pub mod metrics;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,4 +1,7 @@
 //! Which engine serves a request.
 
+pub mod cache;
 pub mod fleet;
+pub mod poll;
 pub mod prefix;
+mod select;
--- a/src/router.rs
+++ b/src/router.rs
@@ -10,8 +10,6 @@
 use compact_str::{CompactString, format_compact};
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
-use futures_channel::mpsc;
-use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -21,8 +19,9 @@
 
 use crate::claim;
 use crate::clock::{self, Clock};
-use crate::config::host::Host;
+use crate::config::host::{Host, Secret};
 use crate::config::split::Split;
+use crate::config::task::{self, Sources};
 use crate::dispatch::{self, Handle};
 use crate::engine;
 use crate::http::backend::{self, Servers};
@@ -30,12 +29,19 @@
 use crate::http::completions::{self, Format};
 use crate::http::problem::{Problem, Reason};
 use crate::http::{admin, server};
+use crate::member;
 use crate::member::list;
+use crate::member::table::State;
 use crate::member::view::{Peer, View};
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
+use crate::relay::{self, cursor::Signer};
+use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
+use crate::route::poll::{self, Poller};
+use crate::sched::lease_task::{self, Allocators, Reporter};
+use crate::sched::share::Shares;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::{unix_ms, within};
@@ -48,12 +54,6 @@
 /// Longest time to write the last claim records.
 const RELEASE_LIMIT: Duration = Duration::from_millis(1000);
 
-/// Longest time to tell one peer that this host leaves.
-const ANNOUNCE_LIMIT: Duration = Duration::from_millis(400);
-
-/// Time without a load report after which an engine is asked.
-const STATUS_PERIOD: Duration = Duration::from_millis(1000);
-
 /// Longest time for a status request.
 const STATUS_LIMIT: Duration = Duration::from_millis(800);
 
@@ -69,6 +69,8 @@
     pub dispatch: Handle,
     /// Metrics.
     pub metrics: Metrics,
+    /// Asks this process to leave.
+    pub stop: Signal,
     /// Given when the host starts to leave.
     pub leaving: Signal,
     /// Given when new work is refused.
@@ -79,8 +81,18 @@
     pub peer: peer::client::Client,
     /// Live routers.
     pub view: View,
+    /// Allocators of this host.
+    pub allocators: Allocators,
+    /// The membership task.
+    pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// What the generations know together.
+    pub relay: RefCell<relay::Shared>,
+    /// Signs and checks event ids.
+    pub cursors: Signer,
+    /// The revision in force.
+    pub config: task::State,
     /// Claims on calls that run at most once; needs a store.
     pub claims: Option<claim::task::Handle>,
     /// Servers of backend services.
@@ -88,8 +100,11 @@
     /// Requests that were accepted and are not answered in full.
     pub requests: server::Requests,
     split: RefCell<Arc<Split>>,
+    listing: RefCell<Vec<wire::Member>>,
+    report: RefCell<Report<clock::System>>,
     incarnation: u64,
     last_request: Cell<u64>,
+    polled_bytes: Cell<u64>,
 }
 
 /// What requests need to know of the host's settings.
@@ -99,6 +114,10 @@
     pub name: CompactString,
     /// Failure domain.
     pub failure_domain: CompactString,
+    /// Time for which a caller may leave output unread.
+    pub slow_reader_limit: Duration,
+    /// Key of administrators.
+    pub admin_key: Option<Secret>,
 }
 
 impl Router {
@@ -109,10 +128,47 @@
 
     /// Puts a split into force.
     pub fn set_split(&self, split: Arc<Split>) {
+        self.allocators.shares(Shares::of(&split));
         self.dispatch.split(split.clone());
         *self.split.borrow_mut() = split;
     }
 
+    /// Returns the membership list as it was read last.
+    pub fn listing(&self) -> Vec<wire::Member> {
+        self.listing.borrow().clone()
+    }
+
+    /// Takes over the membership list.
+    pub fn set_listing(&self, listing: Vec<wire::Member>) {
+        self.members.listed(&listing);
+        self.dispatch.members(listing.clone());
+        self.backends.borrow_mut().set_members(&listing);
+        *self.listing.borrow_mut() = listing;
+    }
+
+    /// Takes over a peer's membership list if this host could not read one.
+    pub fn hint_listing(&self, listing: Vec<wire::Member>) {
+        if self.listing.borrow().is_empty() {
+            self.set_listing(listing);
+        }
+    }
+
+    /// Notes events of a service level, of which some missed the target.
+    pub fn record(&self, line: Line, events: u64, bad: u64) {
+        self.report.borrow_mut().record(line, events, bad);
+    }
+
+    /// Returns the service-level burn.
+    pub fn burns(&self) -> Vec<Burn> {
+        self.report.borrow().burns()
+    }
+
+    /// Returns the bytes that control has cost since the start, without those of TCP and IP.
+    pub fn control_bytes(&self) -> u64 {
+        let store = self.store.as_ref().map_or(0, objects::Client::bytes);
+        self.peer.bytes() + store + self.polled_bytes.get()
+    }
+
     /// Returns an identity that no other request of any host has.
     pub fn new_request_id(&self) -> CompactString {
         self.last_request.set(self.last_request.get() + 1);
@@ -143,9 +199,13 @@
         let router = &self.0;
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        if let Some(response) = admin::answer(router, path).await {
+        if let Some(response) = admin::answer(router, &head).await {
             return response;
         }
+        if let Some(reason) = router.config.not_ready() {
+            let problem = Problem::not_run(Reason::NoSettings, reason);
+            return router.refused(problem.retry_after(Duration::from_secs(1)));
+        }
         if router.refusing.is_given() {
             let detail = "this host is leaving; retry at once to reach another host";
             let problem = Problem::not_run(Reason::Leaving, detail);
@@ -203,25 +263,47 @@
 
 /// Runs a router process until `stop` is given and all work has ended.
 ///
+/// `split` is in force until the first revision is published.
+///
 /// # Errors
 /// A socket has no address.
-pub async fn run(sockets: Sockets, host: Host, split: Split, stop: Signal) -> anyhow::Result<()> {
+pub async fn run(
+    sockets: Sockets,
+    host: Host,
+    split: Option<Split>,
+    stop: Signal,
+) -> anyhow::Result<()> {
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
         clock::System,
-        host.failure_domain.clone(),
+        dispatch::Policy::of(&host),
         supervisor.stop_signal(),
     );
     supervisor.spawn("dispatch", dispatch_task);
+    let (allocators, allocator_task) =
+        lease_task::allocators(clock::System, supervisor.stop_signal());
+    supervisor.spawn("allocators", allocator_task);
     let incarnation = unix_ms(clock::System.wall());
     let own = Peer {
         name: host.name.clone(),
-        address: format_compact!("{}", sockets.peers.local_addr()?),
+        address: match &host.peer_address {
+            Some(address) => address.clone(),
+            None => format_compact!("{}", sockets.peers.local_addr()?),
+        },
         failure_domain: host.failure_domain.clone(),
         region: host.region.clone(),
     };
     let peer = peer_client(&host, incarnation);
     let view = View::new(own.clone());
+    let (members, members_task) = member::task::create(
+        clock::System,
+        own,
+        view.clone(),
+        peer.clone(),
+        &host.seeds,
+        supervisor.stop_signal(),
+    );
+    supervisor.spawn("membership", members_task);
     let store = host.store.as_deref().map(objects::Client::new);
     let mut methods = Methods::default();
     let claims = store.as_ref().map(|store| {
@@ -232,25 +314,43 @@
         host: HostView {
             name: host.name.clone(),
             failure_domain: host.failure_domain.clone(),
+            slow_reader_limit: host.slow_reader_limit,
+            admin_key: host.admin_key.clone(),
         },
         dispatch,
         metrics: Metrics::default(),
+        stop: stop.clone(),
         leaving: Signal::default(),
         refusing: Signal::default(),
         streams: Group::default(),
         peer,
         view,
+        members,
+        allocators,
+        relay: RefCell::default(),
+        cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
+        config: task::State::default(),
         store,
         claims,
         backends: Rc::new(RefCell::new(servers)),
         requests: server::Requests::default(),
         split: RefCell::default(),
+        listing: RefCell::default(),
+        report: RefCell::new(Report::new(clock::System)),
         incarnation,
         last_request: Cell::new(0),
+        polled_bytes: Cell::new(0),
     });
-    router.set_split(Arc::new(split));
-    start_tasks(&router, &host, own, &supervisor);
-    add_methods(&router, &mut methods, &supervisor);
+    start_tasks(&router, &host, &supervisor);
+    router.members.add_methods(&mut methods);
+    router.allocators.add_methods(&mut methods);
+    let sources = Sources {
+        seeds: host.seeds.clone(),
+        files: split,
+    };
+    let stop_signal = supervisor.stop_signal();
+    let config = task::create(router.clone(), sources, &mut methods, stop_signal);
+    supervisor.spawn("config", config);
     supervisor.spawn(
         "peers",
         peer::server::run(
@@ -268,6 +368,7 @@
     let signals = compio::runtime::spawn(watch_second_signal(cut.clone()));
     stop.wait().await;
     leave(&router, host.drain_limit, cut, closed, serving).await;
+    router.members.leave(State::Left).await;
     supervisor.stop().await;
     signals.cancel().await;
     info!("event=stopped host={}", router.host.name);
@@ -281,77 +382,26 @@
 }
 
 /// Starts the tasks that keep this host's state up to date.
-fn start_tasks(router: &Rc<Router>, host: &Host, own: Peer, supervisor: &Supervisor) {
+fn start_tasks(router: &Rc<Router>, host: &Host, supervisor: &Supervisor) {
     if let Some(url) = host.members.clone() {
-        let dispatch = router.dispatch.clone();
-        let view = router.view.clone();
-        let backends = router.backends.clone();
-        let take = move |members: Vec<wire::Member>| {
-            view.set(peers(&members).chain([own.clone()]));
-            backends.borrow_mut().set_members(&members);
-            dispatch.members(members);
-        };
+        let router = router.clone();
+        let take = move |members| router.set_listing(members);
         supervisor.spawn("members", list::watch(url, take, supervisor.stop_signal()));
     }
-    let poll = poll_engines(
-        router.dispatch.clone(),
-        clock::System,
-        supervisor.stop_signal(),
-    );
+    let poll = poll_engines(router.clone(), clock::System, supervisor.stop_signal());
     supervisor.spawn("status", poll);
-}
-
-/// Adds the methods that other routers may call.
-fn add_methods(router: &Rc<Router>, methods: &mut Methods, supervisor: &Supervisor) {
-    let (sender, leaving) = mpsc::unbounded();
-    methods.add("member.leaving", move |from: peer::Sender, ()| {
-        let sent = sender.unbounded_send(from);
-        async move { sent.ok() }
-    });
-    let heard = router.peer.listen();
-    let stop = supervisor.stop_signal();
+    let reporter = Reporter {
+        dispatch: router.dispatch.clone(),
+        view: router.view.clone(),
+        peer: router.peer.clone(),
+        allocators: router.allocators.clone(),
+    };
     supervisor.spawn(
-        "leaving",
-        note_leaving(router.view.clone(), leaving, heard, stop),
+        "leases",
+        reporter.run(clock::System, supervisor.stop_signal()),
     );
 }
 
-/// Keeps hosts that announced their leaving out of the view until they start again.
-async fn note_leaving(
-    view: View,
-    mut leaving: mpsc::UnboundedReceiver<peer::Sender>,
-    mut heard: mpsc::UnboundedReceiver<peer::Sender>,
-    stop: Signal,
-) {
-    while !stop.is_given() {
-        let stopped = pin!(stop.wait());
-        match select(stopped, select(leaving.next(), heard.next())).await {
-            Either::Right((Either::Left((Some(from), _)), _)) => {
-                info!("event=peer_leaving host={}", from.name);
-                view.set_leaving(&from.name, from.incarnation);
-            }
-            Either::Right((Either::Right((Some(from), _)), _)) => {
-                view.heard(&from.name, from.incarnation);
-            }
-            _ => return,
-        }
-    }
-}
-
-fn peers(members: &[wire::Member]) -> impl Iterator<Item = Peer> {
-    let routers = members
-        .iter()
-        .filter(|member| member.kind == wire::Kind::Router && member.state == wire::Listing::Live);
-    routers.filter_map(|member| {
-        Some(Peer {
-            name: member.name.clone(),
-            address: member.peer_address.clone()?,
-            failure_domain: member.failure_domain.clone(),
-            region: member.region.clone(),
-        })
-    })
-}
-
 /// Finishes what runs, hands over the duties of this host and closes its doors, in at most `limit`
 /// or until `cut` is given.
 async fn leave(
@@ -406,17 +456,7 @@
 
 /// Tells the peers that this host leaves, and releases its ranges to them.
 async fn hand_over(router: &Router) {
-    let own = router.peer.sender();
-    router.view.set_leaving(&own.name, own.incarnation);
-    let told = router.view.live().into_iter().map(|peer| async move {
-        let call = router
-            .peer
-            .call(&peer.address, "member.leaving", &(), ANNOUNCE_LIMIT);
-        let told: Result<(), _> = call.await;
-        told.inspect_err(|err| info!("event=not_told host={} error={err:?}", peer.name))
-            .ok()
-    });
-    futures_util::future::join_all(told).await;
+    router.members.leave(State::Leaving).await;
     if let Some(claims) = &router.claims {
         // Without the store nothing can be written, and the next owner reads what is there.
         let released = within(RELEASE_LIMIT, claims.released()).await;
@@ -440,23 +480,23 @@
     std::future::pending::<()>().await;
 }
 
-/// Asks engines whose load was not reported lately, all of them at once.
-async fn poll_engines<C: Clock>(dispatch: Handle, clock: C, stop: Signal) {
+/// Asks engines whose load was not reported lately.
+async fn poll_engines<C: Clock>(router: Rc<Router>, clock: C, stop: Signal) {
+    let mut poller = Poller::new(clock);
     while !stop.is_given() {
-        let is_due = |at: Instant| clock.now().duration_since(at) >= STATUS_PERIOD;
-        let engines = dispatch.engines().await.into_iter();
-        let asked = engines.filter(|polled| polled.reported_at.is_none_or(is_due));
-        let answers = asked.map(|polled| {
-            let dispatch = dispatch.clone();
+        let engines = router.dispatch.engines().await;
+        let asked = poller.due(&engines).into_iter().map(|polled| {
+            let router = router.clone();
             async move {
                 let status = engine::status(&polled.address, polled.next_seq, STATUS_LIMIT);
-                if let Some(status) = status.await {
-                    dispatch.status(polled.engine, status);
+                if let Some((status, bytes)) = status.await {
+                    router.polled_bytes.set(router.polled_bytes.get() + bytes);
+                    router.dispatch.status(polled.engine, status);
                 }
             }
         });
-        futures_util::future::join_all(answers).await;
-        within(STATUS_PERIOD / 4, stop.wait()).await;
+        futures_util::future::join_all(asked).await;
+        within(poll::ROUND, stop.wait()).await;
     }
 }
 
--- a/tests/support/keyed.rs
+++ b/tests/support/keyed.rs
@@ -189,7 +189,7 @@
             let owned = (0..4).filter(|range| owner(*range, &names) == index);
             let owned: Vec<_> = owned.map(serde_json::Value::from).collect();
             let status: serde_json::Value = get(&router.address, "/admin/v1/status");
-            status["routers"].as_array().unwrap().len() == routers
+            status["live"].as_array().unwrap().len() == routers
                 && status["backends"].as_object().unwrap().len() == backends
                 && status["ranges"].as_array() == Some(&owned)
         })
