Overlap faults in the bench of keyed calls and bound takeovers

Cause: the phase with all faults took them one after the other; a takeover that met the store's rate limit read all objects again; a burst of deletions of expired objects could use up the store's writes; a backend server that the list showed leaving and then live again stayed without work.

Change: the bench runs two phases with lost store responses, stale reads, dropped answers, kills, pauses, outages and silent connections. A failed takeover keeps the sealed objects that it read, deletions are bounded, a failed question to an owner makes the membership probe it at once, and the list's word about a backend server is followed both ways.

--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -30,14 +30,17 @@
 
 const ROUTERS: usize = 6;
 
-/// Keys of each fault's phase; nine phases make 10,000 keys.
-const KEYS: usize = 1112;
+/// Keys of the phase of one fault; eight of them and two phases with all make 14,000 keys.
+const KEYS: usize = 1000;
+
+/// Keys of a phase with all faults.
+const KEYS_TOGETHER: usize = 3000;
 
 /// Keys a second in the phases with faults.
 const RATE: f64 = 250.0;
 
 /// Time between two faults of a phase.
-const FAULT_PERIOD: Duration = Duration::from_millis(1200);
+const FAULT_PERIOD: Duration = Duration::from_millis(500);
 
 /// Requests that a caller sends with one key while they are refused as not run.
 const TRIES: usize = 4;
@@ -125,7 +128,8 @@
                         let mut random = random.borrow_mut();
                         (random.random_bool(0.2), random.random_bool(drops))
                     };
-                    let fault = if is_dropped { "drop" } else { "" };
+                    // Slower calls, so that faults hit more of them while they run.
+                    let fault = if is_dropped { "drop" } else { "slow@60" };
                     let caller = |lane: usize| caller(&addresses, &random, &key, lane, fault);
                     match is_double {
                         true => join_all([caller(0), caller(1)]).await.concat_sent(),
@@ -260,17 +264,23 @@
         put(&self.store_address, "/v1/emulation/faults", &faults);
     }
 
-    /// Does one of the faults; `turn` says which router or server it hits.
-    fn disturb(&mut self, fault: &str, turn: usize) {
+    fn live_routers(&self, router: usize) -> usize {
+        let address = &self.cluster.routers[router].address;
+        let status: serde_json::Value = get(address, "/admin/v1/status");
+        status["live"].as_array().unwrap().len()
+    }
+
+    /// Does one of the faults; `turn` says which router or server it hits, and `usual` what the
+    /// store does otherwise.
+    fn disturb(&mut self, fault: &str, turn: usize, usual: &Faults) {
         let router = self.live[turn % self.live.len()];
+        let other = self.live[(turn + 1) % self.live.len()];
         match fault {
             "killed routers" => {
                 self.cluster.routers[router].kill();
-                // The balancer and the list notice a dead host late.
+                // The balancer notices a dead host late.
                 std::thread::sleep(Duration::from_millis(300));
                 self.set_live(router, false);
-                let member = self.member(router, Listing::Leaving);
-                self.cluster.list_member(&member);
                 self.add_router();
             }
             "paused routers" => {
@@ -279,27 +289,21 @@
                 self.cluster.routers[router].unpause();
             }
             "paused owners" => {
+                let before = self.live_routers(other);
                 self.cluster.routers[router].pause();
-                let member = self.member(router, Listing::Leaving);
-                self.cluster.list_member(&member);
-                std::thread::sleep(Duration::from_millis(1500));
+                wait_until("the paused router is missed", || {
+                    self.live_routers(other) < before
+                });
+                std::thread::sleep(Duration::from_millis(500));
                 self.cluster.routers[router].unpause();
-                std::thread::sleep(Duration::from_millis(700));
-                let member = self.member(router, Listing::Live);
-                self.cluster.list_member(&member);
             }
-            "lost store responses" => self.set_store(Faults {
-                lost_answers: 0.1,
-                stale_reads: 0.1,
-                ..Faults::default()
-            }),
             "store outage" => {
                 self.set_store(Faults {
                     outage: true,
-                    ..Faults::default()
+                    ..usual.clone()
                 });
                 std::thread::sleep(Duration::from_millis(600));
-                self.set_store(Faults::default());
+                self.set_store(usual.clone());
             }
             "silent connections" => {
                 self.store.set(Fault::Silence);
@@ -311,38 +315,93 @@
     }
 
     /// Runs one phase: calls, and meanwhile the faults in turn.
-    fn phase(&mut self, name: &str, faults: &[&str], seed: u64, drops: f64) -> Tally {
+    fn phase(&mut self, phase: &Phase<'_>, seed: u64) -> Tally {
         let started = Instant::now();
-        let load = load(&self.addresses, seed, KEYS, drops);
-        let end = Duration::from_secs_f64(KEYS as f64 / RATE);
+        let usual = match phase.lost {
+            true => Faults {
+                lost_answers: 0.1,
+                stale_reads: 0.1,
+                delay_ms: 10,
+                ..Faults::default()
+            },
+            false => Faults::default(),
+        };
+        self.set_store(usual.clone());
+        let load = load(&self.addresses, seed, phase.keys, phase.drops);
         let mut turn = 0;
-        while started.elapsed() < end && !faults.is_empty() {
-            self.disturb(faults[turn % faults.len()], turn);
-            turn += 1;
+        while !load.is_finished() {
+            let due = Duration::from_secs_f64(phase.keys as f64 / RATE);
+            if started.elapsed() < due && !phase.faults.is_empty() {
+                let fault = phase.faults[turn % phase.faults.len()];
+                self.disturb(fault, turn, &usual);
+                turn += 1;
+            }
             std::thread::sleep(FAULT_PERIOD);
         }
         let sent = load.join().unwrap();
         self.set_store(Faults::default());
         let tally = tally(&self.cluster, &sent);
         println!(
-            "phase={name:?} s={:.1} {tally:?}",
+            "phase={:?} s={:.1} faults={turn} {tally:?}",
+            phase.name,
             started.elapsed().as_secs_f64()
         );
         tally
     }
 }
 
+/// What goes wrong in a phase.
+struct Phase<'a> {
+    name: &'a str,
+    faults: &'a [&'a str],
+    // Whether a tenth of the store's responses to writes are lost and of its reads are stale.
+    lost: bool,
+    // Share of calls whose answer the backend server drops.
+    drops: f64,
+    keys: usize,
+}
+
 fn under_faults(seed: u64) -> Tally {
     let mut stage = Stage::new();
-    let alone = [
-        "none",
+    let plain = Phase {
+        name: "none",
+        faults: &[],
+        lost: false,
+        drops: 0.0,
+        keys: KEYS,
+    };
+    let faults = [
         "killed routers",
         "paused routers",
-        "paused owners",
-        "lost store responses",
-        "store outage",
         "silent connections",
+        "store outage",
+        "paused owners",
     ];
+    let together = Phase {
+        name: "all together",
+        faults: &faults,
+        lost: true,
+        drops: 0.05,
+        keys: KEYS_TOGETHER,
+    };
+    let alone = faults.iter().map(std::slice::from_ref).map(|fault| Phase {
+        name: fault[0],
+        faults: fault,
+        ..plain
+    });
+    let mut phases: Vec<_> = alone.collect();
+    phases.push(Phase {
+        name: "lost store responses",
+        lost: true,
+        ..plain
+    });
+    phases.push(Phase {
+        name: "dropped answers",
+        drops: 0.3,
+        ..plain
+    });
+    phases.push(plain);
+    phases.push(together);
     let mut total = Tally::default();
     let mut add = |tally: Tally| {
         total.calls += tally.calls;
@@ -350,11 +409,11 @@
         total.false_not_run += tally.false_not_run;
         total.crossed += tally.crossed;
     };
-    for (number, fault) in alone.iter().enumerate() {
-        add(stage.phase(fault, &[fault], seed + number as u64, 0.0));
+    for (number, phase) in phases.iter().enumerate() {
+        add(stage.phase(phase, seed + number as u64));
     }
-    add(stage.phase("dropped answers", &[], seed + 100, 0.3));
-    add(stage.phase("all together", &alone[1..], seed + 101, 0.1));
+    let last = phases.last().expect("has phases");
+    add(stage.phase(last, seed + phases.len() as u64));
     println!("faults: {total:?}");
     total
 }
--- a/src/claim/log.rs
+++ b/src/claim/log.rs
@@ -5,7 +5,7 @@
 //! that a new owner which overwrites the last object stops the old owner before it can create the
 //! next one. No clock is involved.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use compact_str::CompactString;
 use compio::bytes::Bytes;
@@ -109,8 +109,12 @@
     held: Option<Held>,
     // Invariant: in order of `seq`, which is the order of deletion.
     sealed: VecDeque<Sealed>,
+    // Sealed objects that a takeover read before it failed, so that the next one needs fewer reads
+    // when the store limits their rate.
+    read: BTreeMap<Version, Part>,
 }
 
+#[derive(Clone, Debug)]
 struct Part {
     seq: u64,
     version: Version,
@@ -150,6 +154,7 @@
             seal_bytes: SEAL_BYTES,
             held: None,
             sealed: VecDeque::new(),
+            read: BTreeMap::new(),
         }
     }
 
@@ -251,10 +256,44 @@
     }
 
     /// Reads the objects in order. All but the last are as they were listed.
-    async fn read_all(&self) -> Result<Vec<Part>, Error> {
+    async fn read_all(&mut self) -> Result<Vec<Part>, Error> {
         let entries = self.store.list(&self.prefix).await?;
-        let last = entries.last().map(|entry| entry.key.clone());
-        let read = |entry: Entry| async move {
+        let last = entries.last().map(|entry| entry.version);
+        let known = std::mem::take(&mut self.read);
+        let reads = entries.into_iter().map(|entry| {
+            let known = known.get(&entry.version);
+            self.read_part(entry, known.cloned())
+        });
+        let reads: Vec<_> = iter(reads).buffered(READS_AT_ONCE).collect().await;
+        let mut parts = Vec::new();
+        let mut failed = None;
+        for (entry, result) in reads {
+            let is_last = Some(entry.version) == last;
+            match result {
+                Ok(Some(part)) if is_last || part.version == entry.version => parts.push(part),
+                // Deleted since it was listed, because all its keys expired.
+                Ok(None) if !is_last => {}
+                Ok(_) => failed = Some(Error::Again(format!("{} changed meanwhile", entry.key))),
+                Err(err) => failed = Some(err),
+            }
+        }
+        let Some(failed) = failed else {
+            return Ok(parts);
+        };
+        let sealed = parts.into_iter().filter(|part| part.header.sealed);
+        self.read = sealed.map(|part| (part.version, part)).collect();
+        Err(failed)
+    }
+
+    async fn read_part(
+        &self,
+        entry: Entry,
+        known: Option<Part>,
+    ) -> (Entry, Result<Option<Part>, Error>) {
+        if known.is_some() {
+            return (entry, Ok(known));
+        }
+        let read = async {
             let seq = entry
                 .key
                 .rsplit('/')
@@ -262,22 +301,10 @@
                 .and_then(|seq| seq.parse().ok());
             let seq = seq.ok_or_else(|| Error::Down(format!("{} is foreign", entry.key)))?;
             let object = self.store.get(&entry.key).await?;
-            Ok((entry, object.map(|object| parse(seq, &object)).transpose()?))
+            object.map(|object| parse(seq, &object)).transpose()
         };
-        let reads = iter(entries.into_iter().map(read)).buffered(READS_AT_ONCE);
-        let read: Vec<Result<(Entry, Option<Part>), Error>> = reads.collect().await;
-        let mut parts = Vec::new();
-        for result in read {
-            let (entry, part) = result?;
-            let is_last = Some(&entry.key) == last.as_ref();
-            match part {
-                Some(part) if is_last || part.version == entry.version => parts.push(part),
-                // Deleted since it was listed, because all its keys expired.
-                None if !is_last => {}
-                _ => return Err(Error::Again(format!("{} changed meanwhile", entry.key))),
-            }
-        }
-        Ok(parts)
+        let part = read.await;
+        (entry, part)
     }
 
     /// Writes an object during a takeover.
--- a/src/claim/range.rs
+++ b/src/claim/range.rs
@@ -24,6 +24,9 @@
 /// Time beyond the call's limit after which an outcome is no longer expected.
 const OUTCOME_GRACE: Duration = Duration::from_secs(5);
 
+/// Most objects that are deleted at once, so that a long log does not take the store's writes.
+const DELETIONS_MAX: usize = 10;
+
 /// Most bytes of records in one write; values of the store are limited to 1 MB.
 const WRITE_BYTES: usize = 256 * 1024;
 
@@ -368,7 +371,10 @@
             }
             first.remove();
         }
-        while !self.is_down {
+        for _ in 0..DELETIONS_MAX {
+            if self.is_down {
+                return;
+            }
             match self.log.delete_expired(now_ms).await {
                 Ok(true) => {}
                 Ok(false) | Err(Error::Lost) => return,
--- a/src/claim/task.rs
+++ b/src/claim/task.rs
@@ -223,7 +223,7 @@
             relayed: false,
         };
         if let Some(owner) = self.other_owner(range) {
-            return self.ask_peer(&owner.address, &ask).await;
+            return self.ask_peer(&owner, &ask).await;
         }
         let (reply, answer) = oneshot::channel();
         let message = Message::Claim(ask, reply);
@@ -238,11 +238,21 @@
         (owner.name != *self.0.view.own()).then_some(owner)
     }
 
-    async fn ask_peer(&self, address: &str, ask: &Ask) -> Option<Answer> {
-        let call = self.0.peer.call(address, "claim.claim", ask, ASK_LIMIT);
-        call.await
-            .inspect_err(|err| info!("event=claim_unanswered error={:?}", err.to_string()))
-            .ok()
+    async fn ask_peer(&self, owner: &Peer, ask: &Ask) -> Option<Answer> {
+        let peer = &self.0.peer;
+        let call = peer.call(&owner.address, "claim.claim", ask, ASK_LIMIT);
+        match call.await {
+            Ok(answer) => Some(answer),
+            Err(err) => {
+                info!(
+                    "event=claim_unanswered host={} error={:?}",
+                    owner.name,
+                    err.to_string()
+                );
+                self.0.view.doubt(&owner.name);
+                None
+            }
+        }
     }
 
     /// Sends the outcome of a claim to the owner of its key, until the owner confirms it.
@@ -431,7 +441,7 @@
                 relayed: true,
             };
             let answer = match handle.other_owner(number) {
-                Some(owner) => handle.ask_peer(&owner.address, &ask).await,
+                Some(owner) => handle.ask_peer(&owner, &ask).await,
                 None => None,
             };
             waiter.answer(answer.unwrap_or(Answer::Moved));
--- a/src/http/backend.rs
+++ b/src/http/backend.rs
@@ -74,12 +74,20 @@
     service: CompactString,
     failure_domain: CompactString,
     running: u32,
-    // Set by the list or by the server's own word; cleared only when the list names a new address.
-    leaving: bool,
+    listed_leaving: bool,
+    // The server's own word; it holds until the list names another address, or shows the server
+    // live after it showed it leaving.
+    said_leaving: bool,
     failed_at: Option<Instant>,
     picked: u64,
 }
 
+impl State {
+    fn is_open(&self) -> bool {
+        !self.listed_leaving && !self.said_leaving
+    }
+}
+
 /// How an attempt on a server ended, as far as the choice of servers is concerned.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
@@ -128,7 +136,10 @@
             let leaving = member.state == Listing::Leaving;
             let known = self.servers.values_mut();
             match { known }.find(|state| state.name == member.name) {
-                Some(state) => state.leaving |= leaving,
+                Some(state) => {
+                    state.said_leaving &= leaving || !state.listed_leaving;
+                    state.listed_leaving = leaving;
+                }
                 None => {
                     self.servers.insert(State {
                         name: member.name.clone(),
@@ -136,7 +147,8 @@
                         service: member.service.clone(),
                         failure_domain: member.failure_domain.clone(),
                         running: 0,
-                        leaving,
+                        listed_leaving: leaving,
+                        said_leaving: false,
                         failed_at: None,
                         picked: 0,
                     });
@@ -147,7 +159,7 @@
 
     /// Returns the servers that take work, by name, with the running calls of this host.
     pub fn overview(&self) -> BTreeMap<CompactString, u32> {
-        let open = self.servers.values().filter(|state| !state.leaving);
+        let open = self.servers.values().filter(|state| state.is_open());
         open.map(|state| (state.name.clone(), state.running))
             .collect()
     }
@@ -161,7 +173,7 @@
         let candidates = self
             .servers
             .iter()
-            .filter(|(_, state)| state.service == service && !state.leaving);
+            .filter(|(_, state)| state.service == service && state.is_open());
         let (server, _) = candidates.min_by_key(|(key, state)| {
             let failed = state
                 .failed_at
@@ -192,7 +204,7 @@
         match end {
             End::Answered => state.failed_at = None,
             End::Failed => state.failed_at = Some(now),
-            End::Leaving => state.leaving = true,
+            End::Leaving => state.said_leaving = true,
         }
     }
 
@@ -663,6 +675,14 @@
             assert_eq!(servers.begin("booking", &[near]).unwrap().1, "near");
         }
         assert!(servers.begin("other", &[]).is_none());
+        let mut leaving = list;
+        leaving[0].state = Listing::Leaving;
+        leaving[1].state = Listing::Leaving;
+        servers.set_members(&leaving);
+        assert!(servers.begin("booking", &[]).is_none());
+        leaving[0].state = Listing::Live;
+        servers.set_members(&leaving);
+        assert_eq!(servers.begin("booking", &[]).unwrap().1, "far");
     }
 
     /// Guards against a fleet of failing servers that gets a multiple of its load.
