--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -9,7 +9,7 @@
 use bilberrypost::emulate::store::{Calls, Entry, Faults};
 use bilberrypost::http::client;
 use bilberrypost::http::problem::Reason;
-use bilberrypost::wire::{Kind, Listing, Member, Work};
+use bilberrypost::wire::{Kind, Work};
 use futures_util::future::join_all;
 use keyed::{Call, Reply, cluster, key_owned_by, new_key, runs, runs_of, settle};
 use support::{Cluster, HANG, Proxy, block_on, domain, get, put, wait_until};
@@ -49,19 +49,10 @@
     })
 }
 
-fn member(cluster: &Cluster, router: usize, state: Listing) -> Member {
-    Member {
-        name: format!("router-{router}").into(),
-        kind: Kind::Router,
-        address: cluster.routers[router].address.as_str().into(),
-        peer_address: cluster.routers[router]
-            .field("peer_address")
-            .map(Into::into),
-        failure_domain: domain(router).into(),
-        region: "default".into(),
-        state,
-        service: "".into(),
-    }
+/// Returns the number of live routers in the eyes of one.
+fn live(cluster: &Cluster, router: usize) -> usize {
+    let status: serde_json::Value = get(&cluster.routers[router].address, "/admin/v1/status");
+    status["live"].as_array().unwrap().len()
 }
 
 /// Guards against a call that runs once on each router that it was sent to, and against repeats
@@ -252,14 +243,9 @@
     );
     wait_until("the outcome is in the log", || is_recorded(&cluster, &key));
     cluster.routers[owner].pause();
-    // The paused host stays in its own view, so that it believes that it owns the range.
-    cluster.list_member(&member(&cluster, owner, Listing::Leaving));
-    let names = |router: usize| -> serde_json::Value {
-        get(&cluster.routers[router].address, "/admin/v1/status")
-    };
     for router in [first, second] {
-        wait_until("the list reaches the routers", || {
-            names(router)["live"].as_array().unwrap().len() == 2
+        wait_until("the routers miss the paused one", || {
+            live(&cluster, router) == 2
         });
     }
     let (meanwhile, _) = key_owned_by(3, |other| other == owner);
@@ -350,14 +336,8 @@
     let (name, domain) = (format!("backend-{index}"), domain(index));
     cluster.list(&name, Kind::Backend, backend.address(), &domain, "booking");
     let mut peers = Vec::new();
-    for router in 0..3 {
-        cluster.router(&keyed::split(), 0);
-        let proxy = Proxy::start(&cluster.routers[router].field("peer_address").unwrap());
-        cluster.list_member(&Member {
-            peer_address: Some(proxy.address().into()),
-            ..member(&cluster, router, Listing::Live)
-        });
-        peers.push(proxy);
+    for _ in 0..3 {
+        peers.push(cluster.proxied_router(&keyed::split(), 0));
     }
     settle(&cluster, 3, 1);
     let keyed_calls = || {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -69,10 +69,12 @@
     for has_limit in [false, true] {
         let mut cluster = Cluster::start();
         cluster.backend("booking", &[]);
-        if has_limit {
-            cluster.settings = "drain_limit_ms = 2500\n".into();
-        }
-        cluster.router(&keyed::split(), 0);
+        let settings = if has_limit {
+            "drain_limit_ms = 2500\n"
+        } else {
+            ""
+        };
+        cluster.router_with(&keyed::split(), 0, settings);
         settle(&cluster, 1, 1);
         let call = Call::status("hung").fault("slow@60000");
         let hung = send_aside(&cluster, 0, &call);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -315,7 +315,11 @@
 
     fn router_process(&self, index: usize, domain: &str) -> Process {
         let host = self.path(&format!("host-{index}.ini"));
-        let log = std::fs::File::create(self.log_path(index)).unwrap();
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path(index))
+            .unwrap();
         let router = Process::start_logging(&["serve", "-c", &host], log.into());
         self.list_member(&Member {
             name: format!("router-{index}").into(),
