--- a/src/orders/task.rs
+++ b/src/orders/task.rs
@@ -216,7 +216,10 @@
                 name: member.name,
                 address: member.address,
                 model: member.service,
-                status,
+                status: status.map(|(status, bytes)| {
+                    self.router.count_polled(bytes);
+                    status
+                }),
             }
         });
         let looks = futures_util::stream::iter(looks);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -43,9 +43,15 @@
 impl Process {
     /// Starts the program and waits for the line that says where it listens.
     pub fn start(args: &[&str]) -> Self {
+        Self::start_logging(args, Stdio::inherit())
+    }
+
+    /// Starts the program with its log written to `log`.
+    pub fn start_logging(args: &[&str], log: Stdio) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
             .args(args)
             .stdout(Stdio::piped())
+            .stderr(log)
             .spawn()
             .expect("the program starts");
         let output = BufReader::new(child.stdout.take().unwrap());
@@ -139,6 +145,8 @@
     pub backends: Vec<Process>,
     pub routers: Vec<Process>,
     domains: Vec<String>,
+    /// Further lines of the settings of routers that start from now on.
+    pub settings: String,
     folder: tempfile::TempDir,
 }
 
@@ -167,6 +175,7 @@
             backends: Vec::new(),
             routers: Vec::new(),
             domains: Vec::new(),
+            settings: String::new(),
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -232,6 +241,15 @@
         Process::start(&args)
     }
 
+    fn log_path(&self, router: usize) -> std::path::PathBuf {
+        self.folder.path().join(format!("router-{router}.log"))
+    }
+
+    /// Returns what a router wrote to its log.
+    pub fn log(&self, router: usize) -> String {
+        std::fs::read_to_string(self.log_path(router)).unwrap()
+    }
+
     /// Starts a router with a split file and waits until it sees `engines` engines.
     pub fn router(&mut self, split: &str, engines: usize) -> usize {
         self.router_with(split, engines, "")
@@ -278,8 +296,8 @@
         let host = format!(
             "[host]\nname = router-{index}\nfailure_domain = {}\nlisten = 127.0.0.1:0\n\
              peer_listen = 127.0.0.1:0\nstore = http://{}\nmembers = http://{}\n\
-             key = {PEER_KEY}\n{settings}",
-            domain, self.store.address, self.members.address,
+             key = {PEER_KEY}\n{settings}{}",
+            domain, self.store.address, self.members.address, self.settings
         );
         std::fs::write(self.path(&format!("host-{index}.ini")), host).unwrap();
         let router = self.router_process(index, domain);
@@ -297,7 +315,8 @@
 
     fn router_process(&self, index: usize, domain: &str) -> Process {
         let host = self.path(&format!("host-{index}.ini"));
-        let router = Process::start(&["serve", "-c", &host]);
+        let log = std::fs::File::create(self.log_path(index)).unwrap();
+        let router = Process::start_logging(&["serve", "-c", &host], log.into());
         self.list_member(&Member {
             name: format!("router-{index}").into(),
             kind: Kind::Router,
