Correct only this host's part of an imbalance between hosts

Cause: each host charged a partner with all of its work elsewhere; with many hosts that is far more than the host itself does, so all of them would have starved the partner together.

Change: the fleet's mix is scaled to the host's own work before it is compared.

Conclusion: the correction is bounded by the host's own work.

--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -260,12 +260,16 @@
     pub fn set_grant(&mut self, grant: &Grant) {
         let now = self.clock.now();
         let seconds = now.duration_since(self.granted_at).as_secs_f64();
+        let total = grant.work_per_s.values().sum::<f64>() * seconds;
+        let here = |partner| self.done_here.get(partner).copied().unwrap_or(0.0);
+        // Each host corrects its part of an imbalance; with all of it the hosts would overshoot.
+        let part = self.done_here.values().sum::<f64>() / total.max(1.0);
         let elsewhere: BTreeMap<_, _> = grant
             .work_per_s
             .iter()
             .map(|(partner, rate)| {
-                let here = self.done_here.get(partner).copied().unwrap_or(0.0);
-                (partner.clone(), (rate * seconds - here).max(0.0))
+                let excess = rate * seconds * part.min(1.0) - here(partner);
+                (partner.clone(), excess)
             })
             .collect();
         if self.grant.is_some() {
