--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -49,7 +49,7 @@
 /// How this host decides.
 #[derive(Clone, Debug, Default)]
 pub struct Policy {
-    /// Name of the host.
+    /// Name of this host.
     pub host: CompactString,
     /// Failure domain whose engines are preferred.
     pub failure_domain: CompactString,
