--- a/benches/resume.rs
+++ b/benches/resume.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Returns the tokens that each present engine decoded.
+    fn decoded(&self) -> Vec<u64> {
+        let engines = 0..ENGINES;
+        engines.map(|index| self.totals(index).decoded).collect()
+    }
+
     /// Returns the work of the present engines but `victims`.
     fn work_without(&self, victims: &[usize]) -> Work {
         let engines = (0..ENGINES).filter(|index| !victims.contains(index));
@@ -249,17 +255,23 @@
     });
 }
 
-fn victims(random: &mut StdRng, count: usize) -> Vec<usize> {
-    index::sample(random, ENGINES, count).into_vec()
+/// Chooses engines that decoded since `before`; cache affinity can leave some without streams.
+fn victims(fleet: &Fleet, before: &[u64], random: &mut StdRng, count: usize) -> Vec<usize> {
+    let decoded = fleet.decoded();
+    let busy: Vec<_> = (0..ENGINES)
+        .filter(|index| decoded[*index] > before[*index])
+        .collect();
+    let chosen = index::sample(random, busy.len(), count.min(busy.len()));
+    chosen.into_iter().map(|at| busy[at]).collect()
 }
 
 fn round(fleet: &mut Fleet, number: usize, random: &mut StdRng, result: &mut Outcome) {
     let loss = [Loss::Kill, Loss::Stop, Loss::Silence][number % 3];
-    let victims = victims(random, 1 + number / 3 % 2);
-    let before = fleet.work();
+    let (before, decoded) = (fleet.work(), fleet.decoded());
     let seen: Seen = Arc::new(Mutex::new(vec![Default::default(); STREAMS]));
     let streams = start_streams(fleet.router(), number, &seen);
     wait_for_progress(&seen, random.random_range(40..200));
+    let victims = victims(fleet, &decoded, random, 1 + number / 3 % 2);
     let ids: Vec<_> = seen
         .lock()
         .unwrap()
@@ -342,7 +354,7 @@
 
 /// Kills engines under callers that start again from nothing.
 fn baseline(fleet: &mut Fleet, number: usize, random: &mut StdRng) -> Repeated {
-    let victims = victims(random, 1 + number % 2);
+    let decoded = fleet.decoded();
     let seen: Seen = Arc::new(Mutex::new(vec![Default::default(); STREAMS]));
     let addresses: Vec<_> = fleet
         .proxies
@@ -357,6 +369,7 @@
         })))
     });
     wait_for_progress(&seen, random.random_range(40..200));
+    let victims = victims(fleet, &decoded, random, 1 + number % 2);
     let survivors = fleet.work_without(&victims);
     let on_victim = |stream: &usize| victims.contains(&(stream % ENGINES));
     let broken = (0..STREAMS).filter(on_victim).count();
