Keep the part of a host that is cut off while the platform lists it

Cause: a host cut off from its peers used its safe fraction by its own callers' mix while the others leased the whole capacity, so partners whose work entered there got more than their share.

Change: without a lease a host goes on with the places of its last one, at most its safe fraction and at least half of it. An allocator leaves these places to a silent host while the platform's list shows it, and counts their work in the comparison with shares; once the list drops the host they are leased again.

Conclusion: a dead host's places stay unused until the list drops it.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! The task that owns the scheduler, the view of the fleet and the account.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -137,7 +137,7 @@
     /// Shares in force.
     pub shares: Shares,
     /// Routers in the platform's list.
-    pub routers: u32,
+    pub routers: BTreeSet<CompactString>,
 }
 
 type Reply = oneshot::Sender<Result<Placement, Refusal>>;
@@ -415,7 +415,7 @@
                     demand: self.scheduler.demand(),
                     domains: self.fleet.domains(),
                     shares: Shares::of(&self.split),
-                    routers: self.fleet.routers(),
+                    routers: self.fleet.routers().clone(),
                 });
             }
             Message::Grant(grant) => self.scheduler.set_grant(&grant),
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -1,7 +1,7 @@
 //! This host's view of the engines, and the choice among them.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -160,7 +160,7 @@
     listed: BTreeMap<CompactString, BTreeMap<CompactString, BTreeMap<CompactString, wire::Member>>>,
     // Names and addresses of engines that said that they leave, while the list still shows them.
     left: BTreeMap<(CompactString, CompactString), Instant>,
-    routers: usize,
+    routers: BTreeSet<CompactString>,
     engines: SlotMap<Engine, State>,
     // Invariant: maps the name of each engine in `engines` to its key.
     names: BTreeMap<CompactString, Engine>,
@@ -179,7 +179,7 @@
             failure_domain,
             listed: BTreeMap::new(),
             left: BTreeMap::new(),
-            routers: 1,
+            routers: BTreeSet::new(),
             engines: SlotMap::with_key(),
             names: BTreeMap::new(),
             by_model: BTreeMap::new(),
@@ -205,7 +205,9 @@
                 .filter(move |member| member.kind == kind)
                 .filter(live)
         };
-        self.routers = of_kind(wire::Kind::Router).count().max(1);
+        self.routers = of_kind(wire::Kind::Router)
+            .map(|member| member.name.clone())
+            .collect();
         for member in of_kind(wire::Kind::Engine) {
             let domains = self.listed.entry(member.service.clone()).or_default();
             let names = domains.entry(member.failure_domain.clone()).or_default();
@@ -433,7 +435,7 @@
     fn hosts_per_engine(&self, model: &str) -> f64 {
         let engines = self.listed_count(model).max(1);
         let used = engines.min(ENGINES_MAX);
-        (self.routers as f64 * used as f64 / engines as f64).max(1.0)
+        (self.routers.len() as f64 * used as f64 / engines as f64).max(1.0)
     }
 
     /// Returns the expected delay in milliseconds of new work on an engine.
@@ -486,9 +488,9 @@
         used.into_iter().map(of_domain).collect()
     }
 
-    /// Returns the number of routers in the platform's list.
-    pub fn routers(&self) -> u32 {
-        self.routers as u32
+    /// Returns the live routers of the platform's list.
+    pub fn routers(&self) -> &BTreeSet<CompactString> {
+        &self.routers
     }
 
     /// Notes that this host starts a stream on an engine.
--- a/src/sched/allocator.rs
+++ b/src/sched/allocator.rs
@@ -8,14 +8,15 @@
 //!
 //! - An allocator counts for each host the greatest lease that the host may still believe in, and
 //!   the work that it runs, and leases only what is left.
-//! - A host without a lease uses `capacity / n` places.
+//! - A host without a lease uses at most `capacity / n` places. As long as the platform lists a host
+//!   that does not report, its places are not leased to others; they are once the list drops it.
 //! - An allocator that hears `m` hosts, at most half, leases `capacity * m / n`, as the others may
 //!   have another allocator. So both sides of a partition serve, and a loss of less than half of the
 //!   hosts leaves nothing idle.
 //! - An allocator that starts, or comes to hear more than half, leases nothing beyond what hosts
 //!   hold until all leases of its predecessor have expired.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -96,6 +97,10 @@
     holders: BTreeMap<CompactString, Holder>,
     last_report: Option<Instant>,
     warm_at: Instant,
+    // Routers in the platform's list.
+    listed: BTreeSet<CompactString>,
+    // Invariant: holds only listed hosts that are not heard, with what they use meanwhile.
+    silent: BTreeMap<CompactString, BTreeMap<Class, u32>>,
     // Whether at most half of the hosts were heard at the last report.
     is_minor: bool,
     // Work by partner since the last correction, in tokens.
@@ -130,6 +135,8 @@
             holders: BTreeMap::new(),
             last_report: None,
             warm_at: now,
+            listed: BTreeSet::new(),
+            silent: BTreeMap::new(),
             is_minor: true,
             work: BTreeMap::new(),
             rates: BTreeMap::new(),
@@ -150,6 +157,11 @@
         }
     }
 
+    /// Takes over the routers of the platform's list.
+    pub fn set_listed(&mut self, listed: BTreeSet<CompactString>) {
+        self.listed = listed;
+    }
+
     /// Takes a host's report and returns its lease.
     ///
     /// A report that arrives again or late changes nothing.
@@ -183,6 +195,7 @@
             .is_none_or(|at| now.duration_since(at) >= LEASE);
         if is_fresh {
             self.holders.clear();
+            self.silent.clear();
             self.work.clear();
             self.warm_at = now + LEASE;
             self.corrected_at = now;
@@ -191,9 +204,35 @@
     }
 
     fn forget(&mut self, now: Instant) {
-        self.holders.retain(|_, holder| {
-            now.duration_since(holder.heard) < LEASE || holder.outstanding(now) > 0
-        });
+        let is_heard = |holder: &Holder| now.duration_since(holder.heard) < LEASE;
+        let safe = self.safe(now);
+        for (name, holder) in &self.holders {
+            let lease = holder.last.as_ref().filter(|_| !is_heard(holder));
+            if let (Some((lease, _)), false) = (lease, self.silent.contains_key(name)) {
+                let places = apart(lease.places(), &self.shares, safe);
+                self.silent.insert(name.clone(), places);
+            }
+        }
+        self.holders
+            .retain(|_, holder| is_heard(holder) || holder.outstanding(now) > 0);
+        let heard = |name: &CompactString| self.holders.get(name).is_some_and(is_heard);
+        self.silent
+            .retain(|name, _| self.listed.contains(name) && !heard(name));
+    }
+
+    /// Returns the places that hosts use which do not report although the platform lists them.
+    ///
+    /// They may be cut off and serve on. A side that hears at most half of the hosts leases its own
+    /// part only, and so counts no others.
+    fn silent(&self, now: Instant) -> BTreeMap<Class, u32> {
+        let mut places = BTreeMap::new();
+        if self.hears_half(now) {
+            return places;
+        }
+        for (class, count) in self.silent.values().flatten() {
+            *places.entry(class.clone()).or_default() += count;
+        }
+        places
     }
 
     fn take(&mut self, host: &CompactString, incarnation: u64, report: &Report, now: Instant) {
@@ -275,7 +314,7 @@
     }
 
     fn divide(&self, now: Instant) -> Division {
-        let mut wants: BTreeMap<Class, u32> = BTreeMap::new();
+        let mut wants = self.silent(now);
         for (_, holder) in self.heard(now) {
             for (class, want) in &holder.wants {
                 *wants.entry(class.clone()).or_default() += want.wanted;
@@ -332,12 +371,17 @@
         }
         self.carry
             .retain(|class, _| division.exact.contains_key(class));
-        self.correct_rest(division, names);
+        self.correct_rest(division, names, &self.silent(now));
     }
 
     /// Corrects what the work per place does not explain, such as places that stay empty between
     /// two requests.
-    fn correct_rest(&mut self, division: &Division, names: Vec<CompactString>) {
+    fn correct_rest(
+        &mut self,
+        division: &Division,
+        names: Vec<CompactString>,
+        silent: &BTreeMap<Class, u32>,
+    ) {
         let is_short = |name: &CompactString| {
             let mut classes = division
                 .wants
@@ -356,19 +400,35 @@
             let correction = self.corrections.entry(name).or_insert(1.0);
             *correction = correction.powf(1.0 - CORRECTION_GAIN);
         }
-        let rate: f64 = settled.iter().map(|name| self.rates[name]).sum();
+        let rates: Vec<_> = settled
+            .iter()
+            .map(|name| self.rate_with(name, silent))
+            .collect();
+        let rate: f64 = rates.iter().sum();
         let claimed: f64 = settled.iter().map(|name| self.shares.get(name)).sum();
         if rate <= 0.0 {
             return;
         }
-        for name in settled {
-            let relative = self.rates[&name] / rate * claimed / self.shares.get(&name);
+        for (name, own) in settled.into_iter().zip(rates) {
+            let relative = own / rate * claimed / self.shares.get(&name);
             let correction = self.corrections.entry(name).or_insert(1.0);
             *correction *= (-CORRECTION_GAIN * (relative - 1.0).clamp(-1.0, 1.0)).exp();
             *correction = correction.clamp(1.0 / CORRECTION_MAX, CORRECTION_MAX);
         }
     }
 
+    /// Returns a partner's rate of work with that of hosts that do not report, which are taken to
+    /// do as much on each place as the others.
+    fn rate_with(&self, partner: &CompactString, silent: &BTreeMap<Class, u32>) -> f64 {
+        let unheard: u32 = silent
+            .iter()
+            .filter(|(class, _)| class.partner == *partner)
+            .map(|(_, count)| *count)
+            .sum();
+        let places = self.places[partner].max(1.0);
+        self.rates[partner] * (1.0 + f64::from(unheard) / places)
+    }
+
     /// Returns a partner's work per place in comparison to that of all partners.
     fn work_per_place(&self, partner: &CompactString) -> f64 {
         let (rate, places) = (self.rates.get(partner), self.places.get(partner));
@@ -396,13 +456,15 @@
             return BTreeMap::new();
         };
         let turn = (now.duration_since(self.started).as_secs() / ROTATION.as_secs()) as usize;
+        let silent = self.silent(now);
         let mut places = BTreeMap::new();
         for (class, whole) in &division.whole {
             let wants: Vec<_> = hosts
                 .iter()
                 .map(|(_, holder)| holder.wants.get(class).map_or(0, |want| want.wanted))
                 .collect();
-            let got = share::level(*whole, &wants, turn % hosts.len())[own];
+            let whole = whole.saturating_sub(silent.get(class).copied().unwrap_or(0));
+            let got = share::level(whole, &wants, turn % hosts.len())[own];
             places.insert(class.clone(), got);
         }
         let used: u32 = division.whole.values().sum();
@@ -416,6 +478,7 @@
     fn limit(&self, host: &CompactString, report: &Report, is_new: bool, now: Instant) -> u32 {
         let others = self.holders.iter().filter(|(name, _)| *name != host);
         let out: u32 = others.map(|(_, holder)| holder.outstanding(now)).sum();
+        let out = out + self.silent(now).values().sum::<u32>();
         let free = self.leasable(now).saturating_sub(out);
         let has_lease = report.held_ms > 0;
         if now < self.warm_at {
@@ -470,6 +533,19 @@
     }
 }
 
+/// Returns the places that a host uses after its lease expired: those of the lease, but at most what
+/// is `safe`, and at least half of that.
+pub(super) fn apart(
+    places: BTreeMap<Class, u32>,
+    shares: &Shares,
+    safe: u32,
+) -> BTreeMap<Class, u32> {
+    let mut places = share::trim(places, safe);
+    let total: u32 = places.values().sum();
+    add_idle(&mut places, shares, safe.div_ceil(2).saturating_sub(total));
+    places
+}
+
 /// Adds places that nobody wants, by share. They wait for routine work, as all urgent work may use
 /// them.
 pub(super) fn add_idle(places: &mut BTreeMap<Class, u32>, shares: &Shares, idle: u32) {
--- a/src/sched/keeper.rs
+++ b/src/sched/keeper.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use serde::Serialize;
 
-use super::allocator::add_idle;
+use super::allocator::{add_idle, apart};
 use super::lease::{Class, Demand, Grant, LEASE, Lease, Report};
 use super::share::{self, Shares};
 use crate::clock::Clock;
@@ -168,8 +168,9 @@
         classes: Vec<(CompactString, crate::wire::Rank, u32, u32, u64)>,
         now: Instant,
     ) -> Report {
-        let safe = self.safe(name);
-        let sharers = self.parts.get(name).map_or(1, |part| self.sharers(part));
+        let part = &self.parts[name];
+        let sharers = self.sharers(part);
+        let unleased = self.unleased(name, part).values().sum();
         let part = self
             .parts
             .get_mut(name)
@@ -177,7 +178,7 @@
         part.seq += 1;
         let (lease, held, left) = match part.valid(now) {
             Some((lease, until)) => (lease.seq, lease.total(), until - now),
-            None => (0, safe, Duration::ZERO),
+            None => (0, unleased, Duration::ZERO),
         };
         Report {
             seq: part.seq,
@@ -234,15 +235,13 @@
         };
         for (name, part) in &self.parts {
             let Some((lease, until)) = part.valid(now) else {
-                self.add_safe(&mut grant.places, part, self.safe(name));
+                for (class, count) in self.unleased(name, part) {
+                    *grant.places.entry(class).or_default() += count;
+                }
                 continue;
             };
             grant.until = grant.until.min(until);
-            for (partner, rank, count) in &lease.places {
-                let class = Class {
-                    partner: partner.clone(),
-                    rank: *rank,
-                };
+            for (class, count) in lease.places() {
                 *grant.places.entry(class).or_default() += count;
             }
             for (partner, rate) in &lease.work_per_s {
@@ -252,13 +251,17 @@
         grant
     }
 
-    fn add_safe(&self, places: &mut BTreeMap<Class, u32>, part: &Part, safe: u32) {
-        let divided = share::round(&self.shares.divide(safe, &part.wants), safe);
-        let used: u32 = divided.values().sum();
-        for (class, count) in divided {
-            *places.entry(class).or_default() += count;
+    /// Returns the places used without a lease: after a lease those that it gave, as the shares of
+    /// partners depend on what all hosts do, and otherwise by share.
+    fn unleased(&self, name: &str, part: &Part) -> BTreeMap<Class, u32> {
+        let safe = self.safe(name);
+        if let Some((lease, _)) = &part.lease {
+            return apart(lease.places(), &self.shares, safe);
         }
-        add_idle(places, &self.shares, safe.saturating_sub(used));
+        let mut places = share::round(&self.shares.divide(safe, &part.wants), safe);
+        let used: u32 = places.values().sum();
+        add_idle(&mut places, &self.shares, safe.saturating_sub(used));
+        places
     }
 
     /// Returns the places in each failure domain in use, and whether they come from a lease.
@@ -267,7 +270,7 @@
         let held = |(name, part): (&CompactString, &Part)| {
             let lease = part.valid(now).map(|(lease, _)| lease.total());
             let held = Held {
-                places: lease.unwrap_or_else(|| self.safe(name)),
+                places: lease.unwrap_or_else(|| self.unleased(name, part).values().sum()),
                 leased: lease.is_some(),
             };
             (name.clone(), held)
--- a/src/sched/lease.rs
+++ b/src/sched/lease.rs
@@ -91,6 +91,18 @@
 }
 
 impl Lease {
+    /// Returns the places by class.
+    pub fn places(&self) -> BTreeMap<Class, u32> {
+        let places = self.places.iter().map(|(partner, rank, count)| {
+            let class = Class {
+                partner: partner.clone(),
+                rank: *rank,
+            };
+            (class, *count)
+        });
+        places.collect()
+    }
+
     /// Returns the places of all classes.
     pub fn total(&self) -> u32 {
         self.places.iter().map(|(_, _, count)| count).sum()
--- a/src/sched/lease_task.rs
+++ b/src/sched/lease_task.rs
@@ -1,7 +1,7 @@
 //! The tasks that report to allocators, and that answer as one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -48,6 +48,7 @@
         oneshot::Sender<Lease>,
     ),
     Shares(Shares),
+    Listed(BTreeSet<CompactString>),
 }
 
 /// Sends messages to the allocator task.
@@ -74,6 +75,11 @@
         let _ = self.0.unbounded_send(Message::Shares(shares));
     }
 
+    /// Takes over the routers of the platform's list.
+    pub fn listed(&self, listed: BTreeSet<CompactString>) {
+        let _ = self.0.unbounded_send(Message::Listed(listed));
+    }
+
     /// Adds the method that takes the reports of other hosts.
     pub fn add_methods(&self, methods: &mut Methods) {
         let allocators = self.clone();
@@ -107,6 +113,10 @@
                     held.values_mut()
                         .for_each(|allocator| allocator.set_shares(shares.clone()));
                 }
+                Message::Listed(listed) => {
+                    held.values_mut()
+                        .for_each(|allocator| allocator.set_listed(listed.clone()));
+                }
                 Message::Report(host, incarnation, domain, report, reply) => {
                     let allocator = held.entry(domain).or_insert_with_key(|domain| {
                         info!("event=allocator_started domain={domain}");
@@ -147,9 +157,12 @@
             let started = Instant::now();
             let asked = self.dispatch.demand().await;
             keeper.borrow_mut().set_shares(asked.shares);
-            let reports = keeper
-                .borrow_mut()
-                .reports(&asked.demand, &asked.domains, asked.routers);
+            let reports = keeper.borrow_mut().reports(
+                &asked.demand,
+                &asked.domains,
+                asked.routers.len() as u32,
+            );
+            self.allocators.listed(asked.routers);
             self.grant(&keeper.borrow(), &last);
             let sent_at = clock.now();
             let answers = reports.into_iter().map(|(domain, report)| {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -4,6 +4,7 @@
 
 use bilberrypost::emulate::proxy::Fault;
 use bilberrypost::load::client;
+use bilberrypost::wire::{Kind, Listing, Member};
 use serde_json::Value;
 use support::{Cluster, Proxy, block_on, call, get, split, wait_until};
 
@@ -73,6 +74,17 @@
             .iter()
             .all(|index| leased(&cluster, *index) == ENGINES)
     });
+    let listed = Member {
+        name: "router-0".into(),
+        kind: Kind::Router,
+        address: cluster.routers[0].address.as_str().into(),
+        peer_address: None,
+        failure_domain: support::domain(0).into(),
+        region: "default".into(),
+        state: Listing::Leaving,
+        service: "".into(),
+    };
+    cluster.list_member(&listed);
     wait_until("the share of the lost router is leased again", || {
         places(&cluster, 1) + places(&cluster, 2) == SLOTS * ENGINES as u64
     });
