Measure shares under full load and the time until a new split is met

Callers of three partners enter unevenly at 6 routers; one router is killed, and the peers of another one cannot reach it.

--- a/benches/fairness.rs
+++ b/benches/fairness.rs
@@ -1,5 +1,7 @@
 //! Cost of a decision at full size, and small callers beside a large one.
 
+#[path = "parts/shares.rs"]
+mod shares;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
@@ -341,7 +343,19 @@
     println!("seed {SEED}");
     let mut result = Map::new();
     result.insert("seed".into(), json!(SEED));
-    decisions(&mut result);
-    small_callers(&mut result);
+    // A name of a part runs that part alone.
+    let only = std::env::args()
+        .nth(1)
+        .filter(|name| !name.starts_with('-'));
+    let is_due = |name: &str| only.as_deref().is_none_or(|only| only == name);
+    if is_due("shares") {
+        shares::shares(&mut result);
+    }
+    if is_due("decisions") {
+        decisions(&mut result);
+    }
+    if is_due("small") {
+        small_callers(&mut result);
+    }
     println!("{}", Value::Object(result));
 }
