--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -120,15 +120,6 @@
     pub excluded: Vec<Engine>,
 }
 
-/// A failure domain that a host uses.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Domain {
-    /// Places of the live engines that the host uses.
-    pub slots: u32,
-    /// Places of all live engines, as far as the host can tell.
-    pub capacity: u32,
-}
-
 /// How many of an engine's places new work may take.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Room {
@@ -141,15 +132,25 @@
 }
 
 impl Room {
-    fn of(self, slots: u32) -> u32 {
+    /// Returns how many of `places` may be taken.
+    pub fn of(self, places: u32) -> u32 {
         match self {
-            Self::Spare => slots - slots / 16,
-            Self::Free => slots,
-            Self::Queue(more) => slots.saturating_add(more),
+            Self::Spare => places - places / 16,
+            Self::Free => places,
+            Self::Queue(more) => places.saturating_add(more),
         }
     }
 }
 
+/// A failure domain that a host uses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Domain {
+    /// Places of the live engines that the host uses.
+    pub slots: u32,
+    /// Places of all live engines, as far as the host can tell.
+    pub capacity: u32,
+}
+
 /// The engines known to this host.
 #[derive(Debug)]
 pub struct Fleet<C: Clock> {
--- a/src/router.rs
+++ b/src/router.rs
@@ -34,6 +34,7 @@
 use crate::member::list;
 use crate::member::table::State;
 use crate::member::view::{Peer, View};
+use crate::orders;
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
@@ -90,6 +91,8 @@
     pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// The lease on orders to engines.
+    pub orders: orders::task::State,
     /// What the generations know together.
     pub relay: RefCell<relay::Shared>,
     /// Signs and checks event ids.
@@ -186,6 +189,11 @@
         }
     }
 
+    /// Counts bytes that asking an engine for its status took.
+    pub fn count_polled(&self, bytes: u64) {
+        self.polled_bytes.set(self.polled_bytes.get() + bytes);
+    }
+
     /// Returns an identity that no other request of any host has.
     pub fn new_request_id(&self) -> CompactString {
         self.last_request.set(self.last_request.get() + 1);
@@ -352,6 +360,7 @@
         claims,
         backends: Rc::new(RefCell::new(servers)),
         requests: server::Requests::default(),
+        orders: orders::task::State::default(),
         split: RefCell::default(),
         listing: RefCell::default(),
         report: RefCell::new(Report::new(clock::System)),
@@ -369,6 +378,8 @@
     let stop_signal = supervisor.stop_signal();
     let config = task::create(router.clone(), sources, &mut methods, stop_signal);
     supervisor.spawn("config", config);
+    let orders = orders::task::run(router.clone(), supervisor.stop_signal());
+    supervisor.spawn("orders", orders);
     supervisor.spawn(
         "peers",
         peer::server::run(
@@ -515,7 +526,7 @@
                 let Some((status, bytes)) = status.await else {
                     return router.dispatch.health(polled.engine, Health::Unanswered);
                 };
-                router.polled_bytes.set(router.polled_bytes.get() + bytes);
+                router.count_polled(bytes);
                 router.dispatch.status(polled.engine, status);
             }
         });
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -495,8 +495,7 @@
 
     fn next_new(&self, fleet: &Fleet<C>) -> Option<Start> {
         self.pools.values().find_map(|pool| {
-            let own = self.head(pool, |class| self.has_own_place(class));
-            let ticket = own.or_else(|| self.head(pool, |_| self.has_lent_place()))?;
+            let ticket = self.head_of(pool)?;
             let work = &self.items[ticket].work;
             let caller = self.items[ticket].caller;
             // Routine work below its floor goes like urgent work, whose queues at the engines
@@ -514,6 +513,9 @@
                 && !is_below_floor
                 && (pool.tree.is_over_share(caller)
                     || !is_urgent && pool.tree.is_active(Rank::Urgent));
+            if gives_way && !self.has_lent_place(Room::Spare) {
+                return None;
+            }
             let may_queue = is_fair && is_urgent && !gives_way;
             let may_queue = may_queue && self.preemption != Preemption::Wait;
             let free = match gives_way {
@@ -530,6 +532,20 @@
         })
     }
 
+    /// Returns the request that is next by rank, places of the grant, and share.
+    fn head_of(&self, pool: &Pool) -> Option<Ticket> {
+        // Urgent work may exceed the grant a little, as it cannot wait for the next one.
+        let may_exceed = |class: &Class| {
+            class.rank == Rank::Urgent
+                && (self.has_own_place(class) || self.has_lent_place(Room::Queue(URGENT_QUEUED)))
+        };
+        let is_urgent_due = !pool.tree.is_floor_due();
+        let urgent = is_urgent_due.then(|| self.head(pool, may_exceed)).flatten();
+        urgent
+            .or_else(|| self.head(pool, |class| self.has_own_place(class)))
+            .or_else(|| self.head(pool, |_| self.has_lent_place(Room::Free)))
+    }
+
     fn head(&self, pool: &Pool, may_run: impl Fn(&Class) -> bool) -> Option<Ticket> {
         let next = pool.tree.next(|rank, partner| {
             let partner = partner.clone();
@@ -547,11 +563,12 @@
         in_use < places
     }
 
-    fn has_lent_place(&self) -> bool {
+    /// Returns whether less runs here than the room in the places of all classes.
+    fn has_lent_place(&self, room: Room) -> bool {
         let total = |grant: &Grant| grant.places.values().sum::<u32>();
         self.grant
             .as_ref()
-            .is_none_or(|grant| self.running < total(grant) as usize)
+            .is_none_or(|grant| self.running < room.of(total(grant)) as usize)
     }
 
     /// Takes work whose deadline has passed out of the queue and returns it.
