Measure the processor time of a relayed token

Cause: docs/CAPACITY.md needs the slope of the relay, the largest role.

Change: benches/capacity.rs relays 16 and 128 streams and reports the difference.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::emulate::store::Calls;
+use bilberrypost::load::client;
 use serde_json::{Value, json};
-use support::{Cluster, get, split, wait_until};
+use support::{Cluster, block_on, call, get, split, wait_until};
 
 /// Fleet sizes that are measured unless the command line names others.
 const SIZES: [usize; 4] = [4, 8, 16, 32];
@@ -128,6 +129,50 @@
     }
 }
 
+/// Streams and tokens that are relayed at once, in two sizes.
+const RELAYED: [(usize, u32); 2] = [(16, 400), (128, 400)];
+
+/// Processor time for a relayed token in microseconds and memory for a stream in kilobytes, from
+/// the difference between two numbers of streams.
+fn measure_relay() -> (f64, f64) {
+    let mut cluster = Cluster::start();
+    for _ in 0..4 {
+        cluster.engine(&[
+            "--slots",
+            "64",
+            "--step-us",
+            "8000",
+            "--step-per-stream-us",
+            "0",
+        ]);
+    }
+    cluster.router(&split(), 4);
+    let router = &cluster.routers[0];
+    let samples = RELAYED.map(|(streams, tokens)| {
+        let before = Sample::of(router.id(), &router.address);
+        let calls: Vec<_> = (0..streams as u64)
+            .map(|seed| call(&format!("Sky notes {seed}:"), tokens, seed))
+            .collect();
+        let answers = calls
+            .iter()
+            .map(|call| client::complete(&router.address, call));
+        let answers = block_on(futures_util::future::join_all(answers));
+        assert!(answers.iter().all(|answer| answer.complete));
+        let after = Sample::of(router.id(), &router.address);
+        let relayed = streams as f64 * f64::from(tokens);
+        let cpu_us = (after.cpu_s - before.cpu_s) * 1e6;
+        (streams as f64, relayed, cpu_us, after.memory_mb)
+    });
+    let [small, large] = samples;
+    println!(
+        "relayed tokens {} and {}: {:.0} and {:.0} us",
+        small.1, large.1, small.2, large.2
+    );
+    let per_token = (large.2 - small.2) / (large.1 - small.1);
+    let per_stream = (large.3 - small.3) * 1024.0 / (large.0 - small.0);
+    (per_token, per_stream.max(0.0))
+}
+
 fn main() {
     println!("seed {SEED}");
     println!(
@@ -170,7 +215,11 @@
     let watchers = |m: &Measured| m.store_reads_per_s / m.nodes.min(6.0);
     let per_watch = all.iter().map(watchers).sum::<f64>() / all.len() as f64;
     println!("store reads/s for each watcher: {per_watch:.3}");
+    let (relay_us_per_token, relay_kb_per_stream) = measure_relay();
+    println!("relay: {relay_us_per_token:.1} us a token, {relay_kb_per_stream:.1} KB a stream");
     let result = json!({
+        "relay_us_per_token": relay_us_per_token,
+        "relay_kb_per_stream": relay_kb_per_stream,
         "seed": SEED,
         "control_core_percent": core,
         "control_memory_mb": memory,
