Run the steps of a relay as tasks with handles instead of boxed futures

Cause: the relay kept its pending steps as boxed trait objects, which the house style rules out on the request path.

Change: start, placement and questions are tasks whose handles the driver owns; dropping a handle cancels its task as dropping the future did.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use futures_util::future::{FutureExt, LocalBoxFuture, pending};
+use compio::runtime::{JoinHandle, spawn};
+use futures_util::future::{FutureExt, pending};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use log::{info, warn};
 
@@ -54,10 +55,10 @@
     Failed(Problem),
 }
 
-/// The connection of the current attempt.
+/// The connection of the current attempt. Tasks are cancelled when their handle is dropped.
 enum Feed {
     None,
-    Starting(LocalBoxFuture<'static, Result<engine::Stream, engine::Error>>),
+    Starting(JoinHandle<Result<engine::Stream, engine::Error>>),
     Open(engine::Stream),
 }
 
@@ -65,7 +66,8 @@
     /// Returns the next event of the attempt; cancelling the wait loses nothing.
     async fn next(&mut self, attempt: u32) -> Event {
         if let Self::Starting(starting) = self {
-            match starting.await {
+            let started = starting.await;
+            match started.unwrap_or_else(|err| Err(engine::Error::Broken(err.to_string()))) {
                 Ok(stream) => *self = Self::Open(stream),
                 Err(err) => {
                     *self = Self::None;
@@ -104,7 +106,7 @@
     }
 }
 
-type Placing = LocalBoxFuture<'static, Result<Placement, Refusal>>;
+type Placing = JoinHandle<Result<Placement, Refusal>>;
 
 struct Driver<'a, S> {
     router: &'a Rc<Router>,
@@ -116,7 +118,7 @@
     // Given when the current attempt is to give way.
     paused: Signal,
     placing: Option<Placing>,
-    probes: FuturesUnordered<LocalBoxFuture<'static, Event>>,
+    probes: FuturesUnordered<JoinHandle<Event>>,
 }
 
 /// Runs a generation to its end, from its first placement on.
@@ -271,7 +273,7 @@
         };
         self.paused = placement.paused.clone();
         let starting = async move { engine::start(&address, &request).await };
-        self.feed = Feed::Starting(starting.boxed_local());
+        self.feed = Feed::Starting(spawn(starting));
     }
 
     fn place(
@@ -289,7 +291,7 @@
         };
         let deadline = Instant::now() + limit;
         let placing = async move { dispatch.replace(ticket, need, deadline).await };
-        self.placing = Some(placing.boxed_local());
+        self.placing = Some(spawn(placing));
     }
 
     fn probe(&mut self, probe: u32, address: CompactString) {
@@ -298,7 +300,7 @@
             let answer = engine::query(&address, &request_id, PROBE_LIMIT).await;
             Event::Probed { probe, answer }
         };
-        self.probes.push(asking.boxed_local());
+        self.probes.push(spawn(asking));
     }
 
     /// Cancels in a task of its own, which outlives the generation.
@@ -317,8 +319,8 @@
     let result = waiting.await;
     *placing = None;
     match result {
-        Ok(placement) => Event::Placed(placement),
-        Err(_) => Event::Unplaced,
+        Ok(Ok(placement)) => Event::Placed(placement),
+        Ok(Err(_)) | Err(_) => Event::Unplaced,
     }
 }
 
@@ -330,10 +332,11 @@
     Event::Paused { attempt }
 }
 
-async fn answered(probes: &mut FuturesUnordered<LocalBoxFuture<'static, Event>>) -> Event {
+async fn answered(probes: &mut FuturesUnordered<JoinHandle<Event>>) -> Event {
     match probes.next().await {
-        Some(event) => event,
-        None => pending().await,
+        Some(Ok(event)) => event,
+        // A question whose task failed stays open until the stream itself shows what happened.
+        Some(Err(_)) | None => pending().await,
     }
 }
 
