--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -49,7 +49,7 @@
 /// How this host decides.
 #[derive(Clone, Debug, Default)]
 pub struct Policy {
-    /// Name of this host.
+    /// Name of the host, which seeds its draws.
     pub host: CompactString,
     /// Failure domain whose engines are preferred.
     pub failure_domain: CompactString,
@@ -84,6 +84,8 @@
     Failed,
     /// It takes no new work.
     Leaving,
+    /// It did not answer a status request.
+    Unanswered,
 }
 
 /// Numbers for operators.
@@ -125,8 +127,18 @@
     pub reported_at: Option<Instant>,
 }
 
-/// What a report to allocators needs: demand, failure domains in use, and shares.
-pub type Asked = (Demand, BTreeMap<CompactString, Domain>, Shares);
+/// What a report to allocators needs.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    /// What this host wants, uses and has done.
+    pub demand: Demand,
+    /// Failure domains in use.
+    pub domains: BTreeMap<CompactString, Domain>,
+    /// Shares in force.
+    pub shares: Shares,
+    /// Routers in the platform's list.
+    pub routers: u32,
+}
 
 type Reply = oneshot::Sender<Result<Placement, Refusal>>;
 
@@ -376,6 +388,7 @@
             }
             Message::Health(engine, Health::Failed) => self.fleet.set_failed(engine),
             Message::Health(engine, Health::Leaving) => self.fleet.set_leaving(engine),
+            Message::Health(engine, Health::Unanswered) => self.fleet.set_unanswered(engine),
             Message::Members(members) => {
                 self.fleet.set_members(&members);
                 self.limits
@@ -398,9 +411,12 @@
                 let _ = reply.send(engines.collect());
             }
             Message::Demand(reply) => {
-                let demand = self.scheduler.demand();
-                let shares = Shares::of(&self.split);
-                let _ = reply.send((demand, self.fleet.domains(), shares));
+                let _ = reply.send(Asked {
+                    demand: self.scheduler.demand(),
+                    domains: self.fleet.domains(),
+                    shares: Shares::of(&self.split),
+                    routers: self.fleet.routers(),
+                });
             }
             Message::Grant(grant) => self.scheduler.set_grant(&grant),
             Message::Overview(reply) => {
--- a/src/emulate/store.rs
+++ b/src/emulate/store.rs
@@ -77,6 +77,15 @@
     pub size: usize,
 }
 
+/// A write that waits for its delay; `GET /v1/emulation/delayed`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Delayed {
+    /// Key of the object.
+    pub key: String,
+    /// Value as text.
+    pub value: String,
+}
+
 struct Object {
     version: u64,
     body: Bytes,
@@ -116,6 +125,8 @@
     changed: RefCell<Signal>,
     faults: RefCell<Faults>,
     calls: Cell<Calls>,
+    // Key and value of the writes that are delayed now, by the number of the call.
+    delayed: RefCell<BTreeMap<u64, Delayed>>,
     chance: Chance,
     reads: Bucket,
     writes: Bucket,
@@ -130,6 +141,7 @@
         changed: RefCell::default(),
         faults: RefCell::new(faults),
         calls: Cell::default(),
+        delayed: RefCell::default(),
         chance: Chance::new(seed),
         reads: Bucket::new(),
         writes: Bucket::new(),
@@ -304,6 +316,10 @@
     async fn emulation(&self, method: &Method, path: &str, body: &[u8]) -> Response<Body> {
         match (method, path) {
             (&Method::GET, "calls") => json_response(&self.calls.get()),
+            (&Method::GET, "delayed") => {
+                let delayed = self.delayed.borrow();
+                json_response(&delayed.values().collect::<Vec<_>>())
+            }
             (&Method::PUT, "faults") => match serde_json::from_slice(body) {
                 Ok(faults) => {
                     *self.faults.borrow_mut() = faults;
@@ -322,7 +338,19 @@
         body: Bytes,
     ) -> Response<Body> {
         let is_write = head.method != Method::GET;
-        if let Err(refusal) = self.admit(is_write).await {
+        let number = self.calls.get().writes;
+        if is_write {
+            let value = String::from_utf8_lossy(&body).into_owned();
+            let key = key.to_owned();
+            self.delayed
+                .borrow_mut()
+                .insert(number, Delayed { key, value });
+        }
+        let admitted = self.admit(is_write).await;
+        if is_write {
+            self.delayed.borrow_mut().remove(&number);
+        }
+        if let Err(refusal) = admitted {
             return refusal;
         }
         let wait = head
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -59,7 +59,9 @@
             "backends": router.backends.borrow().overview(),
             "ranges": router.claims.as_ref().map(|claims| claims.held()),
             "config": router.config.overview(),
+            "orders": router.orders.overview(),
             "dispatch": router.dispatch.overview().await,
+            "leases": *router.leases.borrow(),
         })),
         (&Method::GET, "report") => json_response(&router.burns()),
         (&Method::POST, "leave") => {
--- a/src/router.rs
+++ b/src/router.rs
@@ -16,13 +16,14 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use log::{info, warn};
+use serde::Serialize;
 
 use crate::claim;
 use crate::clock::{self, Clock};
-use crate::config::host::{Host, Secret};
+use crate::config::host::{Host, Order, Secret};
 use crate::config::split::Split;
 use crate::config::task::{self, Sources};
-use crate::dispatch::{self, Handle};
+use crate::dispatch::{self, Handle, Health};
 use crate::engine;
 use crate::http::backend::{self, Servers};
 use crate::http::body::Body;
@@ -33,6 +34,7 @@
 use crate::member::list;
 use crate::member::table::State;
 use crate::member::view::{Peer, View};
+use crate::orders;
 use crate::peer;
 use crate::peer::auth::Authenticator;
 use crate::peer::server::Methods;
@@ -40,7 +42,7 @@
 use crate::report::burn::{Burn, Line, Report};
 use crate::report::metrics::Metrics;
 use crate::route::poll::{self, Poller};
-use crate::sched::lease_task::{self, Allocators, Reporter};
+use crate::sched::lease_task::{self, Allocators, Board, Reporter};
 use crate::sched::share::Shares;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -83,10 +85,14 @@
     pub view: View,
     /// Allocators of this host.
     pub allocators: Allocators,
+    /// Places that this host may use by failure domain.
+    pub leases: Board,
     /// The membership task.
     pub members: member::task::Handle,
     /// The store, if the settings name one.
     pub store: Option<objects::Client>,
+    /// The lease on orders to engines.
+    pub orders: orders::task::State,
     /// What the generations know together.
     pub relay: RefCell<relay::Shared>,
     /// Signs and checks event ids.
@@ -107,6 +113,17 @@
     polled_bytes: Cell<u64>,
 }
 
+/// Bytes that control has cost, by the other end.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ControlBytes {
+    /// Calls to and of other routers.
+    pub peers: u64,
+    /// Calls to the store.
+    pub store: u64,
+    /// Status of engines.
+    pub engines: u64,
+}
+
 /// What requests need to know of the host's settings.
 #[derive(Clone, Debug)]
 pub struct HostView {
@@ -164,9 +181,17 @@
     }
 
     /// Returns the bytes that control has cost since the start, without those of TCP and IP.
-    pub fn control_bytes(&self) -> u64 {
-        let store = self.store.as_ref().map_or(0, objects::Client::bytes);
-        self.peer.bytes() + store + self.polled_bytes.get()
+    pub fn control_bytes(&self) -> ControlBytes {
+        ControlBytes {
+            peers: self.peer.bytes(),
+            store: self.store.as_ref().map_or(0, objects::Client::bytes),
+            engines: self.polled_bytes.get(),
+        }
+    }
+
+    /// Counts bytes that asking an engine for its status took.
+    pub fn count_polled(&self, bytes: u64) {
+        self.polled_bytes.set(self.polled_bytes.get() + bytes);
     }
 
     /// Returns an identity that no other request of any host has.
@@ -327,6 +352,7 @@
         view,
         members,
         allocators,
+        leases: Board::default(),
         relay: RefCell::default(),
         cursors: Signer::new(host.key.clone(), host.previous_key.clone()),
         config: task::State::default(),
@@ -334,6 +360,7 @@
         claims,
         backends: Rc::new(RefCell::new(servers)),
         requests: server::Requests::default(),
+        orders: orders::task::State::default(),
         split: RefCell::default(),
         listing: RefCell::default(),
         report: RefCell::new(Report::new(clock::System)),
@@ -351,6 +378,8 @@
     let stop_signal = supervisor.stop_signal();
     let config = task::create(router.clone(), sources, &mut methods, stop_signal);
     supervisor.spawn("config", config);
+    let orders = orders::task::run(router.clone(), supervisor.stop_signal());
+    supervisor.spawn("orders", orders);
     supervisor.spawn(
         "peers",
         peer::server::run(
@@ -390,11 +419,16 @@
     }
     let poll = poll_engines(router.clone(), clock::System, supervisor.stop_signal());
     supervisor.spawn("status", poll);
+    // The baseline order of benches knows no shares.
+    if host.scheduler == Order::Fifo {
+        return;
+    }
     let reporter = Reporter {
         dispatch: router.dispatch.clone(),
         view: router.view.clone(),
         peer: router.peer.clone(),
         allocators: router.allocators.clone(),
+        board: router.leases.clone(),
     };
     supervisor.spawn(
         "leases",
@@ -489,10 +523,11 @@
             let router = router.clone();
             async move {
                 let status = engine::status(&polled.address, polled.next_seq, STATUS_LIMIT);
-                if let Some((status, bytes)) = status.await {
-                    router.polled_bytes.set(router.polled_bytes.get() + bytes);
-                    router.dispatch.status(polled.engine, status);
-                }
+                let Some((status, bytes)) = status.await else {
+                    return router.dispatch.health(polled.engine, Health::Unanswered);
+                };
+                router.count_polled(bytes);
+                router.dispatch.status(polled.engine, status);
             }
         });
         futures_util::future::join_all(asked).await;
--- a/src/sched/allocator.rs
+++ b/src/sched/allocator.rs
@@ -1,13 +1,19 @@
 //! Turns the reports of hosts into leases on the places of one failure domain.
 //!
-//! Bound on overcommitment. An allocator never has more places out on lease than the domain has, as
-//! it counts for each host the greatest lease that the host may still believe in, and the work that
-//! it runs. A host without a lease uses `capacity / routers` places. So with `a` allocators that have
-//! leases out at the same time, because hosts disagree on who is live, and `k` of `n` hosts that had
-//! no lease at some time within the last lease period, at most `capacity * (a + k / n)` places are
-//! in use, where `capacity` is the greatest within the last lease period. In a settled state `a` is
-//! 1 and `k` is 0. An allocator that takes over leases nothing beyond what hosts hold until all
-//! leases of its predecessor have expired, so a takeover in one common view keeps `a` at 1.
+//! Bound on overcommitment: hosts may use at most `capacity * (1 + k / n)` places, where `capacity`
+//! is the greatest within the last lease period, `n` the number of hosts that share the domain, and
+//! `k` the number of those that were apart at some time within the last two lease periods. A host is
+//! apart if it has no lease, or reports to an allocator that at most half of the hosts report to. In
+//! a settled state `k` is 0.
+//!
+//! - An allocator counts for each host the greatest lease that the host may still believe in, and
+//!   the work that it runs, and leases only what is left.
+//! - A host without a lease uses `capacity / n` places.
+//! - An allocator that hears `m` hosts, at most half, leases `capacity * m / n`, as the others may
+//!   have another allocator. So both sides of a partition serve, and a loss of less than half of the
+//!   hosts leaves nothing idle.
+//! - An allocator that starts, or comes to hear more than half, leases nothing beyond what hosts
+//!   hold until all leases of its predecessor have expired.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -55,6 +61,7 @@
     seq: u64,
     heard: Instant,
     capacity: u32,
+    sharers: u32,
     wants: BTreeMap<Class, Want>,
     // Places of the lease that the host said it has in force.
     held: u32,
@@ -89,6 +96,8 @@
     holders: BTreeMap<CompactString, Holder>,
     last_report: Option<Instant>,
     warm_at: Instant,
+    // Whether at most half of the hosts were heard at the last report.
+    is_minor: bool,
     // Work by partner since the last correction, in tokens.
     work: BTreeMap<CompactString, u64>,
     rates: BTreeMap<CompactString, f64>,
@@ -121,6 +130,7 @@
             holders: BTreeMap::new(),
             last_report: None,
             warm_at: now,
+            is_minor: true,
             work: BTreeMap::new(),
             rates: BTreeMap::new(),
             places: BTreeMap::new(),
@@ -154,6 +164,11 @@
         }
         let is_new = !self.holders.contains_key(host);
         self.take(host, incarnation, report, now);
+        let was_minor = self.is_minor;
+        self.is_minor = self.hears_half(now);
+        if was_minor && !self.is_minor {
+            self.warm_at = now + LEASE;
+        }
         let division = self.divide(now);
         self.correct(&division, now);
         let target = self.target(host, &division, now);
@@ -210,6 +225,7 @@
             seq: report.seq,
             heard: now,
             capacity: report.capacity,
+            sharers: report.sharers,
             wants,
             held: report.held,
             held_until: now + Duration::from_millis(report.held_ms.into()),
@@ -226,6 +242,27 @@
             .filter(move |(_, holder)| is_heard(holder))
     }
 
+    /// Returns the number of hosts heard, and of those that share the domain.
+    fn hosts(&self, now: Instant) -> (u32, u32) {
+        let sharers = self.heard(now).map(|(_, holder)| holder.sharers).max();
+        let heard = self.heard(now).count() as u32;
+        (heard, sharers.unwrap_or(0).max(heard))
+    }
+
+    fn hears_half(&self, now: Instant) -> bool {
+        let (heard, all) = self.hosts(now);
+        heard < all && 2 * heard <= all
+    }
+
+    /// Returns the places that may be out on lease.
+    fn leasable(&self, now: Instant) -> u32 {
+        let (heard, all) = self.hosts(now);
+        match self.hears_half(now) {
+            true => (u64::from(self.capacity()) * u64::from(heard) / u64::from(all)) as u32,
+            false => self.capacity(),
+        }
+    }
+
     /// Returns the domain's places: the median of what hosts see, so that a host that cannot reach
     /// the engines does not change it.
     pub fn capacity(&self) -> u32 {
@@ -244,7 +281,7 @@
                 *wants.entry(class.clone()).or_default() += want.wanted;
             }
         }
-        let capacity = self.capacity();
+        let capacity = self.leasable(now);
         let mut weighted = self.shares.clone();
         for (partner, share) in &mut weighted.partners {
             let correction = self.corrections.get(partner).copied().unwrap_or(1.0);
@@ -369,7 +406,7 @@
             places.insert(class.clone(), got);
         }
         let used: u32 = division.whole.values().sum();
-        let idle = self.capacity().saturating_sub(used);
+        let idle = self.leasable(now).saturating_sub(used);
         let idle = share::level(idle, &vec![idle; hosts.len()], turn % hosts.len())[own];
         add_idle(&mut places, &self.shares, idle);
         places
@@ -379,7 +416,7 @@
     fn limit(&self, host: &CompactString, report: &Report, is_new: bool, now: Instant) -> u32 {
         let others = self.holders.iter().filter(|(name, _)| *name != host);
         let out: u32 = others.map(|(_, holder)| holder.outstanding(now)).sum();
-        let free = self.capacity().saturating_sub(out);
+        let free = self.leasable(now).saturating_sub(out);
         let has_lease = report.held_ms > 0;
         if now < self.warm_at {
             // Before, the host used the same without this allocator.
@@ -396,7 +433,7 @@
     }
 
     fn safe(&self, now: Instant) -> u32 {
-        self.capacity() / self.heard(now).count().max(1) as u32
+        self.capacity() / self.hosts(now).1.max(1)
     }
 
     fn lease(
@@ -406,7 +443,7 @@
         places: BTreeMap<Class, u32>,
         now: Instant,
     ) -> Lease {
-        let hosts = self.heard(now).count() as u32;
+        let hosts = self.hosts(now).0;
         let offer = Offer {
             seq,
             places: places.values().sum(),
--- a/src/sched/keeper.rs
+++ b/src/sched/keeper.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use serde::Serialize;
 
 use super::allocator::add_idle;
 use super::lease::{Class, Demand, Grant, LEASE, Lease, Report};
@@ -11,13 +12,14 @@
 use crate::clock::Clock;
 use crate::route::fleet::Domain;
 
-/// Time for which the greatest number of hosts counts, so that a host that is cut off and sees no
-/// other one does not take itself for the only one.
-const HOSTS_MEMORY: Duration = Duration::from_secs(60);
-
-/// Routers that count as sharers of a domain whatever the last lease says. The first leases of a new
+/// Routers up to which all are taken to share each domain. With more, each uses a few domains, and
+/// leases tell how many share one; this is then the least number, as the first leases of a new
 /// allocator count only the hosts that it has heard so far.
-const ROUTERS_MIN: u32 = 32;
+const ROUTERS_SHARING: u32 = 32;
+
+/// Time for which the greatest number of hosts in a lease counts, so that a host that is cut off
+/// with a few others does not take them for all.
+const HOSTS_MEMORY: Duration = Duration::from_secs(60);
 
 /// The greatest value of the last [`HOSTS_MEMORY`], or a later one.
 #[derive(Clone, Copy, Debug)]
@@ -54,23 +56,32 @@
     }
 }
 
+/// What a host may use in a failure domain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Held {
+    /// Places.
+    pub places: u32,
+    /// Whether a lease is in force.
+    pub leased: bool,
+}
+
 /// The leases of one host.
 #[derive(Debug)]
 pub struct Keeper<C: Clock> {
     clock: C,
     shares: Shares,
-    routers: Peak,
+    // Routers in the platform's list, which a partition does not change.
+    routers: u32,
     parts: BTreeMap<CompactString, Part>,
 }
 
 impl<C: Clock> Keeper<C> {
     /// Creates a keeper without leases.
     pub fn new(clock: C, shares: Shares) -> Self {
-        let at = clock.now();
         Self {
             clock,
             shares,
-            routers: Peak { value: 1, at },
+            routers: 1,
             parts: BTreeMap::new(),
         }
     }
@@ -80,7 +91,8 @@
         self.shares = shares;
     }
 
-    /// Prepares a report to the allocator of each failure domain in use.
+    /// Prepares a report to the allocator of each failure domain in use. `routers` is the number of
+    /// routers in the platform's list.
     pub fn reports(
         &mut self,
         demand: &Demand,
@@ -88,7 +100,7 @@
         routers: u32,
     ) -> Vec<(CompactString, Report)> {
         let now = self.clock.now();
-        self.routers.set(routers, now);
+        self.routers = routers;
         self.set_domains(domains, now);
         let mut classes: BTreeMap<CompactString, Vec<_>> = BTreeMap::new();
         for (class, want) in &demand.classes {
@@ -157,6 +169,7 @@
         now: Instant,
     ) -> Report {
         let safe = self.safe(name);
+        let sharers = self.parts.get(name).map_or(1, |part| self.sharers(part));
         let part = self
             .parts
             .get_mut(name)
@@ -172,6 +185,7 @@
             held,
             held_ms: left.as_millis() as u32,
             capacity: part.capacity,
+            sharers,
             classes,
         }
     }
@@ -193,17 +207,21 @@
         part.lease = Some((lease, sent_at + ttl));
     }
 
+    fn sharers(&self, part: &Part) -> u32 {
+        let sharers = match part.lease {
+            Some(_) => part.hosts.value.max(self.routers.min(ROUTERS_SHARING)),
+            None => self.routers,
+        };
+        sharers.max(1)
+    }
+
     /// Returns the places that a host without a lease uses in a domain.
     fn safe(&self, domain: &str) -> u32 {
         let Some(part) = self.parts.get(domain) else {
             return 0;
         };
-        let sharers = match part.lease {
-            Some(_) => part.hosts.value.max(self.routers.value.min(ROUTERS_MIN)),
-            None => self.routers.value,
-        };
         // One place keeps a host serving when hosts outnumber places.
-        (part.capacity / sharers.max(1)).max(part.capacity.min(1))
+        (part.capacity / self.sharers(part)).max(part.capacity.min(1))
     }
 
     /// Returns what the host may use now, from leases or, where none is in force, without one.
@@ -243,10 +261,17 @@
         add_idle(places, &self.shares, safe.saturating_sub(used));
     }
 
-    /// Returns the number of failure domains in use, and of those with a lease in force.
-    pub fn leased(&self) -> (usize, usize) {
+    /// Returns the places in each failure domain in use, and whether they come from a lease.
+    pub fn domains(&self) -> BTreeMap<CompactString, Held> {
         let now = self.clock.now();
-        let valid = self.parts.values().filter(|part| part.valid(now).is_some());
-        (self.parts.len(), valid.count())
+        let held = |(name, part): (&CompactString, &Part)| {
+            let lease = part.valid(now).map(|(lease, _)| lease.total());
+            let held = Held {
+                places: lease.unwrap_or_else(|| self.safe(name)),
+                leased: lease.is_some(),
+            };
+            (name.clone(), held)
+        };
+        self.parts.iter().map(held).collect()
     }
 }
--- a/src/sched/lease.rs
+++ b/src/sched/lease.rs
@@ -67,6 +67,8 @@
     pub held_ms: u32,
     /// Places of the domain's live engines as the host sees them.
     pub capacity: u32,
+    /// Hosts that share the domain, as far as the host knows.
+    pub sharers: u32,
     /// Partner, rank, places wanted, places in use, and work in tokens since the host's start.
     ///
     /// Totals of work lose nothing when a report is lost, and count nothing twice.
--- a/src/sched/lease_task.rs
+++ b/src/sched/lease_task.rs
@@ -1,7 +1,8 @@
 //! The tasks that report to allocators, and that answer as one.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, format_compact};
@@ -11,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::allocator::Allocator;
-use super::keeper::Keeper;
-use super::lease::{Lease, Report};
+use super::keeper::{Held, Keeper};
+use super::lease::{Grant, Lease, Report};
 use super::share::Shares;
 use crate::clock::Clock;
 use crate::dispatch::Handle;
@@ -119,6 +120,9 @@
     (Allocators(sender), task)
 }
 
+/// What this host may use by failure domain, for operators.
+pub type Board = Rc<RefCell<BTreeMap<CompactString, Held>>>;
+
 /// What the reporting task works with.
 #[derive(Clone, Debug)]
 pub struct Reporter {
@@ -130,26 +134,30 @@
     pub peer: peer::client::Client,
     /// Allocators of this host.
     pub allocators: Allocators,
+    /// Where operators see what this host may use.
+    pub board: Board,
 }
 
 impl Reporter {
     /// Reports once a second and passes on what the host may use, until `stop` is given.
     pub async fn run<C: Clock>(self, clock: C, stop: Signal) {
         let keeper = RefCell::new(Keeper::new(clock.clone(), Shares::default()));
+        let last = Cell::new(None);
         while !stop.is_given() {
             let started = Instant::now();
-            let (demand, domains, shares) = self.dispatch.demand().await;
-            let routers = self.view.live().len() as u32;
-            keeper.borrow_mut().set_shares(shares);
-            let reports = keeper.borrow_mut().reports(&demand, &domains, routers);
-            self.grant(&keeper.borrow());
+            let asked = self.dispatch.demand().await;
+            keeper.borrow_mut().set_shares(asked.shares);
+            let reports = keeper
+                .borrow_mut()
+                .reports(&asked.demand, &asked.domains, asked.routers);
+            self.grant(&keeper.borrow(), &last);
             let sent_at = clock.now();
             let answers = reports.into_iter().map(|(domain, report)| {
-                let (this, keeper) = (&self, &keeper);
+                let (this, keeper, last) = (&self, &keeper, &last);
                 async move {
                     if let Some(lease) = this.report(domain.clone(), report).await {
                         keeper.borrow_mut().accept(&domain, sent_at, lease);
-                        this.grant(&keeper.borrow());
+                        this.grant(&keeper.borrow(), last);
                     }
                 }
             });
@@ -157,16 +165,30 @@
             while !stop.is_given() && started.elapsed() < PERIOD {
                 let left = PERIOD.saturating_sub(started.elapsed());
                 within(left.min(GRANT_PERIOD), stop.wait()).await;
-                self.grant(&keeper.borrow());
+                self.grant(&keeper.borrow(), &last);
             }
         }
     }
 
-    fn grant<C: Clock>(&self, keeper: &Keeper<C>) {
+    /// Passes a grant on if its places changed or the last one is a period old.
+    ///
+    /// The scheduler charges the fleet's work from grant to grant; short times between them would
+    /// only add noise to that.
+    fn grant<C: Clock>(&self, keeper: &Keeper<C>, last: &Cell<Option<Grant>>) {
+        *self.board.borrow_mut() = keeper.domains();
         // Before the first engine is known there is nothing to share, and nothing to limit.
-        if keeper.leased().0 > 0 {
-            self.dispatch.grant(keeper.grant());
+        if self.board.borrow().is_empty() {
+            return;
+        }
+        let grant = keeper.grant();
+        let sent = last.take();
+        let is_new = sent
+            .as_ref()
+            .is_none_or(|sent| sent.places != grant.places || grant.until >= sent.until + PERIOD);
+        if is_new {
+            self.dispatch.grant(grant.clone());
         }
+        last.set(if is_new { Some(grant) } else { sent });
     }
 
     /// Reports to the allocator of a domain, which may be this host.
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -6,7 +6,7 @@
 mod keyed;
 
 use bilberrypost::emulate::proxy::Fault;
-use bilberrypost::emulate::store::{Calls, Entry, Faults};
+use bilberrypost::emulate::store::{Delayed, Entry, Faults};
 use bilberrypost::http::client;
 use bilberrypost::http::problem::Reason;
 use bilberrypost::wire::{Kind, Work};
@@ -28,8 +28,11 @@
     put(&cluster.store.address, "/v1/emulation/faults", &faults);
 }
 
-fn store_writes(cluster: &Cluster) -> u64 {
-    get::<Calls>(&cluster.store.address, "/v1/emulation/calls").writes
+/// Returns whether the store is about to write the claim of a key.
+fn is_being_claimed(cluster: &Cluster, key: &str) -> bool {
+    let line = format!("{{\"c\":{{\"k\":\"{key}\"");
+    let delayed: Vec<Delayed> = get(&cluster.store.address, "/v1/emulation/delayed");
+    delayed.iter().any(|write| write.value.contains(&line))
 }
 
 /// Returns whether the outcome of a key is in the store.
@@ -166,10 +169,9 @@
         },
     );
     let (key, _) = key_owned_by(cluster.routers.len(), |owner| owner != 0);
-    let before = store_writes(cluster);
     let call = send_aside(cluster, 0, &Call::reserve(&key, &format!("{key}/first")));
     wait_until("the claim is being written", || {
-        store_writes(cluster) > before
+        is_being_claimed(cluster, &key)
     });
     (key, call)
 }
--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,118 @@
+//! Leases between real routers: the allocator's router is killed, peers are cut off.
+
+mod support;
+
+use bilberrypost::emulate::proxy::Fault;
+use bilberrypost::load::client;
+use serde_json::Value;
+use support::{Cluster, Proxy, block_on, call, get, split, wait_until};
+
+const ENGINES: usize = 3;
+const SLOTS: u64 = 6;
+const ROUTERS: usize = 3;
+
+/// Three routers and engines, one of each in each of three failure domains.
+fn start() -> (Cluster, Vec<Proxy>) {
+    let mut cluster = Cluster::start();
+    for _ in 0..ENGINES {
+        cluster.engine(&["--slots", "6"]);
+    }
+    let proxies = (0..ROUTERS)
+        .map(|_| cluster.proxied_router(&split(), ENGINES))
+        .collect();
+    for index in 0..ROUTERS {
+        wait_until("all leases are in force", || {
+            leased(&cluster, index) == ENGINES
+        });
+    }
+    wait_until("the whole capacity is leased", || {
+        (0..ROUTERS)
+            .map(|index| places(&cluster, index))
+            .sum::<u64>()
+            == SLOTS * ENGINES as u64
+    });
+    (cluster, proxies)
+}
+
+fn leases(cluster: &Cluster, router: usize) -> Vec<Value> {
+    let status: Value = get(&cluster.routers[router].address, "/admin/v1/status");
+    let leases = status["leases"].as_object().unwrap();
+    leases.values().cloned().collect()
+}
+
+fn leased(cluster: &Cluster, router: usize) -> usize {
+    let leases = leases(cluster, router);
+    leases.iter().filter(|held| held["leased"] == true).count()
+}
+
+fn places(cluster: &Cluster, router: usize) -> u64 {
+    let leases = leases(cluster, router);
+    let places = leases.iter().map(|held| held["places"].as_u64().unwrap());
+    places.sum()
+}
+
+fn assert_serves(cluster: &Cluster, router: usize, seed: u64) {
+    let call = call("Sky notes: stratus.", 20, seed);
+    let answer = block_on(client::complete(&cluster.routers[router].address, &call));
+    assert!(answer.complete, "{answer:?}");
+}
+
+/// Guards against work that waits for a lost allocator, and against capacity that is never leased
+/// again after its loss.
+#[test]
+fn work_goes_on_without_the_allocators_router() {
+    let (mut cluster, _proxies) = start();
+    // The router of a failure domain is its allocator.
+    cluster.routers[0].kill();
+    for seed in 0..5 {
+        assert_serves(&cluster, 1, seed);
+        assert_serves(&cluster, 2, seed);
+    }
+    wait_until("another router leases the domain", || {
+        [1, 2]
+            .iter()
+            .all(|index| leased(&cluster, *index) == ENGINES)
+    });
+    wait_until("the share of the lost router is leased again", || {
+        places(&cluster, 1) + places(&cluster, 2) == SLOTS * ENGINES as u64
+    });
+}
+
+/// Guards against a host that stops, or takes the whole fleet for itself, when its peers cannot be
+/// reached.
+#[test]
+fn a_host_cut_off_from_its_peers_uses_a_safe_fraction() {
+    let (cluster, proxies) = start();
+    // Now each router sees only itself.
+    proxies.iter().for_each(|proxy| proxy.set(Fault::Cut));
+    for index in 0..ROUTERS {
+        wait_until("the router uses its part of the capacity", || {
+            places(&cluster, index) == SLOTS * ENGINES as u64 / ROUTERS as u64
+        });
+        assert_serves(&cluster, index, 7);
+    }
+    proxies.iter().for_each(|proxy| proxy.set(Fault::Pass));
+    for index in 0..ROUTERS {
+        wait_until("leases are in force again", || {
+            leased(&cluster, index) == ENGINES
+        });
+    }
+    wait_until("no place is leased twice", || {
+        let total: u64 = (0..ROUTERS).map(|index| places(&cluster, index)).sum();
+        total == SLOTS * ENGINES as u64
+    });
+}
+
+/// Guards against leases that depend on one connection, which may be silent for good.
+#[test]
+fn leases_survive_silent_connections() {
+    let (cluster, proxies) = start();
+    proxies.iter().for_each(|proxy| proxy.set(Fault::Silence));
+    assert_serves(&cluster, 0, 3);
+    std::thread::sleep(2 * bilberrypost::sched::lease::LEASE);
+    for index in 0..ROUTERS {
+        wait_until("leases are renewed over new connections", || {
+            leased(&cluster, index) == ENGINES
+        });
+    }
+}
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -202,12 +202,13 @@
     let clock = Manual::default();
     let members = members(3, 1, 1);
     let mut fleet = fleet(&clock, &members, "router-0");
-    for _ in 0..5 {
-        clock.advance(Duration::from_secs(1));
-        report(&mut fleet, |name| {
-            (name != "engine-00000").then_some(SLOTS / 2)
-        });
-    }
+    report(&mut fleet, |name| {
+        (name != "engine-00000").then_some(SLOTS / 2)
+    });
+    let lagging = key(&fleet, "engine-00000");
+    fleet.set_unanswered(lagging);
+    assert_eq!(fleet.domains()["fd-0"].capacity, 3 * SLOTS);
+    fleet.set_unanswered(lagging);
     let leaving = key(&fleet, "engine-00001");
     fleet.set_leaving(leaving);
     fleet.set_members(&members);
@@ -230,12 +231,14 @@
     assert_eq!(place(&mut fleet, &[]), "engine-00001");
 }
 
-/// Guards against a host that was paused itself and takes all engines for unresponsive.
+/// Guards against a host that was paused itself and takes all engines for lost.
 #[test]
 fn a_paused_host_keeps_its_engines() {
     let clock = Manual::default();
-    let fleet = fleet(&clock, &members(3, 1, 1), "router-0");
+    let mut fleet = fleet(&clock, &members(3, 1, 1), "router-0");
     clock.advance(Duration::from_secs(60));
+    let known: Vec<_> = fleet.iter().map(|(key, _)| key).collect();
+    known.iter().for_each(|key| fleet.set_unanswered(*key));
     assert_eq!(fleet.domains()["fd-0"].capacity, 3 * SLOTS);
     assert!(fleet.choose(&need(&[])).is_some());
 }
@@ -343,11 +346,11 @@
     with_events.events = (0..64).map(|seq| event(seq, seq)).collect();
     with_events.next_seq = 64;
     fleet.set_status(engine, &with_events);
-    assert_eq!(fleet.get(engine).unwrap().cached(&need(&[0, 1, 2])), 3);
+    assert_eq!(fleet.get(engine).unwrap().cached_blocks(&[0, 1, 2]), 3);
     with_events.events = vec![event(66, 100)];
     with_events.next_seq = 67;
     fleet.set_status(engine, &with_events);
-    let cached = |blocks: &[u64]| fleet.get(engine).unwrap().cached(&need(blocks));
+    let cached = |blocks: &[u64]| fleet.get(engine).unwrap().cached_blocks(blocks);
     assert_eq!((cached(&[0]), cached(&[1]), cached(&[2])), (0, 0, 1));
     assert_eq!(fleet.get(engine).unwrap().next_seq, 67);
 }
