Serve callers below their share past a blocked head of the queue

Cause: a caller above its share that came first in the tree, as it does after unused work was given back, kept those below their share from the places that it leaves free.

Change: if the head leaves places free, the first of 32 callers that does not may take one. An eighth of the places is left free instead of a sixteenth. A node that becomes active joins the first waiting sibling if that is behind the virtual time.

Conclusion: the decision looks at 32 callers at most, so it stays bounded.

--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -122,7 +122,7 @@
 /// How many of an engine's places new work may take.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Room {
-    /// All but one in sixteen.
+    /// All but one in eight.
     Spare,
     /// All.
     Free,
@@ -134,7 +134,7 @@
     /// Returns how many of `places` may be taken.
     pub fn of(self, places: u32) -> u32 {
         match self {
-            Self::Spare => places - places / 16,
+            Self::Spare => places - places / 8,
             Self::Free => places,
             Self::Queue(more) => places.saturating_add(more),
         }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -32,6 +32,9 @@
 /// Resumed requests that are tried in one decision.
 const RESUMES_TRIED: usize = 8;
 
+/// Callers that are looked at for one below its share, so that a decision stays bounded.
+const HEADS_TRIED: usize = 32;
+
 /// Urgent requests that may wait in an engine's own queue, where they go before routine ones.
 const URGENT_QUEUED: u32 = 4;
 
@@ -500,42 +503,68 @@
     fn next_new(&self, fleet: &Fleet<C>) -> Option<Start> {
         self.pools.values().find_map(|pool| {
             let ticket = self.head_of(pool)?;
-            let work = &self.items[ticket].work;
-            let caller = self.items[ticket].caller;
-            // Routine work below its floor goes like urgent work, whose queues at the engines
-            // would otherwise never leave it a free place.
-            let priority = match work.rank {
-                Rank::Routine if pool.tree.is_floor_due() => Rank::Urgent,
-                rank => rank,
-            };
-            // Work of those who have their share already leaves places to others, which would
-            // else wait for the end of a generation. The engines' queues know no shares.
-            let is_fair = self.order == Order::Fair;
-            let is_urgent = priority == Rank::Urgent;
-            let is_below_floor = priority != work.rank;
-            let gives_way = is_fair
-                && !is_below_floor
-                && (pool.tree.is_over_share(caller)
-                    || !is_urgent && pool.tree.is_active(Rank::Urgent));
-            if gives_way && !self.has_lent_place(Room::Spare) {
-                return None;
-            }
-            let may_queue = is_fair && is_urgent && !gives_way;
-            let may_queue = may_queue && self.preemption != Preemption::Wait;
-            let free = match gives_way {
-                true => fleet.choose_with(&work.need, Room::Spare),
-                false => fleet.choose(&work.need),
-            };
-            let room = Room::Queue(URGENT_QUEUED);
-            let queue = || may_queue.then(|| fleet.choose_with(&work.need, room))?;
-            Some(Start {
-                ticket,
-                engine: free.or_else(queue)?,
-                priority,
+            let gives_way = self.gives_way(pool, ticket);
+            self.place(pool, ticket, gives_way, fleet).or_else(|| {
+                // The places that it leaves are for those that have less than their share.
+                let ticket = gives_way.then(|| self.head_below_share(pool))??;
+                self.place(pool, ticket, false, fleet)
             })
         })
     }
 
+    /// Returns whether work leaves places to others that would else wait for the end of a
+    /// generation: callers above their share, and routine work while urgent callers are active.
+    fn gives_way(&self, pool: &Pool, ticket: Ticket) -> bool {
+        let item = &self.items[ticket];
+        self.order == Order::Fair
+            && pool.priority(item.work.rank) == item.work.rank
+            && (pool.tree.is_over_share(item.caller)
+                || item.work.rank == Rank::Routine && pool.tree.is_active(Rank::Urgent))
+    }
+
+    fn head_below_share(&self, pool: &Pool) -> Option<Ticket> {
+        let mut heads = pool.tree.heads().take(HEADS_TRIED);
+        let found = heads.find(|(rank, partner, _, ticket)| {
+            let class = Class {
+                partner: (*partner).clone(),
+                rank: *rank,
+            };
+            let may_run = self.has_own_place(&class) || self.has_lent_place(Room::Free);
+            may_run && !self.gives_way(pool, *ticket)
+        });
+        found.map(|(_, _, _, ticket)| ticket)
+    }
+
+    fn place(
+        &self,
+        pool: &Pool,
+        ticket: Ticket,
+        gives_way: bool,
+        fleet: &Fleet<C>,
+    ) -> Option<Start> {
+        let work = &self.items[ticket].work;
+        let priority = pool.priority(work.rank);
+        if gives_way && !self.has_lent_place(Room::Spare) {
+            return None;
+        }
+        // The engines' queues know no shares.
+        let may_queue = priority == Rank::Urgent
+            && !gives_way
+            && self.order == Order::Fair
+            && self.preemption != Preemption::Wait;
+        let free = match gives_way {
+            true => fleet.choose_with(&work.need, Room::Spare),
+            false => fleet.choose(&work.need),
+        };
+        let room = Room::Queue(URGENT_QUEUED);
+        let queue = || may_queue.then(|| fleet.choose_with(&work.need, room))?;
+        Some(Start {
+            ticket,
+            engine: free.or_else(queue)?,
+            priority,
+        })
+    }
+
     /// Returns the request that is next by rank, places of the grant, and share.
     fn head_of(&self, pool: &Pool) -> Option<Ticket> {
         // Urgent work may exceed the grant a little, as it cannot wait for the next one.
@@ -741,6 +770,17 @@
         }
     }
 
+    /// Returns the place of work in the engines' own queues.
+    ///
+    /// Routine work below its floor goes like urgent work, whose queues at the engines would
+    /// otherwise never leave it a free place.
+    fn priority(&self, rank: Rank) -> Rank {
+        match rank {
+            Rank::Routine if self.tree.is_floor_due() => Rank::Urgent,
+            rank => rank,
+        }
+    }
+
     /// Checks the bounds of the queues that a new request of a caller would join.
     fn check_queues(&self, caller: Node, partners: usize) -> Result<(), Refusal> {
         let of_caller = QUEUE_LIMIT / partners.max(1) / 8;
--- a/src/sched/tree.rs
+++ b/src/sched/tree.rs
@@ -3,7 +3,8 @@
 //! Each node has a start tag, the virtual time at which its next request begins. A parent serves
 //! the waiting child with the smallest tag and moves its own virtual time there; serving work `w`
 //! moves the child's tag by `w / weight`. A child that had nothing waiting starts at the parent's
-//! virtual time at the earliest, so an idle share is lent and is not saved up.
+//! virtual time at the earliest, or at the first waiting child's tag if that is less, so an idle
+//! share is lent and is not saved up.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -332,7 +333,11 @@
             true => self.credit,
             false => 0.0,
         };
-        let earliest = Tag(self.nodes[parent].virtual_time.0 - credit);
+        // Work that ended early is given back, which can move waiting children behind the virtual
+        // time; a new one joins them there.
+        let time = self.nodes[parent].virtual_time;
+        let first = self.nodes[parent].ready.first();
+        let earliest = Tag(first.map_or(time, |(tag, _)| time.min(*tag)).0 - credit);
         let state = &mut self.nodes[node];
         state.start = state.start.max(earliest);
         let (tag, weight) = (state.start, state.weight);
@@ -387,6 +392,24 @@
         Some((place, *request))
     }
 
+    /// Returns the first waiting requests of the callers in their order, with rank and partner.
+    pub fn heads(&self) -> impl Iterator<Item = (Rank, &CompactString, Node, T)> {
+        let ready = |node: Node| self.nodes[node].ready.iter().map(|(_, child)| *child);
+        ready(self.root).flat_map(move |rank| {
+            let name = match rank == self.ranks[0] {
+                true => Rank::Urgent,
+                false => Rank::Routine,
+            };
+            ready(rank).flat_map(move |partner| {
+                let callers = ready(partner).flat_map(ready);
+                callers.filter_map(move |caller| {
+                    let (_, request) = self.nodes[caller].queue.first_key_value()?;
+                    Some((name, &self.nodes[partner].name, caller, *request))
+                })
+            })
+        })
+    }
+
     /// Takes a request out of its queue to run it, and charges `work` tokens.
     pub fn serve(&mut self, place: Place, work: f64) {
         let mut node = place.caller;
