--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -5,6 +5,7 @@
 use bilberrypost::emulate::proxy::Fault;
 use bilberrypost::load::client;
 use bilberrypost::member::rendezvous;
+use bilberrypost::wire::{Kind, Listing, Member};
 use serde_json::Value;
 use support::{Cluster, Proxy, block_on, call, get, split, wait_until};
 
@@ -64,6 +65,20 @@
     assert!(answer.complete, "{answer:?}");
 }
 
+/// Changes the platform's list, which lags behind the end of a router.
+fn list_leaving(cluster: &Cluster, router: usize) {
+    cluster.list_member(&Member {
+        name: format!("router-{router}").into(),
+        kind: Kind::Router,
+        address: cluster.routers[router].address.as_str().into(),
+        peer_address: None,
+        failure_domain: support::domain(router).into(),
+        region: "default".into(),
+        state: Listing::Leaving,
+        service: "".into(),
+    });
+}
+
 /// Guards against work that waits for a lost allocator, and against capacity that is never leased
 /// again after its loss.
 #[test]
@@ -80,6 +95,7 @@
             .iter()
             .all(|index| leased(&cluster, *index) == ENGINES)
     });
+    list_leaving(&cluster, 0);
     wait_until("the share of the lost router is leased again", || {
         places(&cluster, 1) + places(&cluster, 2) == SLOTS * ENGINES as u64
     });
@@ -97,6 +113,7 @@
     for index in &left {
         assert_serves(&cluster, *index, 7);
     }
+    list_leaving(&cluster, lost);
     wait_until("the share of the lost router is leased again", || {
         let leased = left.iter().all(|index| leased(&cluster, *index) == 1);
         let total: u64 = left.iter().map(|index| places(&cluster, *index)).sum();
