--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -264,10 +264,13 @@
         put(&self.store_address, "/v1/emulation/faults", &faults);
     }
 
-    fn live_routers(&self, router: usize) -> usize {
-        let address = &self.cluster.routers[router].address;
+    /// Returns whether `other` sees a router as live.
+    fn is_live(&self, router: usize, other: usize) -> bool {
+        let address = &self.cluster.routers[other].address;
         let status: serde_json::Value = get(address, "/admin/v1/status");
-        status["live"].as_array().unwrap().len()
+        let name = format!("router-{router}");
+        let live = status["live"].as_array().unwrap();
+        live.iter().any(|peer| peer["name"] == name.as_str())
     }
 
     /// Does one of the faults; `turn` says which router or server it hits, and `usual` what the
@@ -289,10 +292,9 @@
                 self.cluster.routers[router].unpause();
             }
             "paused owners" => {
-                let before = self.live_routers(other);
                 self.cluster.routers[router].pause();
                 wait_until("the paused router is missed", || {
-                    self.live_routers(other) < before
+                    !self.is_live(router, other)
                 });
                 std::thread::sleep(Duration::from_millis(500));
                 self.cluster.routers[router].unpause();
