--- a/src/orders/plan.rs
+++ b/src/orders/plan.rs
@@ -6,9 +6,9 @@
 use compact_str::{CompactString, format_compact};
 
 use crate::config::split::{Model, Split};
-use crate::emulate::engine::Action;
 use crate::util::hash64;
 use crate::wire;
+use crate::wire::Action;
 
 /// Time after which an order that an engine accepted must show in its status.
 const EFFECT_LIMIT: Duration = Duration::from_secs(60);
--- a/src/orders/task.rs
+++ b/src/orders/task.rs
@@ -15,7 +15,6 @@
 use super::plan::{Engine, Next, Plan};
 use crate::clock::{self, Clock};
 use crate::config::split::Split;
-use crate::emulate::engine::Order;
 use crate::engine;
 use crate::http::client::{Connection, post_json};
 use crate::router::Router;
@@ -23,6 +22,7 @@
 use crate::store::objects::{self, Client, Condition, Objects};
 use crate::supervisor::Signal;
 use crate::util::{unix_ms, within};
+use crate::wire::Order;
 use crate::wire::{Kind, Listing};
 
 /// Duty of the router that should hold the lease.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -168,6 +168,41 @@
     pub events: Vec<Event>,
 }
 
+/// An order to an engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Order {
+    /// Fencing number of the sender's lease.
+    pub fencing: u64,
+    /// Identity; an order with a known one has no further effect.
+    pub id: CompactString,
+    /// What to do.
+    #[serde(flatten)]
+    pub action: Action,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(tag = "kind", rename_all = "lowercase")]
+pub enum Action {
+    /// Loads a version of a model in place of the present one.
+    Load {
+        /// Model name.
+        model: CompactString,
+        /// Version to load.
+        version: CompactString,
+    },
+    /// Loads an adapter.
+    Adapter {
+        /// Adapter name.
+        adapter: CompactString,
+    },
+    /// Changes the role.
+    Role {
+        /// New role.
+        role: CompactString,
+    },
+}
+
 /// Kind of a member of the platform's list.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -2,10 +2,11 @@
 
 mod support;
 
-use bilberrypost::emulate::engine::{Action, Totals};
+use bilberrypost::emulate::engine::Totals;
 use bilberrypost::emulate::sampler::Sampler;
 use bilberrypost::load::client;
 use bilberrypost::wire;
+use bilberrypost::wire::Action;
 use serde_json::Value;
 use support::{Cluster, block_on, call, get, run, split, wait_until};
 
