--- a/src/http/completions.rs
+++ b/src/http/completions.rs
@@ -26,7 +26,7 @@
 use crate::route::fleet::Need;
 use crate::route::prefix;
 use crate::router::Router;
-use crate::sched::scheduler::{Refusal, Scope, Work};
+use crate::sched::work::{Refusal, Scope, Work};
 use crate::util::within;
 use crate::wire::{self, Rank};
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod cursor;
+pub mod event;
 pub mod generation;
 pub mod killer;
 pub mod pace;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -11,13 +11,14 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use log::{info, warn};
 
-use super::generation::{Action, Event, Generation, PROBE_LIMIT};
+use super::event::{Action, Event};
+use super::generation::{Generation, PROBE_LIMIT};
 use crate::dispatch::{Handle, Placement};
 use crate::engine;
 use crate::http::problem::{Problem, Reason};
 use crate::route::fleet::Need;
 use crate::router::Router;
-use crate::sched::scheduler::{Refusal, Ticket};
+use crate::sched::work::{Refusal, Ticket};
 use crate::supervisor::Signal;
 use crate::util::within;
 use crate::wire;
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -8,3 +8,4 @@
 pub mod scheduler;
 pub mod share;
 pub mod tree;
+pub mod work;
