Start the engines of the benches in one place

Cause: four benches started paced engines with the same lines.

Change: Cluster::paced_engines in tests/support.

--- a/benches/fairness.rs
+++ b/benches/fairness.rs
@@ -20,7 +20,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Map, Value, json};
-use support::Cluster;
+use support::{Cluster, Pace};
 
 const SEED: u64 = 13;
 
@@ -285,21 +285,12 @@
 /// Returns the p95 time to the first token of small callers in milliseconds.
 fn small_ttft_ms(settings: &str, large_factor: f64) -> f64 {
     let mut cluster = Cluster::start();
-    let (slots, step, per_stream) = (
-        SLOTS.to_string(),
-        STEP_US.to_string(),
-        STEP_PER_STREAM_US.to_string(),
-    );
-    for _ in 0..ENGINES {
-        cluster.engine(&[
-            "--slots",
-            &slots,
-            "--step-us",
-            &step,
-            "--step-per-stream-us",
-            &per_stream,
-        ]);
-    }
+    let pace = Pace {
+        slots: SLOTS,
+        step_us: STEP_US,
+        step_per_stream_us: STEP_PER_STREAM_US,
+    };
+    cluster.paced_engines(ENGINES, &pace, &[]);
     for _ in 0..ROUTERS {
         cluster.router_with(&small_split(), ENGINES, settings);
     }
--- a/benches/flood.rs
+++ b/benches/flood.rs
@@ -15,7 +15,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
-use support::Cluster;
+use support::{Cluster, Pace};
 
 const SEED: u64 = 17;
 
@@ -220,21 +220,12 @@
 /// Returns the smallest part that a partner other than the flooding one keeps, in percent.
 fn run(settings: &str) -> f64 {
     let mut cluster = Cluster::start();
-    let (slots, step, per_stream) = (
-        SLOTS.to_string(),
-        STEP_US.to_string(),
-        STEP_PER_STREAM_US.to_string(),
-    );
-    for _ in 0..ENGINES {
-        cluster.engine(&[
-            "--slots",
-            &slots,
-            "--step-us",
-            &step,
-            "--step-per-stream-us",
-            &per_stream,
-        ]);
-    }
+    let pace = Pace {
+        slots: SLOTS,
+        step_us: STEP_US,
+        step_per_stream_us: STEP_PER_STREAM_US,
+    };
+    cluster.paced_engines(ENGINES, &pace, &[]);
     for _ in 0..ROUTERS {
         cluster.router_with(&split(), ENGINES, settings);
     }
--- a/benches/parts/shares.rs
+++ b/benches/parts/shares.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Map, Value, json};
 
-use super::support::{self, Cluster};
+use super::support::{self, Cluster, Pace};
 use super::{ENGINES, ROUTERS, SEED, SLOTS, STEP_PER_STREAM_US, STEP_US, TOKENS};
 
 const PARTNERS: [&str; 3] = ["a", "b", "c"];
@@ -150,21 +150,12 @@
 
 fn start() -> (Cluster, support::Proxy) {
     let mut cluster = Cluster::start();
-    let (slots, step, per_stream) = (
-        SLOTS.to_string(),
-        STEP_US.to_string(),
-        STEP_PER_STREAM_US.to_string(),
-    );
-    for _ in 0..ENGINES {
-        cluster.engine(&[
-            "--slots",
-            &slots,
-            "--step-us",
-            &step,
-            "--step-per-stream-us",
-            &per_stream,
-        ]);
-    }
+    let pace = Pace {
+        slots: SLOTS,
+        step_us: STEP_US,
+        step_per_stream_us: STEP_PER_STREAM_US,
+    };
+    cluster.paced_engines(ENGINES, &pace, &[]);
     let mut proxy = None;
     for index in 0..ROUTERS {
         match index == CUT_OFF {
--- a/benches/ranks.rs
+++ b/benches/ranks.rs
@@ -15,7 +15,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
-use support::{Cluster, get};
+use support::{Cluster, Pace, get};
 
 const SEED: u64 = 11;
 
@@ -252,23 +252,12 @@
 
 fn run(settings: &str) -> Outcome {
     let mut cluster = Cluster::start();
-    let (slots, step, per_stream) = (
-        SLOTS.to_string(),
-        STEP_US.to_string(),
-        STEP_PER_STREAM_US.to_string(),
-    );
-    for _ in 0..ENGINES {
-        cluster.engine(&[
-            "--slots",
-            &slots,
-            "--step-us",
-            &step,
-            "--step-per-stream-us",
-            &per_stream,
-            "--cache-blocks",
-            CACHE_BLOCKS,
-        ]);
-    }
+    let pace = Pace {
+        slots: SLOTS,
+        step_us: STEP_US,
+        step_per_stream_us: STEP_PER_STREAM_US,
+    };
+    cluster.paced_engines(ENGINES, &pace, &["--cache-blocks", CACHE_BLOCKS]);
     for _ in 0..ROUTERS {
         cluster.router_with(&split(), ENGINES, settings);
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -137,6 +137,16 @@
     }
 }
 
+/// Speed of emulated engines.
+pub struct Pace {
+    /// Streams in a batch.
+    pub slots: u32,
+    /// Time of a step with an empty batch, in microseconds.
+    pub step_us: u32,
+    /// Time that each stream adds, in microseconds.
+    pub step_per_stream_us: u32,
+}
+
 /// The processes of one test.
 pub struct Cluster {
     pub members: Process,
@@ -230,6 +240,18 @@
         index
     }
 
+    /// Starts engines with a given batch size and step; returns when all are listed.
+    pub fn paced_engines(&mut self, count: usize, pace: &Pace, extra: &[&str]) {
+        let [slots, step, per_stream] =
+            [pace.slots, pace.step_us, pace.step_per_stream_us].map(|value| value.to_string());
+        let mut args = vec!["--slots", &slots, "--step-us", &step];
+        args.extend(["--step-per-stream-us", &per_stream]);
+        args.extend(extra);
+        for _ in 0..count {
+            self.engine(&args);
+        }
+    }
+
     /// Starts an engine that the membership list does not show.
     pub fn unlisted_engine(&self, extra: &[&str]) -> Process {
         let index = self.engines.len();
