--- a/src/sched/tree.rs
+++ b/src/sched/tree.rs
@@ -298,6 +298,13 @@
         self.nodes[self.ranks[rank_index(rank)]].active > 0
     }
 
+    /// Returns whether a partner has an active caller of a rank.
+    pub fn is_partner_active(&self, rank: Rank, partner: &str) -> bool {
+        let rank = &self.nodes[self.ranks[rank_index(rank)]];
+        let partner = rank.children.get(partner);
+        partner.is_some_and(|partner| self.nodes[*partner].active > 0)
+    }
+
     /// Returns whether a caller runs clearly more than its part of what its rank runs.
     pub fn is_over_share(&self, caller: Node) -> bool {
         let running = f64::from(self.nodes[caller].running);
--- a/tests/sched.rs
+++ b/tests/sched.rs
@@ -475,6 +475,28 @@
     assert_eq!(demand.classes[&class("b")].in_use, 2);
 }
 
+/// Guards against an urgent flood of one partner that takes the granted places of the others.
+#[test]
+fn urgent_flood_leaves_granted_places_to_others() {
+    let mut sim = Sim::new(2, 8, Preemption::Pause, split(""));
+    let class = |partner: &str, rank| Class {
+        partner: partner.into(),
+        rank,
+    };
+    let routine = class("b", Rank::Routine);
+    sim.scheduler.set_grant(&Grant {
+        places: BTreeMap::from([(class("a", Rank::Urgent), 8), (routine.clone(), 8)]),
+        work_per_s: BTreeMap::new(),
+        until: sim.clock.now() + Duration::from_secs(3),
+    });
+    let mut rng = StdRng::seed_from_u64(5);
+    let classes = [("a", Rank::Urgent), ("b", Rank::Routine)];
+    sim.flood(&classes, Duration::from_secs(20), &mut rng);
+    let share = sim.tokens("b", Rank::Routine)
+        / (sim.tokens("a", Rank::Urgent) + sim.tokens("b", Rank::Routine));
+    assert!(share >= 0.95 * 0.5, "b keeps its half: {share}");
+}
+
 /// Guards against partners whose work on other hosts is not counted here.
 #[test]
 fn work_elsewhere_counts() {
