Compare work within granted places with its partner's callers only

Routine work of the other partners counted as above its share, because routine work of the flooding partner was active but did not run, and so left places that it never got back.

Change: work within the places of its class is compared with the callers of its partner, and leaves some of its partner's places only; the grant has settled what is between partners.

--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -459,30 +459,30 @@
 
     /// Returns which places work leaves to others that would else wait for the end of a generation.
     ///
-    /// Callers above their share leave some of all places. So does routine work while urgent callers
-    /// are active; within the places that its partner was granted it leaves some of those, and only
-    /// to its own partner.
+    /// Callers above their share leave some, and so does routine work while urgent callers are
+    /// active. Work within the places that its class was granted leaves some of those of its partner,
+    /// and is compared with its partner's callers only: the grant has settled what is between
+    /// partners.
     fn reserve(&self, pool: &Pool, ticket: Ticket) -> Reserve {
         let item = &self.items[ticket];
         let class = class(&item.work);
+        let is_routine = class.rank == Rank::Routine;
         if self.order != Order::Fair || pool.priority(class.rank) != class.rank {
             return Reserve::Nothing;
         }
-        if pool.tree.is_over_share(item.caller) {
-            return Reserve::OfAll;
-        }
-        if class.rank == Rank::Urgent {
-            return Reserve::Nothing;
+        let tree = &pool.tree;
+        if self.grant.is_some() && self.has_own_place(&class) {
+            let in_use = self.classes.get(&class).map_or(0, |want| want.in_use);
+            let is_needed = tree.is_over_share_of_partner(item.caller, in_use)
+                || is_routine && tree.is_partner_active(Rank::Urgent, &class.partner);
+            return match is_needed {
+                true => Reserve::OfPartner,
+                false => Reserve::Nothing,
+            };
         }
-        let is_granted = self.grant.is_some() && self.has_own_place(&class);
-        let is_needed = match is_granted {
-            true => pool.tree.is_partner_active(Rank::Urgent, &class.partner),
-            false => pool.tree.is_active(Rank::Urgent),
-        };
-        match (is_needed, is_granted) {
-            (false, _) => Reserve::Nothing,
-            (true, true) => Reserve::OfPartner,
-            (true, false) => Reserve::OfAll,
+        match tree.is_over_share(item.caller) || is_routine && tree.is_active(Rank::Urgent) {
+            true => Reserve::OfAll,
+            false => Reserve::Nothing,
         }
     }
 
--- a/tests/sched.rs
+++ b/tests/sched.rs
@@ -490,7 +490,12 @@
         until: sim.clock.now() + Duration::from_secs(3),
     });
     let mut rng = StdRng::seed_from_u64(5);
-    let classes = [("a", Rank::Urgent), ("b", Rank::Routine)];
+    // Routine work of partner a waits too, but its urgent work uses all of its places.
+    let classes = [
+        ("a", Rank::Urgent),
+        ("a", Rank::Routine),
+        ("b", Rank::Routine),
+    ];
     sim.flood(&classes, Duration::from_secs(20), &mut rng);
     let share = sim.tokens("b", Rank::Routine)
         / (sim.tokens("a", Rank::Urgent) + sim.tokens("b", Rank::Routine));
