--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -77,17 +77,6 @@
     Expired,
 }
 
-/// Places that work leaves free for others.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Reserve {
-    /// None.
-    Nothing,
-    /// Some of those of its partner.
-    OfPartner,
-    /// Some of all.
-    OfAll,
-}
-
 #[derive(Debug)]
 struct Item {
     work: Work,
@@ -447,43 +436,23 @@
     fn next_new(&self, fleet: &Fleet<C>) -> Option<Start> {
         self.pools.values().find_map(|pool| {
             let ticket = self.head_of(pool)?;
-            let reserve = self.reserve(pool, ticket);
-            self.place(pool, ticket, reserve, fleet).or_else(|| {
+            let gives_way = self.gives_way(pool, ticket);
+            self.place(pool, ticket, gives_way, fleet).or_else(|| {
                 // The places that it leaves are for those that have less than their share.
-                let leaves = reserve != Reserve::Nothing;
-                let ticket = leaves.then(|| self.head_below_share(pool))??;
-                self.place(pool, ticket, Reserve::Nothing, fleet)
+                let ticket = gives_way.then(|| self.head_below_share(pool))??;
+                self.place(pool, ticket, false, fleet)
             })
         })
     }
 
-    /// Returns which places work leaves to others that would else wait for the end of a generation.
-    ///
-    /// Callers above their share leave some, and so does routine work while urgent callers are
-    /// active. Work within the places that its class was granted leaves some of those of its partner,
-    /// and is compared with its partner's callers only: the grant has settled what is between
-    /// partners.
-    fn reserve(&self, pool: &Pool, ticket: Ticket) -> Reserve {
+    /// Returns whether work leaves places to others that would else wait for the end of a
+    /// generation: callers above their share, and routine work while urgent callers are active.
+    fn gives_way(&self, pool: &Pool, ticket: Ticket) -> bool {
         let item = &self.items[ticket];
-        let class = class(&item.work);
-        let is_routine = class.rank == Rank::Routine;
-        if self.order != Order::Fair || pool.priority(class.rank) != class.rank {
-            return Reserve::Nothing;
-        }
-        let tree = &pool.tree;
-        if self.grant.is_some() && self.has_own_place(&class) {
-            let in_use = self.classes.get(&class).map_or(0, |want| want.in_use);
-            let is_needed = tree.is_over_share_of_partner(item.caller, in_use)
-                || is_routine && tree.is_partner_active(Rank::Urgent, &class.partner);
-            return match is_needed {
-                true => Reserve::OfPartner,
-                false => Reserve::Nothing,
-            };
-        }
-        match tree.is_over_share(item.caller) || is_routine && tree.is_active(Rank::Urgent) {
-            true => Reserve::OfAll,
-            false => Reserve::Nothing,
-        }
+        self.order == Order::Fair
+            && pool.priority(item.work.rank) == item.work.rank
+            && (pool.tree.is_over_share(item.caller)
+                || item.work.rank == Rank::Routine && pool.tree.is_active(Rank::Urgent))
     }
 
     fn head_below_share(&self, pool: &Pool) -> Option<Ticket> {
@@ -493,8 +462,8 @@
                 partner: (*partner).clone(),
                 rank: *rank,
             };
-            let may_run = self.has_own_place(&class) || self.has_partner_place(partner, Room::Free);
-            may_run && self.reserve(pool, *ticket) == Reserve::Nothing
+            let may_run = self.has_own_place(&class) || self.has_lent_place(Room::Free);
+            may_run && !self.gives_way(pool, *ticket)
         });
         found.map(|(_, _, _, ticket)| ticket)
     }
@@ -503,28 +472,22 @@
         &self,
         pool: &Pool,
         ticket: Ticket,
-        reserve: Reserve,
+        gives_way: bool,
         fleet: &Fleet<C>,
     ) -> Option<Start> {
         let work = &self.items[ticket].work;
         let priority = pool.priority(work.rank);
-        let has_room = match reserve {
-            Reserve::Nothing => true,
-            Reserve::OfPartner => self.has_partner_place(&work.partner, Room::Spare),
-            Reserve::OfAll => self.has_lent_place(Room::Spare),
-        };
-        if !has_room {
+        if gives_way && !self.has_lent_place(Room::Spare) {
             return None;
         }
-        // The engines' queues know no shares, so only work within its places may wait there.
+        // The engines' queues know no shares.
         let may_queue = priority == Rank::Urgent
-            && reserve == Reserve::Nothing
+            && !gives_way
             && self.order == Order::Fair
-            && self.preemption != Preemption::Wait
-            && (self.has_own_place(&class(work)) || self.may_go_first(&work.partner));
-        let free = match reserve {
-            Reserve::OfAll => fleet.choose_with(&work.need, Room::Spare),
-            Reserve::Nothing | Reserve::OfPartner => fleet.choose(&work.need),
+            && self.preemption != Preemption::Wait;
+        let free = match gives_way {
+            true => fleet.choose_with(&work.need, Room::Spare),
+            false => fleet.choose(&work.need),
         };
         let room = Room::Queue(URGENT_QUEUED);
         let queue = || may_queue.then(|| fleet.choose_with(&work.need, room))?;
@@ -537,16 +500,13 @@
 
     /// Returns the request that is next by rank, places of the grant, and share.
     fn head_of(&self, pool: &Pool) -> Option<Ticket> {
-        // Urgent work goes before routine work of its own partner only, or a flood of it would take
-        // the places of the others.
-        let may_go_first = |class: &Class| {
+        // Urgent work may exceed the grant a little, as it cannot wait for the next one.
+        let may_exceed = |class: &Class| {
             class.rank == Rank::Urgent
-                && (self.has_own_place(class) || self.may_go_first(&class.partner))
+                && (self.has_own_place(class) || self.has_lent_place(Room::Queue(URGENT_QUEUED)))
         };
         let is_urgent_due = !pool.tree.is_floor_due();
-        let urgent = is_urgent_due
-            .then(|| self.head(pool, may_go_first))
-            .flatten();
+        let urgent = is_urgent_due.then(|| self.head(pool, may_exceed)).flatten();
         urgent
             .or_else(|| self.head(pool, |class| self.has_own_place(class)))
             .or_else(|| self.head(pool, |_| self.has_lent_place(Room::Free)))
@@ -569,36 +529,6 @@
         in_use < places
     }
 
-    /// Returns whether urgent work of a partner may take a place before others.
-    ///
-    /// Where the partner has few places it may exceed them a little, as urgent work cannot wait for
-    /// the next grant.
-    fn may_go_first(&self, partner: &CompactString) -> bool {
-        let (in_use, _) = self.places_of(partner);
-        self.has_partner_place(partner, Room::Free)
-            || in_use < URGENT_QUEUED && self.has_lent_place(Room::Queue(URGENT_QUEUED))
-    }
-
-    /// Returns whether a partner runs less here than the room in its places of both ranks.
-    fn has_partner_place(&self, partner: &CompactString, room: Room) -> bool {
-        let (in_use, places) = self.places_of(partner);
-        self.grant.is_none() || in_use < room.of(places)
-    }
-
-    /// Returns the places that a partner uses and has here, of both ranks.
-    fn places_of(&self, partner: &CompactString) -> (u32, u32) {
-        let classes = [Rank::Urgent, Rank::Routine].map(|rank| Class {
-            partner: partner.clone(),
-            rank,
-        });
-        let granted = |class| self.grant.as_ref()?.places.get(class);
-        let in_use = classes.iter().filter_map(|class| self.classes.get(class));
-        (
-            in_use.map(|want| want.in_use).sum(),
-            classes.iter().filter_map(granted).sum(),
-        )
-    }
-
     /// Returns whether less runs here than the room in the places of all classes.
     fn has_lent_place(&self, room: Room) -> bool {
         let total = |grant: &Grant| grant.places.values().sum::<u32>();
--- a/src/sched/tree.rs
+++ b/src/sched/tree.rs
@@ -298,13 +298,6 @@
         self.nodes[self.ranks[rank_index(rank)]].active > 0
     }
 
-    /// Returns whether a partner has an active caller of a rank.
-    pub fn is_partner_active(&self, rank: Rank, partner: &str) -> bool {
-        let rank = &self.nodes[self.ranks[rank_index(rank)]];
-        let partner = rank.children.get(partner);
-        partner.is_some_and(|partner| self.nodes[*partner].active > 0)
-    }
-
     /// Returns whether a caller runs clearly more than its part of what its rank runs.
     pub fn is_over_share(&self, caller: Node) -> bool {
         let running = f64::from(self.nodes[caller].running);
@@ -319,21 +312,6 @@
         part < 1.0 && running > OVER_SHARE * part * f64::from(self.nodes[node].running)
     }
 
-    /// Returns whether a caller runs clearly more than its part of the `running` requests that its
-    /// partner runs in its rank.
-    pub fn is_over_share_of_partner(&self, caller: Node, running: u32) -> bool {
-        let part: f64 = [caller, self.nodes[caller].parent]
-            .map(|node| {
-                let state = &self.nodes[node];
-                let siblings = self.nodes[state.parent].active_weight;
-                state.weight / siblings.max(state.weight)
-            })
-            .iter()
-            .product();
-        let own = f64::from(self.nodes[caller].running);
-        part < 1.0 && own > OVER_SHARE * part * f64::from(running)
-    }
-
     fn add(&mut self, caller: Node, work: f64) {
         let mut node = caller;
         while node != self.root {
