--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,8 +1,10 @@
 //! One attempt of a request at one engine, over a connection of its own.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::{Either, select};
 use http_body_util::Full;
 use hyper::{Request, Response};
 use log::info;
@@ -14,6 +16,7 @@
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
 use crate::route::registry::{Engine, Footprint};
+use crate::supervisor::Signal;
 use crate::util::within;
 
 /// Longest time to connect to an engine. Engines are under a millisecond away, and one that went
@@ -98,6 +101,8 @@
     Lost,
     /// No answer in time.
     Silent,
+    /// The engine is lost with all that runs on it.
+    EngineLost,
 }
 
 impl Fault {
@@ -114,6 +119,7 @@
             Self::OtherEngine => "other-engine",
             Self::Lost => "lost",
             Self::Silent => "silent",
+            Self::EngineLost => "engine-lost",
         }
     }
 }
@@ -148,7 +154,7 @@
     match &result {
         Ok(open) if open.is_success => {}
         Ok(_) => registry.set_failed(engine),
-        Err(Fault::Unsent | Fault::Silent) => registry.set_unreachable(engine),
+        Err(Fault::Unsent | Fault::Silent | Fault::EngineLost) => registry.set_unreachable(engine),
         Err(Fault::OtherEngine) => registry.remove(&name),
         Err(Fault::Lost) => registry.set_failed(engine),
         Err(Fault::NotRun) => {}
@@ -171,10 +177,10 @@
     start: Start,
     until: Instant,
 ) -> Result<Open, Fault> {
-    let address = {
+    let (address, lost) = {
         let registry = gateway.registry.borrow();
         let state = registry.get(place.engine).ok_or(Fault::Unsent)?;
-        state.registration.address.clone()
+        (state.registration.address.clone(), state.lost.clone())
     };
     let mut connection = Connection::open(&address, CONNECT_LIMIT)
         .await
@@ -188,12 +194,17 @@
         build::<C, P>(gateway, admitted, place, start, left, &address).ok_or(Fault::Unsent)?
     };
     let left = until.saturating_duration_since(gateway.clock.now());
-    let response = match within(left, connection.send(request)).await {
-        Some(Ok(response)) => response,
-        Some(Err(Error::Connect { .. })) => return Err(Fault::Unsent),
-        Some(Err(Error::Response { .. })) => return Err(Fault::Lost),
-        None => return Err(Fault::Silent),
+    gateway.registry.borrow_mut().set_heard(place.engine);
+    let may_leave = admitted.route.repeat.is_repeatable();
+    let answer = within(left, connection.send(request));
+    let response = match unless(&lost, may_leave, answer).await {
+        Some(Some(Ok(response))) => response,
+        Some(Some(Err(Error::Connect { .. }))) => return Err(Fault::Unsent),
+        Some(Some(Err(Error::Response { .. }))) => return Err(Fault::Lost),
+        Some(None) => return Err(Fault::Silent),
+        None => return Err(Fault::EngineLost),
     };
+    gateway.registry.borrow_mut().set_heard(place.engine);
     let exchange = Exchange::new(response, connection);
     match P::answer(&exchange.head, &admitted.call.id) {
         Answer::Success => Ok(Open {
@@ -210,6 +221,18 @@
     }
 }
 
+/// Waits for `future`; if `may_leave`, only until the engine is lost. A request that must not run
+/// twice gains nothing from an earlier end, as its answer may still come.
+async fn unless<F: Future>(lost: &Signal, may_leave: bool, future: F) -> Option<F::Output> {
+    if !may_leave {
+        return Some(future.await);
+    }
+    match select(pin!(future), pin!(lost.wait())).await {
+        Either::Left((output, _)) => Some(output),
+        Either::Right(_) => None,
+    }
+}
+
 fn build<C: Clock, P: Protocol>(
     gateway: &Rc<Gateway<C>>,
     admitted: &Admitted,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod call;
+pub mod check;
 pub mod front;
 pub mod plain;
 pub mod protocol;
@@ -20,7 +21,7 @@
 use anyhow::Context;
 use compact_str::CompactString;
 use compio::net::TcpListener;
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 use log::{info, warn};
 
 use crate::clock::{self, Clock};
@@ -157,6 +158,18 @@
     }
 }
 
+/// Logs each request to read the settings again. No setting can change while the process runs, so
+/// nothing else is done; without a handler the signal would end the process.
+async fn reloads(stop: Signal) {
+    const SIGHUP: i32 = 1;
+    while !stop.is_given() {
+        let signal = pin!(compio::signal::unix::signal(SIGHUP));
+        if let Either::Left(_) = select(signal, pin!(stop.wait())).await {
+            info!("event=reload changed=none");
+        }
+    }
+}
+
 async fn bind(address: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -194,6 +207,11 @@
         "ready",
         server::serve(balancer, ready, supervisor.stop_signal()),
     );
+    supervisor.spawn(
+        "checks",
+        check::run(gateway.clone(), supervisor.stop_signal()),
+    );
+    supervisor.spawn("reloads", reloads(supervisor.stop_signal()));
     let closed = Signal::default();
     let front = Rc::new(Front::<_, P>::new(gateway.clone()));
     let serving = compio::runtime::spawn(server::serve(callers, front, closed.clone()));
@@ -215,11 +233,3 @@
     Ok(())
 }
 
-/// Waits for `future` unless `cut` is given first.
-pub async fn unless<F: Future>(cut: &Signal, future: F) -> Option<F::Output> {
-    use futures_util::future::Either;
-    match select(pin!(future), pin!(cut.wait())).await {
-        Either::Left((output, _)) => Some(output),
-        Either::Right(_) => None,
-    }
-}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,7 +10,7 @@
 use log::info;
 
 use super::Gateway;
-use super::attempt::{self, Fault, Open, Place, Start, head_of};
+use super::attempt::{self, Open, Place, Start, head_of};
 use super::front::{Admitted, RETRY_SOON, Refused};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -20,6 +20,7 @@
 use crate::relay::events::{Position, Splitter};
 use crate::relay::silence;
 use crate::route::registry::{Engine, Need};
+use crate::supervisor::Signal;
 use crate::util::within;
 
 /// Sends that certainly did not run before a request is refused.
@@ -53,6 +54,8 @@
 struct Feed<C: Clock> {
     exchange: Exchange,
     place: Place<C>,
+    /// Given when the engine is lost.
+    lost: Signal,
     splitter: Splitter,
     heard: Instant,
     has_output: bool,
@@ -110,7 +113,9 @@
             if self.ran + self.not_run > 0 && !self.may_repeat() {
                 return Err(self.refused());
             }
+            let registry = &self.gateway.registry;
             let copy = self.copy.take();
+            let copy = copy.filter(|copy| registry.borrow().is_usable(*copy));
             let Some(engine) = copy.or_else(|| self.choose()) else {
                 if self.excluded.is_empty() || !self.may_wait() {
                     return Err(self.refused());
@@ -142,9 +147,12 @@
                     if !self.admitted.route.repeat.is_repeatable() {
                         return Err(lost());
                     }
-                    if fault == Fault::Silent || fault == Fault::Lost {
-                        self.copy = place.replica;
-                    }
+                    self.copy = place.replica;
+                    info!(
+                        "event=attempt_lost request={} fault={}",
+                        self.admitted.call.id,
+                        fault.as_str()
+                    );
                 }
             }
             self.excluded.push(engine);
@@ -224,7 +232,10 @@
     }
 
     fn feed(&self, open: Open, place: Place<C>) -> Feed<C> {
+        let registry = self.gateway.registry.borrow();
+        let state = registry.get(place.engine);
         Feed {
+            lost: state.map(|state| state.lost.clone()).unwrap_or_default(),
             exchange: open.exchange,
             place,
             splitter: Splitter::default(),
@@ -253,10 +264,7 @@
                 self.position.last(),
                 feed.place.replica.is_some()
             );
-            {
-                let mut registry = self.gateway.registry.borrow_mut();
-                registry.set_unreachable(broken);
-            }
+            self.gateway.registry.borrow_mut().set_unreachable(broken);
             if !self.admitted.route.repeat.is_repeatable() || !self.has_attempts() {
                 return self.ended("not-resumable");
             }
@@ -313,14 +321,17 @@
             let piece = {
                 let next = pin!(within(left, feed.exchange.next()));
                 let gone = pin!(writer.gone());
-                match select(next, gone).await {
+                let lost = pin!(feed.lost.wait());
+                match select(next, select(gone, lost)).await {
                     Either::Left((piece, _)) => piece,
-                    Either::Right(_) => return End::Gone,
+                    Either::Right((Either::Left(_), _)) => return End::Gone,
+                    Either::Right((Either::Right(_), _)) => return End::Broken("engine-lost"),
                 }
             };
             match piece {
                 Some(Ok(Some(piece))) => {
                     feed.heard = self.gateway.clock.now();
+                    self.gateway.registry.borrow_mut().set_heard(feed.place.engine);
                     if feed.splitter.push(&piece).is_err() {
                         return End::Broken("oversized");
                     }
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -7,6 +7,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::clock::Clock;
+use crate::supervisor::Signal;
 use crate::util::hash64;
 
 /// Time after the store's return in which entries that lapsed meanwhile come back.
@@ -28,6 +29,9 @@
 /// Prompt tokens that delay others as much as one running request does.
 const TOKENS_PER_RUN: u64 = 250;
 
+/// Silence of an engine with running requests after which its address is checked.
+const CHECK_AFTER: Duration = Duration::from_millis(180);
+
 new_key_type! {
     /// A registered engine or backend server.
     pub struct Engine;
@@ -89,6 +93,11 @@
     gone_at: Option<Instant>,
     unreachable_until: Option<Instant>,
     failures: Vec<Instant>,
+    /// Given when the engine is lost with all that runs on it.
+    pub lost: Signal,
+    // When bytes of it, or a connection to it, last showed that it lives.
+    heard_at: Instant,
+    is_checking: bool,
     // Order among equals, different on each host, so that hosts do not choose the same engine.
     order: u64,
 }
@@ -174,6 +183,9 @@
             gone_at: None,
             unreachable_until: None,
             failures: Vec::new(),
+            lost: Signal::default(),
+            heard_at: self.clock.now(),
+            is_checking: false,
         });
         self.ids.insert(id, key);
     }
@@ -244,6 +256,7 @@
             let registration = &state.registration;
             registration.service == need.service
                 && !registration.is_draining
+                && !state.is_lost(now)
                 && state.gone_at.is_none_or(|at| at > now)
                 && !need.excluded.contains(key)
         })
@@ -261,9 +274,28 @@
         state.load.reading / TOKENS_PER_RUN + state.load.running + failures * FAILURE_WEIGHT
     }
 
+    /// Returns whether an engine may get requests.
+    pub fn is_usable(&self, engine: Engine) -> bool {
+        let now = self.clock.now();
+        let Some(state) = self.engines.get(engine) else {
+            return false;
+        };
+        self.ids.get(&state.registration.id) == Some(&engine)
+            && !state.registration.is_draining
+            && !state.is_lost(now)
+            && state.gone_at.is_none_or(|at| at > now)
+    }
+
     /// Notes a request that is sent to an engine.
     pub fn begin(&mut self, engine: Engine, footprint: Footprint) {
+        let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
+            if state.load.running == 0 {
+                state.heard_at = now;
+            }
+            if state.lost.is_given() {
+                state.lost = Signal::default();
+            }
             state.load.running += 1;
             state.load.reading += u64::from(footprint.prompt);
             state.load.memory += footprint.memory();
@@ -308,6 +340,43 @@
         }
     }
 
+    /// Notes that bytes of an engine, or a connection to it, show that it lives.
+    pub fn set_heard(&mut self, engine: Engine) {
+        let now = self.clock.now();
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.heard_at = now;
+            state.is_checking = false;
+        }
+    }
+
+    /// Returns the engines with running requests that were silent for too long, with their
+    /// addresses. Each is returned once, until [`Registry::set_heard`] or [`Registry::set_lost`].
+    pub fn due_checks(&mut self) -> Vec<(Engine, CompactString)> {
+        let now = self.clock.now();
+        let is_due = |state: &State| {
+            state.load.running > 0
+                && !state.is_checking
+                && !state.lost.is_given()
+                && now.duration_since(state.heard_at) >= CHECK_AFTER
+        };
+        let due = self.engines.iter_mut().filter(|(_, state)| is_due(state));
+        due.map(|(key, state)| {
+            state.is_checking = true;
+            (key, state.registration.address.clone())
+        })
+        .collect()
+    }
+
+    /// Notes that an engine is lost with all that runs on it, which ends its attempts.
+    pub fn set_lost(&mut self, engine: Engine) {
+        let now = self.clock.now();
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.is_checking = false;
+            state.unreachable_until = Some(now + UNREACHABLE_FOR);
+            state.lost.give();
+        }
+    }
+
     /// Notes that an engine could not be reached, or fell silent.
     pub fn set_unreachable(&mut self, engine: Engine) {
         let now = self.clock.now();
@@ -336,6 +405,10 @@
 }
 
 impl State {
+    fn is_lost(&self, now: Instant) -> bool {
+        self.lost.is_given() && self.unreachable_until.is_some_and(|until| until > now)
+    }
+
     fn has_room(&self, need: &Need<'_>) -> bool {
         if need.capacity == 0 {
             return true;
