--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -90,6 +90,8 @@
     // When the directory last confirmed the revision.
     confirmed_at: Cell<Option<Instant>>,
     has_engines: Cell<bool>,
+    // When running work is cut, once the process was asked to stop.
+    ends_at: Cell<Option<Instant>>,
 }
 
 impl<C: Clock> Gateway<C> {
@@ -105,6 +107,7 @@
             revision: RefCell::default(),
             confirmed_at: Cell::default(),
             has_engines: Cell::default(),
+            ends_at: Cell::default(),
             clock,
             settings,
         }
@@ -143,6 +146,20 @@
         self.settings.is_fail_closed && self.confirmed_at.get().is_none_or(is_old)
     }
 
+    /// Returns whether work that takes `expected` can end before this host does.
+    pub fn has_time_for(&self, expected: Duration) -> bool {
+        let Some(ends_at) = self.ends_at.get() else {
+            return true;
+        };
+        self.clock.now() + expected < ends_at
+    }
+
+    fn leave(&self) {
+        let ends_at = self.clock.now() + self.settings.drain_limit;
+        self.ends_at.set(Some(ends_at));
+        self.leaving.give();
+    }
+
     /// Returns why this host takes no new connections, if it does not.
     pub fn not_ready(&self) -> Option<&'static str> {
         if self.leaving.is_given() {
@@ -217,7 +234,7 @@
     let serving = compio::runtime::spawn(server::serve(callers, front, closed.clone()));
     stop.wait().await;
     info!("event=leaving running={}", gateway.requests.running().len());
-    gateway.leaving.give();
+    gateway.leave();
     let drained = async {
         compio::time::sleep(BALANCER_LAG).await;
         closed.give();
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -182,7 +182,7 @@
     }
     Some(Route {
         name: document.name,
-        host: document.host.to_ascii_lowercase().into(),
+        host: document.host.to_ascii_lowercase(),
         prefix: document.path_prefix,
         repeat: match document.route_type {
             RouteType::Idempotent => Repeat::Idempotent,
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -10,10 +10,14 @@
 const EVENT_FLOOR: Duration = Duration::from_millis(250);
 
 /// Silence before the first event that counts, beside the time for reading.
-const READING_FLOOR: Duration = Duration::from_millis(1500);
+///
+/// An engine that is dead is found by its address; this limit only covers a connection that went
+/// silent for good. A shorter one gives up engines that read the prompts of other hosts first, and
+/// reading a prompt elsewhere makes every queue longer.
+const READING_FLOOR: Duration = Duration::from_secs(5);
 
 /// Prompt tokens that an engine reads in a millisecond at least, beside other work.
-const READ_PER_MS: u64 = 2;
+const READ_PER_MS: u64 = 1;
 
 /// Returns the silence between two events that counts, where callers accept pauses up to `pause`.
 pub fn event_limit(pause: Duration) -> Duration {
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -30,7 +30,7 @@
 const TOKENS_PER_RUN: u64 = 250;
 
 /// Silence of an engine with running requests after which its address is checked.
-const CHECK_AFTER: Duration = Duration::from_millis(180);
+const CHECK_AFTER: Duration = Duration::from_millis(240);
 
 new_key_type! {
     /// A registered engine or backend server.
@@ -65,7 +65,19 @@
     pub output: u32,
 }
 
+/// Prompt tokens that an engine reads in a millisecond.
+const READ_PER_MS: u64 = 5;
+
+/// Time of one output token beside other work, in microseconds.
+const OUTPUT_US: u64 = 6000;
+
 impl Footprint {
+    /// Returns the usual time from the arrival to the end of a stream.
+    pub fn usual_time(self) -> Duration {
+        Duration::from_millis(u64::from(self.prompt) / READ_PER_MS)
+            + Duration::from_micros(u64::from(self.output) * OUTPUT_US)
+    }
+
     fn memory(self) -> u64 {
         u64::from(self.prompt) + u64::from(self.output)
     }
