--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -185,6 +185,7 @@
     let mut connection = Connection::open(&address, CONNECT_LIMIT)
         .await
         .map_err(|_| Fault::Unsent)?;
+    gateway.registry.borrow_mut().set_connected(place.engine);
     let request = {
         let now = gateway.clock.now();
         let left = admitted.deadline.saturating_duration_since(now);
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -32,6 +32,18 @@
 /// Silence of an engine with running requests after which its address is checked.
 const CHECK_AFTER: Duration = Duration::from_millis(240);
 
+/// Age of the last word of an engine that is still news when others of its failure domain are lost.
+const ROUND_TRIP: Duration = Duration::from_millis(5);
+
+/// Time between two checks of an engine that was lost and is still registered.
+const LOST_CHECK_AFTER: Duration = Duration::from_secs(1);
+
+/// Time within which losses of engines of one failure domain count as one event.
+const DOMAIN_LOSS_WITHIN: Duration = Duration::from_millis(500);
+
+/// Engines lost together after which the others of their failure domain are doubted.
+const DOMAIN_LOSSES: usize = 2;
+
 new_key_type! {
     /// A registered engine or backend server.
     pub struct Engine;
@@ -110,6 +122,8 @@
     // When bytes of it, or a connection to it, last showed that it lives.
     heard_at: Instant,
     is_checking: bool,
+    // Whether others of its failure domain were just lost, and it has not been heard since.
+    is_doubted: bool,
     // Order among equals, different on each host, so that hosts do not choose the same engine.
     order: u64,
 }
@@ -136,6 +150,8 @@
     // Invariant: the engines that the store lists, or that lapsed less than LAPSE_GRACE ago. Engines
     // not in it are kept in `engines` only while this host runs requests on them.
     ids: BTreeMap<CompactString, Engine>,
+    // Engines that were lost lately, with their failure domains.
+    losses: Vec<(Instant, Engine, CompactString)>,
 }
 
 impl<C: Clock> Registry<C> {
@@ -146,6 +162,7 @@
             host,
             engines: SlotMap::with_key(),
             ids: BTreeMap::new(),
+            losses: Vec::new(),
         }
     }
 
@@ -187,6 +204,7 @@
             let id = registration.id.clone();
             self.remove(&id);
         }
+        self.take_over_address(&registration);
         let id = registration.id.clone();
         let key = self.engines.insert(State {
             order: hash64(&[self.host.as_bytes(), id.as_bytes()]),
@@ -198,10 +216,28 @@
             lost: Signal::default(),
             heard_at: self.clock.now(),
             is_checking: false,
+            is_doubted: false,
         });
         self.ids.insert(id, key);
     }
 
+    /// Removes an engine whose address belongs to one that started later; its entry has not lapsed
+    /// yet.
+    fn take_over_address(&mut self, by: &Registration) {
+        let is_older = |state: &State| {
+            state.registration.address == by.address
+                && state.registration.started_ms < by.started_ms
+        };
+        let older = self
+            .ids
+            .iter()
+            .find(|(_, key)| is_older(&self.engines[**key]));
+        if let Some((id, key)) = older.map(|(id, key)| (id.clone(), *key)) {
+            self.engines[key].lost.give();
+            self.remove(&id);
+        }
+    }
+
     /// Notes that an engine is gone; what runs there goes on.
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.ids.remove(id) else {
@@ -240,8 +276,8 @@
             .min_by_key(|(_, state)| {
                 let is_full = !state.has_room(need);
                 (
-                    is_full,
                     self.is_suspect(state),
+                    is_full,
                     self.cost(state),
                     state.order,
                 )
@@ -276,7 +312,8 @@
 
     fn is_suspect(&self, state: &State) -> bool {
         let now = self.clock.now();
-        state.unreachable_until.is_some_and(|until| until > now)
+        let is_unreachable = state.unreachable_until.is_some_and(|until| until > now);
+        is_unreachable || state.is_doubted || state.lost.is_given()
     }
 
     fn cost(&self, state: &State) -> u64 {
@@ -358,6 +395,19 @@
         if let Some(state) = self.engines.get_mut(engine) {
             state.heard_at = now;
             state.is_checking = false;
+            state.is_doubted = false;
+            if state.lost.is_given() {
+                state.lost = Signal::default();
+            }
+        }
+    }
+
+    /// Notes that an engine's address took a connection.
+    pub fn set_connected(&mut self, engine: Engine) {
+        let now = self.clock.now();
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.heard_at = now;
+            state.is_doubted = false;
         }
     }
 
@@ -366,14 +416,18 @@
     pub fn due_checks(&mut self) -> Vec<(Engine, CompactString)> {
         let now = self.clock.now();
         let is_due = |state: &State| {
-            state.load.running > 0
-                && !state.is_checking
-                && !state.lost.is_given()
-                && now.duration_since(state.heard_at) >= CHECK_AFTER
+            let after = match state.lost.is_given() {
+                true => LOST_CHECK_AFTER,
+                false if state.is_doubted => Duration::ZERO,
+                false if state.load.running > 0 => CHECK_AFTER,
+                false => return false,
+            };
+            !state.is_checking && now.duration_since(state.heard_at) >= after
         };
         let due = self.engines.iter_mut().filter(|(_, state)| is_due(state));
         due.map(|(key, state)| {
             state.is_checking = true;
+            state.heard_at = now;
             (key, state.registration.address.clone())
         })
         .collect()
@@ -387,6 +441,30 @@
             state.unreachable_until = Some(now + UNREACHABLE_FOR);
             state.lost.give();
         }
+        self.note_loss(engine);
+    }
+
+    /// Notes the loss of an engine. When several of a failure domain are lost together, the others
+    /// are probably lost too, so they are checked before they are used.
+    fn note_loss(&mut self, engine: Engine) {
+        let now = self.clock.now();
+        let Some(state) = self.engines.get(engine) else {
+            return;
+        };
+        let domain = state.registration.failure_domain.clone();
+        self.losses.retain(|(at, lost, _)| {
+            now.duration_since(*at) < DOMAIN_LOSS_WITHIN && *lost != engine
+        });
+        self.losses.push((now, engine, domain.clone()));
+        let together = self.losses.iter().filter(|(_, _, of)| *of == domain);
+        if together.count() < DOMAIN_LOSSES {
+            return;
+        }
+        let others = self.engines.values_mut().filter(|state| {
+            state.registration.failure_domain == domain
+                && now.duration_since(state.heard_at) > ROUND_TRIP
+        });
+        others.for_each(|state| state.is_doubted = true);
     }
 
     /// Notes that an engine could not be reached, or fell silent.
@@ -395,6 +473,7 @@
         if let Some(state) = self.engines.get_mut(engine) {
             state.unreachable_until = Some(now + UNREACHABLE_FOR);
         }
+        self.note_loss(engine);
     }
 
     /// Notes an answer that shows that an engine works.
