Tell the other hosts what runs where, by one datagram after a change

Each host placed by its own requests alone, so that prompts of several hosts queued on one engine while others were idle.

--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -141,6 +141,8 @@
     pub version: u64,
     /// Limits on callers.
     pub limits: Limits,
+    /// The document that it was read from, for hosts that cannot read it themselves.
+    pub source: CompactString,
     /// Services by name.
     pub services: BTreeMap<CompactString, Service>,
     routes: BTreeMap<CompactString, BTreeMap<CompactString, Route>>,
@@ -169,6 +171,7 @@
         Self {
             version,
             limits,
+            source: CompactString::default(),
             services,
             routes: by_host,
             keys: keys.collect(),
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -59,7 +59,9 @@
     if answered == Some(true) || elapsed >= LIMIT + LATE {
         return registry.set_heard(engine);
     }
-    let id = registry.get(engine).map(|state| state.registration.id.clone());
+    let id = registry
+        .get(engine)
+        .map(|state| state.registration.id.clone());
     info!(
         "event=engine_lost engine={} answered={answered:?} after_ms={}",
         id.unwrap_or_default(),
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -111,7 +111,9 @@
     async fn answer(&self, head: &Parts, body: Incoming) -> Result<Response<Body>, Refused> {
         let admitted = self.admit(head, body).await?;
         if admitted.route.repeat.is_stream()
-            && !self.gateway.has_time_for(admitted.call.footprint().usual_time())
+            && !self
+                .gateway
+                .has_time_for(admitted.call.footprint().usual_time())
         {
             let detail = "this host is leaving; retry at once to reach another host";
             return Err(Refused::not_run(Reason::Leaving, detail, Duration::ZERO));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod check;
 pub mod front;
+pub mod peers;
 pub mod plain;
 pub mod protocol;
 pub mod ready;
@@ -14,6 +15,7 @@
 pub mod watch;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -50,10 +52,8 @@
     pub listen: CompactString,
     /// Address for the balancer's question, `IP:PORT`.
     pub ready_listen: CompactString,
-    /// Address for messages of other gateways, `IP:PORT`.
-    pub peer_listen: Option<CompactString>,
-    /// Addresses of other gateways to ask at the start, `IP:PORT`.
-    pub seeds: Vec<CompactString>,
+    /// Address for messages of other gateways, and those of gateways to ask at the start.
+    pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     /// Address for metrics, `IP:PORT`.
     pub metrics_listen: Option<CompactString>,
     /// Address of the store, `IP:PORT`.
@@ -217,8 +217,26 @@
     );
     supervisor.spawn(
         "engines",
-        watch::engines(gateway.clone(), directory, supervisor.stop_signal()),
+        watch::engines(gateway.clone(), directory.clone(), supervisor.stop_signal()),
     );
+    if let Some((address, seeds)) = gateway.settings.peers.clone() {
+        let listener = bind(&address.to_string()).await?;
+        let service = Rc::new(peers::Service(gateway.clone()));
+        supervisor.spawn(
+            "peer state",
+            server::serve(listener, service, supervisor.stop_signal()),
+        );
+        supervisor.spawn(
+            "peers",
+            peers::run(
+                gateway.clone(),
+                directory,
+                address,
+                seeds,
+                supervisor.stop_signal(),
+            ),
+        );
+    }
     let ready = Rc::new(Ready::<_, P>::new(gateway.clone()));
     supervisor.spawn(
         "ready",
@@ -249,4 +267,3 @@
     info!("event=stopped");
     Ok(())
 }
-
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -83,6 +83,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Listing<Revision>, Unavailable>>;
 
+    /// Decodes a configuration that another host read; `None` if it cannot be read.
+    fn decode_revision(&self, source: &str) -> Option<Revision>;
+
     /// Returns all engines.
     ///
     /// # Errors
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -331,7 +331,10 @@
             match piece {
                 Some(Ok(Some(piece))) => {
                     feed.heard = self.gateway.clock.now();
-                    self.gateway.registry.borrow_mut().set_heard(feed.place.engine);
+                    self.gateway
+                        .registry
+                        .borrow_mut()
+                        .set_heard(feed.place.engine);
                     if feed.splitter.push(&piece).is_err() {
                         return End::Broken("oversized");
                     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod auth;
 pub mod client;
+pub mod roster;
 pub mod server;
 
 use compact_str::CompactString;
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -146,7 +146,7 @@
         };
         (team, tenant.api_keys)
     });
-    Ok(Revision::new(
+    let mut revision = Revision::new(
         document.version,
         Limits {
             head_bytes: limits.max_header_bytes,
@@ -157,7 +157,9 @@
         document.routes.into_iter().filter_map(route).collect(),
         services.collect::<BTreeMap<_, _>>(),
         teams.collect(),
-    ))
+    );
+    revision.source = spec.to_string().into();
+    Ok(revision)
 }
 
 fn millis(value: Option<f64>, default: Duration) -> Duration {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -98,6 +98,11 @@
         Ok(listing)
     }
 
+    fn decode_revision(&self, source: &str) -> Option<Revision> {
+        let spec = serde_json::from_str(source).ok()?;
+        document::revision(&spec).ok()
+    }
+
     async fn engines(&self) -> Result<Listing<Registration>, Unavailable> {
         let batch = self.list(store::ENGINES).await?;
         let mut listing = Listing {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,10 +1,11 @@
 //! The `[platform]` section of a host's settings.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
 
-use crate::config::ini::{Error, File};
+use crate::config::ini::{Error, File, Section};
 use crate::gateway::Settings;
 use crate::sched::retry;
 
@@ -13,8 +14,8 @@
     "failure_domain",
     "listen",
     "ready_listen",
-    "peer_listen",
     "seeds",
+    "ports",
     "metrics_listen",
     "store",
     "fail_closed",
@@ -32,6 +33,29 @@
 /// so it is above the usual number.
 const HOSTS: u32 = 9;
 
+/// Reads the address for messages of other gateways, and those of the seeds: all hosts use the first
+/// of the free ports, and the seeds' addresses are of another endpoint on the same hosts.
+fn peers(section: &Section<'_>) -> Result<Option<(SocketAddr, Vec<SocketAddr>)>, Error> {
+    let ports = section.words("ports");
+    let Some(port) = ports.first() else {
+        return Ok(None);
+    };
+    let port: u16 = port.parse().map_err(|_| {
+        let what = format!("ports = {port} is no port; write FIRST,LAST");
+        section.error("ports", what)
+    })?;
+    let own: SocketAddr = section.required("listen")?.parse().map_err(|_| {
+        let what = "listen is not an address; write IP:PORT";
+        section.error("listen", what)
+    })?;
+    let seeds = section.words("seeds");
+    let seeds = seeds
+        .iter()
+        .filter_map(|seed| seed.parse::<SocketAddr>().ok());
+    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect();
+    Ok(Some((SocketAddr::new(own.ip(), port), seeds)))
+}
+
 /// Reads the `[platform]` section of a file; `None` if it has none.
 ///
 /// # Errors
@@ -67,8 +91,7 @@
         failure_domain: section.required("failure_domain")?.into(),
         listen: address("listen")?,
         ready_listen: address("ready_listen")?,
-        peer_listen: optional("peer_listen")?,
-        seeds: section.words("seeds"),
+        peers: peers(&section)?,
         metrics_listen: optional("metrics_listen")?,
         store: address("store")?,
         drain_limit: grace.saturating_sub(EXIT_MARGIN),
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -1,9 +1,11 @@
 //! Engines that register themselves, what this host runs on them, and which of them gets a request.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::clock::Clock;
@@ -32,6 +34,9 @@
 /// Silence of an engine with running requests after which its address is checked.
 const CHECK_AFTER: Duration = Duration::from_millis(240);
 
+/// Time for which a report of another host counts.
+const REPORT_FOR: Duration = Duration::from_millis(1500);
+
 /// Age of the last word of an engine that is still news when others of its failure domain are lost.
 const ROUND_TRIP: Duration = Duration::from_millis(5);
 
@@ -50,7 +55,7 @@
 }
 
 /// What an engine says about itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Registration {
     /// Id of this incarnation, mostly.
     pub id: CompactString,
@@ -113,6 +118,8 @@
     pub registration: Registration,
     /// What this host runs there.
     pub load: Load,
+    // What the other hosts run there, by their last reports.
+    elsewhere: Load,
     // When it is gone, if the store does not list it any more.
     gone_at: Option<Instant>,
     unreachable_until: Option<Instant>,
@@ -128,6 +135,14 @@
     order: u64,
 }
 
+impl Load {
+    fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        self.reading += other.reading;
+        self.memory += other.memory;
+    }
+}
+
 /// What a request needs of an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -152,6 +167,16 @@
     ids: BTreeMap<CompactString, Engine>,
     // Engines that were lost lately, with their failure domains.
     losses: Vec<(Instant, Engine, CompactString)>,
+    peers: BTreeMap<IpAddr, Peer>,
+    changes: u64,
+}
+
+/// The last report of another host.
+#[derive(Debug)]
+struct Peer {
+    number: u64,
+    heard_at: Instant,
+    loads: Vec<(CompactString, Load)>,
 }
 
 impl<C: Clock> Registry<C> {
@@ -163,6 +188,8 @@
             engines: SlotMap::with_key(),
             ids: BTreeMap::new(),
             losses: Vec::new(),
+            peers: BTreeMap::new(),
+            changes: 0,
         }
     }
 
@@ -210,6 +237,7 @@
             order: hash64(&[self.host.as_bytes(), id.as_bytes()]),
             registration,
             load: Load::default(),
+            elsewhere: Load::default(),
             gone_at: None,
             unreachable_until: None,
             failures: Vec::new(),
@@ -293,7 +321,10 @@
         candidates
             .filter(|(_, state)| state.registration.failure_domain != *domain)
             .filter(|(_, state)| state.has_room(need) && !self.is_suspect(state))
-            .min_by_key(|(_, state)| (state.load.memory + state.load.reading, state.order))
+            .min_by_key(|(_, state)| {
+                let load = state.all();
+                (load.memory + load.reading, state.order)
+            })
             .map(|(key, _)| key)
     }
 
@@ -320,7 +351,8 @@
         let now = self.clock.now();
         let recent = |at: &&Instant| now.duration_since(**at) < FAILURE_FOR;
         let failures = state.failures.iter().filter(recent).count() as u64;
-        state.load.reading / TOKENS_PER_RUN + state.load.running + failures * FAILURE_WEIGHT
+        let load = state.all();
+        load.reading / TOKENS_PER_RUN + load.running + failures * FAILURE_WEIGHT
     }
 
     /// Returns whether an engine may get requests.
@@ -335,6 +367,66 @@
             && state.gone_at.is_none_or(|at| at > now)
     }
 
+    /// Returns all registrations that are in force.
+    pub fn registrations(&self) -> Vec<Registration> {
+        let engines = self.ids.values().map(|key| &self.engines[*key]);
+        engines.map(|state| state.registration.clone()).collect()
+    }
+
+    /// Returns a number that grows with each change of what this host runs.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns what this host runs, by engine.
+    pub fn own_loads(&self) -> impl Iterator<Item = (CompactString, Load)> {
+        let busy = self
+            .engines
+            .values()
+            .filter(|state| state.load != Load::default());
+        busy.map(|state| (state.registration.id.clone(), state.load))
+    }
+
+    /// Takes over the report `number` of another host, unless a later one is known.
+    pub fn set_peer(&mut self, host: IpAddr, number: u64, loads: Vec<(CompactString, Load)>) {
+        if self
+            .peers
+            .get(&host)
+            .is_some_and(|peer| peer.number >= number)
+        {
+            return;
+        }
+        let peer = Peer {
+            number,
+            heard_at: self.clock.now(),
+            loads,
+        };
+        self.peers.insert(host, peer);
+        self.add_peers();
+    }
+
+    /// Forgets reports that are too old.
+    pub fn expire_peers(&mut self) {
+        let now = self.clock.now();
+        let known = self.peers.len();
+        self.peers
+            .retain(|_, peer| now.duration_since(peer.heard_at) < REPORT_FOR);
+        if self.peers.len() != known {
+            self.add_peers();
+        }
+    }
+
+    fn add_peers(&mut self) {
+        self.engines
+            .values_mut()
+            .for_each(|state| state.elsewhere = Load::default());
+        for (id, load) in self.peers.values().flat_map(|peer| &peer.loads) {
+            if let Some(key) = self.ids.get(id) {
+                self.engines[*key].elsewhere.add(load);
+            }
+        }
+    }
+
     /// Notes a request that is sent to an engine.
     pub fn begin(&mut self, engine: Engine, footprint: Footprint) {
         let now = self.clock.now();
@@ -345,6 +437,7 @@
             if state.lost.is_given() {
                 state.lost = Signal::default();
             }
+            self.changes += 1;
             state.load.running += 1;
             state.load.reading += u64::from(footprint.prompt);
             state.load.memory += footprint.memory();
@@ -354,6 +447,7 @@
     /// Notes the first output of a request.
     pub fn read(&mut self, engine: Engine, footprint: Footprint) {
         if let Some(state) = self.engines.get_mut(engine) {
+            self.changes += 1;
             let load = &mut state.load;
             load.reading = load.reading.saturating_sub(u64::from(footprint.prompt));
         }
@@ -367,6 +461,7 @@
         let Some(state) = self.engines.get_mut(engine) else {
             return;
         };
+        self.changes += 1;
         state.load.running = state.load.running.saturating_sub(1);
         state.load.memory = state.load.memory.saturating_sub(footprint.memory());
         let is_listed = self.ids.get(&state.registration.id) == Some(&engine);
@@ -378,6 +473,7 @@
     /// Notes a replica that an engine holds from now on.
     pub fn hold(&mut self, engine: Engine, footprint: Footprint) {
         if let Some(state) = self.engines.get_mut(engine) {
+            self.changes += 1;
             state.load.memory += footprint.memory();
         }
     }
@@ -385,6 +481,7 @@
     /// Notes that an engine does not hold a replica any more.
     pub fn release(&mut self, engine: Engine, footprint: Footprint) {
         if let Some(state) = self.engines.get_mut(engine) {
+            self.changes += 1;
             state.load.memory = state.load.memory.saturating_sub(footprint.memory());
         }
     }
@@ -505,7 +602,15 @@
             return true;
         }
         let planned = u64::from(need.capacity) * MEMORY_PERCENT / 100;
-        self.load.memory + need.footprint.memory() <= planned
-            && self.load.running < u64::from(self.registration.slots)
+        let load = self.all();
+        load.memory + need.footprint.memory() <= planned
+            && load.running < u64::from(self.registration.slots)
+    }
+
+    /// Returns what all hosts run there, as far as it is known.
+    fn all(&self) -> Load {
+        let mut load = self.load;
+        load.add(&self.elsewhere);
+        load
     }
 }
