Write the gateway's log as key=value lines to standard output, without blocking

Each decision about a request is a line with its inputs and their age. Lines go through a bounded queue to a thread; of a request's lines all are kept or none, and all if it fails. Metrics count decisions and measure steps.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -29,7 +29,10 @@
 /// Runs the program and returns its exit code.
 pub fn main() -> ExitCode {
     let matches = args::command().get_matches();
-    start_log(&matches);
+    // A router's settings decide where it logs.
+    if matches.subcommand_name() != Some("serve") {
+        start_log(&matches);
+    }
     let Ok(runtime) = compio::runtime::Runtime::new() else {
         eprintln!("could not start the runtime; check the limit on open files");
         return ExitCode::FAILURE;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -8,6 +8,7 @@
 use crate::config::ini::File;
 use crate::gateway;
 use crate::platform;
+use crate::report::output;
 use crate::router::{self, Sockets};
 use crate::supervisor::Signal;
 
@@ -20,9 +21,11 @@
             .with_context(|| format!("could not read {path}; check the path"))?;
         let file = File::parse(path, &text)?;
         if let Some(settings) = platform::settings::read(&file)? {
+            output::start()?;
             let store = platform::store::Store::new(&settings.store);
             return gateway::run::<platform::Platform, _>(settings, store, stop).await;
         }
+        super::start_log(matches);
         let host = Host::from_file(&file)?;
         let split = match host.split.is_empty() {
             true => None,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,6 @@
 use futures_util::future::{Either, select};
 use http_body_util::Full;
 use hyper::{Request, Response};
-use log::info;
 
 use super::Gateway;
 use super::call::{Answer, Sending};
@@ -144,6 +143,8 @@
     start: Start,
     until: Instant,
 ) -> Result<Open, Fault> {
+    note_place(gateway, admitted, place, start);
+    let started = gateway.clock.now();
     let result = send::<C, P>(gateway, admitted, place, start, until).await;
     let mut registry = gateway.registry.borrow_mut();
     let engine = place.engine;
@@ -159,17 +160,64 @@
         Err(Fault::Lost) => registry.set_failed(engine),
         Err(Fault::NotRun) => {}
     }
-    if let Err(fault) = &result {
-        info!(
-            "event=attempt_failed request={} engine={name} fault={} from_copy={}",
-            admitted.call.id,
-            fault.as_str(),
-            start.from_copy
-        );
+    let took = gateway.clock.now().duration_since(started);
+    gateway.metrics.took("attempt_head", took);
+    match &result {
+        Ok(open) => {
+            let outcome = if open.is_success {
+                "success"
+            } else {
+                "failure"
+            };
+            gateway.metrics.decided("attempt", outcome);
+        }
+        Err(fault) => {
+            gateway.metrics.decided("attempt", fault.as_str());
+            admitted.trace.note(
+                "attempt_failed",
+                format_args!(
+                    "engine={name} fault={} work={} from_copy={} after_ms={}",
+                    fault.as_str(),
+                    if fault.is_not_run() {
+                        "not-run"
+                    } else {
+                        "unknown"
+                    },
+                    start.from_copy,
+                    took.as_millis(),
+                ),
+            );
+        }
     }
     result
 }
 
+/// Logs where a request is sent, and what was known of that engine.
+fn note_place<C: Clock>(gateway: &Gateway<C>, admitted: &Admitted, place: &Place<C>, start: Start) {
+    let registry = gateway.registry.borrow();
+    let Some(state) = registry.get(place.engine) else {
+        return;
+    };
+    let replica = place.replica.and_then(|replica| registry.get(replica));
+    let load = state.all();
+    admitted.trace.note(
+        "placed",
+        format_args!(
+            "engine={} failure_domain={} replica={} from_copy={} running={} reading={} memory={} \
+             engines_age_ms={} reports_age_ms={}",
+            state.registration.id,
+            state.registration.failure_domain,
+            replica.map_or("none", |replica| replica.registration.id.as_str()),
+            start.from_copy,
+            load.running,
+            load.reading,
+            load.memory,
+            gateway.directory_age().as_millis(),
+            registry.reports_age().as_millis(),
+        ),
+    );
+}
+
 async fn send<C: Clock, P: Protocol>(
     gateway: &Rc<Gateway<C>>,
     admitted: &Admitted,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -11,7 +11,6 @@
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
-use log::info;
 
 use super::Gateway;
 use super::call::{Call, Invalid};
@@ -22,6 +21,7 @@
 use crate::http::body::Body;
 use crate::http::problem::{Problem, Reason};
 use crate::http::server;
+use crate::report::trace::Trace;
 use crate::util::within;
 use crate::wire::Work;
 
@@ -57,6 +57,8 @@
     pub arrived: Instant,
     /// When it must have its final answer.
     pub deadline: Instant,
+    /// Its log.
+    pub trace: Trace,
 }
 
 /// Why a request ends without an engine's answer.
@@ -108,8 +110,34 @@
         }
     }
 
-    async fn answer(&self, head: &Parts, body: Incoming) -> Result<Response<Body>, Refused> {
-        let admitted = self.admit(head, body).await?;
+    async fn answer(
+        &self,
+        head: &Parts,
+        body: Incoming,
+        trace: &Trace,
+    ) -> Result<Response<Body>, Refused> {
+        let admitted = self.admit(head, body, trace).await?;
+        let footprint = admitted.call.footprint();
+        trace.note(
+            "admitted",
+            format_args!(
+                "route={} service={} rank={} team={} left_ms={} prompt={} output={} last_event={}",
+                admitted.route.name,
+                admitted.service,
+                admitted.rank,
+                admitted.team.as_deref().unwrap_or("none"),
+                admitted
+                    .deadline
+                    .saturating_duration_since(admitted.arrived)
+                    .as_millis(),
+                footprint.prompt,
+                footprint.output,
+                admitted
+                    .call
+                    .last_event
+                    .map_or(-1, |last| i64::try_from(last).unwrap_or(i64::MAX)),
+            ),
+        );
         if admitted.route.repeat.is_stream()
             && !self
                 .gateway
@@ -127,7 +155,12 @@
         }
     }
 
-    async fn admit(&self, head: &Parts, body: Incoming) -> Result<Admitted, Refused> {
+    async fn admit(
+        &self,
+        head: &Parts,
+        body: Incoming,
+        trace: &Trace,
+    ) -> Result<Admitted, Refused> {
         let gateway = &self.gateway;
         let arrived = gateway.clock.now();
         let Some(revision) = gateway.revision() else {
@@ -158,6 +191,7 @@
             call,
             arrived,
             deadline,
+            trace: trace.clone(),
         })
     }
 
@@ -229,16 +263,39 @@
             .map(|call| call.id)
             .unwrap_or_default();
         let entry = self.gateway.requests.begin(id.to_string());
-        let mut response = match self.answer(&head, body).await {
-            Ok(response) => response,
+        let arrived = self.gateway.clock.now();
+        let trace = Trace::new(id.clone(), &self.gateway.sampler, arrived);
+        let result = self.answer(&head, body, &trace).await;
+        let after = self.gateway.clock.now().duration_since(arrived);
+        let version = self
+            .gateway
+            .revision()
+            .map_or(0, |revision| revision.version);
+        let mut response = match result {
+            Ok(response) => {
+                let status = response.status();
+                self.gateway.metrics.took("answer_head", after);
+                let pairs =
+                    format_args!("status={} after_ms={}", status.as_u16(), after.as_millis());
+                match status.is_success() {
+                    true => trace.note("answered", pairs),
+                    false => trace.fail("answered", pairs),
+                }
+                response
+            }
             Err(refused) => {
                 let problem = &refused.problem;
                 self.gateway.metrics.refused(problem.reason);
-                info!(
-                    "event=refused request={id} reason={} work={:?} retry_after_ms={}",
-                    problem.reason.as_str(),
-                    problem.work,
-                    refused.retry_after.map_or(0, |after| after.as_millis())
+                trace.fail(
+                    "refused",
+                    format_args!(
+                        "reason={} work={} status={} retry_after_ms={} after_ms={} revision={version}",
+                        problem.reason.as_str(),
+                        problem.work.as_str(),
+                        problem.status,
+                        refused.retry_after.map_or(0, |after| after.as_millis()),
+                        after.as_millis(),
+                    ),
                 );
                 let retry_after = refused.retry_after;
                 let mut response = refused.problem.into_response();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 use crate::config::routes::Revision;
 use crate::http::server;
 use crate::report::metrics::Metrics;
+use crate::report::trace::Sampler;
 use crate::route::registry::Registry;
 use crate::sched::retry;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -79,6 +80,8 @@
     pub budget: RefCell<retry::Budget>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Chooses the requests whose log lines are kept.
+    pub sampler: Rc<Sampler>,
     /// Given when the process was asked to stop.
     pub leaving: Signal,
     /// Tasks of streams.
@@ -90,6 +93,8 @@
     // When the directory last confirmed the revision.
     confirmed_at: Cell<Option<Instant>>,
     has_engines: Cell<bool>,
+    // When the directory last told what is known of engines.
+    directory_at: Cell<Option<Instant>>,
     // When running work is cut, once the process was asked to stop.
     ends_at: Cell<Option<Instant>>,
 }
@@ -101,12 +106,14 @@
             registry: RefCell::new(Registry::new(clock.clone(), settings.name.clone())),
             budget: RefCell::new(retry::Budget::new(settings.retries)),
             metrics: Metrics::default(),
+            sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
             streams: Group::default(),
             requests: server::Requests::default(),
             revision: RefCell::default(),
             confirmed_at: Cell::default(),
             has_engines: Cell::default(),
+            directory_at: Cell::default(),
             ends_at: Cell::default(),
             clock,
             settings,
@@ -124,6 +131,7 @@
         if known.is_some_and(|known| known >= revision.version) {
             return false;
         }
+        self.metrics.set_revision(revision.version);
         *self.revision.borrow_mut() = Some(Rc::new(revision));
         true
     }
@@ -136,6 +144,8 @@
     /// Notes that the engines are known.
     pub fn registered(&self) {
         self.has_engines.set(true);
+        self.directory_at.set(Some(self.clock.now()));
+        self.metrics.set_engines(self.registry.borrow().len());
     }
 
     /// Returns whether keys may have been taken away without this host's knowledge, where such a
@@ -146,6 +156,14 @@
         self.settings.is_fail_closed && self.confirmed_at.get().is_none_or(is_old)
     }
 
+    /// Returns the age of what the directory told about engines.
+    pub fn directory_age(&self) -> Duration {
+        let now = self.clock.now();
+        self.directory_at
+            .get()
+            .map_or(Duration::MAX, |at| now.duration_since(at))
+    }
+
     /// Returns whether work that takes `expected` can end before this host does.
     pub fn has_time_for(&self, expected: Duration) -> bool {
         let Some(ends_at) = self.ends_at.get() else {
@@ -208,6 +226,11 @@
         "event=started host={} failure_domain={} listen={} store={}",
         settings.name, settings.failure_domain, settings.listen, settings.store
     );
+    println!(
+        "ready kind=gateway ready_address={} address={}",
+        balancer.local_addr()?,
+        callers.local_addr()?
+    );
     let drain_limit = settings.drain_limit;
     let supervisor = Supervisor::new();
     let gateway = Rc::new(Gateway::new(clock::System, settings));
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -7,7 +7,6 @@
 use compio::bytes::Bytes;
 use futures_util::future::{Either, select};
 use hyper::Response;
-use log::info;
 
 use super::Gateway;
 use super::attempt::{self, Open, Place, Start, head_of};
@@ -142,17 +141,12 @@
                     }
                 }
                 Err(fault) if fault.is_not_run() => self.not_run += 1,
-                Err(fault) => {
+                Err(_) => {
                     self.ran += 1;
                     if !self.admitted.route.repeat.is_repeatable() {
                         return Err(lost());
                     }
                     self.copy = place.replica;
-                    info!(
-                        "event=attempt_lost request={} fault={}",
-                        self.admitted.call.id,
-                        fault.as_str()
-                    );
                 }
             }
             self.excluded.push(engine);
@@ -250,6 +244,12 @@
         loop {
             let why = match self.pass_on(&mut feed, &mut writer).await {
                 End::Complete => {
+                    self.admitted.trace.note(
+                        "stream_complete",
+                        format_args!("last_event={} engines={}", self.last_event(), self.ran),
+                    );
+                    self.gateway.metrics.decided("stream_end", "complete");
+                    // A caller who is gone has nothing left to be told.
                     let _ = writer.finish().await;
                     return;
                 }
@@ -258,13 +258,19 @@
                 End::Broken(why) => why,
             };
             let broken = feed.place.engine;
-            info!(
-                "event=stream_broken request={} reason={why} last_event={:?} has_copy={}",
-                self.admitted.call.id,
-                self.position.last(),
-                feed.place.replica.is_some()
+            let silent = self.gateway.clock.now().duration_since(feed.heard);
+            self.admitted.trace.note(
+                "stream_broken",
+                format_args!(
+                    "reason={why} last_event={} has_copy={} silent_ms={}",
+                    self.last_event(),
+                    feed.place.replica.is_some(),
+                    silent.as_millis(),
+                ),
             );
+            self.gateway.metrics.decided("stream_broken", why);
             self.gateway.registry.borrow_mut().set_unreachable(broken);
+            let broken_at = self.gateway.clock.now();
             if !self.admitted.route.repeat.is_repeatable() || !self.has_attempts() {
                 return self.ended("not-resumable");
             }
@@ -287,19 +293,37 @@
                 return self.ended("engine-failed");
             }
             self.ran += 1;
-            info!("event=stream_resumed request={}", self.admitted.call.id);
+            let after = self.gateway.clock.now().duration_since(broken_at);
+            self.gateway.metrics.took("resume", after);
+            self.admitted.trace.note(
+                "stream_resumed",
+                format_args!("after_ms={}", after.as_millis()),
+            );
             feed = self.feed(open, place);
         }
     }
 
-    fn ended(&self, why: &str) {
-        info!(
-            "event=stream_ended request={} reason={why} last_event={:?}",
-            self.admitted.call.id,
-            self.position.last()
+    fn ended(&self, why: &'static str) {
+        let now = self.gateway.clock.now();
+        self.gateway.metrics.decided("stream_end", why);
+        self.admitted.trace.fail(
+            "stream_ended",
+            format_args!(
+                "reason={why} last_event={} engines={} not_run={} after_ms={}",
+                self.last_event(),
+                self.ran,
+                self.not_run,
+                now.duration_since(self.admitted.arrived).as_millis(),
+            ),
         );
     }
 
+    /// Returns the last event that the caller has, -1 for none.
+    fn last_event(&self) -> i64 {
+        let last = self.position.last();
+        last.map_or(-1, |last| i64::try_from(last).unwrap_or(i64::MAX))
+    }
+
     async fn pass_on(&mut self, feed: &mut Feed<C>, writer: &mut Writer) -> End {
         loop {
             while let Some(event) = feed.splitter.next() {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -1,12 +1,15 @@
 //! Counters and histograms for `/metrics`.
 
 use std::sync::Mutex;
+use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use prometheus_client::registry::Registry;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
 
 use crate::http::problem::Reason;
 
@@ -29,10 +32,36 @@
     event: &'static str,
 }
 
+/// A decision of the gateway, and how it came out.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Decision {
+    decision: &'static str,
+    outcome: &'static str,
+}
+
+/// A step of a request or of the process whose time is measured.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Step {
+    step: &'static str,
+}
+
+/// Upper bounds of the buckets of durations, in seconds.
+const DURATION_BUCKETS_S: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+fn durations() -> Histogram {
+    Histogram::new(DURATION_BUCKETS_S)
+}
+
 /// The metrics of one router process.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Mutex<Registry>,
+    decisions: Family<Decision, Counter>,
+    durations: Family<Step, Histogram, fn() -> Histogram>,
+    revision_version: Gauge,
+    engines: Gauge,
     refusals: Family<Refusal, Counter>,
     relayed: Family<Relayed, Counter>,
 }
@@ -44,8 +73,22 @@
         registry.register("refusals", "Refused requests by reason", refusals.clone());
         let relayed = Family::default();
         registry.register("relay", "Events of relayed generations", relayed.clone());
+        let decisions = Family::default();
+        registry.register("decisions", "Decisions by outcome", decisions.clone());
+        let durations = Family::new_with_constructor(durations as fn() -> Histogram);
+        let text = "Time of a step";
+        registry.register_with_unit("duration", text, Unit::Seconds, durations.clone());
+        let revision_version = Gauge::default();
+        let text = "Version of the configuration in force";
+        registry.register("revision_version", text, revision_version.clone());
+        let engines = Gauge::default();
+        registry.register("engines", "Registered engines", engines.clone());
         Self {
             registry: Mutex::new(registry),
+            decisions,
+            durations,
+            revision_version,
+            engines,
             refusals,
             relayed,
         }
@@ -68,6 +111,29 @@
         }
     }
 
+    /// Counts a decision and its outcome.
+    pub fn decided(&self, decision: &'static str, outcome: &'static str) {
+        let key = Decision { decision, outcome };
+        self.decisions.get_or_create(&key).inc();
+    }
+
+    /// Notes the time that a step took.
+    pub fn took(&self, step: &'static str, time: Duration) {
+        let durations = self.durations.get_or_create(&Step { step });
+        durations.observe(time.as_secs_f64());
+    }
+
+    /// Notes the version of the configuration in force.
+    pub fn set_revision(&self, version: u64) {
+        self.revision_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Notes the number of registered engines.
+    pub fn set_engines(&self, engines: usize) {
+        self.engines.set(i64::try_from(engines).unwrap_or(i64::MAX));
+    }
+
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -3,3 +3,5 @@
 pub mod burn;
 pub mod meter;
 pub mod metrics;
+pub mod output;
+pub mod trace;
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -405,6 +405,16 @@
         self.add_peers();
     }
 
+    /// Returns the age of the oldest report of another host that counts; zero without any.
+    pub fn reports_age(&self) -> Duration {
+        let now = self.clock.now();
+        let ages = self
+            .peers
+            .values()
+            .map(|peer| now.duration_since(peer.heard_at));
+        ages.max().unwrap_or_default()
+    }
+
     /// Forgets reports that are too old.
     pub fn expire_peers(&mut self) {
         let now = self.clock.now();
@@ -608,7 +618,7 @@
     }
 
     /// Returns what all hosts run there, as far as it is known.
-    fn all(&self) -> Load {
+    pub fn all(&self) -> Load {
         let mut load = self.load;
         load.add(&self.elsewhere);
         load
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -28,6 +28,17 @@
     Unknown,
 }
 
+impl Work {
+    /// Returns the outcome as it is written in documents and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// A request to generate, as sent to an engine.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Request {
