Test the gateway as a real process between stand-ins for the platform

Thirteen tests: unchanged passing, at most once, repeats, full engines, resumed and cut streams, dark engines, bad input, smuggling, configuration, registrations, stopping, peers.

--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,453 @@
+//! The gateway as a real process, between callers, engines and the store of the stand-ins.
+
+mod support;
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use serde_json::json;
+use support::platform::{
+    Act, End, Engine, Gateway, KEY, Message, Mood, Store, config, events, exchange, request,
+    settings, wait_for,
+};
+
+fn ok() -> Act {
+    Act::Answer(200, "done".into())
+}
+
+/// Starts a store with a configuration and engines, and a gateway that is ready.
+fn start(engines: &[(&Engine, &str, &str)]) -> (Store, Gateway) {
+    let store = Store::start();
+    store.put("config", "main", config(3));
+    for (engine, service, domain) in engines {
+        store.put("servers", &engine.id, engine.registration(service, domain));
+    }
+    let gateway = Gateway::start(&settings(&store.address, ""));
+    wait_for("readiness", || gateway.is_ready());
+    (store, gateway)
+}
+
+fn stream_headers(id: &str) -> String {
+    format!(
+        "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
+         x-bilberrypost-credential: {KEY}\r\nx-bilberrypost-token-count: 1000,70\r\n"
+    )
+}
+
+/// Guards against requests or answers that change on the way, keys that reach engines, and headers
+/// of the caller that only the system may set.
+#[test]
+fn passes_requests_and_answers_on_unchanged() {
+    let app = Engine::start("i-1", |_| Act::Answer(200, "a body".into()));
+    let (_store, gateway) = start(&[(&app, "app", "fd-a")]);
+    let headers = format!(
+        "x-bilberrypost-attempt-id: r1\r\nx-bilberrypost-deadline-ms: 5000\r\n\
+         x-bilberrypost-credential: {KEY}\r\nx-bilberrypost-tenant: forged\r\n\
+         x-bilberrypost-kv-replica: 1.2.3.4:5\r\nkv-from: 1.2.3.4:5/x\r\n\
+         x-bilberrypost-pin-ms: 9\r\nx-custom: kept\r\n"
+    );
+    let answer = gateway
+        .ask("POST", "/once/x/y?q=1&r=%20", &headers, "payload")
+        .unwrap();
+    assert_eq!((answer.status(), answer.text().as_str()), (200, "a body"));
+    assert_eq!(
+        answer.header("x-bilberrypost-response-seal"),
+        Some("seal-i-1")
+    );
+    assert_eq!(answer.header("x-bilberrypost-attempt-id"), Some("r1"));
+    let seen = app.seen.lock().unwrap()[0].clone();
+    assert_eq!(seen.first_line, "POST /once/x/y?q=1&r=%20 HTTP/1.1");
+    assert_eq!(seen.text(), "payload");
+    assert_eq!(seen.header("x-bilberrypost-tenant"), Some("team-a"));
+    assert_eq!(seen.header("x-bilberrypost-expect-instance"), Some("i-1"));
+    assert_eq!(seen.header("x-custom"), Some("kept"));
+    let left: u64 = seen
+        .header("x-bilberrypost-deadline-ms")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left <= 5000, "{left}");
+    for own in ["credential", "kv-replica", "pin-ms"] {
+        assert_eq!(seen.header(&format!("x-bilberrypost-{own}")), None, "{own}");
+    }
+    assert_eq!(seen.header("kv-from"), None);
+}
+
+/// Guards against a request that runs twice though it may run once, and against a refusal that says
+/// not run when nobody can know.
+#[test]
+fn sends_once_what_must_not_run_twice() {
+    let unusable = [
+        Act::Drop,
+        Act::Raw("HTTP/1.1 200 x\r\ncontent-length: 50\r\n\r\nshort".into()),
+        Act::Raw("no protocol at all\r\n\r\n".into()),
+        Act::Raw(
+            "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: other\r\n\
+             x-bilberrypost-response-seal: s\r\ncontent-length: 2\r\n\r\nhi"
+                .into(),
+        ),
+        Act::Raw(
+            "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\ncontent-length: 2\r\n\r\nhi".into(),
+        ),
+        Act::Raw(
+            "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\ncontent-encoding: gzip\r\n\
+             x-bilberrypost-response-seal: s\r\ncontent-length: 2\r\n\r\nhi"
+                .into(),
+        ),
+    ];
+    let one = Engine::start("i-1", |_| ok());
+    let two = Engine::start("i-2", |_| ok());
+    let (_store, gateway) = start(&[(&one, "app", "fd-a"), (&two, "app", "fd-b")]);
+    for (number, act) in unusable.into_iter().enumerate() {
+        let before = one.arrivals() + two.arrivals();
+        for engine in [&one, &two] {
+            let act = act.clone();
+            engine.set_script(move |_| act.clone());
+        }
+        let id = format!("once{number}");
+        let answer = gateway.call("POST", "/once/x", &id, "book");
+        assert_eq!(answer.status(), 502, "{act:?}");
+        assert_eq!(one.arrivals() + two.arrivals(), before + 1, "{act:?}");
+    }
+}
+
+/// Guards against repeatable requests that fail with one engine, and against engines' failures that
+/// are changed on the way.
+#[test]
+fn repeats_what_may_run_again() {
+    let one = Engine::start("i-1", |_| Act::Drop);
+    let two = Engine::start("i-2", |_| ok());
+    let (_store, gateway) = start(&[(&one, "app", "fd-a"), (&two, "app", "fd-b")]);
+    for number in 0..8 {
+        assert_eq!(
+            gateway
+                .call("GET", "/any/x", &format!("any{number}"), "")
+                .status(),
+            200
+        );
+    }
+    one.set_script(|_| Act::Answer(500, "broken".into()));
+    two.set_script(|_| Act::Answer(500, "broken".into()));
+    let answer = gateway.call("GET", "/any/x", "failing", "");
+    assert_eq!((answer.status(), answer.text().as_str()), (500, "broken"));
+    assert!(answer.header("x-bilberrypost-response-seal").is_some());
+}
+
+/// Guards against a full engine that makes requests fail while another has room, and against a
+/// refusal that does not say when to come back.
+#[test]
+fn goes_to_another_engine_when_one_is_full() {
+    let full = Engine::start("i-1", |_| Act::Shed);
+    let free = Engine::start("i-2", |_| ok());
+    let (_store, gateway) = start(&[(&full, "app", "fd-a"), (&free, "app", "fd-b")]);
+    for number in 0..6 {
+        assert_eq!(
+            gateway
+                .call("POST", "/once/x", &format!("r{number}"), "b")
+                .status(),
+            200
+        );
+    }
+    free.set_script(|_| Act::Shed);
+    let answer = gateway.call("POST", "/once/x", "refused", "b");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.header("x-bilberrypost-attempt-id"), Some("refused"));
+}
+
+/// Guards against a stream that lacks, repeats or halves an event after its engine broke off, and
+/// against a resumed run that ignores the replica.
+#[test]
+fn resumes_a_stream_at_the_next_event() {
+    let engines: Vec<_> = (1..=2)
+        .map(|n| Engine::start(&format!("i-{n}"), |_| ok()))
+        .collect();
+    for (engine, other) in [(0, 1), (1, 0)] {
+        let other = engines[other].address.clone();
+        engines[engine].set_script(move |request| match request.header("last-event-id") {
+            None => {
+                assert_eq!(
+                    request.header("x-bilberrypost-kv-replica"),
+                    Some(other.as_str())
+                );
+                Act::Events(5, End::HalfEvent)
+            }
+            Some(_) => Act::Events(12, End::Complete),
+        });
+    }
+    let (_store, gateway) = start(&[
+        (&engines[0], "model", "fd-a"),
+        (&engines[1], "model", "fd-b"),
+    ]);
+    let answer = gateway
+        .ask("POST", "/stream/x", &stream_headers("s1"), "prompt")
+        .unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.text(), events(1, 12));
+    assert_eq!(answer.header("broken"), None);
+    let first = engines.iter().find(|engine| {
+        engine.seen.lock().unwrap()[0]
+            .header("last-event-id")
+            .is_none()
+    });
+    let first = first.unwrap();
+    let second = engines.iter().find(|engine| engine.id != first.id).unwrap();
+    let seal = format!("seal-{}", first.id);
+    assert_eq!(
+        answer.header("x-bilberrypost-response-seal"),
+        Some(seal.as_str())
+    );
+    let resumed = second.seen.lock().unwrap()[0].clone();
+    assert_eq!(resumed.header("last-event-id"), Some("5"));
+    let copy = format!("{}/s1", second.address);
+    assert_eq!(resumed.header("kv-from"), Some(copy.as_str()));
+}
+
+/// Guards against streams that hang on an engine that fell silent without a reset.
+#[test]
+fn leaves_an_engine_that_went_dark() {
+    let engines: Vec<_> = (1..=2)
+        .map(|n| Engine::start(&format!("i-{n}"), |_| ok()))
+        .collect();
+    for engine in &engines {
+        engine.set_script(|request| match request.header("last-event-id") {
+            None => Act::Events(3, End::Dark),
+            Some(_) => Act::Events(9, End::Complete),
+        });
+    }
+    let (_store, gateway) = start(&[
+        (&engines[0], "model", "fd-a"),
+        (&engines[1], "model", "fd-b"),
+    ]);
+    let answer = gateway
+        .ask("POST", "/stream/x", &stream_headers("s1"), "prompt")
+        .unwrap();
+    assert_eq!(answer.text(), events(1, 9));
+    assert_eq!(answer.header("broken"), None);
+}
+
+/// Guards against a broken stream that looks complete when no engine can go on with it.
+#[test]
+fn a_stream_that_cannot_go_on_is_cut() {
+    let only = Engine::start("i-1", |request| match request.header("last-event-id") {
+        None => Act::Events(3, End::HalfEvent),
+        Some(_) => Act::Drop,
+    });
+    let (_store, gateway) = start(&[(&only, "model", "fd-a")]);
+    let answer = gateway
+        .ask("POST", "/stream/x", &stream_headers("s1"), "prompt")
+        .unwrap();
+    assert_eq!(answer.text(), events(1, 3));
+    assert_eq!(answer.header("broken"), Some("yes"));
+}
+
+/// Guards against bad input that gets the wrong answer or harms other requests.
+#[test]
+fn bad_input_gets_its_own_answer() {
+    let app = Engine::start("i-1", |_| ok());
+    let (_store, gateway) = start(&[(&app, "app", "fd-a")]);
+    let address = gateway.process.address.clone();
+    // A caller that has sent only part of its head, for the whole test.
+    let mut slow = TcpStream::connect(&address).unwrap();
+    slow.write_all(b"POST /once/x HTTP/1.1\r\nhost: shop.ex")
+        .unwrap();
+    let with = |key: &str, id: &str| {
+        format!("x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-credential: {key}\r\n")
+    };
+    let status = |method: &str, path: &str, headers: &str, body: &str| {
+        let answer = exchange(&address, &request(method, path, headers, body));
+        answer.map_or(0, |answer| answer.status())
+    };
+    assert_eq!(status("POST", "/once/x", &with("wrong", "a"), ""), 401);
+    assert_eq!(
+        status("POST", "/once/x", "x-bilberrypost-attempt-id: b\r\n", ""),
+        401
+    );
+    assert_eq!(status("POST", "/nowhere/x", &with(KEY, "c"), ""), 404);
+    assert_eq!(status("POST", "/oncex", &with(KEY, "c"), ""), 404);
+    assert_eq!(
+        status(
+            "POST",
+            "/once/x",
+            &format!("x-bilberrypost-credential: {KEY}\r\n"),
+            ""
+        ),
+        400
+    );
+    let bad_deadline = with(KEY, "d") + "x-bilberrypost-deadline-ms: soon\r\n";
+    assert_eq!(status("POST", "/once/x", &bad_deadline, ""), 400);
+    assert_eq!(
+        status("POST", "/once/x", &with(KEY, "e"), &"x".repeat(100_001)),
+        413
+    );
+    let long = with(KEY, "f") + &format!("x-long: {}\r\n", "y".repeat(20_000));
+    assert_eq!(status("POST", "/once/x", &long, ""), 431);
+    assert_eq!(
+        exchange(&address, "nonsense\r\n\r\n").map_or(0, |answer| answer.status()),
+        400
+    );
+    assert_eq!(app.arrivals(), 0);
+    assert_eq!(
+        status("GET", "/open/x", "x-bilberrypost-attempt-id: g\r\n", ""),
+        200
+    );
+    assert_eq!(gateway.call("POST", "/once/x", "h", "fine").status(), 200);
+}
+
+/// Guards against a second request that is smuggled inside the body of the first.
+#[test]
+fn smuggled_requests_do_not_reach_engines() {
+    let app = Engine::start("i-1", |_| ok());
+    let (_store, gateway) = start(&[(&app, "app", "fd-a")]);
+    let inner = "POST /once/smuggled HTTP/1.1\r\nhost: shop.example\r\n\r\n";
+    let text = format!(
+        "POST /once/x HTTP/1.1\r\nhost: shop.example\r\nx-bilberrypost-attempt-id: r1\r\n\
+         x-bilberrypost-credential: {KEY}\r\ntransfer-encoding: chunked\r\n\
+         content-length: 4\r\n\r\n{:x}\r\n{inner}\r\n0\r\n\r\n",
+        inner.len()
+    );
+    let _ = exchange(&gateway.process.address, &text);
+    assert_eq!(gateway.call("POST", "/once/x", "r2", "next").status(), 200);
+    let seen = app.seen.lock().unwrap();
+    let is_smuggled = |message: &Message| message.first_line.contains("smuggled");
+    assert!(!seen.iter().any(is_smuggled), "{seen:?}");
+}
+
+/// Guards against a host that counts as ready too early, that goes back to an older configuration,
+/// or that keeps a key after it was taken away, also after a dropped history.
+#[test]
+fn follows_the_configuration() {
+    let app = Engine::start("i-1", |_| ok());
+    let store = Store::start();
+    let gateway = Gateway::start(&settings(&store.address, ""));
+    assert!(!gateway.is_ready());
+    assert_eq!(gateway.call("POST", "/once/x", "early", "").status(), 503);
+    store.put("config", "main", config(3));
+    store.put("servers", &app.id, app.registration("app", "fd-a"));
+    wait_for("readiness", || gateway.is_ready());
+    wait_for("an answer", || {
+        gateway.call("POST", "/once/x", "r1", "").status() == 200
+    });
+    store.put("config", "main", config(2));
+    store.set_mood(Mood::Forgetful);
+    store.put("servers", "forged", json!({"service": 7}));
+    let mut without_key = config(9);
+    without_key["tenants"][0]["api-keys"] = json!(["another"]);
+    store.put("config", "main", without_key);
+    wait_for("401", || {
+        gateway.call("POST", "/once/x", "r2", "").status() == 401
+    });
+    store.put("config", "main", config(5));
+    let looked = store.calls();
+    wait_for("another look", || store.calls() > looked + 3);
+    assert_eq!(gateway.call("POST", "/once/x", "r3", "").status(), 401);
+}
+
+/// Guards against requests to engines that say that they leave, that vanished, or whose entry
+/// cannot be read, and against an outage of the store that ends service.
+#[test]
+fn follows_the_registrations() {
+    let one = Engine::start("i-1", |_| ok());
+    let two = Engine::start("i-2", |_| ok());
+    let (store, gateway) = start(&[(&one, "app", "fd-a"), (&two, "app", "fd-b")]);
+    let leaving = |engine: &Engine| {
+        let mut entry = engine.registration("app", "fd-a");
+        entry["lifecycle"] = json!("draining");
+        entry
+    };
+    let settled = |engine: &Engine| {
+        wait_for("engine without requests", || {
+            let before = engine.arrivals();
+            for number in 0..4 {
+                assert_eq!(
+                    gateway
+                        .call("GET", "/any/x", &format!("r{number}"), "")
+                        .status(),
+                    200
+                );
+            }
+            engine.arrivals() == before
+        });
+    };
+    store.put("servers", &one.id, leaving(&one));
+    settled(&one);
+    store.put("servers", &one.id, one.registration("app", "fd-a"));
+    store.remove("servers", &two.id);
+    settled(&two);
+    store.put("servers", &two.id, json!({"service": "app", "address": 5}));
+    settled(&two);
+    store.set_mood(Mood::Busy);
+    for number in 0..10 {
+        assert_eq!(
+            gateway
+                .call("POST", "/once/x", &format!("o{number}"), "")
+                .status(),
+            200
+        );
+    }
+}
+
+/// Guards against a stop that cuts a running request or takes long when idle, and against a reload
+/// that ends the process.
+#[test]
+fn a_stop_cuts_no_request() {
+    let app = Engine::start("i-1", |_| {
+        std::thread::sleep(Duration::from_millis(1500));
+        ok()
+    });
+    let (_store, mut gateway) = start(&[(&app, "app", "fd-a")]);
+    let pid = rustix::process::Pid::from_raw(gateway.process.id() as i32).unwrap();
+    rustix::process::kill_process(pid, rustix::process::Signal::HUP).unwrap();
+    let mut stream = TcpStream::connect(&gateway.process.address).unwrap();
+    let headers = format!("x-bilberrypost-attempt-id: r1\r\nx-bilberrypost-credential: {KEY}\r\n");
+    stream
+        .write_all(request("POST", "/once/x", &headers, "b").as_bytes())
+        .unwrap();
+    wait_for("arrival", || app.arrivals() == 1 || gateway.is_ready());
+    gateway.process.terminate();
+    wait_for("refusal of readiness", || !gateway.is_ready());
+    let answer = Message::read(&mut BufReader::new(stream)).unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(gateway.process.wait(), Some(0));
+}
+
+/// Guards against a host that cannot serve because the store turns it away while its peers know the
+/// configuration and the engines.
+#[test]
+fn a_host_without_the_store_learns_from_its_peers() {
+    let app = Engine::start("i-1", |_| ok());
+    let store = Store::start();
+    store.put("config", "main", config(3));
+    store.put("servers", &app.id, app.registration("app", "fd-a"));
+    let port = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+        .port();
+    let on = |ip: &str, store: &str| {
+        settings(
+            store,
+            &format!(
+                "seeds = 127.0.0.1:1\nports = {port},{}",
+                port.saturating_add(1)
+            ),
+        )
+        .replace("listen = 127.0.0.1:0", &format!("listen = {ip}:0"))
+    };
+    let knowing = Gateway::start(&on("127.0.0.1", &store.address));
+    wait_for("readiness", || knowing.is_ready());
+    let away = Store::start();
+    away.set_mood(Mood::Busy);
+    let cut_off = Gateway::start(&on("127.0.0.2", &away.address));
+    wait_for("readiness by a peer", || cut_off.is_ready());
+    assert_eq!(cut_off.call("POST", "/once/x", "r1", "b").status(), 200);
+    store.put("config", "main", {
+        let mut next = config(4);
+        next["tenants"][0]["api-keys"] = json!(["another"]);
+        next
+    });
+    wait_for("a newer configuration", || {
+        cut_off.call("POST", "/once/x", "r2", "").status() == 401
+    });
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod platform;
+
 use std::future::Future;
 use std::io::{BufRead, BufReader};
 use std::process::{Child, ChildStdout, Command, Stdio};
--- /dev/null
+++ b/tests/support/platform.rs
@@ -0,0 +1,522 @@
+//! Stand-ins for the users' platform: its store and engines, on plain sockets, so that they can also
+//! send what no library would.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::{HANG, Process};
+
+/// A message read from a socket.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first_line: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    pub fn status(&self) -> u16 {
+        let status = self.first_line.split(' ').nth(1).unwrap_or("0");
+        status.parse().unwrap_or(0)
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Reads a message; `None` at the end of the connection. A body that breaks off is kept, with
+    /// the header `broken`.
+    pub fn read<R: BufRead>(reader: &mut R) -> Option<Self> {
+        let mut message = Self {
+            first_line: line(reader)?,
+            ..Self::default()
+        };
+        while let Some(header) = line(reader).filter(|line| !line.is_empty()) {
+            if let Some((name, value)) = header.split_once(':') {
+                message
+                    .headers
+                    .insert(name.to_lowercase(), value.trim().into());
+            }
+        }
+        if message.header("transfer-encoding").is_some() {
+            message.read_chunks(reader);
+        } else if let Some(length) = message.header("content-length") {
+            let mut body = vec![0; length.parse().unwrap()];
+            match reader.read_exact(&mut body) {
+                Ok(()) => message.body = body,
+                Err(_) => message.break_off(),
+            }
+        }
+        Some(message)
+    }
+
+    fn read_chunks<R: BufRead>(&mut self, reader: &mut R) {
+        loop {
+            let Some(size) = line(reader) else {
+                return self.break_off();
+            };
+            let Ok(size) = usize::from_str_radix(&size, 16) else {
+                return self.break_off();
+            };
+            let mut chunk = vec![0; size + 2];
+            if reader.read_exact(&mut chunk).is_err() {
+                return self.break_off();
+            }
+            if size == 0 {
+                return;
+            }
+            self.body.extend_from_slice(&chunk[..size]);
+        }
+    }
+
+    fn break_off(&mut self) {
+        self.headers.insert("broken".into(), "yes".into());
+    }
+}
+
+fn line<R: BufRead>(reader: &mut R) -> Option<String> {
+    let mut line = String::new();
+    match reader.read_line(&mut line) {
+        Ok(0) | Err(_) => None,
+        Ok(_) => Some(line.trim_end().into()),
+    }
+}
+
+fn listen() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mood {
+    #[default]
+    Up,
+    Busy,
+    /// Watches hear that their history is gone, once each.
+    Forgetful,
+}
+
+#[derive(Debug, Default)]
+struct Objects {
+    mood: Mood,
+    revision: u64,
+    // Objects by kind and name, with the revision of their last change; `None` if removed.
+    objects: BTreeMap<(String, String), (u64, Option<Value>)>,
+    calls: u64,
+}
+
+/// The platform's store.
+#[derive(Clone)]
+pub struct Store {
+    pub address: String,
+    objects: Arc<(Mutex<Objects>, Condvar)>,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let (listener, address) = listen();
+        let store = Self {
+            address,
+            objects: Arc::default(),
+        };
+        let serving = store.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                std::thread::spawn(move || store.connection(stream));
+            }
+        });
+        store
+    }
+
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.change(kind, name, Some(spec));
+    }
+
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.change(kind, name, None);
+    }
+
+    pub fn set_mood(&self, mood: Mood) {
+        self.objects.0.lock().unwrap().mood = mood;
+        self.objects.1.notify_all();
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.objects.0.lock().unwrap().calls
+    }
+
+    fn change(&self, kind: &str, name: &str, spec: Option<Value>) {
+        let mut objects = self.objects.0.lock().unwrap();
+        objects.revision += 1;
+        let revision = objects.revision;
+        objects
+            .objects
+            .insert((kind.into(), name.into()), (revision, spec));
+        self.objects.1.notify_all();
+    }
+
+    fn connection(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut stream = stream;
+        while let Some(request) = Message::read(&mut reader) {
+            let path = request.first_line.split(' ').nth(1).unwrap().to_owned();
+            let (status, body) = self.answer(&path);
+            let body = body.to_string();
+            let head = format!(
+                "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            if stream.write_all((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, path: &str) -> (u16, Value) {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let kind = path.strip_prefix("/bilberrypost/objects/").unwrap();
+        let query: BTreeMap<_, _> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let mut objects = self.objects.0.lock().unwrap();
+        objects.calls += 1;
+        if objects.mood == Mood::Busy {
+            return (503, json!({}));
+        }
+        let Some(from) = query.get("watch-revision") else {
+            // Small pages, so that reading on after a page is tried as well.
+            const PAGE: usize = 2;
+            let after = query.get("after").copied().unwrap_or("");
+            let mut entries: Vec<_> = objects
+                .of_kind(kind, 0)
+                .into_iter()
+                .filter(|(name, _, spec)| name.as_str() > after && spec.is_some())
+                .collect();
+            let has_more = entries.len() > PAGE;
+            entries.truncate(PAGE);
+            let entries: Vec<_> = entries.iter().map(object).collect();
+            return (
+                200,
+                json!({"entries": entries, "has-more": has_more, "at": objects.revision}),
+            );
+        };
+        let from: u64 = from.parse().unwrap();
+        let wait = Duration::from_millis(query["wait-ms"].parse().unwrap());
+        let deadline = Instant::now() + wait;
+        loop {
+            if objects.mood == Mood::Forgetful {
+                objects.mood = Mood::Up;
+                return (410, json!({}));
+            }
+            let changed = objects.of_kind(kind, from);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !changed.is_empty() || left.is_zero() || objects.mood != Mood::Up {
+                let events: Vec<_> = changed
+                    .iter()
+                    .map(|entry| json!({"removed": entry.2.is_none(), "object": object(entry)}))
+                    .collect();
+                return (200, json!({"events": events, "at": objects.revision}));
+            }
+            objects = self.objects.1.wait_timeout(objects, left).unwrap().0;
+        }
+    }
+}
+
+type Entry = (String, u64, Option<Value>);
+
+fn object((name, revision, spec): &Entry) -> Value {
+    json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null})
+}
+
+impl Objects {
+    fn of_kind(&self, kind: &str, from: u64) -> Vec<Entry> {
+        let entries = self.objects.iter();
+        entries
+            .filter(|((of, _), (revision, _))| of == kind && *revision > from)
+            .map(|((_, name), (revision, spec))| (name.clone(), *revision, spec.clone()))
+            .collect()
+    }
+}
+
+/// What an engine does with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Answers in full with a status and body.
+    Answer(u16, String),
+    /// Says that it did not run the request.
+    Shed,
+    /// Closes the connection without an answer.
+    Drop,
+    /// Sends these bytes, in which `ID` stands for the request's id, and closes the connection.
+    Raw(String),
+    /// Streams events up to a number, then does what follows.
+    Events(u64, End),
+}
+
+/// How a stream ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    Complete,
+    /// Breaks off in the middle of the next event.
+    HalfEvent,
+    /// Falls silent, and the engine takes no connections any more.
+    Dark,
+}
+
+type Script = Box<dyn Fn(&Message) -> Act + Send>;
+
+/// A model engine or backend server.
+pub struct Engine {
+    pub id: String,
+    pub address: String,
+    pub seen: Arc<Mutex<Vec<Message>>>,
+    script: Arc<Mutex<Script>>,
+}
+
+impl Engine {
+    pub fn start(id: &str, script: impl Fn(&Message) -> Act + Send + 'static) -> Self {
+        let (listener, address) = listen();
+        let engine = Self {
+            id: id.into(),
+            address,
+            seen: Arc::default(),
+            script: Arc::new(Mutex::new(Box::new(script))),
+        };
+        let (seen, script, id) = (engine.seen.clone(), engine.script.clone(), id.to_owned());
+        let listener = Arc::new(Mutex::new(Some(listener)));
+        std::thread::spawn(move || {
+            loop {
+                let accepting = listener
+                    .lock()
+                    .unwrap()
+                    .as_ref()
+                    .map(|l| l.try_clone().unwrap());
+                let Some(accepting) = accepting else { return };
+                let Ok((stream, _)) = accepting.accept() else {
+                    return;
+                };
+                let (seen, script, id, listener) =
+                    (seen.clone(), script.clone(), id.clone(), listener.clone());
+                std::thread::spawn(move || connection(stream, &id, &seen, &script, &listener));
+            }
+        });
+        engine
+    }
+
+    pub fn set_script(&self, script: impl Fn(&Message) -> Act + Send + 'static) {
+        *self.script.lock().unwrap() = Box::new(script);
+    }
+
+    pub fn arrivals(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+
+    pub fn registration(&self, service: &str, domain: &str) -> Value {
+        json!({"service": service, "address": self.address, "zone": domain, "version": "v1",
+               "batch-slots": 12, "lifecycle": "available", "cold-remaining-ms": 0,
+               "sequence": 4, "born": 1})
+    }
+}
+
+/// Text of event `number`.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece-{number}\n\n")
+}
+
+/// Text of the events from `first` to `last`.
+pub fn events(first: u64, last: u64) -> String {
+    (first..=last).map(event).collect()
+}
+
+fn connection(
+    mut stream: TcpStream,
+    id: &str,
+    seen: &Mutex<Vec<Message>>,
+    script: &Mutex<Script>,
+    listener: &Mutex<Option<TcpListener>>,
+) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some(request) = Message::read(&mut reader) {
+        let attempt = request
+            .header("x-bilberrypost-attempt-id")
+            .unwrap_or("")
+            .to_owned();
+        if request
+            .header("x-bilberrypost-expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
+            let _ = stream.write_all(b"HTTP/1.1 421 x\r\ncontent-length: 0\r\n\r\n");
+            continue;
+        }
+        let act = (script.lock().unwrap())(&request);
+        seen.lock().unwrap().push(request.clone());
+        let common = format!(
+            "x-bilberrypost-attempt-id: {attempt}\r\nx-bilberrypost-response-seal: seal-{id}\r\n"
+        );
+        match act {
+            Act::Answer(status, body) => {
+                let head = format!(
+                    "HTTP/1.1 {status} x\r\n{common}content-length: {}\r\n\r\n",
+                    body.len()
+                );
+                let _ = stream.write_all((head + &body).as_bytes());
+            }
+            Act::Shed => {
+                let head =
+                    "HTTP/1.1 503 x\r\nx-bilberrypost-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+                let _ = stream.write_all(head.as_bytes());
+            }
+            Act::Drop => return,
+            Act::Raw(text) => {
+                let _ = stream.write_all(text.replace("ID", &attempt).as_bytes());
+                return;
+            }
+            Act::Events(last, end) => {
+                let first = request
+                    .header("last-event-id")
+                    .map_or(1, |id| id.parse::<u64>().unwrap() + 1);
+                let head = format!(
+                    "HTTP/1.1 200 x\r\n{common}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+                );
+                let _ = stream.write_all(head.as_bytes());
+                for number in first..=last {
+                    let text = event(number);
+                    let _ = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+                }
+                match end {
+                    End::Complete => {
+                        let _ = stream.write_all(b"0\r\n\r\n");
+                    }
+                    End::HalfEvent => {
+                        let _ = stream.write_all(b"8\r\nid: 9999\r\n");
+                        return;
+                    }
+                    End::Dark => {
+                        // Closing the last handle of the listener needs its thread to wake up.
+                        listener.lock().unwrap().take();
+                        let own = stream.local_addr().unwrap();
+                        let _ = TcpStream::connect(own);
+                        let mut rest = Vec::new();
+                        let _ = reader.read_to_end(&mut rest);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Key of the team in [`config`].
+pub const KEY: &str = "secret-key-of-the-team";
+
+/// A configuration with a route of each kind: `/once/`, `/any/`, `/stream/` and `/open/`.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": "shop.example", "path-prefix": format!("/{name}/"),
+               "route-type": kind, "timeout-ms": 20000, "target-latency-ms": 150,
+               "priority": 2, "service": service, "max-attempts": 3,
+               "anonymous": name == "open", "stream-resume": kind == "streaming",
+               "target-gap-ms": 700})
+    };
+    json!({
+        "version": version,
+        "routes": [route("once", "non_idempotent", "app"), route("any", "idempotent", "app"),
+                   route("open", "idempotent", "app"), route("stream", "streaming", "model")],
+        "services": [
+            {"name": "app", "health-path": "/healthz", "max-connections": 96},
+            {"name": "model", "health-path": "/healthz", "max-connections": 96,
+             "engine-id": {"batch-slots": 12, "kv-capacity": 55000, "replicas": true}}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
+                   "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "team-a", "api-keys": [KEY], "priority": 1}]
+    })
+}
+
+/// Settings of a gateway.
+pub fn settings(store: &str, more: &str) -> String {
+    format!(
+        "[platform]\nname = host-a\nfailure_domain = fd-a\nlisten = 127.0.0.1:0\n\
+         ready_listen = 127.0.0.1:0\nstore = {store}\nretry_ratio = 0.8\nretry_slack = 150\n{more}\n"
+    )
+}
+
+/// A gateway process and its settings file.
+pub struct Gateway {
+    pub process: Process,
+    _folder: tempfile::TempDir,
+}
+
+impl Gateway {
+    /// Starts a gateway without waiting until it is ready.
+    pub fn start(settings: &str) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("host.ini");
+        std::fs::write(&path, settings).unwrap();
+        Self {
+            process: Process::start(&["serve", "-c", path.to_str().unwrap()]),
+            _folder: folder,
+        }
+    }
+
+    /// Asks whether the gateway is ready.
+    pub fn is_ready(&self) -> bool {
+        let address = self.process.field("ready_address").unwrap();
+        let answer = exchange(
+            &address,
+            "GET /bilberrypost/readyz HTTP/1.1\r\nhost: x\r\n\r\n",
+        );
+        answer.is_some_and(|answer| answer.status() == 200)
+    }
+
+    /// Sends a request and returns the answer, if there is one.
+    pub fn ask(&self, method: &str, path: &str, headers: &str, body: &str) -> Option<Message> {
+        exchange(&self.process.address, &request(method, path, headers, body))
+    }
+
+    /// Sends a request with the team's key and returns the answer.
+    pub fn call(&self, method: &str, path: &str, id: &str, body: &str) -> Message {
+        let headers = format!(
+            "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
+             x-bilberrypost-credential: {KEY}\r\n"
+        );
+        self.ask(method, path, &headers, body).expect("an answer")
+    }
+}
+
+/// Text of a request to `shop.example`.
+pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends bytes over a new connection and reads one answer.
+pub fn exchange(address: &str, request: &str) -> Option<Message> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(HANG)).unwrap();
+    stream.write_all(request.as_bytes()).ok()?;
+    Message::read(&mut BufReader::new(stream))
+}
+
+/// Waits until a condition holds.
+pub fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + HANG;
+    while !condition() {
+        assert!(Instant::now() < deadline, "no {what} within {HANG:?}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
