--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -126,8 +126,8 @@
     failures: Vec<Instant>,
     /// Given when the engine is lost with all that runs on it.
     pub lost: Signal,
-    // When bytes of it, or a connection to it, last showed that it lives.
-    heard_at: Instant,
+    // When bytes of it or a connection last showed that it lives, or a check of it began.
+    checked_at: Instant,
     is_checking: bool,
     // Whether others of its failure domain were just lost, and it has not been heard since.
     is_doubted: bool,
@@ -242,7 +242,7 @@
             unreachable_until: None,
             failures: Vec::new(),
             lost: Signal::default(),
-            heard_at: self.clock.now(),
+            checked_at: self.clock.now(),
             is_checking: false,
             is_doubted: false,
         });
@@ -442,7 +442,7 @@
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
             if state.load.running == 0 {
-                state.heard_at = now;
+                state.checked_at = now;
             }
             if state.lost.is_given() {
                 state.lost = Signal::default();
@@ -500,7 +500,7 @@
     pub fn set_heard(&mut self, engine: Engine) {
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
-            state.heard_at = now;
+            state.checked_at = now;
             state.is_checking = false;
             state.is_doubted = false;
             if state.lost.is_given() {
@@ -513,7 +513,7 @@
     pub fn set_connected(&mut self, engine: Engine) {
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
-            state.heard_at = now;
+            state.checked_at = now;
             state.is_doubted = false;
         }
     }
@@ -529,12 +529,12 @@
                 false if state.load.running > 0 => CHECK_AFTER,
                 false => return false,
             };
-            !state.is_checking && now.duration_since(state.heard_at) >= after
+            !state.is_checking && now.duration_since(state.checked_at) >= after
         };
         let due = self.engines.iter_mut().filter(|(_, state)| is_due(state));
         due.map(|(key, state)| {
             state.is_checking = true;
-            state.heard_at = now;
+            state.checked_at = now;
             (key, state.registration.address.clone())
         })
         .collect()
@@ -545,6 +545,7 @@
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
             state.is_checking = false;
+            state.checked_at = now;
             state.unreachable_until = Some(now + UNREACHABLE_FOR);
             state.lost.give();
         }
@@ -569,7 +570,7 @@
         }
         let others = self.engines.values_mut().filter(|state| {
             state.registration.failure_domain == domain
-                && now.duration_since(state.heard_at) > ROUND_TRIP
+                && now.duration_since(state.checked_at) > ROUND_TRIP
         });
         others.for_each(|state| state.is_doubted = true);
     }
