--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -143,8 +143,9 @@
                 .gateway
                 .has_time_for(admitted.call.footprint().usual_time())
         {
-            let detail = "this host is leaving; retry at once to reach another host";
-            return Err(Refused::not_run(Reason::Leaving, detail, Duration::ZERO));
+            let detail = "this host is leaving; retry to reach another host";
+            let after = self.gateway.until_closed();
+            return Err(Refused::not_run(Reason::Leaving, detail, after));
         }
         let service = admitted.service.clone();
         let now = self.gateway.clock.now();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -172,6 +172,20 @@
         self.clock.now() + expected < ends_at
     }
 
+    /// Returns the time until the balancer sends new connections elsewhere. An earlier retry may come
+    /// back to this host, and callers retry only once or twice.
+    pub fn until_closed(&self) -> Duration {
+        let Some(ends_at) = self.ends_at.get() else {
+            return Duration::ZERO;
+        };
+        let lasts = self.settings.drain_limit.saturating_sub(BALANCER_LAG);
+        ends_at
+            .checked_sub(lasts)
+            .map_or(Duration::ZERO, |closes_at| {
+                closes_at.saturating_duration_since(self.clock.now())
+            })
+    }
+
     fn leave(&self) {
         let ends_at = self.clock.now() + self.settings.drain_limit;
         self.ends_at.set(Some(ends_at));
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -17,7 +17,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
 
 /// Time in which changes of engines gather before they are asked for again; each call is priced.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(300);
 
 /// Time between two tries while the directory does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
