Explain a request from the logs of all hosts

bilberrypost explain orders the lines of hosts whose clocks differ by events that all of them see, and names the cause. Tests: a stream that broke off, an unknown outcome, a refusal in a flood, a reader that stops, dependencies told once, no key in the log. check reads the settings of a gateway.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -21,6 +21,7 @@
         .subcommand(demo())
         .subcommand(emulate())
         .subcommand(report())
+        .subcommand(explain())
         .subcommand(load())
 }
 
@@ -157,6 +158,19 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Say from the logs of all hosts what became of a request")
+        .arg(
+            Arg::new("request")
+                .long("request")
+                .value_name("ID")
+                .required(true)
+                .help("Id of the caller's attempt"),
+        )
+        .arg(files().required(true))
+}
+
 fn load() -> Command {
     Command::new("load")
         .about("Send open-loop load and check every answer token by token")
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,31 @@
+//! `bilberrypost explain`
+
+use clap::ArgMatches;
+
+use super::{Run, check};
+use crate::error::Error;
+use crate::report::explain::{Line, explain};
+use crate::supervisor::Signal;
+
+pub(super) struct Explain;
+
+impl Run for Explain {
+    async fn run(matches: &ArgMatches, _stop: Signal) -> anyhow::Result<()> {
+        let id = matches.get_one::<String>("request").expect("required");
+        let files = check::read(matches)?;
+        let lines: Vec<_> = files
+            .iter()
+            .flat_map(|(file, text)| text.lines().filter_map(|line| Line::parse(file, line)))
+            .collect();
+        let Some(explanation) = explain(id, &lines) else {
+            let what =
+                format!("no line names request {id}; check the id, and pass the logs of all hosts");
+            return Err(Error::Refused(what).into());
+        };
+        for (after_ms, line) in &explanation.lines {
+            println!("{after_ms:>7} ms {} {}", line.host, line.text);
+        }
+        println!("cause: {}", explanation.cause);
+        Ok(())
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod demo;
 mod emulate;
+mod explain;
 mod load;
 mod publish;
 mod report;
@@ -67,6 +68,7 @@
         Some(("emulate", matches)) => emulate::Emulate::run(matches, stop).await,
         Some(("load", matches)) => load::Load::run(matches, stop).await,
         Some(("report", matches)) => report::Report::run(matches, stop).await,
+        Some(("explain", matches)) => explain::Explain::run(matches, stop).await,
         Some(("demo", matches)) => demo::Demo::run(matches, stop).await,
         _ => unreachable!("clap accepts only the subcommands above"),
     };
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -3,6 +3,7 @@
 use super::host::Host;
 use super::ini::{Error, File, Section};
 use super::split::Split;
+use crate::platform;
 
 /// Greatest share of a partner; it keeps sums of shares within 32 bits.
 const SHARE_MAX: u32 = 1_000_000;
@@ -36,7 +37,11 @@
                 hosts += 1;
                 errors.extend(host(&file));
             }
-            Ok(file) => shared.push(file),
+            Ok(file) => match platform::settings::read(&file) {
+                Ok(Some(_)) => hosts += 1,
+                Ok(None) => shared.push(file),
+                Err(err) => errors.push(err),
+            },
             Err(err) => errors.push(err),
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -451,3 +451,126 @@
         cut_off.call("POST", "/once/x", "r2", "").status() == 401
     });
 }
+
+/// Reads the log of a gateway that was stopped, and explains a request from it.
+fn explained(gateway: &mut Gateway, id: &str) -> (String, String) {
+    gateway.process.terminate();
+    let log = gateway.process.rest_of_output();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("host-a.log");
+    std::fs::write(&file, &log).unwrap();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
+        .args(["explain", "--request", id])
+        .arg(&file)
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+    (log, String::from_utf8(output.stdout).unwrap())
+}
+
+/// Guards against a stream that broke off without a word on where, why and what was tried.
+#[test]
+fn the_log_explains_a_stream_that_broke_off() {
+    let only = Engine::start("i-1", |request| match request.header("last-event-id") {
+        None => Act::Events(3, End::HalfEvent),
+        Some(_) => Act::Drop,
+    });
+    let (_store, mut gateway) = start(&[(&only, "model", "fd-a")]);
+    let answer = gateway
+        .ask("POST", "/stream/x", &stream_headers("s1"), "prompt")
+        .unwrap();
+    assert_eq!(answer.header("broken"), Some("yes"));
+    let (_, told) = explained(&mut gateway, "s1");
+    for word in [
+        "event=admitted",
+        "event=placed",
+        "engines_age_ms=",
+        "event=stream_broken",
+        "event=stream_ended",
+    ] {
+        assert!(told.contains(word), "{word}: {told}");
+    }
+    assert!(
+        told.contains("cause: the stream broke off after event 3"),
+        "{told}"
+    );
+}
+
+/// Guards against a call whose outcome nobody can know and whose engine the log does not name.
+#[test]
+fn the_log_explains_an_unknown_outcome() {
+    let app = Engine::start("i-1", |_| Act::Drop);
+    let (_store, mut gateway) = start(&[(&app, "app", "fd-a")]);
+    assert_eq!(gateway.call("POST", "/once/x", "r1", "b").status(), 502);
+    let (_, told) = explained(&mut gateway, "r1");
+    assert!(
+        told.contains("engine=i-1 fault=lost work=unknown"),
+        "{told}"
+    );
+    assert!(
+        told.contains("cause: refused for answer-lost with status 502, work unknown"),
+        "{told}"
+    );
+}
+
+/// Guards against a refusal without its reason, also when the lines of requests that go well are
+/// left out in a flood, and against keys in the log.
+#[test]
+fn the_log_explains_a_refusal_in_a_flood() {
+    let app = Engine::start("i-1", |request| {
+        match request.first_line.contains("refused") {
+            true => Act::Shed,
+            false => ok(),
+        }
+    });
+    let (_store, mut gateway) = start(&[(&app, "app", "fd-a")]);
+    for number in 0..600 {
+        gateway.call("GET", "/any/x", &format!("flood{number}"), "");
+    }
+    assert_eq!(
+        gateway.call("POST", "/once/refused", "r1", "b").status(),
+        503
+    );
+    let (log, told) = explained(&mut gateway, "r1");
+    assert!(told.contains("event=admitted"), "{told}");
+    assert!(
+        told.contains("cause: refused for no-engine with status 503, work not-run"),
+        "{told}"
+    );
+    assert!(!log.contains(KEY), "a key is in the log");
+}
+
+/// Guards against requests that wait for whoever reads the log.
+#[test]
+fn a_log_reader_that_stops_delays_nothing() {
+    let app = Engine::start("i-1", |_| ok());
+    let (_store, gateway) = start(&[(&app, "app", "fd-a")]);
+    // Nobody reads the pipe: the lines of these refusals are more than its buffer and the queue hold.
+    for number in 0..4000 {
+        let headers = format!("x-bilberrypost-attempt-id: n{number}\r\n");
+        let refused = gateway.ask("GET", "/any/x", &headers, "").unwrap();
+        assert_eq!(refused.status(), 401);
+    }
+    assert_eq!(gateway.call("POST", "/once/x", "last", "b").status(), 200);
+}
+
+/// Guards against dependencies that are lost or come back without a line, or with many.
+#[test]
+fn a_lost_dependency_is_told_once() {
+    let app = Engine::start("i-1", |_| ok());
+    let (store, mut gateway) = start(&[(&app, "app", "fd-a")]);
+    store.set_mood(Mood::Busy);
+    let looked = store.calls();
+    wait_for("tries", || store.calls() > looked + 6);
+    store.set_mood(Mood::Up);
+    let looked = store.calls();
+    wait_for("reads", || store.calls() > looked + 4);
+    gateway.process.terminate();
+    let log = gateway.process.rest_of_output();
+    for event in ["dependency_lost", "dependency_back"] {
+        for name in ["configuration", "engines"] {
+            let line = format!("event={event} name={name}");
+            assert_eq!(log.matches(&line).count(), 1, "{line} in {log}");
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -80,6 +80,14 @@
         panic!("the program ended before it was ready");
     }
 
+    /// Waits for the end of the process and returns what it wrote since the `ready` line.
+    pub fn rest_of_output(&mut self) -> String {
+        let mut output = String::new();
+        std::io::Read::read_to_string(&mut self.output, &mut output).unwrap();
+        self.wait();
+        output
+    }
+
     /// Returns a field of the `ready` line.
     pub fn field(&self, name: &str) -> Option<String> {
         let fields = self
