--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -164,11 +164,12 @@
     ) -> Result<Admitted, Refused> {
         let gateway = &self.gateway;
         let arrived = gateway.clock.now();
+        let call = P::call(&head.headers).map_err(malformed)?;
         let Some(revision) = gateway.revision() else {
             let detail = "this host has no configuration yet; retry";
-            return Err(Refused::not_run(Reason::NoSettings, detail, RETRY_SOON));
+            let after = gateway.until_settled(call.deadline);
+            return Err(Refused::not_run(Reason::NoSettings, detail, after));
         };
-        let call = P::call(&head.headers).map_err(malformed)?;
         let (route, team) = self.route(&revision, head, &call)?;
         let deadline = arrived + call.deadline.min(route.timeout);
         let body = read_body(&revision, body, deadline, arrived).await?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,12 @@
 /// Time after the request to stop in which the balancer still sends new connections.
 const BALANCER_LAG: Duration = Duration::from_millis(2300);
 
+/// Time in which a host that starts usually reads its configuration.
+const STARTING: Duration = Duration::from_millis(500);
+
+/// Part of a caller's deadline after which it is asked back when the store is away.
+const RETRY_PART: u32 = 6;
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -92,6 +98,7 @@
     revision: RefCell<Option<Rc<Revision>>>,
     // When the directory last confirmed the revision.
     confirmed_at: Cell<Option<Instant>>,
+    started_at: Instant,
     has_engines: Cell<bool>,
     // When the directory last told what is known of engines.
     directory_at: Cell<Option<Instant>>,
@@ -112,6 +119,7 @@
             requests: server::Requests::default(),
             revision: RefCell::default(),
             confirmed_at: Cell::default(),
+            started_at: clock.now(),
             has_engines: Cell::default(),
             directory_at: Cell::default(),
             ends_at: Cell::default(),
@@ -172,6 +180,18 @@
         self.clock.now() + expected < ends_at
     }
 
+    /// Returns when a caller that waits for `deadline` may come back to a host without configuration.
+    ///
+    /// A host that just started reads one at once. Later the store must be away, and callers, who
+    /// retry only once or twice, gain most from a retry as late as they can still be served.
+    pub fn until_settled(&self, deadline: Duration) -> Duration {
+        let age = self.clock.now().duration_since(self.started_at);
+        match age < STARTING {
+            true => STARTING,
+            false => (deadline / RETRY_PART).max(front::RETRY_SOON),
+        }
+    }
+
     /// Returns the time until the balancer sends new connections elsewhere. An earlier retry may come
     /// back to this host, and callers retry only once or twice.
     pub fn until_closed(&self) -> Duration {
