Let a stream that a caller brings to another host go on from its replica

Cause: a host that stops cuts streams that outlast its grace period; their callers came back by another host within 90 ms and their prompts were read again, so that the streams were late.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use futures_util::future::{Either, select};
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -79,12 +80,12 @@
 }
 
 /// What an attempt goes on from.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Start {
     /// Last event that the caller has.
     pub last_event: Option<u64>,
-    /// Whether the engine holds a replica of the run.
-    pub from_copy: bool,
+    /// Id of the run whose replica the engine holds, if it does.
+    pub copy_of: Option<CompactString>,
 }
 
 /// Why an attempt has no answer that can be used.
@@ -140,7 +141,7 @@
     gateway: &Rc<Gateway<C>>,
     admitted: &Admitted,
     place: &Place<C>,
-    start: Start,
+    start: &Start,
     until: Instant,
 ) -> Result<Open, Fault> {
     note_place(gateway, admitted, place, start);
@@ -183,7 +184,7 @@
                     } else {
                         "unknown"
                     },
-                    start.from_copy,
+                    start.copy_of.is_some(),
                     took.as_millis(),
                 ),
             );
@@ -193,7 +194,12 @@
 }
 
 /// Logs where a request is sent, and what was known of that engine.
-fn note_place<C: Clock>(gateway: &Gateway<C>, admitted: &Admitted, place: &Place<C>, start: Start) {
+fn note_place<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &Admitted,
+    place: &Place<C>,
+    start: &Start,
+) {
     let registry = gateway.registry.borrow();
     let Some(state) = registry.get(place.engine) else {
         return;
@@ -208,7 +214,7 @@
             state.registration.id,
             state.registration.failure_domain,
             replica.map_or("none", |replica| replica.registration.id.as_str()),
-            start.from_copy,
+            start.copy_of.is_some(),
             load.running,
             load.reading,
             load.memory,
@@ -222,7 +228,7 @@
     gateway: &Rc<Gateway<C>>,
     admitted: &Admitted,
     place: &Place<C>,
-    start: Start,
+    start: &Start,
     until: Instant,
 ) -> Result<Open, Fault> {
     let (address, lost) = {
@@ -286,7 +292,7 @@
     gateway: &Rc<Gateway<C>>,
     admitted: &Admitted,
     place: &Place<C>,
-    start: Start,
+    start: &Start,
     left: Duration,
     address: &str,
 ) -> Option<Request<Full<compio::bytes::Bytes>>> {
@@ -306,7 +312,7 @@
         team: admitted.team.as_deref(),
         rank: (admitted.capacity > 0).then_some(admitted.rank),
         replica: replica.map(|replica| replica.registration.address.as_str()),
-        copy_at: start.from_copy.then_some(address),
+        copy: start.copy_of.as_deref().map(|run| (address, run)),
         last_event: start.last_event,
     };
     P::attempt(request.headers_mut(), &sending);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::route::registry::Footprint;
+use crate::util::hash64;
 
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,6 +27,19 @@
 }
 
 impl Call {
+    /// Returns a digest that is the same for all attempts of a caller at one request.
+    pub fn digest(&self, path: &str) -> u64 {
+        let size = self.size.map_or((0, 0), |size| (size.prompt, size.output));
+        let mut parts = vec![path.to_owned(), format!("{size:?}")];
+        parts.extend(
+            self.parts
+                .iter()
+                .map(|part| format!("{}:{}", part.id, part.tokens)),
+        );
+        let parts: Vec<_> = parts.iter().map(String::as_bytes).collect();
+        hash64(&parts)
+    }
+
     /// Returns what the request is expected to take of an engine.
     pub fn footprint(&self) -> Footprint {
         let Some(size) = self.size else {
@@ -77,8 +91,8 @@
     pub rank: Option<u8>,
     /// Address of the engine that is to hold a replica of the run.
     pub replica: Option<&'a str>,
-    /// Address of the engine whose replica the run goes on from.
-    pub copy_at: Option<&'a str>,
+    /// Address of the engine whose replica the run goes on from, and the id of that run.
+    pub copy: Option<(&'a str, &'a str)>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod watch;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -29,6 +30,7 @@
 use crate::clock::{self, Clock};
 use crate::config::routes::Revision;
 use crate::http::server;
+use crate::relay::handover;
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
 use crate::route::registry::Registry;
@@ -90,6 +92,10 @@
     pub sampler: Rc<Sampler>,
     /// Given when the process was asked to stop.
     pub leaving: Signal,
+    /// Running streams with replicas, by digest.
+    pub own_streams: RefCell<BTreeMap<u64, handover::Stream>>,
+    /// Running streams of the other hosts.
+    pub streams_elsewhere: RefCell<handover::Streams>,
     /// Tasks of streams.
     pub streams: Group,
     /// Requests that were accepted and are not answered in full.
@@ -115,6 +121,8 @@
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
+            own_streams: RefCell::default(),
+            streams_elsewhere: RefCell::default(),
             streams: Group::default(),
             requests: server::Requests::default(),
             revision: RefCell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 use crate::http::problem::text_response;
 use crate::http::server;
 use crate::peer::roster::Roster;
+use crate::relay::handover;
 use crate::route::registry::{Load, Registration};
 use crate::supervisor::Signal;
 use crate::util::within;
@@ -36,6 +37,9 @@
 /// Greatest size of a report in bytes.
 const REPORT_BYTES_MAX: usize = 8192;
 
+/// Streams of one report, so that it stays below the greatest size.
+const STREAMS_MAX: usize = 64;
+
 /// Time for which a newer configuration of a peer is left to the directory.
 const REVISION_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -54,6 +58,8 @@
     revision: u64,
     /// Hosts that were heard lately.
     hosts: Vec<IpAddr>,
+    /// Running streams with replicas.
+    streams: Vec<handover::Stream>,
     /// Engine ids with requests, prompt tokens in reading, and tokens in memory.
     loads: Vec<(CompactString, u64, u64, u64)>,
 }
@@ -186,6 +192,8 @@
                 };
                 (id, load)
             });
+        let mut elsewhere = self.gateway.streams_elsewhere.borrow_mut();
+        elsewhere.reported(from.ip(), report.streams, now);
         let mut registry = self.gateway.registry.borrow_mut();
         registry.set_peer(from.ip(), report.number, loads.collect());
     }
@@ -201,6 +209,7 @@
                 .gateway
                 .revision()
                 .map_or(0, |revision| revision.version),
+            streams: self.own_streams(),
             hosts: self.roster.known().map(|host| host.ip()).collect(),
             loads: self
                 .gateway
@@ -221,6 +230,11 @@
         }
     }
 
+    fn own_streams(&self) -> Vec<handover::Stream> {
+        let own = self.gateway.own_streams.borrow();
+        own.values().take(STREAMS_MAX).cloned().collect()
+    }
+
     /// Reads a newer configuration from a peer if the directory does not bring it.
     async fn pull_newer(&mut self) {
         let now = self.gateway.clock.now();
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -97,10 +97,10 @@
 ) -> Result<(Response<Body>, bool), Fault> {
     let start = Start {
         last_event: admitted.call.last_event,
-        from_copy: false,
+        copy_of: None,
     };
     let until = admitted.deadline;
-    let open = attempt::open::<C, P>(gateway, admitted, &place, start, until).await?;
+    let open = attempt::open::<C, P>(gateway, admitted, &place, &start, until).await?;
     place.has_output();
     let Open {
         mut exchange,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use compio::bytes::Bytes;
 use futures_util::future::{Either, select};
 use hyper::Response;
@@ -17,7 +18,7 @@
 use crate::http::client::Exchange;
 use crate::http::problem::Reason;
 use crate::relay::events::{Position, Splitter};
-use crate::relay::silence;
+use crate::relay::{handover, silence};
 use crate::route::registry::{Engine, Need};
 use crate::supervisor::Signal;
 use crate::util::within;
@@ -45,8 +46,9 @@
     not_run: u32,
     /// Engines that are passed over.
     excluded: Vec<Engine>,
-    /// The engine that holds a replica of the broken run.
-    copy: Option<Engine>,
+    /// The engine that holds a replica of the broken run, and the id of that run.
+    copy: Option<(Engine, CompactString)>,
+    digest: u64,
 }
 
 /// An attempt whose events can be read.
@@ -80,14 +82,17 @@
     gateway: &Rc<Gateway<C>>,
     admitted: Admitted,
 ) -> Result<Response<Body>, Refused> {
+    let digest = admitted.call.digest(&admitted.path);
+    let copy = handed_over(gateway, &admitted, digest);
     let mut run = Run {
+        digest,
         position: Position::after(admitted.call.last_event),
         gateway: gateway.clone(),
         admitted,
         ran: 0,
         not_run: 0,
         excluded: Vec::new(),
-        copy: None,
+        copy,
     };
     let (open, place) = run.next::<P>().await?;
     let head = head_of(&open.exchange.head);
@@ -100,6 +105,34 @@
     head.body(body).map_err(|_| lost())
 }
 
+/// Returns the replica of a stream that the caller brings from another host.
+fn handed_over<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &Admitted,
+    digest: u64,
+) -> Option<(Engine, CompactString)> {
+    if !admitted.route.repeat.is_repeatable() || admitted.call.parts.is_empty() {
+        return None;
+    }
+    admitted.call.last_event?;
+    let now = gateway.clock.now();
+    let stream = gateway.streams_elsewhere.borrow_mut().take(digest, now)?;
+    let engine = gateway.registry.borrow().by_id(&stream.replica)?;
+    let pairs = format_args!("run={} replica={}", stream.run, stream.replica);
+    admitted.trace.note("handed_over", pairs);
+    Some((engine, stream.run))
+}
+
+impl<C: Clock> Drop for Run<C> {
+    fn drop(&mut self) {
+        let mut own = self.gateway.own_streams.borrow_mut();
+        let is_own = |stream: &handover::Stream| stream.run == self.admitted.call.id;
+        if own.get(&self.digest).is_some_and(is_own) {
+            own.remove(&self.digest);
+        }
+    }
+}
+
 fn lost() -> Refused {
     let detail = "the engine's answer was lost; ask for what is missing by the last event id";
     Refused::unknown(Reason::AnswerLost, detail)
@@ -114,8 +147,9 @@
             }
             let registry = &self.gateway.registry;
             let copy = self.copy.take();
-            let copy = copy.filter(|copy| registry.borrow().is_usable(*copy));
-            let Some(engine) = copy.or_else(|| self.choose()) else {
+            let copy = copy.filter(|(engine, _)| registry.borrow().is_usable(*engine));
+            let from = copy.as_ref().map(|(engine, _)| *engine);
+            let Some(engine) = from.or_else(|| self.choose()) else {
                 if self.excluded.is_empty() || !self.may_wait() {
                     return Err(self.refused());
                 }
@@ -128,11 +162,11 @@
             let place = Place::new(&self.gateway, engine, replica, footprint);
             let start = Start {
                 last_event: self.position.last(),
-                from_copy: copy.is_some(),
+                copy_of: copy.map(|(_, run)| run),
             };
             let until = self.head_limit(engine);
             let gateway = self.gateway.clone();
-            match attempt::open::<C, P>(&gateway, &self.admitted, &place, start, until).await {
+            match attempt::open::<C, P>(&gateway, &self.admitted, &place, &start, until).await {
                 Ok(open) if open.is_success => return Ok((open, place)),
                 Ok(open) => {
                     self.ran += 1;
@@ -146,7 +180,7 @@
                     if !self.admitted.route.repeat.is_repeatable() {
                         return Err(lost());
                     }
-                    self.copy = place.replica;
+                    self.copy = self.copy_of(&place);
                 }
             }
             self.excluded.push(engine);
@@ -156,6 +190,11 @@
         }
     }
 
+    fn copy_of(&self, place: &Place<C>) -> Option<(Engine, CompactString)> {
+        let run = self.admitted.call.id.clone();
+        place.replica.map(|replica| (replica, run))
+    }
+
     fn has_attempts(&self) -> bool {
         self.ran < self.admitted.route.attempts
     }
@@ -226,6 +265,7 @@
     }
 
     fn feed(&self, open: Open, place: Place<C>) -> Feed<C> {
+        self.announce(&place);
         let registry = self.gateway.registry.borrow();
         let state = registry.get(place.engine);
         Feed {
@@ -238,6 +278,23 @@
         }
     }
 
+    /// Tells the other hosts where the replica of this stream is, in case the caller comes to them.
+    fn announce(&self, place: &Place<C>) {
+        let registry = self.gateway.registry.borrow();
+        let replica = place.replica.and_then(|replica| registry.get(replica));
+        let mut own = self.gateway.own_streams.borrow_mut();
+        let Some(replica) = replica else {
+            own.remove(&self.digest);
+            return;
+        };
+        let stream = handover::Stream {
+            digest: self.digest,
+            run: self.admitted.call.id.clone(),
+            replica: replica.registration.id.clone(),
+        };
+        own.insert(self.digest, stream);
+    }
+
     /// Passes the events on, from one engine after the other.
     async fn relay<P: Protocol>(mut self, mut feed: Feed<C>, mut writer: Writer) {
         self.ran += 1;
@@ -275,7 +332,7 @@
                 return self.ended("not-resumable");
             }
             self.excluded = vec![broken];
-            self.copy = feed.place.replica;
+            self.copy = self.copy_of(&feed.place);
             // Closes the connection, which ends the run at an engine that still works.
             drop(feed);
             let next = {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -146,8 +146,8 @@
     if let Some(replica) = sending.replica {
         set(headers, REPLICA, replica);
     }
-    if let Some(copy_at) = sending.copy_at {
-        set(headers, COPY_FROM, &format!("{copy_at}/{}", sending.id));
+    if let Some((address, run)) = sending.copy {
+        set(headers, COPY_FROM, &format!("{address}/{run}"));
     }
     if let Some(last) = sending.last_event {
         set(headers, LAST_EVENT, &last.to_string());
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 pub mod event;
 pub mod events;
 pub mod generation;
+pub mod handover;
 pub mod killer;
 pub mod pace;
 pub mod silence;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -452,6 +452,61 @@
     });
 }
 
+/// Guards against a caller whose host is gone and whose prompt is read again at another host, though
+/// an engine holds a replica of its run.
+#[test]
+fn a_stream_goes_on_at_another_host() {
+    let engines: Vec<_> = (1..=2)
+        .map(|n| Engine::start(&format!("i-{n}"), |_| ok()))
+        .collect();
+    for engine in &engines {
+        engine.set_script(|request| match request.header("last-event-id") {
+            None => Act::Events(3, End::Trickle),
+            Some(_) => Act::Events(9, End::Complete),
+        });
+    }
+    let store = Store::start();
+    store.put("config", "main", config(3));
+    for (engine, domain) in engines.iter().zip(["fd-a", "fd-b"]) {
+        store.put("servers", &engine.id, engine.registration("model", domain));
+    }
+    let port = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+        .port();
+    let on = |ip: &str| {
+        settings(
+            &store.address,
+            &format!("seeds = 127.0.0.1:1\nports = {port},{port}"),
+        )
+        .replace("listen = 127.0.0.1:0", &format!("listen = {ip}:0"))
+    };
+    let (first, second) = (
+        Gateway::start(&on("127.0.0.1")),
+        Gateway::start(&on("127.0.0.2")),
+    );
+    wait_for("readiness", || first.is_ready() && second.is_ready());
+    let parts = "x-bilberrypost-prompt-prefix: aa:200,bb:800\r\n";
+    let headers = stream_headers("s1") + parts;
+    let mut stream = TcpStream::connect(&first.process.address).unwrap();
+    stream
+        .write_all(request("POST", "/stream/x", &headers, "prompt").as_bytes())
+        .unwrap();
+    let runs_at = |engine: &Engine| engine.arrivals() > 0;
+    wait_for("a run", || engines.iter().any(runs_at));
+    let replica = engines.iter().find(|engine| !runs_at(engine)).unwrap();
+    let copy = format!("{}/s1", replica.address);
+    wait_for("a run that goes on from the replica", || {
+        let headers = stream_headers("s2") + parts + "last-event-id: 3\r\n";
+        let answer = second.ask("POST", "/stream/x", &headers, "prompt").unwrap();
+        assert_eq!(answer.text(), events(4, 9));
+        let seen = replica.seen.lock().unwrap();
+        seen.iter()
+            .any(|request| request.header("kv-from") == Some(copy.as_str()))
+    });
+}
+
 /// Reads the log of a gateway that was stopped, and explains a request from it.
 fn explained(gateway: &mut Gateway, id: &str) -> (String, String) {
     gateway.process.terminate();
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -8,6 +8,7 @@
 use bilberrypost::config::routes::{Denied, Limits, Repeat, Revision, Route, Target, Team};
 use bilberrypost::peer::roster::Roster;
 use bilberrypost::relay::events::{Fault, Position, Splitter};
+use bilberrypost::relay::handover::{Stream, Streams};
 use bilberrypost::report::trace::{LINES_PER_S, Sampler};
 use bilberrypost::sched::retry::{Budget, Policy};
 use rand::rngs::StdRng;
@@ -182,6 +183,24 @@
     assert_eq!(roster.targets(later), [address(2)]);
 }
 
+/// Guards against a replica that is used twice, by another request, or after its engine dropped it.
+#[test]
+fn a_stream_of_another_host_is_taken_once() {
+    let host = "10.0.0.2".parse().unwrap();
+    let now = Instant::now();
+    let stream = |digest: u64| Stream {
+        digest,
+        run: "s1".into(),
+        replica: "i-2".into(),
+    };
+    let mut streams = Streams::default();
+    streams.reported(host, vec![stream(1), stream(2)], now);
+    assert_eq!(streams.take(3, now), None);
+    assert_eq!(streams.take(1, now), Some(stream(1)));
+    assert_eq!(streams.take(1, now), None);
+    assert_eq!(streams.take(2, now + Duration::from_secs(4)), None);
+}
+
 /// Guards against a flood that fills the log, and against a sampler that never keeps all again.
 #[test]
 fn the_log_is_bounded_in_a_flood() {
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -272,6 +272,8 @@
     Complete,
     /// Breaks off in the middle of the next event.
     HalfEvent,
+    /// Goes on with an event now and then until the connection closes.
+    Trickle,
     /// Falls silent, and the engine takes no connections any more.
     Dark,
 }
@@ -404,6 +406,16 @@
                         let _ = stream.write_all(b"8\r\nid: 9999\r\n");
                         return;
                     }
+                    End::Trickle => {
+                        for number in last + 1.. {
+                            std::thread::sleep(Duration::from_millis(20));
+                            let text = event(number);
+                            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                            if stream.write_all(chunk.as_bytes()).is_err() {
+                                return;
+                            }
+                        }
+                    }
                     End::Dark => {
                         // Closing the last handle of the listener needs its thread to wake up.
                         listener.lock().unwrap().take();
