--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,12 +59,10 @@
     pub failure_domain: CompactString,
     /// Address for callers, `IP:PORT`.
     pub listen: CompactString,
-    /// Address for the balancer's question, `IP:PORT`.
+    /// Address for the balancer's question and for metrics, `IP:PORT`.
     pub ready_listen: CompactString,
     /// Address for messages of other gateways, and those of gateways to ask at the start.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
-    /// Address for metrics, `IP:PORT`.
-    pub metrics_listen: Option<CompactString>,
     /// Address of the store, `IP:PORT`.
     pub store: CompactString,
     /// Time after the request to stop at which running streams are cut.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -193,7 +193,7 @@
                 (id, load)
             });
         let mut elsewhere = self.gateway.streams_elsewhere.borrow_mut();
-        elsewhere.reported(from.ip(), report.streams, now);
+        elsewhere.reported(report.streams, now);
         let mut registry = self.gateway.registry.borrow_mut();
         registry.set_peer(from.ip(), report.number, loads.collect());
     }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -100,7 +100,7 @@
         let was_lost = dependency.is_lost;
         let result = match at {
             None => list(&gateway, &directory, was_lost).await,
-            Some(from) => follow(&gateway, &directory, from, was_lost).await,
+            Some(from) => follow(&gateway, &directory, from).await,
         };
         match result {
             Ok(next) => {
@@ -139,7 +139,6 @@
     gateway: &Gateway<C>,
     directory: &D,
     from: u64,
-    _was_lost: bool,
 ) -> Result<u64, Unavailable> {
     let listing = directory.engine_changes(from, WATCH_WAIT).await?;
     unreadable("engines", listing.unreadable);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -55,24 +55,64 @@
     }
 }
 
+/// Decodes what was read; entries that cannot be read are counted.
+fn decoded<T, U>(batch: store::Batch<T>, decode: impl Fn(T) -> Entry<U>) -> Listing<U> {
+    let mut listing = Listing {
+        items: Vec::new(),
+        unreadable: batch.unreadable,
+        at: batch.at,
+    };
+    for item in batch.items {
+        match decode(item) {
+            Entry::Item(item) => listing.items.push(item),
+            Entry::Unreadable(item) => {
+                listing.unreadable += 1;
+                listing.items.extend(item);
+            }
+            Entry::Other => {}
+        }
+    }
+    listing
+}
+
+/// What an entry of the store holds.
+enum Entry<T> {
+    /// What was asked for.
+    Item(T),
+    /// Something that cannot be read, and what follows from it.
+    Unreadable(Option<T>),
+    /// Something else.
+    Other,
+}
+
+fn revision_of(object: &store::Object) -> Entry<Revision> {
+    if object.metadata.name != store::CONFIG_NAME {
+        return Entry::Other;
+    }
+    document::revision(&object.spec).map_or(Entry::Unreadable(None), Entry::Item)
+}
+
+fn registration_of(object: &store::Object) -> Entry<Registration> {
+    let registration = document::registration(&object.metadata.name, &object.spec);
+    registration.map_or(Entry::Unreadable(None), Entry::Item)
+}
+
+/// An entry that cannot be read any more names no engine, like one that was removed.
+fn change_of(change: store::Change) -> Entry<Change> {
+    let name = change.object.metadata.name.clone();
+    if change.removed {
+        return Entry::Item(Change::Removed(name));
+    }
+    match registration_of(&change.object) {
+        Entry::Item(registration) => Entry::Item(Change::Registered(registration)),
+        _ => Entry::Unreadable(Some(Change::Removed(name))),
+    }
+}
+
 impl protocol::Directory for store::Store {
     async fn revision(&self) -> Result<Listing<Revision>, Unavailable> {
         let batch = self.list(store::CONFIG).await?;
-        let mut listing = Listing {
-            items: Vec::new(),
-            unreadable: batch.unreadable,
-            at: batch.at,
-        };
-        for object in batch.items {
-            if object.metadata.name != store::CONFIG_NAME {
-                continue;
-            }
-            match document::revision(&object.spec) {
-                Ok(revision) => listing.items.push(revision),
-                Err(_) => listing.unreadable += 1,
-            }
-        }
-        Ok(listing)
+        Ok(decoded(batch, |object| revision_of(&object)))
     }
 
     async fn revision_changes(
@@ -81,21 +121,10 @@
         wait: Duration,
     ) -> Result<Listing<Revision>, Unavailable> {
         let batch = self.watch(store::CONFIG, from, wait).await?;
-        let mut listing = Listing {
-            items: Vec::new(),
-            unreadable: batch.unreadable,
-            at: batch.at,
-        };
-        for change in batch.items {
-            if change.removed || change.object.metadata.name != store::CONFIG_NAME {
-                continue;
-            }
-            match document::revision(&change.object.spec) {
-                Ok(revision) => listing.items.push(revision),
-                Err(_) => listing.unreadable += 1,
-            }
-        }
-        Ok(listing)
+        Ok(decoded(batch, |change| match change.removed {
+            true => Entry::Other,
+            false => revision_of(&change.object),
+        }))
     }
 
     fn decode_revision(&self, source: &str) -> Option<Revision> {
@@ -105,18 +134,7 @@
 
     async fn engines(&self) -> Result<Listing<Registration>, Unavailable> {
         let batch = self.list(store::ENGINES).await?;
-        let mut listing = Listing {
-            items: Vec::new(),
-            unreadable: batch.unreadable,
-            at: batch.at,
-        };
-        for object in batch.items {
-            match document::registration(&object.metadata.name, &object.spec) {
-                Some(registration) => listing.items.push(registration),
-                None => listing.unreadable += 1,
-            }
-        }
-        Ok(listing)
+        Ok(decoded(batch, |object| registration_of(&object)))
     }
 
     async fn engine_changes(
@@ -125,25 +143,6 @@
         wait: Duration,
     ) -> Result<Listing<Change>, Unavailable> {
         let batch = self.watch(store::ENGINES, from, wait).await?;
-        let mut listing = Listing {
-            items: Vec::new(),
-            unreadable: batch.unreadable,
-            at: batch.at,
-        };
-        for change in batch.items {
-            let name = change.object.metadata.name;
-            if change.removed {
-                listing.items.push(Change::Removed(name));
-                continue;
-            }
-            match document::registration(&name, &change.object.spec) {
-                Some(registration) => listing.items.push(Change::Registered(registration)),
-                None => {
-                    listing.unreadable += 1;
-                    listing.items.push(Change::Removed(name));
-                }
-            }
-        }
-        Ok(listing)
+        Ok(decoded(batch, change_of))
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,7 +16,6 @@
     "ready_listen",
     "seeds",
     "ports",
-    "metrics_listen",
     "store",
     "fail_closed",
     "drain_limit_s",
@@ -75,9 +74,6 @@
             }
         }
     };
-    let optional = |name: &str| -> Result<Option<CompactString>, Error> {
-        section.text(name).map(|_| address(name)).transpose()
-    };
     let seconds = |name: &str, default: f64| -> Result<Duration, Error> {
         let value: f64 = section.value(name, default)?;
         Duration::try_from_secs_f64(value).map_err(|_| {
@@ -92,7 +88,6 @@
         listen: address("listen")?,
         ready_listen: address("ready_listen")?,
         peers: peers(&section)?,
-        metrics_listen: optional("metrics_listen")?,
         store: address("store")?,
         drain_limit: grace.saturating_sub(EXIT_MARGIN),
         is_fail_closed: section.flag("fail_closed", false)?,
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -4,7 +4,6 @@
 //! within a fraction of a second, and reading its prompt again would take longer than its pause may.
 
 use std::collections::BTreeMap;
-use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -27,23 +26,23 @@
 /// The streams that other hosts reported last.
 #[derive(Debug, Default)]
 pub struct Streams {
-    // By digest, with the host that reported it and when.
-    known: BTreeMap<u64, (IpAddr, Instant, Stream)>,
+    // By digest, with the time of the last report that names it.
+    known: BTreeMap<u64, (Instant, Stream)>,
 }
 
 impl Streams {
     /// Takes over the streams of a host's report.
-    pub fn reported(&mut self, host: IpAddr, streams: Vec<Stream>, now: Instant) {
+    pub fn reported(&mut self, streams: Vec<Stream>, now: Instant) {
         self.known
-            .retain(|_, (_, at, _)| now.duration_since(*at) < REPLICA_FOR);
+            .retain(|_, (at, _)| now.duration_since(*at) < REPLICA_FOR);
         for stream in streams {
-            self.known.insert(stream.digest, (host, now, stream));
+            self.known.insert(stream.digest, (now, stream));
         }
     }
 
     /// Takes the stream of a request that a caller brings from another host.
     pub fn take(&mut self, digest: u64, now: Instant) -> Option<Stream> {
-        let (_, at, stream) = self.known.remove(&digest)?;
+        let (at, stream) = self.known.remove(&digest)?;
         (now.duration_since(at) < REPLICA_FOR).then_some(stream)
     }
 }
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -186,7 +186,6 @@
 /// Guards against a replica that is used twice, by another request, or after its engine dropped it.
 #[test]
 fn a_stream_of_another_host_is_taken_once() {
-    let host = "10.0.0.2".parse().unwrap();
     let now = Instant::now();
     let stream = |digest: u64| Stream {
         digest,
@@ -194,7 +193,7 @@
         replica: "i-2".into(),
     };
     let mut streams = Streams::default();
-    streams.reported(host, vec![stream(1), stream(2)], now);
+    streams.reported(vec![stream(1), stream(2)], now);
     assert_eq!(streams.take(3, now), None);
     assert_eq!(streams.take(1, now), Some(stream(1)));
     assert_eq!(streams.take(1, now), None);
