--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -412,6 +412,29 @@
     assert_eq!(gateway.process.wait(), Some(0));
 }
 
+/// Guards against a leaving host that takes a stream which it would have to cut, and that asks its
+/// caller back before the balancer sends it elsewhere, which uses up the caller's retries.
+#[test]
+fn a_leaving_host_asks_new_streams_back_later() {
+    let engine = Engine::start("i-1", |_| Act::Events(3, End::Trickle));
+    let (_store, gateway) = start(&[(&engine, "model", "fd-a")]);
+    let mut running = TcpStream::connect(&gateway.process.address).unwrap();
+    let headers = stream_headers("s1");
+    running
+        .write_all(request("POST", "/stream/x", &headers, "p").as_bytes())
+        .unwrap();
+    wait_for("a run", || engine.arrivals() == 1);
+    gateway.process.terminate();
+    wait_for("refusal of readiness", || !gateway.is_ready());
+    // Reading this prompt alone takes longer than the host has left.
+    let long = stream_headers("s2").replace("1000,70", "50000,70");
+    let answer = gateway.ask("POST", "/stream/x", &long, "p").unwrap();
+    assert_eq!(answer.status(), 503);
+    let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0, "{after}");
+    assert_eq!(engine.arrivals(), 1);
+}
+
 /// Guards against a host that cannot serve because the store turns it away while its peers know the
 /// configuration and the engines.
 #[test]
