Ask the store less often where more hosts share it

Engine changes gather for 50 ms for each host, 300 ms to 1 s; a host that hears three others waits 8 s for a configuration, as reports name newer ones.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -90,6 +90,8 @@
     pub sampler: Rc<Sampler>,
     /// Given when the process was asked to stop.
     pub leaving: Signal,
+    /// Other hosts that were heard lately.
+    pub peers: Cell<usize>,
     /// Running streams with replicas, by digest.
     pub own_streams: RefCell<BTreeMap<u64, handover::Stream>>,
     /// Running streams of the other hosts.
@@ -119,6 +121,7 @@
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
+            peers: Cell::default(),
             own_streams: RefCell::default(),
             streams_elsewhere: RefCell::default(),
             streams: Group::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -203,6 +203,7 @@
         let wall = crate::util::unix_ms(self.gateway.clock.wall());
         self.number = wall.max(self.number + 1);
         let targets = self.roster.targets(now);
+        self.gateway.peers.set(self.roster.known().count());
         let report = Report {
             number: self.number,
             revision: self
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -16,8 +16,36 @@
 /// below the 3 s after which a host counts as connected again.
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
 
-/// Time in which changes of engines gather before they are asked for again; each call is priced.
-const GATHER: Duration = Duration::from_millis(300);
+/// Longest wait for a new configuration where other hosts are heard, whose reports name a newer one.
+const WATCH_WAIT_WITH_PEERS: Duration = Duration::from_secs(8);
+
+/// Other hosts that must be heard for that, so that not all of them share one loss.
+const PEERS_MIN: usize = 3;
+
+/// Time for each host in which changes of engines gather before they are asked for again. Each call
+/// of each host is priced, so that more hosts ask less often.
+const GATHER_PER_HOST: Duration = Duration::from_millis(50);
+
+/// Shortest and longest such time. The longest leaves a second of the shortest time in which engines
+/// that leave must get nothing more.
+const GATHER: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1000));
+
+/// Returns how long changes of engines gather on one of `hosts` hosts.
+pub fn gather(hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let (shortest, longest) = GATHER;
+    GATHER_PER_HOST
+        .saturating_mul(hosts)
+        .clamp(shortest, longest)
+}
+
+/// Returns how long a host that hears `peers` others waits for a new configuration.
+pub fn revision_wait(peers: usize) -> Duration {
+    match peers >= PEERS_MIN {
+        true => WATCH_WAIT_WITH_PEERS,
+        false => WATCH_WAIT,
+    }
+}
 
 /// Time between two tries while the directory does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -63,7 +91,10 @@
     while !stop.is_given() {
         let answer = match at {
             None => directory.revision().await,
-            Some(from) => directory.revision_changes(from, WATCH_WAIT).await,
+            Some(from) => {
+                let wait = revision_wait(gateway.peers.get());
+                directory.revision_changes(from, wait).await
+            }
         };
         match answer {
             Ok(listing) => {
@@ -107,7 +138,7 @@
                 dependency.back();
                 at = Some(next);
                 gateway.registered();
-                within(GATHER, stop.wait()).await;
+                within(gather(gateway.peers.get() + 1), stop.wait()).await;
             }
             Err(Unavailable::HistoryGone) => at = None,
             Err(err) => {
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -183,6 +183,18 @@
     assert_eq!(roster.targets(later), [address(2)]);
 }
 
+/// Guards against hosts that learn of leaving engines too late, against a fleet whose calls to the
+/// store grow with its hosts, and against a host that hears nobody and notices a silent watch late.
+#[test]
+fn more_hosts_ask_the_store_less_often() {
+    use bilberrypost::gateway::watch::{gather, revision_wait};
+    assert_eq!(gather(1), Duration::from_millis(300));
+    assert!(gather(84) > gather(6));
+    assert!(gather(usize::MAX) <= Duration::from_millis(1000));
+    assert!(revision_wait(0) < Duration::from_secs(3));
+    assert!(revision_wait(5) > revision_wait(0));
+}
+
 /// Guards against a replica that is used twice, by another request, or after its engine dropped it.
 #[test]
 fn a_stream_of_another_host_is_taken_once() {
