Share the limit on repeats between backend calls and the gateway, and count calls to the store

The backend's own counter of repeats is gone: sched/retry.rs serves both, with the same bound in the same test. What runs on an engine is a module of its own. No decision of the gateway changed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,7 +15,8 @@
 use super::protocol::Protocol;
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
-use crate::route::registry::{Engine, Footprint};
+use crate::route::load::Footprint;
+use crate::route::registry::Engine;
 use crate::supervisor::Signal;
 use crate::util::within;
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::route::registry::Footprint;
+use crate::route::load::Footprint;
 use crate::util::hash64;
 
 /// What the head of a caller's request says.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -117,7 +117,7 @@
     pub fn new(clock: C, settings: Settings) -> Self {
         Self {
             registry: RefCell::new(Registry::new(clock.clone(), settings.name.clone())),
-            budget: RefCell::new(retry::Budget::new(settings.retries)),
+            budget: RefCell::new(retry::Budget::new(settings.retries.shared())),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -24,7 +24,8 @@
 use crate::http::server;
 use crate::peer::roster::Roster;
 use crate::relay::handover;
-use crate::route::registry::{Load, Registration};
+use crate::route::load::Load;
+use crate::route::registry::Registration;
 use crate::supervisor::Signal;
 use crate::util::within;
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -96,6 +96,7 @@
                 directory.revision_changes(from, wait).await
             }
         };
+        count(&gateway, "configuration_call", answer.as_ref().err());
         match answer {
             Ok(listing) => {
                 dependency.back();
@@ -133,6 +134,7 @@
             None => list(&gateway, &directory, was_lost).await,
             Some(from) => follow(&gateway, &directory, from).await,
         };
+        count(&gateway, "engines_call", result.as_ref().err());
         match result {
             Ok(next) => {
                 dependency.back();
@@ -192,6 +194,16 @@
     Ok(listing.at.max(from))
 }
 
+/// Counts a call to the directory.
+fn count<C: Clock>(gateway: &Gateway<C>, call: &'static str, err: Option<&Unavailable>) {
+    let outcome = match err {
+        None => "answered",
+        Some(Unavailable::HistoryGone) => "history-gone",
+        Some(Unavailable::NoAnswer(_)) => "no-answer",
+    };
+    gateway.metrics.decided(call, outcome);
+}
+
 fn unreadable(kind: &str, count: usize) {
     if count > 0 {
         warn!("event=entries_unreadable kind={kind} count={count}");
--- a/src/http/backend.rs
+++ b/src/http/backend.rs
@@ -31,6 +31,7 @@
 use crate::clock::{self, Clock};
 use crate::config::split::{Caller, Route, Split};
 use crate::router::Router;
+use crate::sched::retry;
 use crate::util::{hash64, unix_ms, within};
 use crate::wire::{Kind, Listing, Member, Work};
 
@@ -50,11 +51,13 @@
 /// Greatest size of an answer in bytes.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Repeats allowed for each call on average; bounds the extra load when every server fails.
-const REPEATS_PER_CALL: f64 = 0.1;
-
-/// Repeats that may be saved up.
-const REPEATS_MAX: f64 = 20.0;
+/// Repeats allowed; bounds the extra load when every server fails.
+const REPEATS: retry::Policy = retry::Policy {
+    ratio: 0.1,
+    slack: 20.0,
+    window: Duration::from_secs(10),
+    hosts: 1,
+};
 
 /// Names the caller's request on both hops; an answer that carries another value is discarded.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -106,8 +109,7 @@
     failure_domain: CompactString,
     servers: SlotMap<Server, State>,
     picks: u64,
-    // Invariant: between 0 and `REPEATS_MAX`.
-    repeats: f64,
+    repeats: retry::Budget,
 }
 
 impl<C: Clock> Servers<C> {
@@ -118,7 +120,7 @@
             failure_domain,
             servers: SlotMap::with_key(),
             picks: 0,
-            repeats: REPEATS_MAX / 2.0,
+            repeats: retry::Budget::new(REPEATS),
         }
     }
 
@@ -208,16 +210,16 @@
         }
     }
 
-    /// Notes a new call, which earns a part of a repeat.
-    pub fn earn(&mut self) {
-        self.repeats = (self.repeats + REPEATS_PER_CALL).min(REPEATS_MAX);
+    /// Notes a new call to a service.
+    pub fn arrived(&mut self, service: &str) {
+        let now = self.clock.now();
+        self.repeats.arrived(service, now);
     }
 
     /// Returns whether the budget allows one more repeat, and takes it.
-    pub fn spend(&mut self) -> bool {
-        let allowed = self.repeats >= 1.0;
-        self.repeats -= if allowed { 1.0 } else { 0.0 };
-        allowed
+    pub fn spend(&mut self, service: &str) -> bool {
+        let now = self.clock.now();
+        self.repeats.spend(service, now)
     }
 }
 
@@ -338,14 +340,14 @@
 
 /// Runs an idempotent call; a failed or slow attempt is repeated within the budget.
 async fn repeatable(servers: &Shared, call: &Call) -> Attempt {
-    servers.borrow_mut().earn();
+    servers.borrow_mut().arrived(&call.route.service);
     let mut running = FuturesUnordered::new();
     let mut tried = Vec::new();
     let mut last = Attempt::NotRun("the service has no server".into());
     loop {
         let in_time = Instant::now() < call.deadline;
         let may_start = tried.len() < ATTEMPTS_MAX && in_time;
-        if may_start && (tried.is_empty() || servers.borrow_mut().spend()) {
+        if may_start && (tried.is_empty() || servers.borrow_mut().spend(&call.route.service)) {
             let begun = servers.borrow_mut().begin(&call.route.service, &tried);
             if let Some((server, address)) = begun {
                 tried.push(server);
@@ -690,8 +692,8 @@
     fn repeats_are_bounded() {
         let mut servers = Servers::new(Manual::default(), "fd-a".into());
         let repeats = (0..1000).filter(|_| {
-            servers.earn();
-            servers.spend()
+            servers.arrived("booking");
+            servers.spend("booking")
         });
         let repeats = repeats.count();
         assert!((100..=120).contains(&repeats), "{repeats}");
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cache;
 pub mod fleet;
+pub mod load;
 pub mod poll;
 pub mod prefix;
 pub mod registry;
--- a/src/sched/retry.rs
+++ b/src/sched/retry.rs
@@ -11,8 +11,8 @@
 /// Slices that a window is counted in.
 const SLICES: u32 = 10;
 
-/// Part of the allowed ratio that is used, as windows of the judge and of this host differ.
-const RATIO_USED: f64 = 0.8;
+/// Part of a limit over all hosts that they use together, as each counts in windows of its own.
+const PART_USED: f64 = 0.8;
 
 /// Limits that hold over all hosts.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +27,18 @@
     pub hosts: u32,
 }
 
+impl Policy {
+    /// Returns the policy with which hosts that know only their own sends keep this one together.
+    #[must_use]
+    pub fn shared(self) -> Self {
+        Self {
+            ratio: self.ratio * PART_USED,
+            slack: self.slack * PART_USED,
+            ..self
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Slice {
     since: Instant,
@@ -63,8 +75,8 @@
         let slices = &self.services[service];
         let first: u32 = slices.iter().map(|slice| slice.first).sum();
         let repeated: u32 = slices.iter().map(|slice| slice.repeated).sum();
-        let allowed = f64::from(first) * policy.ratio * RATIO_USED
-            + policy.slack * RATIO_USED / f64::from(policy.hosts.max(1));
+        let allowed =
+            f64::from(first) * policy.ratio + policy.slack / f64::from(policy.hosts.max(1));
         if f64::from(repeated + 1) > allowed {
             return false;
         }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bilberrypost::clock::Manual;
-use bilberrypost::route::registry::{Engine, Footprint, Load, Need, Registration, Registry};
+use bilberrypost::route::load::{Footprint, Load};
+use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
 use compact_str::{CompactString, format_compact};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
