Bound times and numbers from outside

A deadline header of or a configured time of 1e300 ended the task that read it: seconds were turned into durations without a check. Reports with absurd loads no longer overflow either.

--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -69,8 +69,12 @@
 impl Route {
     /// Returns the service for a draw from 0 up to 1.
     pub fn service(&self, draw: f64) -> &CompactString {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut left = draw * f64::from(total);
+        let total: f64 = self
+            .targets
+            .iter()
+            .map(|target| f64::from(target.weight))
+            .sum();
+        let mut left = draw * total;
         for target in &self.targets {
             left -= f64::from(target.weight);
             if left < 0.0 {
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -120,6 +120,9 @@
 /// Longest pause of a stream that is on time where a route names none.
 const PAUSE_DEFAULT: Duration = Duration::from_secs(1);
 
+/// Longest time that a configuration can ask for, so that instants never overflow.
+const TIME_MAX: Duration = Duration::from_secs(24 * 3600);
+
 /// Weights are rounded to parts of this size.
 const WEIGHT_SCALE: f64 = 1000.0;
 
@@ -151,8 +154,8 @@
         Limits {
             head_bytes: limits.max_header_bytes,
             body_bytes: limits.max_body_bytes,
-            head_timeout: Duration::from_millis(limits.header_timeout_ms),
-            idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+            head_timeout: whole_millis(limits.header_timeout_ms),
+            idle_timeout: whole_millis(limits.idle_timeout_ms),
         },
         document.routes.into_iter().filter_map(route).collect(),
         services.collect::<BTreeMap<_, _>>(),
@@ -162,8 +165,16 @@
     Ok(revision)
 }
 
+/// Returns a time in milliseconds, at most [`TIME_MAX`].
 fn millis(value: Option<f64>, default: Duration) -> Duration {
-    value.map_or(default, |ms| Duration::from_secs_f64(ms.max(0.0) / 1000.0))
+    value.map_or(default, |ms| {
+        Duration::try_from_secs_f64(ms.max(0.0) / 1000.0)
+            .map_or(TIME_MAX, |time| time.min(TIME_MAX))
+    })
+}
+
+fn whole_millis(ms: u64) -> Duration {
+    Duration::from_millis(ms).min(TIME_MAX)
 }
 
 /// Returns `None` for a route without any service.
@@ -192,7 +203,7 @@
             RouteType::Streaming if document.stream_resume => Repeat::ResumableStream,
             RouteType::Streaming => Repeat::Stream,
         },
-        timeout: Duration::from_millis(document.timeout_ms),
+        timeout: whole_millis(document.timeout_ms),
         target: millis(document.target_latency_ms, TARGET_DEFAULT),
         pause: millis(document.target_gap_ms, PAUSE_DEFAULT),
         rank: document.priority,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -57,6 +57,9 @@
 /// Longest wait of a caller that names none.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 
+/// Longest wait that is taken over; a longer one is the same as this.
+const DEADLINE_MAX: Duration = Duration::from_secs(24 * 3600);
+
 /// Least urgent rank that engines know.
 const RANK_MAX: u8 = 9;
 
@@ -88,7 +91,10 @@
 
 fn millis(text: &str) -> Option<Duration> {
     let ms: f64 = text.trim().parse().ok()?;
-    (ms.is_finite() && ms >= 0.0).then(|| Duration::from_secs_f64(ms / 1000.0))
+    let is_time = ms.is_finite() && ms >= 0.0;
+    is_time.then(|| {
+        Duration::try_from_secs_f64(ms / 1000.0).map_or(DEADLINE_MAX, |wait| wait.min(DEADLINE_MAX))
+    })
 }
 
 fn size(text: &str) -> Option<Size> {
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -112,7 +112,7 @@
         let Some(id) = event.id else {
             return Ok(());
         };
-        if self.0.is_some_and(|last| id != last + 1) {
+        if self.0.is_some_and(|last| last.checked_add(1) != Some(id)) {
             return Err(Fault::Order);
         }
         self.0 = Some(id);
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -44,8 +44,8 @@
 impl Load {
     /// Adds what another host runs there.
     pub fn add(&mut self, other: &Self) {
-        self.running += other.running;
-        self.reading += other.reading;
-        self.memory += other.memory;
+        self.running = self.running.saturating_add(other.running);
+        self.reading = self.reading.saturating_add(other.reading);
+        self.memory = self.memory.saturating_add(other.memory);
     }
 }
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -278,7 +278,7 @@
             .filter(|(_, state)| state.has_room(need) && !self.is_suspect(state))
             .min_by_key(|(_, state)| {
                 let load = state.all();
-                (load.memory + load.reading, state.order)
+                (load.memory.saturating_add(load.reading), state.order)
             })
             .map(|(key, _)| key)
     }
@@ -307,7 +307,8 @@
         let recent = |at: &&Instant| now.duration_since(**at) < FAILURE_FOR;
         let failures = state.failures.iter().filter(recent).count() as u64;
         let load = state.all();
-        load.reading / TOKENS_PER_RUN + load.running + failures * FAILURE_WEIGHT
+        let runs = load.running.saturating_add(failures * FAILURE_WEIGHT);
+        runs.saturating_add(load.reading / TOKENS_PER_RUN)
     }
 
     /// Returns whether an engine may get requests.
@@ -569,7 +570,7 @@
         }
         let planned = u64::from(need.capacity) * MEMORY_PERCENT / 100;
         let load = self.all();
-        load.memory + need.footprint.memory() <= planned
+        load.memory.saturating_add(need.footprint.memory()) <= planned
             && load.running < u64::from(self.registration.slots)
     }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -76,6 +76,25 @@
     assert_eq!(registry.choose(&need(&[])), Some(second));
 }
 
+/// Guards against a report with absurd numbers that ends the process.
+#[test]
+fn absurd_reports_are_survived() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    let absurd = Load {
+        running: u64::MAX,
+        reading: u64::MAX,
+        memory: u64::MAX,
+    };
+    for host in ["127.0.0.1", "127.0.0.2"] {
+        registry.set_peer(host.parse().unwrap(), 1, vec![("a".into(), absurd)]);
+    }
+    let chosen = registry.choose(&need(&[])).unwrap();
+    assert_eq!(Some(chosen), registry.by_id("b"));
+    registry.begin(registry.by_id("a").unwrap(), SMALL);
+    assert_eq!(registry.choose_replica(&need(&[]), chosen), None);
+}
+
 /// Guards against a replica in the failure domain of its run, or on an engine that leaves or has no
 /// room.
 #[test]
