--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -121,9 +121,7 @@
     let (_store, gateway) = start(&[(&one, "app", "fd-a"), (&two, "app", "fd-b")]);
     for number in 0..8 {
         assert_eq!(
-            gateway
-                .call("GET", "/any/x", &format!("any{number}"), "")
-                .status(),
+            gateway.status("GET", "/any/x", &format!("any{number}"), ""),
             200
         );
     }
@@ -143,9 +141,7 @@
     let (_store, gateway) = start(&[(&full, "app", "fd-a"), (&free, "app", "fd-b")]);
     for number in 0..6 {
         assert_eq!(
-            gateway
-                .call("POST", "/once/x", &format!("r{number}"), "b")
-                .status(),
+            gateway.status("POST", "/once/x", &format!("r{number}"), "b"),
             200
         );
     }
@@ -292,7 +288,7 @@
         status("GET", "/open/x", "x-bilberrypost-attempt-id: g\r\n", ""),
         200
     );
-    assert_eq!(gateway.call("POST", "/once/x", "h", "fine").status(), 200);
+    assert_eq!(gateway.status("POST", "/once/x", "h", "fine"), 200);
 }
 
 /// Guards against a second request that is smuggled inside the body of the first.
@@ -308,7 +304,7 @@
         inner.len()
     );
     let _ = exchange(&gateway.process.address, &text);
-    assert_eq!(gateway.call("POST", "/once/x", "r2", "next").status(), 200);
+    assert_eq!(gateway.status("POST", "/once/x", "r2", "next"), 200);
     let seen = app.seen.lock().unwrap();
     let is_smuggled = |message: &Message| message.first_line.contains("smuggled");
     assert!(!seen.iter().any(is_smuggled), "{seen:?}");
@@ -322,12 +318,12 @@
     let store = Store::start();
     let gateway = Gateway::start(&settings(&store.address, ""));
     assert!(!gateway.is_ready());
-    assert_eq!(gateway.call("POST", "/once/x", "early", "").status(), 503);
+    assert_eq!(gateway.status("POST", "/once/x", "early", ""), 503);
     store.put("config", "main", config(3));
     store.put("servers", &app.id, app.registration("app", "fd-a"));
     wait_for("readiness", || gateway.is_ready());
     wait_for("an answer", || {
-        gateway.call("POST", "/once/x", "r1", "").status() == 200
+        gateway.status("POST", "/once/x", "r1", "") == 200
     });
     store.put("config", "main", config(2));
     store.set_mood(Mood::Forgetful);
@@ -335,13 +331,11 @@
     let mut without_key = config(9);
     without_key["tenants"][0]["api-keys"] = json!(["another"]);
     store.put("config", "main", without_key);
-    wait_for("401", || {
-        gateway.call("POST", "/once/x", "r2", "").status() == 401
-    });
+    wait_for("401", || gateway.status("POST", "/once/x", "r2", "") == 401);
     store.put("config", "main", config(5));
     let looked = store.calls();
     wait_for("another look", || store.calls() > looked + 3);
-    assert_eq!(gateway.call("POST", "/once/x", "r3", "").status(), 401);
+    assert_eq!(gateway.status("POST", "/once/x", "r3", ""), 401);
 }
 
 /// Guards against requests to engines that say that they leave, that vanished, or whose entry
@@ -361,9 +355,7 @@
             let before = engine.arrivals();
             for number in 0..4 {
                 assert_eq!(
-                    gateway
-                        .call("GET", "/any/x", &format!("r{number}"), "")
-                        .status(),
+                    gateway.status("GET", "/any/x", &format!("r{number}"), ""),
                     200
                 );
             }
@@ -380,9 +372,7 @@
     store.set_mood(Mood::Busy);
     for number in 0..10 {
         assert_eq!(
-            gateway
-                .call("POST", "/once/x", &format!("o{number}"), "")
-                .status(),
+            gateway.status("POST", "/once/x", &format!("o{number}"), ""),
             200
         );
     }
@@ -464,14 +454,14 @@
     away.set_mood(Mood::Busy);
     let cut_off = Gateway::start(&on("127.0.0.2", &away.address));
     wait_for("readiness by a peer", || cut_off.is_ready());
-    assert_eq!(cut_off.call("POST", "/once/x", "r1", "b").status(), 200);
+    assert_eq!(cut_off.status("POST", "/once/x", "r1", "b"), 200);
     store.put("config", "main", {
         let mut next = config(4);
         next["tenants"][0]["api-keys"] = json!(["another"]);
         next
     });
     wait_for("a newer configuration", || {
-        cut_off.call("POST", "/once/x", "r2", "").status() == 401
+        cut_off.status("POST", "/once/x", "r2", "") == 401
     });
 }
 
@@ -579,7 +569,7 @@
 fn the_log_explains_an_unknown_outcome() {
     let app = Engine::start("i-1", |_| Act::Drop);
     let (_store, mut gateway) = start(&[(&app, "app", "fd-a")]);
-    assert_eq!(gateway.call("POST", "/once/x", "r1", "b").status(), 502);
+    assert_eq!(gateway.status("POST", "/once/x", "r1", "b"), 502);
     let (_, told) = explained(&mut gateway, "r1");
     assert!(
         told.contains("engine=i-1 fault=lost work=unknown"),
@@ -605,10 +595,7 @@
     for number in 0..600 {
         gateway.call("GET", "/any/x", &format!("flood{number}"), "");
     }
-    assert_eq!(
-        gateway.call("POST", "/once/refused", "r1", "b").status(),
-        503
-    );
+    assert_eq!(gateway.status("POST", "/once/refused", "r1", "b"), 503);
     let (log, told) = explained(&mut gateway, "r1");
     assert!(told.contains("event=admitted"), "{told}");
     assert!(
@@ -629,7 +616,7 @@
         let refused = gateway.ask("GET", "/any/x", &headers, "").unwrap();
         assert_eq!(refused.status(), 401);
     }
-    assert_eq!(gateway.call("POST", "/once/x", "last", "b").status(), 200);
+    assert_eq!(gateway.status("POST", "/once/x", "last", "b"), 200);
 }
 
 /// Guards against dependencies that are lost or come back without a line, or with many.
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -498,6 +498,11 @@
         exchange(&self.process.address, &request(method, path, headers, body))
     }
 
+    /// Sends a request with the team's key and returns the status of the answer.
+    pub fn status(&self, method: &str, path: &str, id: &str, body: &str) -> u16 {
+        self.call(method, path, id, body).status()
+    }
+
     /// Sends a request with the team's key and returns the answer.
     pub fn call(&self, method: &str, path: &str, id: &str, body: &str) -> Message {
         let headers = format!(
