Keep an urgent flood within the places of its own partner

Cause: urgent work of a partner was chosen before granted places of others were looked at, and waited in the engines' own queues beyond its grant, so that each place that others freed was taken by it. Routine work within its grant also left an eighth of all places to urgent callers of other partners.

Change: urgent work goes first, and into the engines' queues, only while its partner is within its places, or holds fewer than four; work within granted places is compared with callers of its own partner only.

--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -7,7 +7,7 @@
 use slotmap::SlotMap;
 
 use super::lease::{Class, Demand, Grant, Want};
-use super::tree::{Node, Path, Place, Tree};
+use super::tree::{Among, Node, Path, Place, Tree};
 use super::work::{Refusal, Scope, Start, Ticket, Work};
 use crate::clock::Clock;
 use crate::config::host::{Order, Preemption};
@@ -447,12 +447,21 @@
 
     /// Returns whether work leaves places to others that would else wait for the end of a
     /// generation: callers above their share, and routine work while urgent callers are active.
+    ///
+    /// Within granted places only the callers of the same partner are compared, as the grant has
+    /// settled what is between partners.
     fn gives_way(&self, pool: &Pool, ticket: Ticket) -> bool {
         let item = &self.items[ticket];
-        self.order == Order::Fair
-            && pool.priority(item.work.rank) == item.work.rank
-            && (pool.tree.is_over_share(item.caller)
-                || item.work.rank == Rank::Routine && pool.tree.is_active(Rank::Urgent))
+        let class = class(&item.work);
+        if self.order != Order::Fair || pool.priority(class.rank) != class.rank {
+            return false;
+        }
+        let among = match self.grant.is_some() && self.has_own_place(&class) {
+            true => Among::Partner,
+            false => Among::All,
+        };
+        pool.tree.is_over_share(item.caller, among)
+            || class.rank == Rank::Routine && pool.tree.is_urgent_active(item.caller, among)
     }
 
     fn head_below_share(&self, pool: &Pool) -> Option<Ticket> {
@@ -480,9 +489,11 @@
         if gives_way && !self.has_lent_place(Room::Spare) {
             return None;
         }
-        // The engines' queues know no shares.
+        // The engines' queues know no shares, so work beyond its partner's places stays out of them.
+        let class = class(work);
         let may_queue = priority == Rank::Urgent
             && !gives_way
+            && (self.has_own_place(&class) || self.may_go_first(&class))
             && self.order == Order::Fair
             && self.preemption != Preemption::Wait;
         let free = match gives_way {
@@ -500,18 +511,29 @@
 
     /// Returns the request that is next by rank, places of the grant, and share.
     fn head_of(&self, pool: &Pool) -> Option<Ticket> {
-        // Urgent work may exceed the grant a little, as it cannot wait for the next one.
-        let may_exceed = |class: &Class| {
-            class.rank == Rank::Urgent
-                && (self.has_own_place(class) || self.has_lent_place(Room::Queue(URGENT_QUEUED)))
-        };
         let is_urgent_due = !pool.tree.is_floor_due();
-        let urgent = is_urgent_due.then(|| self.head(pool, may_exceed)).flatten();
+        let first = |class: &Class| class.rank == Rank::Urgent && self.may_go_first(class);
+        let urgent = is_urgent_due.then(|| self.head(pool, first)).flatten();
         urgent
             .or_else(|| self.head(pool, |class| self.has_own_place(class)))
             .or_else(|| self.head(pool, |_| self.has_lent_place(Room::Free)))
     }
 
+    /// Returns whether urgent work goes before work of other partners that has granted places: it
+    /// may use all places of its own partner, and a few without any, as it cannot wait for the next
+    /// grant. With more, a flood of it would take the places of the others.
+    fn may_go_first(&self, class: &Class) -> bool {
+        let Some(grant) = &self.grant else {
+            return true;
+        };
+        let is_own = |other: &Class| other.partner == class.partner;
+        let places = grant.places.iter().filter(|(other, _)| is_own(other));
+        let places: u32 = places.map(|(_, places)| *places).sum();
+        let in_use = self.classes.iter().filter(|(other, _)| is_own(other));
+        let in_use: u32 = in_use.map(|(_, want)| want.in_use).sum();
+        in_use < places.max(URGENT_QUEUED)
+    }
+
     fn head(&self, pool: &Pool, may_run: impl Fn(&Class) -> bool) -> Option<Ticket> {
         let next = pool.tree.next(|rank, partner| {
             let partner = partner.clone();
--- a/src/sched/tree.rs
+++ b/src/sched/tree.rs
@@ -60,7 +60,7 @@
     ready_weight: f64,
     // Requests of a caller that wait or run.
     held: u32,
-    // Requests that run, of callers and ranks.
+    // Requests that run, of callers, partners and ranks.
     running: u32,
     // Invariant: for a caller whether it counts as active, for others the number of active
     // children.
@@ -75,6 +75,15 @@
     work: f64,
 }
 
+/// Callers that one caller is compared with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Among {
+    /// Those of its partner.
+    Partner,
+    /// Those of all partners.
+    All,
+}
+
 /// A place in the order of requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Place {
@@ -264,8 +273,9 @@
         let Some(team) = self.nodes.get(caller).map(|state| state.parent) else {
             return;
         };
-        let rank = self.nodes[self.nodes[team].parent].parent;
-        for node in [caller, rank] {
+        let partner = self.nodes[team].parent;
+        let rank = self.nodes[partner].parent;
+        for node in [caller, partner, rank] {
             let running = &mut self.nodes[node].running;
             *running = match starts {
                 true => *running + 1,
@@ -293,17 +303,32 @@
         }
     }
 
-    /// Returns whether a rank has an active caller.
-    pub fn is_active(&self, rank: Rank) -> bool {
-        self.nodes[self.ranks[rank_index(rank)]].active > 0
+    /// Returns whether a caller has active urgent callers beside it.
+    pub fn is_urgent_active(&self, caller: Node, among: Among) -> bool {
+        let urgent = &self.nodes[self.ranks[rank_index(Rank::Urgent)]];
+        if among == Among::All {
+            return urgent.active > 0;
+        }
+        let partner = &self.nodes[self.partner_of(caller)];
+        let same = urgent.children.get(&partner.name);
+        same.is_some_and(|same| self.nodes[*same].active > 0)
+    }
+
+    fn partner_of(&self, caller: Node) -> Node {
+        self.nodes[self.nodes[caller].parent].parent
     }
 
-    /// Returns whether a caller runs clearly more than its part of what its rank runs.
-    pub fn is_over_share(&self, caller: Node) -> bool {
+    /// Returns whether a caller runs clearly more than its part of what runs of its rank.
+    pub fn is_over_share(&self, caller: Node, among: Among) -> bool {
         let running = f64::from(self.nodes[caller].running);
         let mut part = 1.0;
         let mut node = caller;
-        while !self.ranks.contains(&node) {
+        let partner = self.partner_of(caller);
+        let top = match among {
+            Among::All => self.nodes[partner].parent,
+            Among::Partner => partner,
+        };
+        while node != top {
             let state = &self.nodes[node];
             let parent = &self.nodes[state.parent];
             part *= state.weight / parent.active_weight.max(state.weight);
