Let representatives watch the store, and exchange summaries between failure domains

Change: two representatives of each failure domain, by rendezvous hashing over the hosts that are heard, watch the store. The others ask one of them for changes (gateway/feed.rs, follow.rs), then those of other domains, and the store itself only if none of them reaches it (peer/sources.rs). Hosts of a fleet of up to 24 report to each other; above that each reports to its failure domain, and the first representatives exchange summaries (peer/roster.rs, report.rs). Reports are binary (postcard) and name engines by digest. Tries during an outage slow down. The slack of repeats is divided by the hosts that are known. A host that is named by others only is forgotten after 3 s; before, hosts could keep each other's memory of it.

Also: ages of configuration and engines and the number of hosts as metrics; a seed that is no address is an error; what platform/settings.rs decided moved to gateway/ and sched/retry.rs.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,8 @@
 pub mod attempt;
 pub mod call;
 pub mod check;
+pub mod feed;
+pub mod follow;
 pub mod front;
 pub mod peers;
 pub mod plain;
@@ -37,6 +39,7 @@
 use crate::sched::retry;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::within;
+use follow::Duty;
 use front::Front;
 use protocol::{Directory, Protocol};
 use ready::Ready;
@@ -44,6 +47,9 @@
 /// Time after the request to stop in which the balancer still sends new connections.
 const BALANCER_LAG: Duration = Duration::from_millis(2300);
 
+/// Time before the host is killed in which the last streams are given up.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
 /// Time in which a host that starts usually reads its configuration.
 const STARTING: Duration = Duration::from_millis(500);
 
@@ -65,7 +71,7 @@
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     /// Address of the store, `IP:PORT`.
     pub store: CompactString,
-    /// Time after the request to stop at which running streams are cut.
+    /// Time after the request to stop at which the process is killed.
     pub drain_limit: Duration,
     /// Whether a host that cannot confirm its configuration refuses requests with keys.
     pub is_fail_closed: bool,
@@ -90,8 +96,12 @@
     pub sampler: Rc<Sampler>,
     /// Given when the process was asked to stop.
     pub leaving: Signal,
-    /// Other hosts that were heard lately.
-    pub peers: Cell<usize>,
+    /// Identity of the process, for hosts that follow it.
+    pub process: u64,
+    /// Whether this host watches the store, and whom it follows otherwise.
+    pub duty: Duty,
+    /// Given at the next change of the configuration or the engines, and then replaced.
+    pub news: RefCell<Signal>,
     /// Running streams with replicas, by digest.
     pub own_streams: RefCell<BTreeMap<u64, handover::Stream>>,
     /// Running streams of the other hosts.
@@ -106,6 +116,8 @@
     confirmed_at: Cell<Option<Instant>>,
     started_at: Instant,
     has_engines: Cell<bool>,
+    // Kinds of calls to the store that failed the last time.
+    failing_calls: Cell<usize>,
     // When the directory last told what is known of engines.
     directory_at: Cell<Option<Instant>>,
     // When running work is cut, once the process was asked to stop.
@@ -121,7 +133,10 @@
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
-            peers: Cell::default(),
+            process: rand::random(),
+            duty: Duty::default(),
+            news: RefCell::default(),
+            failing_calls: Cell::default(),
             own_streams: RefCell::default(),
             streams_elsewhere: RefCell::default(),
             streams: Group::default(),
@@ -143,28 +158,64 @@
     }
 
     /// Puts a revision into force if it is newer; returns whether it is.
-    pub fn set_revision(&self, revision: Revision) -> bool {
+    pub fn set_revision(&self, revision: Revision, from: &str) -> bool {
         let known = self.revision.borrow().as_ref().map(|known| known.version);
-        if known.is_some_and(|known| known >= revision.version) {
+        let version = revision.version;
+        if known.is_some_and(|known| known >= version) {
             return false;
         }
-        self.metrics.set_revision(revision.version);
+        info!("event=revision version={version} from={from}");
+        self.metrics.set_revision(version);
         *self.revision.borrow_mut() = Some(Rc::new(revision));
+        self.note_news();
         true
     }
 
-    /// Notes that the directory answered about the revision in force.
-    pub fn confirm_revision(&self) {
-        self.confirmed_at.set(Some(self.clock.now()));
+    /// Takes over a configuration that another host read; returns whether it is newer.
+    pub fn take_revision<D: Directory>(&self, directory: &D, source: &str, from: &str) -> bool {
+        match directory.decode_revision(source) {
+            Some(revision) => self.set_revision(revision, from),
+            None => {
+                warn!("event=revision_unreadable from={from}");
+                false
+            }
+        }
+    }
+
+    /// Wakes the hosts that follow this one.
+    pub fn note_news(&self) {
+        self.news.take().give();
+    }
+
+    /// Notes that the revision in force was the newest one `age` ago.
+    pub fn confirm(&self, age: Duration) {
+        let at = self.clock.now().checked_sub(age);
+        self.confirmed_at.set(self.confirmed_at.get().max(at));
     }
 
-    /// Notes that the engines are known.
-    pub fn registered(&self) {
+    /// Notes that the engines are known as they were `age` ago.
+    pub fn registered(&self, age: Duration) {
+        let at = self.clock.now().checked_sub(age);
         self.has_engines.set(true);
-        self.directory_at.set(Some(self.clock.now()));
+        self.directory_at.set(self.directory_at.get().max(at));
         self.metrics.set_engines(self.registry.borrow().len());
     }
 
+    /// Notes that calls of one kind to the store began to fail, or work again.
+    pub fn set_failing(&self, is_failing: bool) {
+        let failing = self.failing_calls.get();
+        self.failing_calls.set(match is_failing {
+            true => failing + 1,
+            false => failing.saturating_sub(1),
+        });
+    }
+
+    /// Returns whether this host learned everything from the store, and its last calls worked.
+    pub fn reaches_store(&self) -> bool {
+        let has_read = self.directory_at.get().is_some() && self.confirmed_at.get().is_some();
+        has_read && self.failing_calls.get() == 0
+    }
+
     /// Returns whether keys may have been taken away without this host's knowledge, where such a
     /// host has to refuse.
     pub fn is_closed(&self) -> bool {
@@ -175,10 +226,23 @@
 
     /// Returns the age of what the directory told about engines.
     pub fn directory_age(&self) -> Duration {
-        let now = self.clock.now();
-        self.directory_at
-            .get()
-            .map_or(Duration::MAX, |at| now.duration_since(at))
+        self.age_of(self.directory_at.get())
+    }
+
+    /// Returns the time since the configuration was confirmed.
+    pub fn configuration_age(&self) -> Duration {
+        self.age_of(self.confirmed_at.get())
+    }
+
+    fn age_of(&self, at: Option<Instant>) -> Duration {
+        at.map_or(Duration::MAX, |at| self.clock.now().duration_since(at))
+    }
+
+    /// Returns the metrics as text.
+    pub fn metrics_text(&self) -> String {
+        self.metrics
+            .set_ages(self.configuration_age(), self.directory_age());
+        self.metrics.text()
     }
 
     /// Returns whether work that takes `expected` can end before this host does.
@@ -207,7 +271,7 @@
         let Some(ends_at) = self.ends_at.get() else {
             return Duration::ZERO;
         };
-        let lasts = self.settings.drain_limit.saturating_sub(BALANCER_LAG);
+        let lasts = self.drain_limit().saturating_sub(BALANCER_LAG);
         ends_at
             .checked_sub(lasts)
             .map_or(Duration::ZERO, |closes_at| {
@@ -215,8 +279,13 @@
             })
     }
 
+    /// Returns the time after the request to stop at which running streams are cut.
+    fn drain_limit(&self) -> Duration {
+        self.settings.drain_limit.saturating_sub(EXIT_MARGIN)
+    }
+
     fn leave(&self) {
-        let ends_at = self.clock.now() + self.settings.drain_limit;
+        let ends_at = self.clock.now() + self.drain_limit();
         self.ends_at.set(Some(ends_at));
         self.leaving.give();
     }
@@ -274,7 +343,6 @@
         balancer.local_addr()?,
         callers.local_addr()?
     );
-    let drain_limit = settings.drain_limit;
     let supervisor = Supervisor::new();
     let gateway = Rc::new(Gateway::new(clock::System, settings));
     supervisor.spawn(
@@ -287,11 +355,15 @@
     );
     if let Some((address, seeds)) = gateway.settings.peers.clone() {
         let listener = bind(&address.to_string()).await?;
-        let service = Rc::new(peers::Service(gateway.clone()));
+        let service = Rc::new(feed::Service(gateway.clone()));
         supervisor.spawn(
-            "peer state",
+            "feed",
             server::serve(listener, service, supervisor.stop_signal()),
         );
+        supervisor.spawn(
+            "follow",
+            follow::run(gateway.clone(), directory.clone(), supervisor.stop_signal()),
+        );
         supervisor.spawn(
             "peers",
             peers::run(
@@ -324,7 +396,7 @@
         closed.give();
         let _ = serving.await;
     };
-    if within(drain_limit, drained).await.is_none() {
+    if within(gateway.drain_limit(), drained).await.is_none() {
         let running = gateway.requests.running().len();
         warn!("event=drain_cut requests={running}");
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,95 +1,50 @@
-//! Reports between gateways: what each runs on which engine, and which configuration it has.
+//! Exchange of reports between gateways.
 //!
 //! A report is one datagram. A lost one is made good by the next, and an old one loses its effect.
 
-use std::net::{IpAddr, SocketAddr};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use compio::bytes::Bytes;
 use compio::net::UdpSocket;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
 
 use super::Gateway;
+use super::feed::{self, Answer, Question};
 use super::protocol::Directory;
 use crate::clock::Clock;
-use crate::http::body::Body;
+use crate::http::client::post_json;
 use crate::http::pool::Pool;
-use crate::http::problem::text_response;
-use crate::http::server;
-use crate::peer::roster::Roster;
+use crate::peer::report::{self, Report, Summary};
+use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::relay::handover;
-use crate::route::load::Load;
-use crate::route::registry::Registration;
+use crate::route::registry::Source;
 use crate::supervisor::Signal;
-use crate::util::within;
+use crate::util::{hash64, unix_ms, within};
 
 /// Time between two looks for something to report.
 const ROUND: Duration = Duration::from_millis(50);
 
+/// Hosts that a report may go to in each round. With more of them a host reports less often.
+const REPORTS_A_ROUND: u32 = 12;
+
 /// Longest time between two reports.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Greatest size of a report in bytes.
-const REPORT_BYTES_MAX: usize = 8192;
+/// Time between two exchanges of summaries.
+const SUMMARY_PERIOD: Duration = Duration::from_millis(200);
 
 /// Streams of one report, so that it stays below the greatest size.
 const STREAMS_MAX: usize = 64;
 
-/// Time for which a newer configuration of a peer is left to the directory.
+/// Time for which a newer configuration of a peer is left to the store.
 const REVISION_PATIENCE: Duration = Duration::from_millis(300);
 
-/// Longest time to read a peer's state.
-const STATE_LIMIT: Duration = Duration::from_millis(500);
-
-/// Path of a gateway's state.
-const STATE_PATH: &str = "/v1/state";
-
-/// What a gateway tells the others.
-#[derive(Debug, Deserialize, Serialize)]
-struct Report {
-    /// Grows with each report of a host, also over its starts.
-    number: u64,
-    /// Version of the configuration, 0 if there is none.
-    revision: u64,
-    /// Hosts that were heard lately.
-    hosts: Vec<IpAddr>,
-    /// Running streams with replicas.
-    streams: Vec<handover::Stream>,
-    /// Engine ids with requests, prompt tokens in reading, and tokens in memory.
-    loads: Vec<(CompactString, u64, u64, u64)>,
-}
-
-/// What a gateway knows, for one that cannot read the directory.
-#[derive(Debug, Default, Deserialize, Serialize)]
-struct State {
-    /// The configuration as the directory has it.
-    revision: Option<String>,
-    /// The engines.
-    engines: Vec<Registration>,
-}
-
-/// Answers other gateways.
-pub struct Service<C: Clock>(pub Rc<Gateway<C>>);
-
-impl<C: Clock> server::Service for Service<C> {
-    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
-        if request.uri().path() != STATE_PATH {
-            return text_response(StatusCode::NOT_FOUND, "no such path");
-        }
-        let revision = self.0.revision();
-        let state = State {
-            revision: revision.map(|revision| revision.source.to_string()),
-            engines: self.0.registry.borrow().registrations(),
-        };
-        crate::http::problem::json_response(&state)
-    }
-}
+/// Longest time to read a peer's configuration.
+const REVISION_LIMIT: Duration = Duration::from_millis(500);
 
 /// Exchanges reports until `stop` is given.
 pub async fn run<C: Clock, D: Directory>(
@@ -103,31 +58,32 @@
         Ok(socket) => Rc::new(socket),
         Err(err) => return warn!("event=peers_off address={address} error={err:?}"),
     };
+    let domain = gateway.settings.failure_domain.clone();
     let mut peers = Peers {
+        own: address,
+        roster: Roster::new(address, domain, seeds),
+        socket: socket.clone(),
         gateway,
         directory,
-        roster: Roster::new(address, seeds),
         pool: Pool::default(),
         number: 0,
         newer: None,
+        strangers: BTreeSet::new(),
+        summaries: BTreeMap::new(),
+        reported: None,
+        summarized_at: None,
     };
     let (sender, mut reports) = futures_channel::mpsc::unbounded();
-    let receiving = compio::runtime::spawn(receive(socket.clone(), sender));
-    let mut sent = (0, None::<Instant>);
+    let receiving = compio::runtime::spawn(receive(socket, sender));
     while !stop.is_given() {
         within(ROUND, stop.wait()).await;
         while let Ok((from, report)) = reports.try_recv() {
             peers.take(from, report);
         }
+        peers.refresh();
         peers.pull_newer().await;
-        let now = peers.gateway.clock.now();
-        let changes = peers.gateway.registry.borrow().changes();
-        let is_due = sent.1.is_none_or(|at| now.duration_since(at) >= PERIOD);
-        if changes != sent.0 || is_due {
-            peers.send(&socket, now).await;
-            sent = (changes, Some(now));
-        }
-        peers.gateway.registry.borrow_mut().expire_peers();
+        peers.report().await;
+        peers.exchange_summaries().await;
     }
     receiving.cancel().await;
 }
@@ -136,7 +92,7 @@
     socket: Rc<UdpSocket>,
     reports: futures_channel::mpsc::UnboundedSender<(SocketAddr, Report)>,
 ) {
-    let mut buffer = Vec::with_capacity(REPORT_BYTES_MAX);
+    let mut buffer = Vec::with_capacity(report::BYTES_MAX);
     loop {
         buffer.clear();
         let compio::BufResult(result, filled) = socket.recv_from(buffer).await;
@@ -145,9 +101,12 @@
             compio::time::sleep(ROUND).await;
             continue;
         };
-        let Ok(report) = serde_json::from_slice::<Report>(&buffer[..length]) else {
-            info!("event=report_unreadable from={from}");
-            continue;
+        let report = match Report::decode(&buffer[..length]) {
+            Ok(report) => report,
+            Err(err) => {
+                info!("event=report_unreadable peer={from} error={err:?}");
+                continue;
+            }
         };
         if reports.unbounded_send((from, report)).is_err() {
             return;
@@ -158,78 +117,189 @@
 struct Peers<C: Clock, D> {
     gateway: Rc<Gateway<C>>,
     directory: D,
+    own: SocketAddr,
+    socket: Rc<UdpSocket>,
     roster: Roster,
     pool: Pool,
     number: u64,
     // A peer with a newer configuration, and since when it is known.
     newer: Option<(SocketAddr, Instant)>,
+    // Hosts outside of this host's reach that asked for hosts of their failure domain.
+    strangers: BTreeSet<SocketAddr>,
+    // The last summaries of other failure domains, and whether they were passed on.
+    summaries: BTreeMap<CompactString, (Summary, bool)>,
+    // When the last report was sent, and which changes of the registry it told.
+    reported: Option<(Instant, u64)>,
+    summarized_at: Option<Instant>,
 }
 
 impl<C: Clock, D: Directory> Peers<C, D> {
     fn take(&mut self, from: SocketAddr, report: Report) {
         let now = self.gateway.clock.now();
-        if self.roster.heard(from, now) {
-            info!("event=peer_heard peer={from}");
+        let domain = &report.domain;
+        if self.roster.heard(from, domain, report.is_leaving, now) {
+            info!("event=peer_heard peer={from} failure_domain={domain}");
         }
-        for host in &report.hosts {
-            self.roster.told(SocketAddr::new(*host, from.port()), now);
+        for (of, hosts) in &report.hosts {
+            for host in hosts {
+                let address = SocketAddr::new(*host, from.port());
+                self.roster.named(address, of, of == domain, now);
+            }
         }
-        let own = self
-            .gateway
-            .revision()
-            .map_or(0, |revision| revision.version);
-        let is_empty = own == 0 || self.gateway.registry.borrow().is_empty();
-        if report.revision > own || (is_empty && report.revision > 0) {
+        let own = self.gateway.revision();
+        let is_empty = self.gateway.registry.borrow().is_empty();
+        let is_newer = report.revision > own.map_or(0, |revision| revision.version);
+        if is_newer || (is_empty && report.revision > 0) {
             self.newer.get_or_insert((from, now));
         }
-        let loads = report
-            .loads
-            .into_iter()
-            .map(|(id, running, reading, memory)| {
-                let load = Load {
-                    running,
-                    reading,
-                    memory,
-                };
-                (id, load)
-            });
-        let mut elsewhere = self.gateway.streams_elsewhere.borrow_mut();
-        elsewhere.reported(report.streams, now);
+        for summary in report.summaries {
+            self.take_summary(summary, from, now);
+        }
+        if !self.roster.is_direct(&report.domain) {
+            let elsewhere = self.roster.representatives_elsewhere();
+            if !elsewhere.contains(&from) {
+                self.strangers.insert(from);
+            }
+            return;
+        }
+        let mut streams = self.gateway.streams_elsewhere.borrow_mut();
+        streams.reported(report.streams, now);
         let mut registry = self.gateway.registry.borrow_mut();
-        registry.set_peer(from.ip(), report.number, loads.collect());
+        registry.set_peer(Source::Host(from.ip()), report.number, report.usages);
     }
 
-    async fn send(&mut self, socket: &UdpSocket, now: Instant) {
-        // The wall clock makes numbers grow over restarts; it may step back while the process runs.
-        let wall = crate::util::unix_ms(self.gateway.clock.wall());
-        self.number = wall.max(self.number + 1);
-        let targets = self.roster.targets(now);
-        self.gateway.peers.set(self.roster.known().count());
+    fn take_summary(&mut self, summary: Summary, from: SocketAddr, now: Instant) {
+        for host in &summary.hosts {
+            let address = SocketAddr::new(*host, from.port());
+            self.roster.named(address, &summary.domain, true, now);
+        }
+        if self.roster.is_direct(&summary.domain) {
+            return;
+        }
+        let known = self.summaries.get(&summary.domain);
+        if known.is_some_and(|(known, _)| known.number >= summary.number) {
+            return;
+        }
+        let mut registry = self.gateway.registry.borrow_mut();
+        let source = Source::Domain(summary.domain.clone());
+        registry.set_peer(source, summary.number, summary.usages.clone());
+        self.summaries
+            .insert(summary.domain.clone(), (summary, false));
+    }
+
+    /// Lets what is too old lose its effect, and works out this host's duty.
+    fn refresh(&mut self) {
+        let now = self.gateway.clock.now();
+        self.roster.expire(now);
+        let mut registry = self.gateway.registry.borrow_mut();
+        registry.expire_peers();
+        let before = registry.changed();
+        registry.expire_lapsed();
+        let has_changed = registry.changed() != before;
+        drop(registry);
+        if has_changed {
+            self.gateway.note_news();
+        }
+        let hosts = self.roster.len();
+        self.gateway.metrics.set_hosts(hosts);
+        self.gateway.budget.borrow_mut().set_hosts(hosts);
+        self.set_duty(now);
+    }
+
+    fn set_duty(&mut self, now: Instant) {
+        let is_leaving = self.gateway.leaving.is_given();
+        let here = self.roster.representatives_here(is_leaving, now);
+        // A leaving host does not look for others to follow any more.
+        let is_representative = here.is_empty() || here.contains(&self.own);
+        let mut sources = here;
+        if !sources.is_empty() {
+            let share = hash64(&[self.own.to_string().as_bytes()]) as usize % sources.len();
+            sources.rotate_left(share);
+        }
+        sources.extend(self.roster.representatives_elsewhere());
+        let is_followed = self.roster.heard_here(now).len() >= REPRESENTATIVES;
+        self.gateway
+            .duty
+            .set(is_representative, is_followed, sources);
+    }
+
+    /// Sends this host's report to those that hear it directly, if it is due.
+    async fn report(&mut self) {
+        let now = self.gateway.clock.now();
+        let changes = self.gateway.registry.borrow().changes();
+        let mates = self.roster.mates();
+        let rounds = (mates.len() as u32).div_ceil(REPORTS_A_ROUND).max(1);
+        let mut targets = match self.reported {
+            Some((at, told)) => {
+                let since = now.duration_since(at);
+                let is_due = since >= PERIOD || (told != changes && since >= ROUND * (rounds - 1));
+                if is_due { mates } else { Vec::new() }
+            }
+            None => mates,
+        };
+        if !targets.is_empty() {
+            self.reported = Some((now, changes));
+        }
+        targets.extend(self.roster.due_seeds(now));
+        targets.extend(std::mem::take(&mut self.strangers));
+        if targets.is_empty() {
+            return;
+        }
+        let usages = self.gateway.registry.borrow().own_usages();
         let report = Report {
-            number: self.number,
-            revision: self
-                .gateway
-                .revision()
-                .map_or(0, |revision| revision.version),
+            usages,
             streams: self.own_streams(),
-            hosts: self.roster.known().map(|host| host.ip()).collect(),
-            loads: self
-                .gateway
-                .registry
-                .borrow()
-                .own_loads()
-                .map(|(id, load)| (id, load.running, load.reading, load.memory))
-                .collect(),
+            ..self.blank(now)
         };
-        let Ok(bytes) = serde_json::to_vec(&report) else {
+        self.send(report, &targets).await;
+    }
+
+    /// Tells the representatives of other failure domains what this one runs, and the hosts of this
+    /// one what the others run. Only the first representative does, the second one stands by.
+    async fn exchange_summaries(&mut self) {
+        let now = self.gateway.clock.now();
+        let is_due = |at: Instant| now.duration_since(at) >= SUMMARY_PERIOD;
+        let is_leaving = self.gateway.leaving.is_given();
+        let here = self.roster.representatives_here(is_leaving, now);
+        let domain = self.gateway.settings.failure_domain.clone();
+        let is_large = self
+            .roster
+            .domains()
+            .into_iter()
+            .any(|domain| !self.roster.is_direct(domain));
+        if !is_large || here.first() != Some(&self.own) || !self.summarized_at.is_none_or(is_due) {
             return;
+        }
+        self.summarized_at = Some(now);
+        let mut hosts = self.roster.heard_here(now);
+        hosts.push(self.own);
+        let elsewhere = self.roster.representatives_elsewhere();
+        let summary = Summary {
+            domain,
+            number: self.next_number(),
+            hosts: hosts.iter().map(SocketAddr::ip).collect(),
+            usages: self.gateway.registry.borrow().joint_usages(),
         };
-        for target in targets {
-            let compio::BufResult(result, _) = socket.send_to(bytes.clone(), target).await;
-            if let Err(err) = result {
-                info!("event=report_unsent peer={target} error={err:?}");
+        let report = Report {
+            summaries: vec![summary],
+            ..self.blank(now)
+        };
+        self.send(report, &elsewhere).await;
+        let mates = self.roster.mates();
+        let mut fresh = Vec::new();
+        for (summary, is_passed_on) in self.summaries.values_mut() {
+            if !std::mem::replace(is_passed_on, true) {
+                fresh.push(summary.clone());
             }
         }
+        // One datagram for each summary, as that of a large failure domain nearly fills one.
+        for summary in fresh {
+            let report = Report {
+                summaries: vec![summary],
+                ..self.blank(now)
+            };
+            self.send(report, &mates).await;
+        }
     }
 
     fn own_streams(&self) -> Vec<handover::Stream> {
@@ -237,7 +307,46 @@
         own.values().take(STREAMS_MAX).cloned().collect()
     }
 
-    /// Reads a newer configuration from a peer if the directory does not bring it.
+    /// Returns a report without any work.
+    fn blank(&mut self, now: Instant) -> Report {
+        let hosts = self.roster.listing(now).into_iter();
+        let revision = self.gateway.revision();
+        Report {
+            number: self.next_number(),
+            domain: self.gateway.settings.failure_domain.clone(),
+            revision: revision.map_or(0, |revision| revision.version),
+            is_leaving: self.gateway.leaving.is_given(),
+            hosts: hosts
+                .map(|(domain, hosts)| (domain, hosts.iter().map(SocketAddr::ip).collect()))
+                .collect(),
+            usages: Vec::new(),
+            streams: Vec::new(),
+            summaries: Vec::new(),
+        }
+    }
+
+    /// Returns a number above all earlier ones. The wall clock makes numbers grow over restarts; it
+    /// may step back while the process runs.
+    fn next_number(&mut self) -> u64 {
+        let wall = unix_ms(self.gateway.clock.wall());
+        self.number = wall.max(self.number + 1);
+        self.number
+    }
+
+    async fn send(&self, report: Report, targets: &[SocketAddr]) {
+        let bytes = match report.encode() {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(err) => return warn!("event=report_unsent error={err:?}"),
+        };
+        for target in targets {
+            let compio::BufResult(result, _) = self.socket.send_to(bytes.clone(), *target).await;
+            if let Err(err) = result {
+                info!("event=report_unsent peer={target} error={err:?}");
+            }
+        }
+    }
+
+    /// Reads a newer configuration from a peer if neither the store nor a representative brings it.
     async fn pull_newer(&mut self) {
         let now = self.gateway.clock.now();
         let Some((from, since)) = self.newer else {
@@ -247,35 +356,32 @@
             return;
         }
         self.newer = None;
-        let request = Request::get(STATE_PATH)
-            .header(hyper::header::HOST, from.to_string())
-            .body(Full::new(Bytes::new()));
-        let Ok(request) = request else {
-            return;
+        let revision = self.gateway.revision();
+        let question = Question {
+            revision: revision.map_or(0, |revision| revision.version),
+            ..Question::default()
         };
-        let answer = self
-            .pool
-            .call(&from.to_string(), request, STATE_LIMIT)
-            .await;
-        let state = match answer {
-            Ok((_, body)) => serde_json::from_slice::<State>(&body).unwrap_or_default(),
-            Err(err) => return info!("event=peer_state_failed peer={from} error={err:?}"),
+        let address = from.to_string();
+        let request = post_json(&address, feed::PATH, &question);
+        let answer = self.pool.call(&address, request, REVISION_LIMIT).await;
+        let answer: Answer = match answer.map(|(_, body)| serde_json::from_slice(&body)) {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(err)) => return info!("event=peer_unreadable peer={from} error={err:?}"),
+            Err(err) => return info!("event=peer_failed peer={from} error={err:?}"),
         };
-        let revision = state
-            .revision
-            .and_then(|source| self.directory.decode_revision(&source));
-        if let Some(revision) = revision {
-            let version = revision.version;
-            if self.gateway.set_revision(revision) {
-                info!("event=revision version={version} from_peer={from}");
-            }
+        if let Some(source) = answer.revision {
+            self.gateway.take_revision(&self.directory, &source, "peer");
         }
         let mut registry = self.gateway.registry.borrow_mut();
-        if registry.is_empty() && !state.engines.is_empty() {
-            info!("event=engines_from_peer engines={}", state.engines.len());
-            registry.replace(state.engines, false);
+        if registry.is_empty() && !answer.engines.registered.is_empty() {
+            info!(
+                "event=engines_from_peer engines={}",
+                answer.engines.registered.len()
+            );
+            registry.follow(answer.engines);
             drop(registry);
-            self.gateway.registered();
+            self.gateway.note_news();
+            self.gateway.registered(Duration::ZERO);
         }
     }
 }
--- a/src/gateway/ready.rs
+++ b/src/gateway/ready.rs
@@ -36,7 +36,7 @@
                 None => text_response(StatusCode::OK, "ready"),
                 Some(reason) => text_response(StatusCode::SERVICE_UNAVAILABLE, reason),
             },
-            "/metrics" => text_response(StatusCode::OK, self.gateway.metrics.text()),
+            "/metrics" => text_response(StatusCode::OK, self.gateway.metrics_text()),
             _ => text_response(StatusCode::NOT_FOUND, "no such path"),
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,6 +17,7 @@
 use crate::http::body::{Body, Writer};
 use crate::http::client::Exchange;
 use crate::http::problem::Reason;
+use crate::peer::report::Name;
 use crate::relay::events::{Position, Splitter};
 use crate::relay::{handover, silence};
 use crate::route::registry::{Engine, Need};
@@ -117,8 +118,10 @@
     admitted.call.last_event?;
     let now = gateway.clock.now();
     let stream = gateway.streams_elsewhere.borrow_mut().take(digest, now)?;
-    let engine = gateway.registry.borrow().by_id(&stream.replica)?;
-    let pairs = format_args!("run={} replica={}", stream.run, stream.replica);
+    let engine = gateway.registry.borrow().by_name(stream.replica)?;
+    let registry = gateway.registry.borrow();
+    let replica = registry.get(engine)?.registration.id.as_str();
+    let pairs = format_args!("run={} replica={replica}", stream.run);
     admitted.trace.note("handed_over", pairs);
     Some((engine, stream.run))
 }
@@ -290,7 +293,7 @@
         let stream = handover::Stream {
             digest: self.digest,
             run: self.admitted.call.id.clone(),
-            replica: replica.registration.id.clone(),
+            replica: Name::of(&replica.registration.id),
         };
         own.insert(self.digest, stream);
     }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -8,7 +8,6 @@
 use super::Gateway;
 use super::protocol::{Change, Directory, Unavailable};
 use crate::clock::Clock;
-use crate::config::routes::Revision;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -18,31 +17,39 @@
 /// a silent outage, as all of them waited at once.
 pub const WATCH_WAIT: Duration = Duration::from_millis(2000);
 
-/// Time for each host in which changes of engines gather before they are asked for again. Each call
-/// of each host is priced, so that more hosts ask less often.
-const GATHER_PER_HOST: Duration = Duration::from_millis(50);
-
-/// Shortest and longest such time. The longest leaves a second of the shortest time in which engines
-/// that leave must get nothing more.
-const GATHER: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1000));
-
-/// Returns how long changes of engines gather on one of `hosts` hosts.
-pub fn gather(hosts: usize) -> Duration {
-    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-    let (shortest, longest) = GATHER;
-    GATHER_PER_HOST
-        .saturating_mul(hosts)
-        .clamp(shortest, longest)
-}
+/// The same where other hosts follow this one, which they leave when it does not reach the store.
+const FOLLOWED_WAIT: Duration = Duration::from_millis(1000);
+
+/// Time in which changes of engines gather before they are asked for again, as each call is priced.
+const GATHER: Duration = Duration::from_millis(300);
 
-/// Time between two tries while the directory does not answer.
+/// Shortest pause between two tries while the store does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Longest such pause of a representative, and of another host, of which there are many.
+const RETRY_PAUSE_MAX: (Duration, Duration) =
+    (Duration::from_millis(600), Duration::from_millis(2000));
+
+/// Time between two looks whether this host has to watch the store.
+const IDLE: Duration = Duration::from_millis(100);
+
+/// Returns the pause before the next try after `failures` in a row. A refused call is priced like
+/// any other, and a store that returns must not be met by all hosts at once.
+pub fn retry_pause(failures: u32, is_representative: bool) -> Duration {
+    let longest = match is_representative {
+        true => RETRY_PAUSE_MAX.0,
+        false => RETRY_PAUSE_MAX.1,
+    };
+    let doubled = RETRY_PAUSE.saturating_mul(1 << failures.saturating_sub(1).min(8));
+    doubled.min(longest)
+}
+
 /// Tells once that a dependency was lost, and once that it is back.
 #[derive(Debug)]
 struct Dependency {
     name: &'static str,
     is_lost: bool,
+    failures: u32,
 }
 
 impl Dependency {
@@ -50,25 +57,45 @@
         Self {
             name,
             is_lost: false,
+            failures: 0,
         }
     }
 
-    fn lost(&mut self, err: &Unavailable) {
-        if !self.is_lost {
-            warn!("event=dependency_lost name={} error={err:?}", self.name);
+    fn lost<C: Clock>(&mut self, gateway: &Gateway<C>, err: &Unavailable) {
+        self.failures += 1;
+        if self.is_lost {
+            return;
         }
         self.is_lost = true;
+        gateway.set_failing(true);
+        warn!("event=dependency_lost name={} error={err:?}", self.name);
     }
 
-    fn back(&mut self) {
-        if self.is_lost {
-            info!("event=dependency_back name={}", self.name);
+    fn back<C: Clock>(&mut self, gateway: &Gateway<C>) {
+        self.failures = 0;
+        if !self.is_lost {
+            return;
         }
         self.is_lost = false;
+        gateway.set_failing(false);
+        info!("event=dependency_back name={}", self.name);
+    }
+
+    async fn pause<C: Clock>(&self, gateway: &Gateway<C>, stop: &Signal) {
+        let pause = retry_pause(self.failures, gateway.duty.is_representative());
+        // Spread, so that hosts that failed together do not come back together.
+        within(pause.mul_f64(rand::random_range(0.7..1.0)), stop.wait()).await;
+    }
+}
+
+fn wait<C: Clock>(gateway: &Gateway<C>) -> Duration {
+    match gateway.duty.is_followed() {
+        true => FOLLOWED_WAIT,
+        false => WATCH_WAIT,
     }
 }
 
-/// Keeps the configuration up to date until `stop` is given.
+/// Keeps the configuration up to date until `stop` is given, while this host watches the store.
 pub async fn revisions<C: Clock, D: Directory>(
     gateway: Rc<Gateway<C>>,
     directory: D,
@@ -77,44 +104,47 @@
     let mut dependency = Dependency::new("configuration");
     let mut at = None;
     while !stop.is_given() {
+        if !gateway.duty.is_watching() {
+            at = None;
+            within(IDLE, stop.wait()).await;
+            continue;
+        }
         let answer = match at {
             None => directory.revision().await,
-            Some(from) => directory.revision_changes(from, WATCH_WAIT).await,
+            Some(from) => directory.revision_changes(from, wait(&gateway)).await,
         };
         count(&gateway, "configuration_call", answer.as_ref().err());
         match answer {
             Ok(listing) => {
-                dependency.back();
-                gateway.confirm_revision();
+                dependency.back(&gateway);
+                gateway.confirm(Duration::ZERO);
                 unreadable("configuration", listing.unreadable);
                 at = at.max(Some(listing.at));
-                listing
-                    .items
-                    .into_iter()
-                    .for_each(|revision| put_in_force(&gateway, revision));
+                for revision in listing.items {
+                    gateway.set_revision(revision, "store");
+                }
             }
             Err(Unavailable::HistoryGone) => at = None,
             Err(err) => {
-                dependency.lost(&err);
-                within(RETRY_PAUSE, stop.wait()).await;
+                dependency.lost(&gateway, &err);
+                dependency.pause(&gateway, &stop).await;
             }
         }
     }
 }
 
-fn put_in_force<C: Clock>(gateway: &Gateway<C>, revision: Revision) {
-    let version = revision.version;
-    if gateway.set_revision(revision) {
-        info!("event=revision version={version}");
-    }
-}
-
-/// Keeps the engines up to date until `stop` is given.
+/// Keeps the engines up to date until `stop` is given, while this host watches the store.
 pub async fn engines<C: Clock, D: Directory>(gateway: Rc<Gateway<C>>, directory: D, stop: Signal) {
     let mut dependency = Dependency::new("engines");
     let mut at = None;
     while !stop.is_given() {
+        if !gateway.duty.is_watching() {
+            at = None;
+            within(IDLE, stop.wait()).await;
+            continue;
+        }
         let was_lost = dependency.is_lost;
+        let before = gateway.registry.borrow().changed();
         let result = match at {
             None => list(&gateway, &directory, was_lost).await,
             Some(from) => follow(&gateway, &directory, from).await,
@@ -122,17 +152,20 @@
         count(&gateway, "engines_call", result.as_ref().err());
         match result {
             Ok(next) => {
-                dependency.back();
+                dependency.back(&gateway);
                 at = Some(next);
-                gateway.registered();
-                within(gather(gateway.peers.get() + 1), stop.wait()).await;
+                gateway.registered(Duration::ZERO);
+                if gateway.registry.borrow().changed() != before {
+                    gateway.note_news();
+                }
+                within(GATHER, stop.wait()).await;
             }
             Err(Unavailable::HistoryGone) => at = None,
             Err(err) => {
-                dependency.lost(&err);
+                dependency.lost(&gateway, &err);
                 // Entries may have lapsed unseen, so everything is read again.
                 at = None;
-                within(RETRY_PAUSE, stop.wait()).await;
+                dependency.pause(&gateway, &stop).await;
             }
         }
     }
@@ -158,7 +191,7 @@
     directory: &D,
     from: u64,
 ) -> Result<u64, Unavailable> {
-    let listing = directory.engine_changes(from, WATCH_WAIT).await?;
+    let listing = directory.engine_changes(from, wait(gateway)).await?;
     unreadable("engines", listing.unreadable);
     let mut registry = gateway.registry.borrow_mut();
     for change in listing.items {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod auth;
 pub mod client;
+pub mod report;
 pub mod roster;
 pub mod server;
+pub mod sources;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -25,13 +25,6 @@
     "revoke_limit_ms",
 ];
 
-/// Time before the host is killed in which the last streams are given up.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
-/// Hosts between which the slack of repeats is divided. Hosts are replaced while others still run,
-/// so it is above the usual number.
-const HOSTS: u32 = 9;
-
 /// Reads the address for messages of other gateways, and those of the seeds: all hosts use the first
 /// of the free ports, and the seeds' addresses are of another endpoint on the same hosts.
 fn peers(section: &Section<'_>) -> Result<Option<(SocketAddr, Vec<SocketAddr>)>, Error> {
@@ -47,12 +40,16 @@
         let what = "listen is not an address; write IP:PORT";
         section.error("listen", what)
     })?;
+    let seed = |text: &CompactString| match text.parse::<SocketAddr>() {
+        Ok(address) => Ok(SocketAddr::new(address.ip(), port)),
+        Err(_) => {
+            let what = format!("seeds has {text}, which is not an address; write IP:PORT,IP:PORT");
+            Err(section.error("seeds", what))
+        }
+    };
     let seeds = section.words("seeds");
-    let seeds = seeds
-        .iter()
-        .filter_map(|seed| seed.parse::<SocketAddr>().ok());
-    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect();
-    Ok(Some((SocketAddr::new(own.ip(), port), seeds)))
+    let seeds: Result<_, Error> = seeds.iter().map(seed).collect();
+    Ok(Some((SocketAddr::new(own.ip(), port), seeds?)))
 }
 
 /// Reads the `[platform]` section of a file; `None` if it has none.
@@ -81,7 +78,6 @@
             section.error(name, what)
         })
     };
-    let grace = seconds("drain_limit_s", 8.0)?;
     Ok(Some(Settings {
         name: section.required("name")?.into(),
         failure_domain: section.required("failure_domain")?.into(),
@@ -89,14 +85,14 @@
         ready_listen: address("ready_listen")?,
         peers: peers(&section)?,
         store: address("store")?,
-        drain_limit: grace.saturating_sub(EXIT_MARGIN),
+        drain_limit: seconds("drain_limit_s", 8.0)?,
         is_fail_closed: section.flag("fail_closed", false)?,
         revoke_limit: section.millis("revoke_limit_ms", Duration::from_secs(5))?,
         retries: retry::Policy {
             ratio: section.value("retry_ratio", 0.1)?,
             slack: section.value("retry_slack", 20.0)?,
             window: seconds("retry_window_s", 10.0)?,
-            hosts: HOSTS,
+            hosts: retry::HOSTS_MIN,
         },
     }))
 }
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -9,6 +9,8 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::peer::report::Name;
+
 /// Time for which an engine keeps a replica after its run ended, less the age of a report.
 const REPLICA_FOR: Duration = Duration::from_millis(3500);
 
@@ -19,8 +21,8 @@
     pub digest: u64,
     /// Id under which the engine holds the replica.
     pub run: CompactString,
-    /// Id of the engine that holds the replica.
-    pub replica: CompactString,
+    /// The engine that holds the replica.
+    pub replica: Name,
 }
 
 /// The streams that other hosts reported last.
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms for `/metrics`.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
@@ -62,6 +63,9 @@
     durations: Family<Step, Histogram, fn() -> Histogram>,
     revision_version: Gauge,
     engines: Gauge,
+    hosts: Gauge,
+    configuration_age: Gauge<f64, AtomicU64>,
+    engines_age: Gauge<f64, AtomicU64>,
     refusals: Family<Refusal, Counter>,
     relayed: Family<Relayed, Counter>,
 }
@@ -83,12 +87,24 @@
         registry.register("revision_version", text, revision_version.clone());
         let engines = Gauge::default();
         registry.register("engines", "Registered engines", engines.clone());
+        let hosts = Gauge::default();
+        registry.register("hosts", "Known hosts, this one included", hosts.clone());
+        let configuration_age = Gauge::default();
+        let text = "Time since the configuration was last confirmed";
+        let unit = || Unit::Seconds;
+        registry.register_with_unit("configuration_age", text, unit(), configuration_age.clone());
+        let engines_age = Gauge::default();
+        let text = "Time since the engines were last confirmed";
+        registry.register_with_unit("engines_age", text, unit(), engines_age.clone());
         Self {
             registry: Mutex::new(registry),
             decisions,
             durations,
             revision_version,
             engines,
+            hosts,
+            configuration_age,
+            engines_age,
             refusals,
             relayed,
         }
@@ -134,6 +150,17 @@
         self.engines.set(i64::try_from(engines).unwrap_or(i64::MAX));
     }
 
+    /// Notes the number of known hosts.
+    pub fn set_hosts(&self, hosts: usize) {
+        self.hosts.set(i64::try_from(hosts).unwrap_or(i64::MAX));
+    }
+
+    /// Notes the ages of the configuration and of the engines.
+    pub fn set_ages(&self, configuration: Duration, engines: Duration) {
+        self.configuration_age.set(configuration.as_secs_f64());
+        self.engines_age.set(engines.as_secs_f64());
+    }
+
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -42,10 +42,17 @@
 }
 
 impl Load {
-    /// Adds what another host runs there.
+    /// Adds what others run there.
     pub fn add(&mut self, other: &Self) {
-        self.running = self.running.saturating_add(other.running);
-        self.reading = self.reading.saturating_add(other.reading);
-        self.memory = self.memory.saturating_add(other.memory);
+        self.running += other.running;
+        self.reading += other.reading;
+        self.memory += other.memory;
+    }
+
+    /// Undoes [`Load::add`].
+    pub fn subtract(&mut self, other: &Self) {
+        self.running -= other.running;
+        self.reading -= other.reading;
+        self.memory -= other.memory;
     }
 }
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -1,6 +1,6 @@
 //! Engines that register themselves, what this host runs on them, and which of them gets a request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,7 @@
 
 use super::load::{Footprint, Load};
 use crate::clock::Clock;
+use crate::peer::report::{Name, Usage};
 use crate::supervisor::Signal;
 use crate::util::hash64;
 
@@ -50,6 +51,9 @@
 /// Engines lost together after which the others of their failure domain are doubted.
 const DOMAIN_LOSSES: usize = 2;
 
+/// Changes that are remembered for hosts that follow this one.
+const CHANGES_MAX: usize = 4096;
+
 new_key_type! {
     /// A registered engine or backend server.
     pub struct Engine;
@@ -120,18 +124,46 @@
     // Invariant: the engines that the store lists, or that lapsed less than LAPSE_GRACE ago. Engines
     // not in it are kept in `engines` only while this host runs requests on them.
     ids: BTreeMap<CompactString, Engine>,
+    // Invariant: the engines of `ids`.
+    names: BTreeMap<Name, Engine>,
+    // Ids of the last changes of `ids`, the newest of which has the number `changed`.
+    history: VecDeque<CompactString>,
+    changed: u64,
     // Engines that were lost lately, with their failure domains.
     losses: Vec<(Instant, Engine, CompactString)>,
-    peers: BTreeMap<IpAddr, Peer>,
+    // Invariant: the `elsewhere` of each engine in `names` is the sum of these usages.
+    peers: BTreeMap<Source, Peer>,
     changes: u64,
 }
 
-/// The last report of another host.
+/// Who reports what runs elsewhere.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Source {
+    /// A host, of what it runs.
+    Host(IpAddr),
+    /// A representative, of what the hosts of this failure domain run.
+    Domain(CompactString),
+}
+
+/// The last report of a source.
 #[derive(Debug)]
 struct Peer {
     number: u64,
     heard_at: Instant,
-    loads: Vec<(CompactString, Load)>,
+    usages: Vec<Usage>,
+}
+
+/// Changes of registrations that a follower takes over.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Changes {
+    /// Number of the last change.
+    pub at: u64,
+    /// Whether these are all registrations, and not those that changed.
+    pub is_whole: bool,
+    /// What is registered.
+    pub registered: Vec<Registration>,
+    /// Ids of engines that are gone.
+    pub gone: Vec<CompactString>,
 }
 
 impl<C: Clock> Registry<C> {
@@ -142,6 +174,9 @@
             host,
             engines: SlotMap::with_key(),
             ids: BTreeMap::new(),
+            names: BTreeMap::new(),
+            history: VecDeque::new(),
+            changed: 0,
             losses: Vec::new(),
             peers: BTreeMap::new(),
             changes: 0,
@@ -179,8 +214,11 @@
             let is_same = known.registration.started_ms == registration.started_ms
                 && known.registration.address == registration.address;
             if is_same {
-                known.registration = registration;
                 known.gone_at = None;
+                if known.registration != registration {
+                    known.registration = registration.clone();
+                    self.note_change(registration.id);
+                }
                 return;
             }
             let id = registration.id.clone();
@@ -190,9 +228,9 @@
         let id = registration.id.clone();
         let key = self.engines.insert(State {
             order: hash64(&[self.host.as_bytes(), id.as_bytes()]),
+            elsewhere: self.used_elsewhere(Name::of(&id)),
             registration,
             load: Load::default(),
-            elsewhere: Load::default(),
             gone_at: None,
             unreachable_until: None,
             failures: Vec::new(),
@@ -201,7 +239,70 @@
             is_checking: false,
             is_doubted: false,
         });
-        self.ids.insert(id, key);
+        self.names.insert(Name::of(&id), key);
+        self.ids.insert(id.clone(), key);
+        self.note_change(id);
+    }
+
+    fn note_change(&mut self, id: CompactString) {
+        self.changed += 1;
+        self.history.push_back(id);
+        if self.history.len() > CHANGES_MAX {
+            self.history.pop_front();
+        }
+    }
+
+    /// Returns the number of the last change of a registration.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// Returns the changes after the one with the number `from`; all registrations if those are not
+    /// known any more.
+    pub fn changes_since(&self, from: Option<u64>) -> Changes {
+        let oldest = self.changed - self.history.len() as u64;
+        let from = from.filter(|from| (oldest..=self.changed).contains(from));
+        let Some(from) = from else {
+            return Changes {
+                at: self.changed,
+                is_whole: true,
+                registered: self.registrations(),
+                gone: Vec::new(),
+            };
+        };
+        let later = self.history.iter().skip((from - oldest) as usize);
+        let ids: BTreeSet<&CompactString> = later.collect();
+        let (known, gone): (Vec<_>, Vec<_>) =
+            ids.into_iter().partition(|id| self.ids.contains_key(*id));
+        let registered = known
+            .iter()
+            .map(|id| self.engines[self.ids[*id]].registration.clone());
+        Changes {
+            at: self.changed,
+            is_whole: false,
+            registered: registered.collect(),
+            gone: gone.into_iter().cloned().collect(),
+        }
+    }
+
+    /// Takes over changes from another host.
+    pub fn follow(&mut self, changes: Changes) {
+        if changes.is_whole {
+            return self.replace(changes.registered, false);
+        }
+        changes.gone.iter().for_each(|id| self.remove(id));
+        for registration in changes.registered {
+            self.insert(registration);
+        }
+    }
+
+    /// Removes engines that lapsed while the store was away and did not come back in time.
+    pub fn expire_lapsed(&mut self) {
+        let now = self.clock.now();
+        let is_over = |key: &Engine| self.engines[*key].gone_at.is_some_and(|at| at <= now);
+        let over = self.ids.iter().filter(|(_, key)| is_over(key));
+        let over: Vec<_> = over.map(|(id, _)| id.clone()).collect();
+        over.iter().for_each(|id| self.remove(id));
     }
 
     /// Removes an engine whose address belongs to one that started later; its entry has not lapsed
@@ -226,6 +327,11 @@
         let Some(key) = self.ids.remove(id) else {
             return;
         };
+        let name = Name::of(id);
+        if self.names.get(&name) == Some(&key) {
+            self.names.remove(&name);
+        }
+        self.note_change(id.into());
         if self.engines[key].load.running == 0 {
             self.engines.remove(key);
         }
@@ -236,6 +342,11 @@
         self.engines.get(engine)
     }
 
+    /// Returns the engine with this short name, if it is registered.
+    pub fn by_name(&self, name: Name) -> Option<Engine> {
+        self.names.get(&name).copied()
+    }
+
     /// Returns the engine with this id, if it is registered.
     pub fn by_id(&self, id: &str) -> Option<Engine> {
         self.ids.get(id).copied()
@@ -335,33 +446,48 @@
     }
 
     /// Returns what this host runs, by engine.
-    pub fn own_loads(&self) -> impl Iterator<Item = (CompactString, Load)> {
+    pub fn own_usages(&self) -> Vec<Usage> {
         let busy = self
             .engines
             .values()
             .filter(|state| state.load != Load::default());
-        busy.map(|state| (state.registration.id.clone(), state.load))
+        busy.map(|state| Usage::new(Name::of(&state.registration.id), state.load))
+            .collect()
+    }
+
+    /// Returns what this host and the hosts that report to it run together, by engine.
+    pub fn joint_usages(&self) -> Vec<Usage> {
+        let hosts = self.peers.iter();
+        let hosts = hosts.filter(|(source, _)| matches!(source, Source::Host(_)));
+        let reported = hosts.flat_map(|(_, peer)| peer.usages.iter().copied());
+        let mut sums: BTreeMap<Name, Load> = BTreeMap::new();
+        for usage in reported.chain(self.own_usages()) {
+            sums.entry(usage.engine).or_default().add(&usage.load());
+        }
+        let usages = sums.into_iter();
+        usages
+            .map(|(engine, load)| Usage::new(engine, load))
+            .collect()
     }
 
-    /// Takes over the report `number` of another host, unless a later one is known.
-    pub fn set_peer(&mut self, host: IpAddr, number: u64, loads: Vec<(CompactString, Load)>) {
-        if self
-            .peers
-            .get(&host)
-            .is_some_and(|peer| peer.number >= number)
-        {
+    /// Takes over the report `number` of a source, unless a later one is known.
+    pub fn set_peer(&mut self, source: Source, number: u64, usages: Vec<Usage>) {
+        let known = self.peers.get(&source);
+        if known.is_some_and(|peer| peer.number >= number) {
             return;
         }
         let peer = Peer {
             number,
             heard_at: self.clock.now(),
-            loads,
+            usages,
         };
-        self.peers.insert(host, peer);
-        self.add_peers();
+        self.count_elsewhere(&peer.usages, Load::add);
+        if let Some(old) = self.peers.insert(source, peer) {
+            self.count_elsewhere(&old.usages, Load::subtract);
+        }
     }
 
-    /// Returns the age of the oldest report of another host that counts; zero without any.
+    /// Returns the age of the oldest report that counts; zero without any.
     pub fn reports_age(&self) -> Duration {
         let now = self.clock.now();
         let ages = self
@@ -374,25 +500,30 @@
     /// Forgets reports that are too old.
     pub fn expire_peers(&mut self) {
         let now = self.clock.now();
-        let known = self.peers.len();
-        self.peers
-            .retain(|_, peer| now.duration_since(peer.heard_at) < REPORT_FOR);
-        if self.peers.len() != known {
-            self.add_peers();
+        let is_old = |peer: &Peer| now.duration_since(peer.heard_at) >= REPORT_FOR;
+        let old = self.peers.extract_if(.., |_, peer| is_old(peer));
+        for (_, peer) in old.collect::<Vec<_>>() {
+            self.count_elsewhere(&peer.usages, Load::subtract);
         }
     }
 
-    fn add_peers(&mut self) {
-        self.engines
-            .values_mut()
-            .for_each(|state| state.elsewhere = Load::default());
-        for (id, load) in self.peers.values().flat_map(|peer| &peer.loads) {
-            if let Some(key) = self.ids.get(id) {
-                self.engines[*key].elsewhere.add(load);
+    fn count_elsewhere(&mut self, usages: &[Usage], count: fn(&mut Load, &Load)) {
+        for usage in usages {
+            if let Some(key) = self.names.get(&usage.engine) {
+                count(&mut self.engines[*key].elsewhere, &usage.load());
             }
         }
     }
 
+    fn used_elsewhere(&self, engine: Name) -> Load {
+        let usages = self.peers.values().flat_map(|peer| &peer.usages);
+        let mut load = Load::default();
+        for usage in usages.filter(|usage| usage.engine == engine) {
+            load.add(&usage.load());
+        }
+        load
+    }
+
     /// Notes a request that is sent to an engine.
     pub fn begin(&mut self, engine: Engine, footprint: Footprint) {
         let now = self.clock.now();
--- a/src/sched/retry.rs
+++ b/src/sched/retry.rs
@@ -14,6 +14,9 @@
 /// Part of a limit over all hosts that they use together, as each counts in windows of its own.
 const PART_USED: f64 = 0.8;
 
+/// Hosts between which the slack is divided at least, as a host that starts knows none.
+pub const HOSTS_MIN: u32 = 9;
+
 /// Limits that hold over all hosts.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
@@ -63,6 +66,13 @@
         }
     }
 
+    /// Notes the number of hosts that are known to share the slack.
+    pub fn set_hosts(&mut self, known: usize) {
+        // Half as many again, as hosts that are replaced may overlap.
+        let hosts = u32::try_from(known + known / 2).unwrap_or(u32::MAX);
+        self.policy.hosts = hosts.max(HOSTS_MIN);
+    }
+
     /// Notes a request that arrived for a service.
     pub fn arrived(&mut self, service: &str, now: Instant) {
         self.slice(service, now).first += 1;
