Read large configurations from the store on each host

Ruled out: the watch of the representatives, who had it 0.4 s after the first one.

Change: the feed names the version and sends the configuration only up to 16 KB; above that a follower reads it from the store, and from a peer if it cannot. Pulls from peers are tasks of their own, so that a slow one does not stop the reports.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -25,6 +25,10 @@
 /// Longest wait for news that is granted.
 const WAIT_MAX: Duration = Duration::from_secs(2);
 
+/// Greatest size in bytes of a configuration that is sent to followers. A large one would fill the
+/// link of a small host many times over, so its followers read it from the store.
+const SENT_BYTES_MAX: usize = 16 * 1024;
+
 /// What a follower knows already.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub struct Question {
@@ -36,6 +40,8 @@
     pub revision: u64,
     /// Milliseconds that it waits for news.
     pub wait_ms: u64,
+    /// Whether it cannot read the store, so that it needs the configuration of any size.
+    pub is_cut_off: bool,
 }
 
 /// What is new to a follower.
@@ -45,7 +51,9 @@
     pub process: u64,
     /// Changes of engines.
     pub engines: Changes,
-    /// The configuration as the store has it, if the follower has an older one.
+    /// Version of the configuration in force, 0 if there is none.
+    pub version: u64,
+    /// The configuration as the store has it, if the follower has an older one and it is small.
     pub revision: Option<String>,
     /// Whether the answering host itself watches the store and reaches it.
     pub is_confirmed: bool,
@@ -81,10 +89,14 @@
         }
         let known = (question.process == self.0.process).then_some(question.engines);
         let revision = self.0.revision();
-        let newer = revision.filter(|revision| revision.version > question.revision);
+        let newer = revision.filter(|revision| {
+            let is_sent = question.is_cut_off || revision.source.len() <= SENT_BYTES_MAX;
+            is_sent && revision.version > question.revision
+        });
         Answer {
             process: self.0.process,
             engines: self.0.registry.borrow().changes_since(known.flatten()),
+            version: self.0.version(),
             revision: newer.map(|revision| revision.source.to_string()),
             is_confirmed: self.0.duty.is_watching() && self.0.reaches_store(),
             age_ms: u64::try_from(self.0.directory_age().as_millis()).unwrap_or(u64::MAX),
@@ -93,9 +105,8 @@
 
     fn has_news(&self, question: Question) -> bool {
         let changed = self.0.registry.borrow().changed();
-        let revision = self.0.revision().map_or(0, |revision| revision.version);
         question.process != self.0.process
             || question.engines != Some(changed)
-            || question.revision < revision
+            || question.revision < self.0.version()
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -10,6 +10,7 @@
 use super::Gateway;
 use super::feed::{self, Answer, Question};
 use super::protocol::Directory;
+use super::watch;
 use crate::clock::Clock;
 use crate::http::client::post_json;
 use crate::http::pool::Pool;
@@ -26,7 +27,7 @@
 /// Time between two looks whether this host has become a follower.
 const IDLE: Duration = Duration::from_millis(200);
 
-/// Pause after a round in which no representative was of use.
+/// Pause after a round in which no representative was of use, or the store did not answer.
 const LOST_PAUSE: Duration = Duration::from_millis(1000);
 
 /// Shortest time between two questions, in which news gather.
@@ -108,12 +109,15 @@
             true => gateway.duty.sources.borrow_mut().confirmed(),
             false => gateway.duty.sources.borrow_mut().failed(),
         }
+        let version = answer.as_ref().map_or(0, |answer| answer.version);
         if let Some(answer) = answer {
             known = take(&gateway, &directory, answer).or(known);
         }
+        let is_behind =
+            version > gateway.version() && !watch::read_revision(&gateway, &directory).await;
         let is_lost = gateway.duty.sources.borrow().is_lost();
         gateway.duty.set_alone(is_lost);
-        let pause = match is_lost {
+        let pause = match is_lost || is_behind {
             true => LOST_PAUSE,
             false => GATHER,
         };
@@ -131,12 +135,12 @@
         true => Duration::ZERO,
         false => WAIT,
     };
-    let revision = gateway.revision();
     let question = Question {
         process: known.map_or(0, |(process, _)| process),
         engines: known.map(|(_, at)| at),
-        revision: revision.map_or(0, |revision| revision.version),
+        revision: gateway.version(),
         wait_ms: wait.as_millis() as u64,
+        is_cut_off: false,
     };
     let address = source.to_string();
     let request = post_json(&address, feed::PATH, &question);
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -269,10 +269,7 @@
         let trace = Trace::new(id.clone(), &self.gateway.sampler, arrived);
         let result = self.answer(&head, body, &trace).await;
         let after = self.gateway.clock.now().duration_since(arrived);
-        let version = self
-            .gateway
-            .revision()
-            .map_or(0, |revision| revision.version);
+        let version = self.gateway.version();
         let mut response = match result {
             Ok(response) => {
                 let status = response.status();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -157,6 +157,12 @@
         self.revision.borrow().clone()
     }
 
+    /// Returns the version of the revision in force, 0 if there is none.
+    pub fn version(&self) -> u64 {
+        let revision = self.revision.borrow();
+        revision.as_ref().map_or(0, |revision| revision.version)
+    }
+
     /// Puts a revision into force if it is newer; returns whether it is.
     pub fn set_revision(&self, revision: Revision, from: &str) -> bool {
         let known = self.revision.borrow().as_ref().map(|known| known.version);
@@ -240,6 +246,7 @@
 
     /// Returns the metrics as text.
     pub fn metrics_text(&self) -> String {
+        self.metrics.set_watching(self.duty.is_watching());
         self.metrics
             .set_ages(self.configuration_age(), self.directory_age());
         self.metrics.text()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 //!
 //! A report is one datagram. A lost one is made good by the next, and an old one loses its effect.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use super::Gateway;
 use super::feed::{self, Answer, Question};
 use super::protocol::Directory;
+use super::watch;
 use crate::clock::Clock;
 use crate::http::client::post_json;
 use crate::http::pool::Pool;
@@ -22,7 +24,7 @@
 use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::relay::handover;
 use crate::route::registry::Source;
-use crate::supervisor::Signal;
+use crate::supervisor::{Group, Signal};
 use crate::util::{hash64, unix_ms, within};
 
 /// Time between two looks for something to report.
@@ -43,8 +45,8 @@
 /// Time for which a newer configuration of a peer is left to the store.
 const REVISION_PATIENCE: Duration = Duration::from_millis(300);
 
-/// Longest time to read a peer's configuration.
-const REVISION_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time to read what a peer knows, which may be large.
+const PULL_LIMIT: Duration = Duration::from_secs(3);
 
 /// Exchanges reports until `stop` is given.
 pub async fn run<C: Clock, D: Directory>(
@@ -65,7 +67,9 @@
         socket: socket.clone(),
         gateway,
         directory,
-        pool: Pool::default(),
+        pool: Rc::default(),
+        pulls: Group::default(),
+        is_pulling: Rc::default(),
         number: 0,
         newer: None,
         strangers: BTreeSet::new(),
@@ -81,11 +85,12 @@
             peers.take(from, report);
         }
         peers.refresh();
-        peers.pull_newer().await;
+        peers.pull_newer();
         peers.report().await;
         peers.exchange_summaries().await;
     }
     receiving.cancel().await;
+    peers.pulls.cancel().await;
 }
 
 async fn receive(
@@ -120,7 +125,9 @@
     own: SocketAddr,
     socket: Rc<UdpSocket>,
     roster: Roster,
-    pool: Pool,
+    pool: Rc<Pool>,
+    pulls: Group,
+    is_pulling: Rc<Cell<bool>>,
     number: u64,
     // A peer with a newer configuration, and since when it is known.
     newer: Option<(SocketAddr, Instant)>,
@@ -146,10 +153,8 @@
                 self.roster.named(address, of, of == domain, now);
             }
         }
-        let own = self.gateway.revision();
         let is_empty = self.gateway.registry.borrow().is_empty();
-        let is_newer = report.revision > own.map_or(0, |revision| revision.version);
-        if is_newer || (is_empty && report.revision > 0) {
+        if report.revision > self.gateway.version() || (is_empty && report.revision > 0) {
             self.newer.get_or_insert((from, now));
         }
         for summary in report.summaries {
@@ -310,11 +315,10 @@
     /// Returns a report without any work.
     fn blank(&mut self, now: Instant) -> Report {
         let hosts = self.roster.listing(now).into_iter();
-        let revision = self.gateway.revision();
         Report {
             number: self.next_number(),
             domain: self.gateway.settings.failure_domain.clone(),
-            revision: revision.map_or(0, |revision| revision.version),
+            revision: self.gateway.version(),
             is_leaving: self.gateway.leaving.is_given(),
             hosts: hosts
                 .map(|(domain, hosts)| (domain, hosts.iter().map(SocketAddr::ip).collect()))
@@ -346,42 +350,58 @@
         }
     }
 
-    /// Reads a newer configuration from a peer if neither the store nor a representative brings it.
-    async fn pull_newer(&mut self) {
+    /// Reads a newer configuration if neither the store nor a representative brings it.
+    fn pull_newer(&mut self) {
         let now = self.gateway.clock.now();
         let Some((from, since)) = self.newer else {
             return;
         };
-        if now.duration_since(since) < REVISION_PATIENCE {
+        if now.duration_since(since) < REVISION_PATIENCE || self.is_pulling.replace(true) {
             return;
         }
         self.newer = None;
-        let revision = self.gateway.revision();
-        let question = Question {
-            revision: revision.map_or(0, |revision| revision.version),
-            ..Question::default()
-        };
-        let address = from.to_string();
-        let request = post_json(&address, feed::PATH, &question);
-        let answer = self.pool.call(&address, request, REVISION_LIMIT).await;
-        let answer: Answer = match answer.map(|(_, body)| serde_json::from_slice(&body)) {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(err)) => return info!("event=peer_unreadable peer={from} error={err:?}"),
-            Err(err) => return info!("event=peer_failed peer={from} error={err:?}"),
-        };
-        if let Some(source) = answer.revision {
-            self.gateway.take_revision(&self.directory, &source, "peer");
-        }
-        let mut registry = self.gateway.registry.borrow_mut();
-        if registry.is_empty() && !answer.engines.registered.is_empty() {
-            info!(
-                "event=engines_from_peer engines={}",
-                answer.engines.registered.len()
-            );
-            registry.follow(answer.engines);
-            drop(registry);
-            self.gateway.note_news();
-            self.gateway.registered(Duration::ZERO);
-        }
+        let (gateway, directory) = (self.gateway.clone(), self.directory.clone());
+        let (pool, is_pulling) = (self.pool.clone(), self.is_pulling.clone());
+        self.pulls.spawn(async move {
+            let has_read = watch::read_revision(&gateway, &directory).await;
+            if !has_read || gateway.registry.borrow().is_empty() {
+                pull(&gateway, &directory, &pool, from).await;
+            }
+            is_pulling.set(false);
+        });
+    }
+}
+
+/// Reads the configuration, and the engines if none is known, from a peer.
+async fn pull<C: Clock, D: Directory>(
+    gateway: &Gateway<C>,
+    directory: &D,
+    pool: &Pool,
+    from: SocketAddr,
+) {
+    let question = Question {
+        revision: gateway.version(),
+        is_cut_off: true,
+        ..Question::default()
+    };
+    let address = from.to_string();
+    let request = post_json(&address, feed::PATH, &question);
+    let answer = pool.call(&address, request, PULL_LIMIT).await;
+    let answer: Answer = match answer.map(|(_, body)| serde_json::from_slice(&body)) {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(err)) => return info!("event=peer_unreadable peer={from} error={err:?}"),
+        Err(err) => return info!("event=peer_failed peer={from} error={err:?}"),
+    };
+    if let Some(source) = answer.revision {
+        gateway.take_revision(directory, &source, "peer");
+    }
+    let engines = answer.engines.registered.len();
+    let mut registry = gateway.registry.borrow_mut();
+    if registry.is_empty() && engines > 0 {
+        info!("event=engines_from_peer engines={engines}");
+        registry.follow(answer.engines);
+        drop(registry);
+        gateway.note_news();
+        gateway.registered(Duration::ZERO);
     }
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -133,6 +133,19 @@
     }
 }
 
+/// Reads the configuration once; returns whether the store answered.
+pub async fn read_revision<C: Clock, D: Directory>(gateway: &Gateway<C>, directory: &D) -> bool {
+    let answer = directory.revision().await;
+    count(gateway, "configuration_read", answer.as_ref().err());
+    let Ok(listing) = answer else {
+        return false;
+    };
+    for revision in listing.items {
+        gateway.set_revision(revision, "store");
+    }
+    true
+}
+
 /// Keeps the engines up to date until `stop` is given, while this host watches the store.
 pub async fn engines<C: Clock, D: Directory>(gateway: Rc<Gateway<C>>, directory: D, stop: Signal) {
     let mut dependency = Dependency::new("engines");
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -64,6 +64,7 @@
     revision_version: Gauge,
     engines: Gauge,
     hosts: Gauge,
+    watches_store: Gauge,
     configuration_age: Gauge<f64, AtomicU64>,
     engines_age: Gauge<f64, AtomicU64>,
     refusals: Family<Refusal, Counter>,
@@ -89,6 +90,9 @@
         registry.register("engines", "Registered engines", engines.clone());
         let hosts = Gauge::default();
         registry.register("hosts", "Known hosts, this one included", hosts.clone());
+        let watches_store = Gauge::default();
+        let text = "Whether this host watches the store (1) or follows a representative (0)";
+        registry.register("watches_store", text, watches_store.clone());
         let configuration_age = Gauge::default();
         let text = "Time since the configuration was last confirmed";
         let unit = || Unit::Seconds;
@@ -103,6 +107,7 @@
             revision_version,
             engines,
             hosts,
+            watches_store,
             configuration_age,
             engines_age,
             refusals,
@@ -155,6 +160,11 @@
         self.hosts.set(i64::try_from(hosts).unwrap_or(i64::MAX));
     }
 
+    /// Notes whether this host watches the store.
+    pub fn set_watching(&self, is_watching: bool) {
+        self.watches_store.set(is_watching.into());
+    }
+
     /// Notes the ages of the configuration and of the engines.
     pub fn set_ages(&self, configuration: Duration, engines: Duration) {
         self.configuration_age.set(configuration.as_secs_f64());
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -465,6 +465,68 @@
     });
 }
 
+/// Guards against a fleet in which every host asks the store, and against followers that miss a
+/// revision or a leaving engine, also after the loss of the representatives that they follow.
+#[test]
+fn most_hosts_follow_a_representative() {
+    let one = Engine::start("i-1", |_| ok());
+    let two = Engine::start("i-2", |_| ok());
+    let store = Store::start();
+    store.put("config", "main", config(3));
+    for engine in [&one, &two] {
+        store.put("servers", &engine.id, engine.registration("app", "fd-a"));
+    }
+    let port = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+        .port();
+    let start = |number: u8| {
+        let more = format!("seeds = 127.0.0.1:1\nports = {port},{port}");
+        let settings = settings(&store.address, &more);
+        Gateway::start(&settings.replace("127.0.0.1:0", &format!("127.0.0.{number}:0")))
+    };
+    let mut hosts: Vec<_> = (1..=4).map(start).collect();
+    hosts
+        .iter()
+        .for_each(|host| wait_for("readiness", || host.is_ready()));
+    let watching = |host: &Gateway| host.metric("bilberrypost_watches_store") == Some(1.0);
+    wait_for("two representatives", || {
+        hosts.iter().filter(|host| watching(host)).count() == 2
+    });
+    let follows = |hosts: &[Gateway], version: u64, key: &str, status: u16| {
+        let mut next = config(version);
+        // A configuration with many routes takes another way than a small one.
+        let routes = next["routes"].as_array_mut().unwrap();
+        for number in 0..(version % 2) * 100 {
+            let mut route = routes[0].clone();
+            route["path-prefix"] = json!(format!("/more{number}/"));
+            routes.push(route);
+        }
+        next["tenants"][0]["api-keys"] = json!([key]);
+        store.put("config", "main", next);
+        for host in hosts {
+            wait_for("the revision", || {
+                host.status("POST", "/once/x", "r1", "") == status
+            });
+        }
+    };
+    follows(&hosts, 4, "another", 401);
+    follows(&hosts, 5, KEY, 200);
+    hosts.retain(|host| !watching(host));
+    follows(&hosts, 6, "another", 401);
+    follows(&hosts, 7, KEY, 200);
+    store.remove("servers", &one.id);
+    wait_for("an engine without requests", || {
+        let before = one.arrivals();
+        for (number, host) in hosts.iter().enumerate() {
+            let id = format!("g{number}");
+            assert_eq!(host.status("GET", "/any/x", &id, ""), 200);
+        }
+        one.arrivals() == before
+    });
+}
+
 /// Guards against a caller whose host is gone and whose prompt is read again at another host, though
 /// an engine holds a replica of its run.
 #[test]
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -509,6 +509,15 @@
         answer.is_some_and(|answer| answer.status() == 200)
     }
 
+    /// Returns a metric without labels.
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let address = self.process.field("ready_address").unwrap();
+        let answer = exchange(&address, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n")?;
+        let text = answer.text();
+        let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+        line.trim().parse().ok()
+    }
+
     /// Sends a request and returns the answer, if there is one.
     pub fn ask(&self, method: &str, path: &str, headers: &str, body: &str) -> Option<Message> {
         exchange(&self.process.address, &request(method, path, headers, body))
