Prefer engines of the own failure domain among equals

Also: a follower counts its configuration as confirmed only once it has the version that the representative names, with the age of the older of the two parts.

Test: equal_engines_nearby_are_chosen_first.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -93,13 +93,14 @@
             let is_sent = question.is_cut_off || revision.source.len() <= SENT_BYTES_MAX;
             is_sent && revision.version > question.revision
         });
+        let age = self.0.directory_age().max(self.0.configuration_age());
         Answer {
             process: self.0.process,
             engines: self.0.registry.borrow().changes_since(known.flatten()),
             version: self.0.version(),
             revision: newer.map(|revision| revision.source.to_string()),
             is_confirmed: self.0.duty.is_watching() && self.0.reaches_store(),
-            age_ms: u64::try_from(self.0.directory_age().as_millis()).unwrap_or(u64::MAX),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -182,7 +182,9 @@
     if gateway.registry.borrow().changed() != before {
         gateway.note_news();
     }
-    gateway.confirm(age);
+    if gateway.version() >= answer.version {
+        gateway.confirm(age);
+    }
     gateway.registered(age);
     Some(known)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -128,7 +128,11 @@
     /// Creates the shared state of a process.
     pub fn new(clock: C, settings: Settings) -> Self {
         Self {
-            registry: RefCell::new(Registry::new(clock.clone(), settings.name.clone())),
+            registry: RefCell::new(Registry::new(
+                clock.clone(),
+                settings.name.clone(),
+                settings.failure_domain.clone(),
+            )),
             budget: RefCell::new(retry::Budget::new(settings.retries.shared())),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -120,6 +120,7 @@
 pub struct Registry<C: Clock> {
     clock: C,
     host: CompactString,
+    domain: CompactString,
     engines: SlotMap<Engine, State>,
     // Invariant: the engines that the store lists, or that lapsed less than LAPSE_GRACE ago. Engines
     // not in it are kept in `engines` only while this host runs requests on them.
@@ -167,11 +168,12 @@
 }
 
 impl<C: Clock> Registry<C> {
-    /// Creates an empty registry of the host `host`.
-    pub fn new(clock: C, host: CompactString) -> Self {
+    /// Creates an empty registry of the host `host` in the failure domain `domain`.
+    pub fn new(clock: C, host: CompactString, domain: CompactString) -> Self {
         Self {
             clock,
             host,
+            domain,
             engines: SlotMap::with_key(),
             ids: BTreeMap::new(),
             names: BTreeMap::new(),
@@ -363,7 +365,8 @@
     }
 
     /// Chooses an engine for a new request: with room if possible, with the least to read and to
-    /// run, and among equals by this host's own order.
+    /// run, among equals in the host's own failure domain, as bytes between domains are paid for,
+    /// and then by the host's own order.
     pub fn choose(&self, need: &Need<'_>) -> Option<Engine> {
         let candidates = self.candidates(need);
         candidates
@@ -373,6 +376,7 @@
                     self.is_suspect(state),
                     is_full,
                     self.cost(state),
+                    state.registration.failure_domain != self.domain,
                     state.order,
                 )
             })
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -37,7 +37,7 @@
 }
 
 fn registry(clock: &Manual, entries: &[(&str, &str)]) -> Registry<Manual> {
-    let mut registry = Registry::new(clock.clone(), "host-a".into());
+    let mut registry = Registry::new(clock.clone(), "host-a".into(), "fd-a".into());
     let entries = entries.iter().map(|(id, domain)| entry(id, domain));
     registry.replace(entries.collect(), false);
     registry
@@ -78,6 +78,26 @@
     assert_eq!(registry.choose(&need(&[])), Some(second));
 }
 
+/// Guards against bytes that cross failure domains though an engine nearby is as free, and against
+/// prompts that queue nearby while one elsewhere is free.
+#[test]
+fn equal_engines_nearby_are_chosen_first() {
+    for seed in 0..20 {
+        let clock = Manual::default();
+        let names = [format!("x{seed}"), format!("y{seed}"), format!("z{seed}")];
+        let entries = [
+            (names[0].as_str(), "fd-c"),
+            (names[1].as_str(), "fd-a"),
+            (names[2].as_str(), "fd-b"),
+        ];
+        let mut registry = registry(&clock, &entries);
+        let near = registry.by_id(&names[1]);
+        assert_eq!(registry.choose(&need(&[])), near);
+        registry.begin(near.unwrap(), SMALL);
+        assert_ne!(registry.choose(&need(&[])), near);
+    }
+}
+
 /// Guards against a report with absurd numbers that ends the process.
 #[test]
 fn absurd_reports_are_survived() {
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -222,8 +222,8 @@
     for seed in 0..100 {
         let mut draws = StdRng::seed_from_u64(seed);
         let clock = Manual::default();
-        let mut watcher = Registry::new(clock.clone(), "host-a".into());
-        let mut follower = Registry::new(clock.clone(), "host-b".into());
+        let mut watcher = Registry::new(clock.clone(), "host-a".into(), "fd-a".into());
+        let mut follower = Registry::new(clock.clone(), "host-b".into(), "fd-b".into());
         let mut at = None;
         for step in 0..400 {
             let id = format!("e{}", draws.random_range(0..8));
