--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -13,7 +13,7 @@
 use crate::http::body::Body;
 use crate::http::problem::{json_response, text_response};
 use crate::http::server;
-use crate::route::registry::Changes;
+use crate::route::history::Changes;
 use crate::util::within;
 
 /// Path of the feed.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,7 +23,7 @@
 use crate::peer::report::{self, Report, Summary};
 use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::relay::handover;
-use crate::route::registry::Source;
+use crate::route::reports::Source;
 use crate::supervisor::{Group, Signal};
 use crate::util::{hash64, unix_ms, within};
 
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -1,14 +1,15 @@
 //! Engines that register themselves, what this host runs on them, and which of them gets a request.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::IpAddr;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use super::history::{Changes, History};
 use super::load::{Footprint, Load};
+use super::reports::{Reports, Source};
 use crate::clock::Clock;
 use crate::peer::report::{Name, Usage};
 use crate::supervisor::Signal;
@@ -36,9 +37,6 @@
 /// Silence of an engine with running requests after which its address is checked.
 const CHECK_AFTER: Duration = Duration::from_millis(240);
 
-/// Time for which a report of another host counts.
-const REPORT_FOR: Duration = Duration::from_millis(1500);
-
 /// Age of the last word of an engine that is still news when others of its failure domain are lost.
 const ROUND_TRIP: Duration = Duration::from_millis(5);
 
@@ -51,9 +49,6 @@
 /// Engines lost together after which the others of their failure domain are doubted.
 const DOMAIN_LOSSES: usize = 2;
 
-/// Changes that are remembered for hosts that follow this one.
-const CHANGES_MAX: usize = 4096;
-
 new_key_type! {
     /// A registered engine or backend server.
     pub struct Engine;
@@ -127,46 +122,15 @@
     ids: BTreeMap<CompactString, Engine>,
     // Invariant: the engines of `ids`.
     names: BTreeMap<Name, Engine>,
-    // Ids of the last changes of `ids`, the newest of which has the number `changed`.
-    history: VecDeque<CompactString>,
-    changed: u64,
+    // Changes of `ids`.
+    history: History,
     // Engines that were lost lately, with their failure domains.
     losses: Vec<(Instant, Engine, CompactString)>,
     // Invariant: the `elsewhere` of each engine in `names` is the sum of these usages.
-    peers: BTreeMap<Source, Peer>,
+    reports: Reports,
     changes: u64,
 }
 
-/// Who reports what runs elsewhere.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Source {
-    /// A host, of what it runs.
-    Host(IpAddr),
-    /// A representative, of what the hosts of this failure domain run.
-    Domain(CompactString),
-}
-
-/// The last report of a source.
-#[derive(Debug)]
-struct Peer {
-    number: u64,
-    heard_at: Instant,
-    usages: Vec<Usage>,
-}
-
-/// Changes of registrations that a follower takes over.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Changes {
-    /// Number of the last change.
-    pub at: u64,
-    /// Whether these are all registrations, and not those that changed.
-    pub is_whole: bool,
-    /// What is registered.
-    pub registered: Vec<Registration>,
-    /// Ids of engines that are gone.
-    pub gone: Vec<CompactString>,
-}
-
 impl<C: Clock> Registry<C> {
     /// Creates an empty registry of the host `host` in the failure domain `domain`.
     pub fn new(clock: C, host: CompactString, domain: CompactString) -> Self {
@@ -177,10 +141,9 @@
             engines: SlotMap::with_key(),
             ids: BTreeMap::new(),
             names: BTreeMap::new(),
-            history: VecDeque::new(),
-            changed: 0,
+            history: History::default(),
             losses: Vec::new(),
-            peers: BTreeMap::new(),
+            reports: Reports::default(),
             changes: 0,
         }
     }
@@ -219,7 +182,7 @@
                 known.gone_at = None;
                 if known.registration != registration {
                     known.registration = registration.clone();
-                    self.note_change(registration.id);
+                    self.history.push(registration.id);
                 }
                 return;
             }
@@ -230,7 +193,7 @@
         let id = registration.id.clone();
         let key = self.engines.insert(State {
             order: hash64(&[self.host.as_bytes(), id.as_bytes()]),
-            elsewhere: self.used_elsewhere(Name::of(&id)),
+            elsewhere: self.reports.load(Name::of(&id)),
             registration,
             load: Load::default(),
             gone_at: None,
@@ -243,44 +206,32 @@
         });
         self.names.insert(Name::of(&id), key);
         self.ids.insert(id.clone(), key);
-        self.note_change(id);
-    }
-
-    fn note_change(&mut self, id: CompactString) {
-        self.changed += 1;
-        self.history.push_back(id);
-        if self.history.len() > CHANGES_MAX {
-            self.history.pop_front();
-        }
+        self.history.push(id);
     }
 
     /// Returns the number of the last change of a registration.
     pub fn changed(&self) -> u64 {
-        self.changed
+        self.history.last()
     }
 
     /// Returns the changes after the one with the number `from`; all registrations if those are not
     /// known any more.
     pub fn changes_since(&self, from: Option<u64>) -> Changes {
-        let oldest = self.changed - self.history.len() as u64;
-        let from = from.filter(|from| (oldest..=self.changed).contains(from));
-        let Some(from) = from else {
+        let Some(ids) = from.and_then(|from| self.history.since(from)) else {
             return Changes {
-                at: self.changed,
+                at: self.changed(),
                 is_whole: true,
                 registered: self.registrations(),
                 gone: Vec::new(),
             };
         };
-        let later = self.history.iter().skip((from - oldest) as usize);
-        let ids: BTreeSet<&CompactString> = later.collect();
         let (known, gone): (Vec<_>, Vec<_>) =
             ids.into_iter().partition(|id| self.ids.contains_key(*id));
         let registered = known
             .iter()
             .map(|id| self.engines[self.ids[*id]].registration.clone());
         Changes {
-            at: self.changed,
+            at: self.changed(),
             is_whole: false,
             registered: registered.collect(),
             gone: gone.into_iter().cloned().collect(),
@@ -333,7 +284,7 @@
         if self.names.get(&name) == Some(&key) {
             self.names.remove(&name);
         }
-        self.note_change(id.into());
+        self.history.push(id.into());
         if self.engines[key].load.running == 0 {
             self.engines.remove(key);
         }
@@ -461,11 +412,8 @@
 
     /// Returns what this host and the hosts that report to it run together, by engine.
     pub fn joint_usages(&self) -> Vec<Usage> {
-        let hosts = self.peers.iter();
-        let hosts = hosts.filter(|(source, _)| matches!(source, Source::Host(_)));
-        let reported = hosts.flat_map(|(_, peer)| peer.usages.iter().copied());
         let mut sums: BTreeMap<Name, Load> = BTreeMap::new();
-        for usage in reported.chain(self.own_usages()) {
+        for usage in self.reports.of_hosts().chain(self.own_usages()) {
             sums.entry(usage.engine).or_default().add(&usage.load());
         }
         let usages = sums.into_iter();
@@ -476,39 +424,24 @@
 
     /// Takes over the report `number` of a source, unless a later one is known.
     pub fn set_peer(&mut self, source: Source, number: u64, usages: Vec<Usage>) {
-        let known = self.peers.get(&source);
-        if known.is_some_and(|peer| peer.number >= number) {
+        if !self.reports.is_newer(&source, number) {
             return;
         }
-        let peer = Peer {
-            number,
-            heard_at: self.clock.now(),
-            usages,
-        };
-        self.count_elsewhere(&peer.usages, Load::add);
-        if let Some(old) = self.peers.insert(source, peer) {
-            self.count_elsewhere(&old.usages, Load::subtract);
-        }
+        self.count_elsewhere(&usages, Load::add);
+        let now = self.clock.now();
+        let old = self.reports.replace(source, number, usages, now);
+        self.count_elsewhere(&old, Load::subtract);
     }
 
     /// Returns the age of the oldest report that counts; zero without any.
     pub fn reports_age(&self) -> Duration {
-        let now = self.clock.now();
-        let ages = self
-            .peers
-            .values()
-            .map(|peer| now.duration_since(peer.heard_at));
-        ages.max().unwrap_or_default()
+        self.reports.age(self.clock.now())
     }
 
     /// Forgets reports that are too old.
     pub fn expire_peers(&mut self) {
-        let now = self.clock.now();
-        let is_old = |peer: &Peer| now.duration_since(peer.heard_at) >= REPORT_FOR;
-        let old = self.peers.extract_if(.., |_, peer| is_old(peer));
-        for (_, peer) in old.collect::<Vec<_>>() {
-            self.count_elsewhere(&peer.usages, Load::subtract);
-        }
+        let old = self.reports.expire(self.clock.now());
+        self.count_elsewhere(&old, Load::subtract);
     }
 
     fn count_elsewhere(&mut self, usages: &[Usage], count: fn(&mut Load, &Load)) {
@@ -519,15 +452,6 @@
         }
     }
 
-    fn used_elsewhere(&self, engine: Name) -> Load {
-        let usages = self.peers.values().flat_map(|peer| &peer.usages);
-        let mut load = Load::default();
-        for usage in usages.filter(|usage| usage.engine == engine) {
-            load.add(&usage.load());
-        }
-        load
-    }
-
     /// Notes a request that is sent to an engine.
     pub fn begin(&mut self, engine: Engine, footprint: Footprint) {
         let now = self.clock.now();
