--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -210,7 +210,7 @@
         address: "127.0.0.1:1".into(),
         failure_domain: "fd-a".into(),
         slots: 4,
-        is_draining: version % 3 == 0,
+        is_draining: version.is_multiple_of(3),
         started_ms: version,
     }
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -248,7 +248,7 @@
             7 => self.restart(host, false),
             8 => self.restart(host, true),
             9 => {
-                let moods = [Mood::Up, Mood::Up, Mood::Busy, Mood::Forgetful];
+                let moods = [Mood::Up, Mood::Up, Mood::Busy, Mood::Forgetful, Mood::Stale];
                 self.store
                     .set_mood(moods[self.draws.random_range(0..moods.len())]);
             }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -105,6 +105,8 @@
     Busy,
     /// Watches hear that their history is gone, once each.
     Forgetful,
+    /// Lists show what each object was before its last change.
+    Stale,
 }
 
 #[derive(Debug, Default)]
@@ -113,6 +115,8 @@
     revision: u64,
     // Objects by kind and name, with the revision of their last change; `None` if removed.
     objects: BTreeMap<(String, String), (u64, Option<Value>)>,
+    // What they were before.
+    before: BTreeMap<(String, String), Value>,
     calls: u64,
 }
 
@@ -161,9 +165,11 @@
         let mut objects = self.objects.0.lock().unwrap();
         objects.revision += 1;
         let revision = objects.revision;
-        objects
-            .objects
-            .insert((kind.into(), name.into()), (revision, spec));
+        let key = (kind.to_owned(), name.to_owned());
+        let old = objects.objects.insert(key.clone(), (revision, spec));
+        if let Some((_, Some(old))) = old {
+            objects.before.insert(key, old);
+        }
         self.objects.1.notify_all();
     }
 
@@ -205,6 +211,12 @@
                 .into_iter()
                 .filter(|(name, _, spec)| name.as_str() > after && spec.is_some())
                 .collect();
+            if objects.mood == Mood::Stale {
+                for (name, _, spec) in &mut entries {
+                    let key = (kind.to_owned(), name.clone());
+                    *spec = objects.before.get(&key).cloned().or(spec.take());
+                }
+            }
             let has_more = entries.len() > PAGE;
             entries.truncate(PAGE);
             let entries: Vec<_> = entries.iter().map(object).collect();
