Try engines last that were lost during an outage of the store

Ruled out: want of room, as the other domains had it.

Change: an engine that was lost or unreachable is suspect until the store was heard 1.5 s later, or it answers under its id. Calls of followed hosts gather for 500 ms, and hosts that no representative helps try the store every 4 s at last.

Test: engines_lost_in_an_outage_are_tried_last.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -208,6 +208,9 @@
         let at = self.clock.now().checked_sub(age);
         self.has_engines.set(true);
         self.directory_at.set(self.directory_at.get().max(at));
+        if let Some(at) = at {
+            self.registry.borrow_mut().confirm(at);
+        }
         self.metrics.set_engines(self.registry.borrow().len());
     }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -20,15 +20,16 @@
 /// The same where other hosts follow this one, which they leave when it does not reach the store.
 const FOLLOWED_WAIT: Duration = Duration::from_millis(1000);
 
-/// Time in which changes of engines gather before they are asked for again, as each call is priced.
-const GATHER: Duration = Duration::from_millis(300);
+/// Time in which changes of engines gather before they are asked for again, as each call is priced;
+/// and the same where other hosts follow this one, of which there are several and changes are many.
+const GATHER: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(500));
 
 /// Shortest pause between two tries while the store does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Longest such pause of a representative, and of another host, of which there are many.
 const RETRY_PAUSE_MAX: (Duration, Duration) =
-    (Duration::from_millis(600), Duration::from_millis(2000));
+    (Duration::from_millis(600), Duration::from_millis(4000));
 
 /// Time between two looks whether this host has to watch the store.
 const IDLE: Duration = Duration::from_millis(100);
@@ -171,7 +172,11 @@
                 if gateway.registry.borrow().changed() != before {
                     gateway.note_news();
                 }
-                within(GATHER, stop.wait()).await;
+                let gather = match gateway.duty.is_followed() {
+                    true => GATHER.1,
+                    false => GATHER.0,
+                };
+                within(gather, stop.wait()).await;
             }
             Err(Unavailable::HistoryGone) => at = None,
             Err(err) => {
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -85,6 +85,8 @@
     // When it is gone, if the store does not list it any more.
     gone_at: Option<Instant>,
     unreachable_until: Option<Instant>,
+    // When it was last lost or unreachable, unless it has answered since.
+    lost_at: Option<Instant>,
     failures: Vec<Instant>,
     /// Given when the engine is lost with all that runs on it.
     pub lost: Signal,
@@ -124,6 +126,8 @@
     names: BTreeMap<Name, Engine>,
     // Changes of `ids`.
     history: History,
+    // Up to when the store has told of changes.
+    confirmed_at: Option<Instant>,
     // Engines that were lost lately, with their failure domains.
     losses: Vec<(Instant, Engine, CompactString)>,
     // Invariant: the `elsewhere` of each engine in `names` is the sum of these usages.
@@ -142,6 +146,7 @@
             ids: BTreeMap::new(),
             names: BTreeMap::new(),
             history: History::default(),
+            confirmed_at: None,
             losses: Vec::new(),
             reports: Reports::default(),
             changes: 0,
@@ -198,6 +203,7 @@
             load: Load::default(),
             gone_at: None,
             unreachable_until: None,
+            lost_at: None,
             failures: Vec::new(),
             lost: Signal::default(),
             checked_at: self.clock.now(),
@@ -365,7 +371,26 @@
     fn is_suspect(&self, state: &State) -> bool {
         let now = self.clock.now();
         let is_unreachable = state.unreachable_until.is_some_and(|until| until > now);
-        is_unreachable || state.is_doubted || state.lost.is_given()
+        is_unreachable
+            || state.is_doubted
+            || state.lost.is_given()
+            || self.is_probably_replaced(state)
+    }
+
+    /// Returns whether an engine was lost and the store has not been heard since: what answers at
+    /// its address then is mostly another start of it, which turns requests away. In an outage of
+    /// the store such engines would use up the repeats of all requests.
+    fn is_probably_replaced(&self, state: &State) -> bool {
+        let is_later = |at: Instant| {
+            self.confirmed_at
+                .is_some_and(|confirmed| confirmed < at + UNREACHABLE_FOR)
+        };
+        state.lost_at.is_some_and(is_later)
+    }
+
+    /// Notes that the registrations are known as they were at `at`.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
     fn cost(&self, state: &State) -> u64 {
@@ -562,6 +587,7 @@
             state.is_checking = false;
             state.checked_at = now;
             state.unreachable_until = Some(now + UNREACHABLE_FOR);
+            state.lost_at = Some(now);
             state.lost.give();
         }
         self.note_loss(engine);
@@ -595,6 +621,7 @@
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
             state.unreachable_until = Some(now + UNREACHABLE_FOR);
+            state.lost_at = Some(now);
         }
         self.note_loss(engine);
     }
@@ -603,6 +630,7 @@
     pub fn set_answered(&mut self, engine: Engine) {
         if let Some(state) = self.engines.get_mut(engine) {
             state.unreachable_until = None;
+            state.lost_at = None;
         }
     }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bilberrypost::clock::Manual;
+use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::peer::report::{Name, Usage};
 use bilberrypost::route::load::{Footprint, Load};
 use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
@@ -99,6 +99,32 @@
     }
 }
 
+/// Guards against an outage of the store in which requests go to engines that started again under
+/// other ids, where each is turned away and the repeats of all requests are used up (trouble-3 of
+/// nql-bilberry-grown).
+#[test]
+fn engines_lost_in_an_outage_are_tried_last() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    registry.confirm(clock.now());
+    let (lost, other) = (registry.by_id("a").unwrap(), registry.by_id("b"));
+    clock.advance(Duration::from_millis(100));
+    registry.set_lost(lost);
+    clock.advance(Duration::from_secs(5));
+    // Something at its address takes connections again.
+    registry.set_heard(lost);
+    registry.begin(other.unwrap(), SMALL);
+    assert_eq!(registry.choose(&need(&[])), other);
+    // The store is back and still lists it, or it answers under its id.
+    registry.confirm(clock.now());
+    assert_eq!(registry.choose(&need(&[])), Some(lost));
+    registry.set_unreachable(lost);
+    clock.advance(Duration::from_secs(5));
+    assert_eq!(registry.choose(&need(&[])), other);
+    registry.set_answered(lost);
+    assert_eq!(registry.choose(&need(&[])), Some(lost));
+}
+
 /// Guards against a report with absurd numbers that ends the process.
 #[test]
 fn absurd_reports_are_survived() {
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -105,7 +105,8 @@
     Busy,
     /// Watches hear that their history is gone, once each.
     Forgetful,
-    /// Lists show what each object was before its last change.
+    /// Watches end soon, as their history is gone, and lists show what each object was before its
+    /// last change.
     Stale,
 }
 
@@ -233,6 +234,11 @@
                 objects.mood = Mood::Up;
                 return (410, json!({}));
             }
+            if objects.mood == Mood::Stale {
+                drop(objects);
+                std::thread::sleep(Duration::from_millis(50));
+                return (410, json!({}));
+            }
             let changed = objects.of_kind(kind, from);
             let left = deadline.saturating_duration_since(Instant::now());
             if !changed.is_empty() || left.is_zero() || objects.mood != Mood::Up {
