--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -331,6 +331,18 @@
     }
 }
 
+/// Logs further requests to stop, which change nothing: running work ends by itself or is cut at the
+/// drain limit. Without a handler a second SIGTERM would end the process at once.
+async fn repeated_stops(stop: Signal) {
+    const SIGTERM: i32 = 15;
+    while !stop.is_given() {
+        let signal = pin!(compio::signal::unix::signal(SIGTERM));
+        if let Either::Left(_) = select(signal, pin!(stop.wait())).await {
+            info!("event=stop_requested");
+        }
+    }
+}
+
 async fn bind(address: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -399,6 +411,7 @@
         check::run(gateway.clone(), supervisor.stop_signal()),
     );
     supervisor.spawn("reloads", reloads(supervisor.stop_signal()));
+    supervisor.spawn("stops", repeated_stops(supervisor.stop_signal()));
     let closed = Signal::default();
     let front = Rc::new(Front::<_, P>::new(gateway.clone()));
     let serving = compio::runtime::spawn(server::serve(callers, front, closed.clone()));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -397,6 +397,8 @@
     wait_for("arrival", || app.arrivals() == 1 || gateway.is_ready());
     gateway.process.terminate();
     wait_for("refusal of readiness", || !gateway.is_ready());
+    // A second request to stop cuts nothing either.
+    gateway.process.terminate();
     let answer = Message::read(&mut BufReader::new(stream)).unwrap();
     assert_eq!(answer.status(), 200);
     assert_eq!(gateway.process.wait(), Some(0));
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -237,7 +237,7 @@
             Fault::BlockToClient,
         ];
         let fault = faults[self.draws.random_range(0..faults.len())];
-        match self.draws.random_range(0..14) {
+        match self.draws.random_range(0..15) {
             0 | 1 => self.hosts[host].link.set(fault),
             2..5 => self.engines[engine].1.set(fault),
             5 => self.hosts[host].gateway.process.pause(),
@@ -247,7 +247,7 @@
                 .for_each(|host| host.gateway.process.unpause()),
             7 => self.restart(host, false),
             8 => self.restart(host, true),
-            9 => {
+            9 | 14 => {
                 let moods = [Mood::Up, Mood::Up, Mood::Busy, Mood::Forgetful, Mood::Stale];
                 self.store
                     .set_mood(moods[self.draws.random_range(0..moods.len())]);
@@ -263,30 +263,46 @@
         }
     }
 
-    /// Kills a host, or stops it while its old process may still end its work beside the new one.
+    /// Kills a host and starts it again, or asks it to stop.
     fn restart(&mut self, number: usize, is_killed: bool) {
         let host = &mut self.hosts[number];
         host.gateway.process.unpause();
-        match is_killed {
-            true => host.gateway.process.kill(),
-            false => {
-                host.gateway.process.terminate();
-                assert_eq!(host.gateway.process.wait(), Some(0), "a stop ends well");
-            }
+        if !is_killed {
+            host.is_stopping = true;
+            return host.gateway.process.terminate();
         }
+        host.gateway.process.kill();
         host.gateway = Gateway::start(&host.settings);
         host.is_stopping = false;
         self.publish_addresses();
     }
 
+    /// Starts the hosts again that have stopped as they were asked to.
+    fn revive(&mut self) {
+        for host in &mut self.hosts {
+            if host.gateway.process.is_running() {
+                continue;
+            }
+            let code = host.gateway.process.wait();
+            assert!(host.is_stopping, "a host ended by itself with {code:?}");
+            assert_eq!(code, Some(0), "a stop ends well");
+            host.gateway = Gateway::start(&host.settings);
+            host.is_stopping = false;
+        }
+        self.publish_addresses();
+    }
+
     /// Ends all faults and waits until every host serves again.
     fn calm(&mut self) {
         self.store.set_mood(Mood::Up);
         for host in &mut self.hosts {
             host.gateway.process.unpause();
             host.link.set(Fault::Pass);
-            assert!(host.gateway.process.is_running(), "a host ended by itself");
+            if host.is_stopping {
+                host.gateway.process.wait();
+            }
         }
+        self.revive();
         self.engines
             .iter()
             .for_each(|(_, link, ..)| link.set(Fault::Pass));
@@ -472,8 +488,9 @@
         .collect();
     let until = Instant::now() + FAULTS_FOR;
     while Instant::now() < until {
+        world.revive();
         world.disturb();
-        let pause = world.draws.random_range(0..400);
+        let pause = world.draws.random_range(0..200);
         std::thread::sleep(Duration::from_millis(pause));
     }
     world.calm();
