Suspect engines lost in an outage of the store only while it lasts

Change: they are suspect only once the registrations are older than 3 s.

Test: engines_lost_in_an_outage_are_tried_last now also asks for such an engine 2 s after the last watch.

--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -22,6 +22,9 @@
 /// about as long, and comes back under another id or start.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(1500);
 
+/// Age of the registrations above which the store must be away; a watch ends sooner without news.
+const OUTAGE_AFTER: Duration = Duration::from_secs(3);
+
 /// Time for which a failed answer counts against an engine.
 const FAILURE_FOR: Duration = Duration::from_secs(3);
 
@@ -381,11 +384,11 @@
     /// its address then is mostly another start of it, which turns requests away. In an outage of
     /// the store such engines would use up the repeats of all requests.
     fn is_probably_replaced(&self, state: &State) -> bool {
-        let is_later = |at: Instant| {
-            self.confirmed_at
-                .is_some_and(|confirmed| confirmed < at + UNREACHABLE_FOR)
+        let (Some(lost_at), Some(confirmed_at)) = (state.lost_at, self.confirmed_at) else {
+            return false;
         };
-        state.lost_at.is_some_and(is_later)
+        let is_outage = self.clock.now().duration_since(confirmed_at) > OUTAGE_AFTER;
+        is_outage && confirmed_at < lost_at + UNREACHABLE_FOR
     }
 
     /// Notes that the registrations are known as they were at `at`.
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -110,7 +110,13 @@
     let (lost, other) = (registry.by_id("a").unwrap(), registry.by_id("b"));
     clock.advance(Duration::from_millis(100));
     registry.set_lost(lost);
-    clock.advance(Duration::from_secs(5));
+    clock.advance(Duration::from_secs(2));
+    registry.set_heard(lost);
+    registry.begin(other.unwrap(), SMALL);
+    // A watch without news lasts as long.
+    assert_eq!(registry.choose(&need(&[])), Some(lost));
+    registry.end(other.unwrap(), SMALL, false);
+    clock.advance(Duration::from_secs(3));
     // Something at its address takes connections again.
     registry.set_heard(lost);
     registry.begin(other.unwrap(), SMALL);
