Answer only questions of hosts in other failure domains

Cause: found by reading. In a fleet of more than 24 hosts a host answered each report from another failure domain unless its sender represented it, and the answer was such a report again, so that a host and a seed of another domain answered each other 20 times a second for ever.

Change: a report to a seed says that it is a question, and nothing else is answered. The exchange of summaries is split into sending and passing on.

Test: only_questions_from_elsewhere_are_answered. Hosts of a small fleet send what they sent before.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -131,7 +131,7 @@
     number: u64,
     // A peer with a newer configuration, and since when it is known.
     newer: Option<(SocketAddr, Instant)>,
-    // Hosts outside of this host's reach that asked for hosts of their failure domain.
+    // Hosts of other failure domains that asked who is there, and get one report.
     strangers: BTreeSet<SocketAddr>,
     // The last summaries of other failure domains, and whether they were passed on.
     summaries: BTreeMap<CompactString, (Summary, bool)>,
@@ -161,8 +161,7 @@
             self.take_summary(summary, from, now);
         }
         if !self.roster.is_direct(&report.domain) {
-            let elsewhere = self.roster.representatives_elsewhere();
-            if !elsewhere.contains(&from) {
+            if report.is_question {
                 self.strangers.insert(from);
             }
             return;
@@ -245,9 +244,9 @@
         if !targets.is_empty() {
             self.reported = Some((now, changes));
         }
-        targets.extend(self.roster.due_seeds(now));
         targets.extend(std::mem::take(&mut self.strangers));
-        if targets.is_empty() {
+        let seeds = self.roster.due_seeds(now);
+        if targets.is_empty() && seeds.is_empty() {
             return;
         }
         let usages = self.gateway.registry.borrow().own_usages();
@@ -256,7 +255,12 @@
             streams: self.own_streams(),
             ..self.blank(now)
         };
+        let question = Report {
+            is_question: true,
+            ..report.clone()
+        };
         self.send(report, &targets).await;
+        self.send(question, &seeds).await;
     }
 
     /// Tells the representatives of other failure domains what this one runs, and the hosts of this
@@ -266,21 +270,23 @@
         let is_due = |at: Instant| now.duration_since(at) >= SUMMARY_PERIOD;
         let is_leaving = self.gateway.leaving.is_given();
         let here = self.roster.representatives_here(is_leaving, now);
-        let domain = self.gateway.settings.failure_domain.clone();
-        let is_large = self
-            .roster
-            .domains()
-            .into_iter()
-            .any(|domain| !self.roster.is_direct(domain));
-        if !is_large || here.first() != Some(&self.own) || !self.summarized_at.is_none_or(is_due) {
+        if !self.roster.is_large()
+            || here.first() != Some(&self.own)
+            || !self.summarized_at.is_none_or(is_due)
+        {
             return;
         }
         self.summarized_at = Some(now);
+        self.send_summary(now).await;
+        self.pass_summaries_on(now).await;
+    }
+
+    /// Tells the representatives of other failure domains what the hosts of this one run.
+    async fn send_summary(&mut self, now: Instant) {
         let mut hosts = self.roster.heard_here(now);
         hosts.push(self.own);
-        let elsewhere = self.roster.representatives_elsewhere();
         let summary = Summary {
-            domain,
+            domain: self.gateway.settings.failure_domain.clone(),
             number: self.next_number(),
             hosts: hosts.iter().map(SocketAddr::ip).collect(),
             usages: self.gateway.registry.borrow().joint_usages(),
@@ -289,15 +295,20 @@
             summaries: vec![summary],
             ..self.blank(now)
         };
+        let elsewhere = self.roster.representatives_elsewhere();
         self.send(report, &elsewhere).await;
-        let mates = self.roster.mates();
+    }
+
+    /// Tells the hosts of this failure domain what is new of the others, with one datagram for each
+    /// summary, as that of a large domain nearly fills one.
+    async fn pass_summaries_on(&mut self, now: Instant) {
         let mut fresh = Vec::new();
         for (summary, is_passed_on) in self.summaries.values_mut() {
             if !std::mem::replace(is_passed_on, true) {
                 fresh.push(summary.clone());
             }
         }
-        // One datagram for each summary, as that of a large failure domain nearly fills one.
+        let mates = self.roster.mates();
         for summary in fresh {
             let report = Report {
                 summaries: vec![summary],
@@ -320,6 +331,7 @@
             domain: self.gateway.settings.failure_domain.clone(),
             revision: self.gateway.version(),
             is_leaving: self.gateway.leaving.is_given(),
+            is_question: false,
             hosts: hosts
                 .map(|(domain, hosts)| (domain, hosts.iter().map(SocketAddr::ip).collect()))
                 .collect(),
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -87,6 +87,9 @@
     pub revision: u64,
     /// Whether the host stops soon.
     pub is_leaving: bool,
+    /// Whether it asks for a report of the host that gets it. Nothing else is answered, so that two
+    /// hosts do not answer each other for ever.
+    pub is_question: bool,
     /// Other hosts by failure domain; of its own, those that it hears.
     pub hosts: BTreeMap<CompactString, Vec<IpAddr>>,
     /// What it runs.
--- a/src/peer/roster.rs
+++ b/src/peer/roster.rs
@@ -136,10 +136,10 @@
         self.hosts.is_empty()
     }
 
-    /// Returns the known failure domains, that of this host included.
-    pub fn domains(&self) -> BTreeSet<&CompactString> {
-        let others = self.hosts.values().map(|host| &host.domain);
-        others.chain([&self.domain]).collect()
+    /// Returns whether there are hosts whose reports do not come directly.
+    pub fn is_large(&self) -> bool {
+        let mut hosts = self.hosts.values();
+        hosts.any(|host| !self.is_direct(&host.domain))
     }
 
     /// Returns whether reports of a host in `domain` come directly, so that summaries of its domain
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use bilberrypost::peer::report::{BYTES_MAX, Report};
 use serde_json::json;
 use support::platform::{
     Act, End, Engine, Gateway, KEY, Message, Mood, Store, config, events, exchange, request,
@@ -529,6 +530,64 @@
     });
 }
 
+/// Guards against hosts of different failure domains that answer each other's reports for ever, and
+/// against a host that starts and gets no answer from a seed elsewhere.
+#[test]
+fn only_questions_from_elsewhere_are_answered() {
+    let app = Engine::start("i-1", |_| ok());
+    let store = Store::start();
+    store.put("config", "main", config(3));
+    store.put("servers", &app.id, app.registration("app", "fd-a"));
+    let own = std::net::UdpSocket::bind("127.0.0.9:0").unwrap();
+    let port = own.local_addr().unwrap().port();
+    let more = format!("ports = {port},{port}");
+    let gateway = Gateway::start(&settings(&store.address, &more));
+    wait_for("readiness", || gateway.is_ready());
+    let hosts = (1..=30).map(|n| std::net::IpAddr::from([127, 0, 1, n]));
+    let mut report = Report {
+        number: 1,
+        domain: "fd-z".into(),
+        revision: 0,
+        // It represents nothing, so that no summary comes to it either.
+        is_leaving: true,
+        is_question: false,
+        hosts: [("fd-z".into(), hosts.collect())].into(),
+        usages: Vec::new(),
+        streams: Vec::new(),
+        summaries: Vec::new(),
+    };
+    let to = format!("127.0.0.1:{port}");
+    let mut buffer = [0; BYTES_MAX];
+    // Said all the time, as hosts that are not named any more are forgotten.
+    let (telling, told, to_host) = (
+        own.try_clone().unwrap(),
+        report.encode().unwrap(),
+        to.clone(),
+    );
+    std::thread::spawn(move || {
+        while telling.send_to(&told, &to_host).is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    // Until the host knows that the fleet is large it reports to all.
+    wait_for("the other hosts", || {
+        gateway.metric("bilberrypost_hosts") == Some(32.0)
+    });
+    own.set_read_timeout(Some(Duration::from_millis(300)))
+        .unwrap();
+    while own.recv(&mut buffer).is_ok() {}
+    assert!(own.recv(&mut buffer).is_err(), "an answer to no question");
+    report.is_question = true;
+    own.set_read_timeout(Some(support::HANG)).unwrap();
+    own.send_to(&report.encode().unwrap(), &to).unwrap();
+    let length = own.recv(&mut buffer).unwrap();
+    let answer = Report::decode(&buffer[..length]).unwrap();
+    assert_eq!(
+        (answer.domain.as_str(), answer.is_question),
+        ("fd-a", false)
+    );
+}
+
 /// Guards against a caller whose host is gone and whose prompt is read again at another host, though
 /// an engine holds a replica of its run.
 #[test]
