Keep the handler of SIGTERM for the life of the process

A listener unregisters the handler when its signal has come, so that a signal before the next listener, or while the process exits, had its default action. Ruled out: the drain limit (exit code 0) and a kill by the soak.

Change: a listener that is registered at the start and never dropped.

Test: the soak, whose stops come in series; a_stop_cuts_no_request passes.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -15,12 +15,15 @@
 
 use anyhow::Context;
 use clap::ArgMatches;
+use futures_util::FutureExt;
 
 use crate::config::ini::File;
 use crate::config::operator::Operator;
 use crate::error::Error;
 use crate::supervisor::Signal;
 
+const SIGTERM: i32 = 15;
+
 /// A subcommand.
 trait Run {
     /// Runs the subcommand to its end.
@@ -57,7 +60,17 @@
     let _ = simplelog::WriteLogger::init(level, simplelog::Config::default(), std::io::stderr());
 }
 
+/// Keeps the handler of SIGTERM for the life of the process. A listener ends with its first signal;
+/// one that comes before the next listener, or while the process exits, would kill it.
+fn keep_handler() {
+    let mut listener = Box::pin(compio::signal::unix::signal(SIGTERM));
+    // The first poll registers the listener, and as it is never dropped it stays so.
+    let _ = listener.as_mut().now_or_never();
+    std::mem::forget(listener);
+}
+
 async fn dispatch(matches: &ArgMatches) -> anyhow::Result<()> {
+    keep_handler();
     let stop = Signal::default();
     let signals = compio::runtime::spawn(watch_signals(stop.clone()));
     let result = match matches.subcommand() {
@@ -92,7 +105,7 @@
 
 async fn watch_signals(stop: Signal) {
     use futures_util::future::select;
-    let terminate = Box::pin(compio::signal::unix::signal(15));
+    let terminate = Box::pin(compio::signal::unix::signal(SIGTERM));
     let interrupt = Box::pin(compio::signal::unix::signal(2));
     select(terminate, interrupt).await;
     stop.give();
