--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -22,8 +22,9 @@
 };
 use support::{HANG, Proxy};
 
-/// Seeds that failed once, each with its cause.
-const REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once: 100, as a second SIGTERM ended a gateway whose handler was gone. Seed 3, which
+/// failed as a SIGTERM came between two handlers, is among those of every run.
+const REGRESSIONS: [u64; 1] = [100];
 
 /// Seeds of a run without `SOAK_SEEDS`.
 const SEEDS: u64 = 3;
