--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -160,7 +160,7 @@
         Ok(open) if open.is_success => {}
         Ok(_) => registry.set_failed(engine),
         Err(Fault::Unsent | Fault::Silent | Fault::EngineLost) => registry.set_unreachable(engine),
-        Err(Fault::OtherEngine) => registry.remove(&id),
+        Err(Fault::OtherEngine) => registry.set_replaced(engine),
         Err(Fault::Lost) => registry.set_failed(engine),
         Err(Fault::NotRun) => {}
     }
--- /dev/null
+++ b/src/gateway/attempts.rs
@@ -0,0 +1,102 @@
+//! The attempts of one request: what they cost of the retry budget, and when to stop.
+
+use std::rc::Rc;
+
+use compact_str::CompactString;
+
+use super::Gateway;
+use super::attempt::Fault;
+use crate::clock::Clock;
+use crate::route::registry::Engine;
+
+/// Attempts that reached no engine after which a request is refused. They cost the engines nothing,
+/// but a host that reaches none must not hold the request.
+const UNSENT_ATTEMPTS_MAX: u32 = 24;
+
+/// The attempts of one request so far.
+///
+/// The first attempt that reaches an engine is free, each later one is a retry. The retry is taken
+/// out of the budget before the attempt and given back if no attempt used it.
+#[derive(Debug)]
+pub struct Attempts<C: Clock> {
+    gateway: Rc<Gateway<C>>,
+    service: CompactString,
+    /// Number of attempts whose request may have run on an engine.
+    pub possible_runs: u32,
+    /// Engines that the next attempt does not choose.
+    pub excluded: Vec<Engine>,
+    rejected: u32,
+    unsent: u32,
+    // Whether a retry was taken out of the budget and not yet used.
+    has_retry: bool,
+}
+
+impl<C: Clock> Attempts<C> {
+    /// Creates the record of a request to `service` that was not sent yet.
+    pub fn new(gateway: &Rc<Gateway<C>>, service: CompactString) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            service,
+            possible_runs: 0,
+            excluded: Vec::new(),
+            rejected: 0,
+            unsent: 0,
+            has_retry: false,
+        }
+    }
+
+    /// Returns whether the next attempt is allowed; takes a retry out of the budget if it needs one.
+    pub fn may_send(&mut self) -> bool {
+        let is_first = self.possible_runs + self.rejected == 0;
+        if is_first || self.has_retry {
+            return true;
+        }
+        let now = self.gateway.clock.now();
+        let mut budget = self.gateway.budget.borrow_mut();
+        self.has_retry = budget.try_spend(&self.service, now);
+        let outcome = if self.has_retry { "granted" } else { "denied" };
+        self.gateway.metrics.count_decision("retry", outcome);
+        self.has_retry
+    }
+
+    /// Records an attempt that the engine answered, also with a failure.
+    pub fn record_answer(&mut self) {
+        self.has_retry = false;
+        self.possible_runs += 1;
+    }
+
+    /// Records an attempt without a usable response. The next attempt chooses another engine.
+    pub fn record_fault(&mut self, engine: Engine, fault: Fault) {
+        self.excluded.push(engine);
+        if fault == Fault::Unsent {
+            self.unsent += 1;
+            return;
+        }
+        self.has_retry = false;
+        match fault.is_not_run() {
+            true => self.rejected += 1,
+            false => self.possible_runs += 1,
+        }
+    }
+
+    /// Returns whether the request was rejected by `rejected_max` engines, or could not be sent to
+    /// too many.
+    pub fn is_unplaceable(&self, rejected_max: u32) -> bool {
+        self.rejected >= rejected_max || self.unsent >= UNSENT_ATTEMPTS_MAX
+    }
+
+    /// Returns the number of attempts that certainly did not run.
+    pub fn not_run(&self) -> u32 {
+        self.rejected + self.unsent
+    }
+}
+
+impl<C: Clock> Drop for Attempts<C> {
+    fn drop(&mut self) {
+        if self.has_retry {
+            let now = self.gateway.clock.now();
+            let mut budget = self.gateway.budget.borrow_mut();
+            budget.refund(&self.service, now);
+        }
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,7 +1,7 @@
 //! Follows a representative: polls it for the configuration and the engines instead of the store.
 //!
-//! The store charges for each call, so only the representatives of a failure domain watch it. A
-//! host that finds no usable representative watches the store itself.
+//! The store charges for each call, so only the first representative of a failure domain watches it.
+//! A host that no representative answers watches the store itself.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -37,12 +37,23 @@
 /// Pause between two queries, so that several changes arrive in one update.
 const QUERY_INTERVAL_MIN: Duration = Duration::from_millis(50);
 
+/// Part of a host in watching the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Duty {
+    /// Watches the store; others may follow it.
+    #[default]
+    Watch,
+    /// Follows a representative, and watches the store while none reaches it.
+    Standby,
+    /// Follows a representative, and watches the store only while none answers.
+    Follow,
+}
+
 /// Whether this host watches the store or follows a representative, and which.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Role {
-    is_representative: Cell<bool>,
-    // Whether all known representatives failed in a row, so that this host watches the store
-    // itself.
+    duty: Cell<Duty>,
+    // Whether no representative can be followed, so that this host watches the store itself.
     has_no_representative: Cell<bool>,
     // The representatives that this host may follow.
     representatives: RefCell<Representatives>,
@@ -50,28 +61,12 @@
     is_followed: Cell<bool>,
 }
 
-impl Default for Role {
-    fn default() -> Self {
-        Self {
-            is_representative: Cell::new(true),
-            has_no_representative: Cell::default(),
-            representatives: RefCell::default(),
-            is_followed: Cell::default(),
-        }
-    }
-}
-
 impl Role {
-    /// Sets the role of this host and the representatives that it may follow, preferred ones first.
+    /// Sets the duty of this host and the representatives that it may follow, preferred ones first.
     /// A follower without any watches the store itself.
-    pub fn set(
-        &self,
-        is_representative: bool,
-        is_followed: bool,
-        representatives: Vec<SocketAddr>,
-    ) {
-        if self.is_representative.replace(is_representative) != is_representative {
-            info!("event=duty watches_store={is_representative}");
+    pub fn set(&self, duty: Duty, is_followed: bool, representatives: Vec<SocketAddr>) {
+        if self.duty.replace(duty) != duty {
+            info!("event=duty duty={duty:?}");
         }
         self.is_followed.set(is_followed);
         self.representatives.borrow_mut().set(representatives);
@@ -79,12 +74,12 @@
 
     /// Returns whether this host watches the store.
     pub fn is_watching(&self) -> bool {
-        self.is_representative.get() || self.has_no_representative.get()
+        self.duty.get() == Duty::Watch || self.has_no_representative.get()
     }
 
     /// Returns whether this host is a representative of its failure domain.
     pub fn is_representative(&self) -> bool {
-        self.is_representative.get()
+        self.duty.get() != Duty::Follow
     }
 
     /// Returns whether other hosts may follow this one.
@@ -92,6 +87,16 @@
         self.is_followed.get()
     }
 
+    /// Returns whether the last queries leave this host no choice but to watch the store itself.
+    fn must_watch(&self) -> bool {
+        let representatives = self.representatives.borrow();
+        match self.duty.get() {
+            Duty::Watch => true,
+            Duty::Standby => representatives.all_failed(),
+            Duty::Follow => representatives.all_silent(),
+        }
+    }
+
     fn set_has_no_representative(&self, has_no_representative: bool) {
         if self.has_no_representative.replace(has_no_representative) != has_no_representative {
             info!("event=following works={}", !has_no_representative);
@@ -105,7 +110,7 @@
     // The process whose changes of engines were applied, and the number of the last one.
     let mut known: Option<(u64, u64)> = None;
     while !stop.is_set() {
-        if gateway.role.is_representative() {
+        if gateway.role.duty.get() == Duty::Watch {
             gateway.role.set_has_no_representative(false);
             known = None;
             within(ROLE_CHECK_INTERVAL, stop.wait()).await;
@@ -116,10 +121,19 @@
             Some(representative) => fetch_update(&gateway, &pool, representative, known).await,
             None => None,
         };
-        let is_confirmed = update.as_ref().is_some_and(|update| update.is_confirmed);
+        let is_confirmed = update.as_ref().map(|update| update.is_confirmed);
         match is_confirmed {
-            true => gateway.role.representatives.borrow_mut().record_success(),
-            false => gateway.role.representatives.borrow_mut().record_failure(),
+            Some(true) => gateway.role.representatives.borrow_mut().record_success(),
+            Some(false) => gateway
+                .role
+                .representatives
+                .borrow_mut()
+                .record_failure(false),
+            None => gateway
+                .role
+                .representatives
+                .borrow_mut()
+                .record_failure(true),
         }
         let version = update.as_ref().map_or(0, |update| update.version);
         if let Some(update) = update {
@@ -127,9 +141,9 @@
         }
         let is_behind = version > gateway.revision_version()
             && !watch::read_revision(&gateway, &directory).await;
-        let all_failed = gateway.role.representatives.borrow().all_failed();
-        gateway.role.set_has_no_representative(all_failed);
-        let pause = match all_failed || is_behind {
+        let must_watch = gateway.role.must_watch();
+        gateway.role.set_has_no_representative(must_watch);
+        let pause = match must_watch || is_behind {
             true => RETRY_PAUSE,
             false => QUERY_INTERVAL_MIN,
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! implements, translate them.
 
 pub mod attempt;
+pub mod attempts;
 pub mod call;
 pub mod check;
 pub mod feed;
@@ -131,17 +132,18 @@
 impl<C: Clock> Gateway<C> {
     /// Creates the state of a process that knows no configuration and no engines.
     pub fn new(clock: C, settings: Settings) -> Self {
+        let process = rand::random();
         Self {
             registry: RefCell::new(Registry::new(
                 clock.clone(),
                 settings.name.clone(),
                 settings.failure_domain.clone(),
             )),
-            budget: RefCell::new(retry::Budget::new(settings.retries.with_margin())),
+            budget: RefCell::new(retry::Budget::new(settings.retries, process)),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
-            process: rand::random(),
+            process,
             role: Role::default(),
             next_change: RefCell::default(),
             failing_calls: Cell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 
 use super::Gateway;
 use super::feed::{self, Query, Update};
+use super::follow::Duty;
 use super::protocol::Directory;
 use super::watch;
 use crate::clock::Clock;
@@ -25,9 +26,10 @@
 use crate::peer::report::{self, Report, Summary};
 use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::relay::handover;
+use crate::route::losses::{Finder, Loss};
 use crate::route::reports::Source;
 use crate::supervisor::{Group, Signal};
-use crate::util::{hash64, unix_ms, within};
+use crate::util::{unix_ms, within};
 
 /// Period of the loop that handles received reports and sends due ones.
 const TICK: Duration = Duration::from_millis(50);
@@ -79,7 +81,10 @@
         awaiting_reply: BTreeSet::new(),
         summaries: BTreeMap::new(),
         last_report: None,
+        reported_losses: 0,
         summaries_sent_at: None,
+        summarized_losses: 0,
+        has_urgent_summary: false,
     };
     let (sender, mut reports) = futures_channel::mpsc::unbounded();
     let receiver = compio::runtime::spawn(receive(socket, sender));
@@ -144,7 +149,12 @@
     summaries: BTreeMap<CompactString, (Summary, bool)>,
     // When the last report was sent, and `Registry::own_load_version` at that time.
     last_report: Option<(Instant, u64)>,
+    // The `Losses::versions` that the last report and the last summary contained.
+    reported_losses: u64,
     summaries_sent_at: Option<Instant>,
+    summarized_losses: u64,
+    // Whether a summary with new losses was not forwarded yet.
+    has_urgent_summary: bool,
 }
 
 impl<C: Clock, D: Directory> Peers<C, D> {
@@ -181,8 +191,33 @@
         }
         let mut streams = self.gateway.remote_streams.borrow_mut();
         streams.record_report(report.streams, now);
+        drop(streams);
+        let source = Source::Host(from.ip());
         let mut registry = self.gateway.registry.borrow_mut();
-        registry.set_report(Source::Host(from.ip()), report.number, report.usages);
+        if registry.set_report(source.clone(), report.number, report.usages) {
+            let mut budget = self.gateway.budget.borrow_mut();
+            budget.record_report(source, report.process, 1, report.retries, now);
+        }
+        drop(registry);
+        self.record_losses(&report.losses, Finder::Peer, from);
+    }
+
+    /// Records the losses that another host reports; returns whether one of them was not known.
+    fn record_losses(&self, losses: &[Loss], finder: Finder, from: SocketAddr) -> bool {
+        let mut registry = self.gateway.registry.borrow_mut();
+        let mut has_news = false;
+        for loss in losses {
+            if !registry.record_reported_loss(*loss, finder) {
+                continue;
+            }
+            has_news = true;
+            let engine = registry.by_hash(loss.engine);
+            let state = engine.and_then(|engine| registry.get(engine));
+            let id = state.map_or("none", |state| state.registration.id.as_str());
+            let age = loss.age_ms;
+            info!("event=engine_suspect engine={id} peer={from} age_ms={age}");
+        }
+        has_news
     }
 
     fn handle_summary(&mut self, summary: Summary, from: SocketAddr, now: Instant) {
@@ -198,9 +233,15 @@
         if known.is_some_and(|(known, _)| known.number >= summary.number) {
             return;
         }
-        let mut registry = self.gateway.registry.borrow_mut();
         let source = Source::Domain(summary.domain.clone());
-        registry.set_report(source, summary.number, summary.usages.clone());
+        let mut registry = self.gateway.registry.borrow_mut();
+        if registry.set_report(source.clone(), summary.number, summary.usages.clone()) {
+            let (hosts, retries) = (summary.retrying_hosts, summary.retries.clone());
+            let mut budget = self.gateway.budget.borrow_mut();
+            budget.record_report(source, summary.process, hosts, retries, now);
+        }
+        drop(registry);
+        self.has_urgent_summary |= self.record_losses(&summary.losses, Finder::Remote, from);
         self.summaries
             .insert(summary.domain.clone(), (summary, false));
     }
@@ -211,6 +252,7 @@
         self.roster.expire(now);
         let mut registry = self.gateway.registry.borrow_mut();
         registry.expire_reports();
+        registry.expire_losses();
         let before = registry.last_change();
         registry.expire_lapsed();
         let has_changed = registry.last_change() != before;
@@ -220,29 +262,28 @@
         }
         let hosts = self.roster.len();
         self.gateway.metrics.set_hosts(hosts);
-        self.gateway.budget.borrow_mut().set_hosts(hosts);
+        self.gateway.budget.borrow_mut().set_hosts(hosts, now);
         self.update_role(now);
     }
 
     fn update_role(&mut self, now: Instant) {
         let is_leaving = self.gateway.leaving.is_set();
         let local_representatives = self.roster.own_representatives(is_leaving, now);
-        // A leaving host is not among them. If no other is left, it keeps watching the store
-        // itself.
-        let is_representative =
-            local_representatives.is_empty() || local_representatives.contains(&self.own_address);
-        let mut representatives = local_representatives;
-        // Hosts start with different representatives, which spreads the followers over them.
-        if !representatives.is_empty() {
-            let offset =
-                hash64(&[self.own_address.to_string().as_bytes()]) as usize % representatives.len();
-            representatives.rotate_left(offset);
-        }
-        representatives.extend(self.roster.other_representatives());
         let is_followed = self.roster.live_in_own_domain(now).len() >= REPRESENTATIVES;
-        self.gateway
-            .role
-            .set(is_representative, is_followed, representatives);
+        let rank = local_representatives
+            .iter()
+            .position(|address| *address == self.own_address);
+        let duty = match rank {
+            Some(0) => Duty::Watch,
+            // Two hosts that only follow each other save no calls.
+            Some(_) if is_followed => Duty::Standby,
+            Some(_) => Duty::Watch,
+            // A leaving host is no representative. If no other is left, it keeps watching.
+            None if local_representatives.is_empty() => Duty::Watch,
+            None => Duty::Follow,
+        };
+        let representatives = self.roster.representatives_to_follow(is_leaving, now);
+        self.gateway.role.set(duty, is_followed, representatives);
     }
 
     /// Sends a report to the recipients of direct reports if one is due, to hosts that asked for
@@ -250,6 +291,7 @@
     async fn send_report(&mut self) {
         let now = self.gateway.clock.now();
         let load_version = self.gateway.registry.borrow().own_load_version();
+        let (losses_version, _) = self.gateway.registry.borrow().losses().versions();
         let recipients = self.roster.report_targets();
         let ticks = (recipients.len() as u32)
             .div_ceil(REPORTS_PER_TICK_MAX)
@@ -257,7 +299,9 @@
         let mut targets = match self.last_report {
             Some((at, sent_version)) => {
                 let since = now.duration_since(at);
+                // A loss is reported at once, as the other hosts still choose the engine.
                 let is_due = since >= REPORT_INTERVAL_MAX
+                    || losses_version != self.reported_losses
                     || (sent_version != load_version && since >= TICK * (ticks - 1));
                 if is_due { recipients } else { Vec::new() }
             }
@@ -265,15 +309,22 @@
         };
         if !targets.is_empty() {
             self.last_report = Some((now, load_version));
+            self.reported_losses = losses_version;
         }
         targets.extend(std::mem::take(&mut self.awaiting_reply));
         let seeds = self.roster.seeds_to_query(now);
         if targets.is_empty() && seeds.is_empty() {
             return;
         }
-        let usages = self.gateway.registry.borrow().own_usages();
+        let (usages, losses) = {
+            let registry = self.gateway.registry.borrow();
+            (registry.own_usages(), registry.losses().own(now))
+        };
+        let retries = self.gateway.budget.borrow_mut().own_usages(now);
         let report = Report {
             usages,
+            losses,
+            retries,
             streams: self.streams_to_report(),
             ..self.empty_report(now)
         };
@@ -293,13 +344,17 @@
         let is_due = |at: Instant| now.duration_since(at) >= SUMMARY_INTERVAL;
         let is_leaving = self.gateway.leaving.is_set();
         let local_representatives = self.roster.own_representatives(is_leaving, now);
+        let (_, losses_version) = self.gateway.registry.borrow().losses().versions();
+        let is_urgent = self.has_urgent_summary || losses_version != self.summarized_losses;
         if !self.roster.has_indirect_hosts()
             || local_representatives.first() != Some(&self.own_address)
-            || !self.summaries_sent_at.is_none_or(is_due)
+            || !(is_urgent || self.summaries_sent_at.is_none_or(is_due))
         {
             return;
         }
         self.summaries_sent_at = Some(now);
+        self.summarized_losses = losses_version;
+        self.has_urgent_summary = false;
         self.send_own_summary(now).await;
         self.forward_summaries(now).await;
     }
@@ -308,11 +363,16 @@
     async fn send_own_summary(&mut self, now: Instant) {
         let mut hosts = self.roster.live_in_own_domain(now);
         hosts.push(self.own_address);
+        let (retrying_hosts, retries) = self.gateway.budget.borrow_mut().joint_usages(now);
         let summary = Summary {
             domain: self.gateway.settings.failure_domain.clone(),
             number: self.next_number(),
+            process: self.gateway.process,
             hosts: hosts.iter().map(SocketAddr::ip).collect(),
             usages: self.gateway.registry.borrow().joint_usages(),
+            retrying_hosts,
+            retries,
+            losses: self.gateway.registry.borrow().losses().joint(now),
         };
         let report = Report {
             summaries: vec![summary],
@@ -351,6 +411,7 @@
         let hosts = self.roster.hosts_to_mention(now).into_iter();
         Report {
             number: self.next_number(),
+            process: self.gateway.process,
             domain: self.gateway.settings.failure_domain.clone(),
             revision: self.gateway.revision_version(),
             is_leaving: self.gateway.leaving.is_set(),
@@ -359,6 +420,8 @@
                 .map(|(domain, hosts)| (domain, hosts.iter().map(SocketAddr::ip).collect()))
                 .collect(),
             usages: Vec::new(),
+            retries: Vec::new(),
+            losses: Vec::new(),
             streams: Vec::new(),
             summaries: Vec::new(),
         }
@@ -438,6 +501,6 @@
         registry.apply_changes(update.engines);
         drop(registry);
         gateway.notify_followers();
-        gateway.confirm_engines(Duration::ZERO);
+        gateway.confirm_engines(Duration::from_millis(update.age_ms));
     }
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -9,6 +9,7 @@
 
 use super::Gateway;
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
+use super::attempts::Attempts;
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -20,25 +21,12 @@
 /// Maximum size of a response body in bytes.
 const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
-/// A request is refused after this many attempts that certainly did not run.
-const NOT_RUN_ATTEMPTS_MAX: u32 = 6;
+/// A request is refused after it was rejected by this many engines.
+const REJECTED_ATTEMPTS_MAX: u32 = 6;
 
 /// A request is not retried when less time than this is left until its deadline.
 const RETRY_TIME_LEFT_MIN: Duration = Duration::from_millis(60);
 
-/// Results of the attempts of one request so far.
-#[derive(Debug, Default)]
-struct Attempts {
-    /// Number of attempts whose request may have run on an engine.
-    possible_runs: u32,
-    /// Number of attempts whose request certainly did not run.
-    not_run: u32,
-    /// Engines that were tried and are not chosen again.
-    excluded: Vec<Engine>,
-    /// The last failure that an engine reported. It is forwarded if no other attempt succeeds.
-    failure: Option<Response<Body>>,
-}
-
 /// Serves a request, with as many attempts as its route allows.
 ///
 /// # Errors
@@ -47,31 +35,32 @@
     gateway: &Rc<Gateway<C>>,
     admitted: &AdmittedRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::new(gateway, admitted.service.clone());
+    // The last failure that an engine reported. It is forwarded if no other attempt succeeds.
+    let mut failure = None;
     loop {
         let Some(engine) = choose_engine(gateway, admitted, &attempts) else {
-            return give_up(attempts);
+            return give_up(&attempts, failure);
         };
-        if attempts.possible_runs + attempts.not_run > 0 && !may_retry(gateway, admitted) {
-            return give_up(attempts);
+        if !has_retry_time(gateway, admitted, &attempts) || !attempts.may_send() {
+            return give_up(&attempts, failure);
         }
         let placement = Placement::new(gateway, engine, None, admitted.call.footprint());
         match send_once::<C, P>(gateway, admitted, placement).await {
             Ok((response, true)) => return Ok(response),
             Ok((response, false)) => {
-                attempts.possible_runs += 1;
-                attempts.failure = Some(response);
+                attempts.record_answer();
+                attempts.excluded.push(engine);
+                failure = Some(response);
             }
-            Err(fault) if fault.is_not_run() => attempts.not_run += 1,
             Err(Fault::Silent) => return Err(timed_out()),
-            Err(_) => attempts.possible_runs += 1,
+            Err(fault) => attempts.record_fault(engine, fault),
         }
-        attempts.excluded.push(engine);
         let is_exhausted = attempts.possible_runs >= admitted.route.max_attempts
-            || attempts.not_run >= NOT_RUN_ATTEMPTS_MAX;
+            || attempts.is_unplaceable(REJECTED_ATTEMPTS_MAX);
         let is_final = attempts.possible_runs > 0 && !admitted.route.kind.is_retryable();
         if is_exhausted || is_final {
-            return give_up(attempts);
+            return give_up(&attempts, failure);
         }
     }
 }
@@ -79,7 +68,7 @@
 fn choose_engine<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
-    attempts: &Attempts,
+    attempts: &Attempts<C>,
 ) -> Option<Engine> {
     gateway.registry.borrow().choose(&Need {
         service: &admitted.service,
@@ -89,13 +78,15 @@
     })
 }
 
-fn may_retry<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> bool {
+/// Returns whether enough time is left for the next attempt; the first one is always made.
+fn has_retry_time<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &AdmittedRequest,
+    attempts: &Attempts<C>,
+) -> bool {
     let now = gateway.clock.now();
-    admitted.deadline.saturating_duration_since(now) >= RETRY_TIME_LEFT_MIN
-        && gateway
-            .budget
-            .borrow_mut()
-            .try_spend(&admitted.service, now)
+    let left = admitted.deadline.saturating_duration_since(now);
+    attempts.excluded.is_empty() || left >= RETRY_TIME_LEFT_MIN
 }
 
 /// Makes one attempt; returns the engine's response and whether it reports success.
@@ -131,8 +122,11 @@
     Ok((response, is_success))
 }
 
-fn give_up(attempts: Attempts) -> Result<Response<Body>, Refusal> {
-    if let Some(failure) = attempts.failure {
+fn give_up<C: Clock>(
+    attempts: &Attempts<C>,
+    failure: Option<Response<Body>>,
+) -> Result<Response<Body>, Refusal> {
+    if let Some(failure) = failure {
         return Ok(failure);
     }
     if attempts.possible_runs > 0 {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 
 use super::Gateway;
 use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
+use super::attempts::Attempts;
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -27,8 +28,8 @@
 use crate::supervisor::Signal;
 use crate::util::within;
 
-/// A request is refused after this many attempts that certainly did not run.
-const NOT_RUN_ATTEMPTS_MAX: u32 = 12;
+/// A request is refused after it was rejected by this many engines.
+const REJECTED_ATTEMPTS_MAX: u32 = 12;
 
 /// Pause after all engines were excluded, before they are tried again.
 const ALL_EXCLUDED_PAUSE: Duration = Duration::from_millis(60);
@@ -36,6 +37,13 @@
 /// A stream is not retried when less time than this is left until its deadline.
 const RETRY_TIME_LEFT_MIN: Duration = Duration::from_millis(300);
 
+/// Longest wait for a retry while the budget is used up. Callers accept longer waits for the first
+/// event, and a late event is better than a stream that breaks off.
+const RETRY_WAIT_MAX: Duration = Duration::from_secs(2);
+
+/// Time between two tries to take a retry out of the budget.
+const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Timeout for the body of a failure that an engine reports.
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -44,12 +52,7 @@
     gateway: Rc<Gateway<C>>,
     admitted: AdmittedRequest,
     position: Position,
-    /// Number of attempts whose request may have run on an engine.
-    possible_runs: u32,
-    /// Number of attempts whose request certainly did not run.
-    not_run: u32,
-    /// Engines that the next attempt does not choose.
-    excluded: Vec<Engine>,
+    attempts: Attempts<C>,
     /// The engine that holds a replica to resume from, and the id of the replicated run.
     resume_replica: Option<(Engine, CompactString)>,
     /// Digest of the request, which is the same when the caller retries at another host.
@@ -96,10 +99,8 @@
         digest,
         position: Position::after(admitted.call.last_event),
         gateway: gateway.clone(),
+        attempts: Attempts::new(gateway, admitted.service.clone()),
         admitted,
-        possible_runs: 0,
-        not_run: 0,
-        excluded: Vec::new(),
         resume_replica,
     };
     let (open, placement) = stream.open_next::<P>().await?;
@@ -156,7 +157,7 @@
     /// failure is returned only if the request cannot be retried.
     async fn open_next<P: Protocol>(&mut self) -> Result<(OpenResponse, Placement<C>), Refusal> {
         loop {
-            if self.possible_runs + self.not_run > 0 && !self.may_retry() {
+            if !self.wait_until_allowed().await {
                 return Err(self.refusal());
             }
             let registry = &self.gateway.registry;
@@ -165,10 +166,10 @@
                 resume_replica.filter(|(engine, _)| registry.borrow().is_usable(*engine));
             let from = resume_replica.as_ref().map(|(engine, _)| *engine);
             let Some(engine) = from.or_else(|| self.choose_engine()) else {
-                if self.excluded.is_empty() || !self.has_retry_time() {
+                if self.attempts.excluded.is_empty() || !self.has_retry_time() {
                     return Err(self.refusal());
                 }
-                self.excluded.clear();
+                self.attempts.excluded.clear();
                 compio::time::sleep(ALL_EXCLUDED_PAUSE).await;
                 continue;
             };
@@ -190,24 +191,25 @@
             )
             .await
             {
-                Ok(open) if open.is_success => return Ok((open, placement)),
+                Ok(open) if open.is_success => {
+                    self.attempts.record_answer();
+                    return Ok((open, placement));
+                }
                 Ok(open) => {
-                    self.possible_runs += 1;
+                    self.attempts.record_answer();
+                    self.attempts.excluded.push(engine);
                     if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
                         return Ok((open, placement));
                     }
                 }
-                Err(fault) if fault.is_not_run() => self.not_run += 1,
-                Err(_) => {
-                    self.possible_runs += 1;
-                    if !self.admitted.route.kind.is_retryable() {
+                Err(fault) => {
+                    self.attempts.record_fault(engine, fault);
+                    if !fault.is_not_run() && !self.admitted.route.kind.is_retryable() {
                         return Err(answer_lost());
                     }
-                    self.resume_replica = self.replica_of(&placement);
                 }
             }
-            self.excluded.push(engine);
-            if !self.has_attempts_left() || self.not_run >= NOT_RUN_ATTEMPTS_MAX {
+            if !self.has_attempts_left() || self.attempts.is_unplaceable(REJECTED_ATTEMPTS_MAX) {
                 return Err(self.refusal());
             }
         }
@@ -219,14 +221,41 @@
     }
 
     fn has_attempts_left(&self) -> bool {
-        self.possible_runs < self.admitted.route.max_attempts
+        self.attempts.possible_runs < self.admitted.route.max_attempts
+    }
+
+    /// Waits until the retry budget allows the next attempt; returns `false` if it does not in time.
+    async fn wait_until_allowed(&mut self) -> bool {
+        let waits_until = self.gateway.clock.now() + RETRY_WAIT_MAX;
+        let mut is_logged = false;
+        while !self.attempts.may_send() {
+            if !std::mem::replace(&mut is_logged, true) {
+                self.log_retry_denied();
+            }
+            if !self.has_retry_time() || self.gateway.clock.now() >= waits_until {
+                return false;
+            }
+            compio::time::sleep(RETRY_POLL_INTERVAL).await;
+        }
+        true
     }
 
-    fn may_retry(&self) -> bool {
+    fn log_retry_denied(&self) {
         let now = self.gateway.clock.now();
-        let service = &self.admitted.service;
-        self.admitted.deadline.saturating_duration_since(now) >= RETRY_TIME_LEFT_MIN
-            && self.gateway.budget.borrow_mut().try_spend(service, now)
+        let mut budget = self.gateway.budget.borrow_mut();
+        let balance = budget.balance(&self.admitted.service, now);
+        self.admitted.trace.log(
+            "retry_denied",
+            format_args!(
+                "requests={} retries={} guaranteed={} left={:.1} hosts={} heard={}",
+                balance.own.requests,
+                balance.own.retries,
+                balance.guaranteed,
+                balance.left,
+                balance.hosts.0,
+                balance.hosts.1,
+            ),
+        );
     }
 
     fn has_retry_time(&self) -> bool {
@@ -239,7 +268,7 @@
             service: &self.admitted.service,
             footprint: self.admitted.call.footprint(),
             memory_tokens: self.admitted.memory_tokens,
-            excluded: &self.excluded,
+            excluded: &self.attempts.excluded,
         }
     }
 
@@ -267,7 +296,7 @@
     }
 
     fn refusal(&self) -> Refusal {
-        if self.possible_runs > 0 {
+        if self.attempts.possible_runs > 0 {
             return answer_lost();
         }
         let detail = "no engine takes the request at present; retry";
@@ -325,7 +354,6 @@
 
     /// Forwards events until the stream ends, and resumes on another engine when one is lost.
     async fn relay<P: Protocol>(mut self, mut active: ActiveAttempt<C>, mut writer: Writer) {
-        self.possible_runs += 1;
         loop {
             let reason = match self.forward_events(&mut active, &mut writer).await {
                 End::Complete => {
@@ -334,7 +362,7 @@
                         format_args!(
                             "last_event={} engines={}",
                             self.last_event(),
-                            self.possible_runs
+                            self.attempts.possible_runs
                         ),
                     );
                     self.gateway
@@ -365,7 +393,7 @@
             if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
                 return self.record_incomplete("not-resumable");
             }
-            self.excluded = vec![broken];
+            self.attempts.excluded = vec![broken];
             self.resume_replica = self.replica_of(&active.placement);
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
@@ -383,7 +411,6 @@
             if !open.is_success {
                 return self.record_incomplete("engine-failed");
             }
-            self.possible_runs += 1;
             let after = self.gateway.clock.now().duration_since(broken_at);
             self.gateway.metrics.record_duration("resume", after);
             self.admitted.trace.log(
@@ -403,8 +430,8 @@
             format_args!(
                 "reason={reason} last_event={} engines={} not_run={} after_ms={}",
                 self.last_event(),
-                self.possible_runs,
-                self.not_run,
+                self.attempts.possible_runs,
+                self.attempts.not_run(),
                 now.duration_since(self.admitted.arrived_at).as_millis(),
             ),
         );
--- a/src/http/backend.rs
+++ b/src/http/backend.rs
@@ -56,7 +56,6 @@
     ratio: 0.1,
     slack: 20.0,
     window: Duration::from_secs(10),
-    hosts: 1,
 };
 
 /// Request id sent to backend servers; an answer with another id is discarded.
@@ -122,7 +121,7 @@
             failure_domain,
             servers: SlotMap::with_key(),
             pick_count: 0,
-            retries: retry::Budget::new(RETRY_POLICY),
+            retries: retry::Budget::new(RETRY_POLICY, 0),
         }
     }
 
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -1,4 +1,5 @@
-//! Datagrams between gateways: the load that each host puts on each engine, and the hosts it knows.
+//! Datagrams between gateways: what each host runs on each engine, has lost and has retried, and
+//! the hosts it knows.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -8,10 +9,12 @@
 
 use crate::relay::handover;
 use crate::route::load::Load;
+use crate::route::losses::Loss;
+use crate::sched::retry;
 use crate::util::hash64;
 
 /// First byte of a datagram. A host drops datagrams of a format that its release does not know.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
 
 /// Maximum size of a datagram in bytes.
 pub const BYTES_MAX: usize = 8192;
@@ -70,10 +73,18 @@
     pub domain: CompactString,
     /// Increases with each summary of the failure domain.
     pub number: u64,
+    /// Random id of the representative's process.
+    pub process: u64,
     /// Hosts of the domain whose reports reach the representative.
     pub hosts: Vec<IpAddr>,
     /// Load that these hosts put on each engine.
     pub usages: Vec<Usage>,
+    /// Number of hosts that `retries` covers.
+    pub retrying_hosts: usize,
+    /// What these hosts used of the retry budgets.
+    pub retries: Vec<retry::Usage>,
+    /// Engines that these hosts lost a moment ago.
+    pub losses: Vec<Loss>,
 }
 
 /// Content of a datagram: the state of the host that sends it.
@@ -81,6 +92,8 @@
 pub struct Report {
     /// Increases with each report of a host, also across restarts.
     pub number: u64,
+    /// Random id of the process that sends it.
+    pub process: u64,
     /// Failure domain of the host.
     pub domain: CompactString,
     /// Version of the host's configuration; 0 if it has none.
@@ -94,6 +107,10 @@
     pub hosts: BTreeMap<CompactString, Vec<IpAddr>>,
     /// Load that the host puts on each engine.
     pub usages: Vec<Usage>,
+    /// What the host used of the retry budgets.
+    pub retries: Vec<retry::Usage>,
+    /// Engines that the host lost a moment ago.
+    pub losses: Vec<Loss>,
     /// The host's running streams that have a replica.
     pub streams: Vec<handover::Stream>,
     /// Summaries of failure domains; only representatives send them.
--- a/src/peer/representatives.rs
+++ b/src/peer/representatives.rs
@@ -1,7 +1,8 @@
 //! Which representative a host follows, and when it reads from the store itself.
 //!
-//! Calls to the store are priced, so a host makes them only if no known representative reaches the
-//! store.
+//! Calls to the store are priced and a recovering store must not be called by all hosts, so a host
+//! makes them only if no known representative answers. The second representative of a failure domain
+//! also makes them if none reaches the store.
 
 use std::net::SocketAddr;
 
@@ -11,8 +12,9 @@
     // In order of preference: the representatives of this host's failure domain come first.
     addresses: Vec<SocketAddr>,
     selected: usize,
-    // Consecutive queries without a confirmed answer.
+    // Consecutive queries without a confirmed answer, and how many of these were not answered.
     failures: usize,
+    silent: usize,
 }
 
 impl Representatives {
@@ -39,18 +41,29 @@
     /// Records an answer of a representative that reaches the store.
     pub fn record_success(&mut self) {
         self.failures = 0;
+        self.silent = 0;
     }
 
-    /// Records that the current representative did not answer or does not reach the store, and
-    /// selects the next one.
-    pub fn record_failure(&mut self) {
+    /// Records that the current representative does not reach the store, or did not answer
+    /// (`is_silent`), and selects the next one.
+    pub fn record_failure(&mut self, is_silent: bool) {
         self.failures += 1;
+        self.silent = match is_silent {
+            true => self.silent + 1,
+            false => 0,
+        };
         self.selected = (self.selected + 1) % self.addresses.len().max(1);
     }
 
-    /// Returns whether as many consecutive queries failed as there are representatives, so that the
-    /// host must read from the store itself. True if no representative is known.
+    /// Returns whether as many consecutive queries failed as there are representatives. True if no
+    /// representative is known.
     pub fn all_failed(&self) -> bool {
         self.failures >= self.addresses.len()
     }
+
+    /// Returns whether as many consecutive queries were not answered as there are representatives.
+    /// If some answered without the store, the store itself is out of reach.
+    pub fn all_silent(&self) -> bool {
+        self.silent >= self.addresses.len()
+    }
 }
--- a/src/peer/roster.rs
+++ b/src/peer/roster.rs
@@ -14,8 +14,8 @@
 
 use crate::member::rendezvous;
 
-/// Number of representatives of each failure domain. The second one takes over the work until the
-/// loss of the first is noticed.
+/// Number of representatives of each failure domain. The first one watches the store; the second one
+/// takes over if it is lost or does not reach the store.
 pub const REPRESENTATIVES: usize = 2;
 
 /// Maximum number of hosts, this one included, in a fleet whose hosts all report to each other.
@@ -211,6 +211,28 @@
 
     /// Returns the representatives of all other failure domains, chosen from the known hosts.
     pub fn other_representatives(&self) -> Vec<SocketAddr> {
+        self.representatives_by_domain().flatten().collect()
+    }
+
+    /// Returns the representatives that a host may follow: the first ones of all failure domains,
+    /// its own before the others, and then the second ones, which watch the store only if needed.
+    pub fn representatives_to_follow(&self, is_leaving: bool, now: Instant) -> Vec<SocketAddr> {
+        let own = self.own_representatives(is_leaving, now);
+        let domains: Vec<_> = std::iter::once(own)
+            .chain(self.representatives_by_domain())
+            .collect();
+        let ranks = (0..REPRESENTATIVES).flat_map(|rank| {
+            let domains = domains.iter();
+            domains.filter_map(move |representatives| representatives.get(rank))
+        });
+        let own_address = self.own_address;
+        ranks
+            .copied()
+            .filter(|address| *address != own_address)
+            .collect()
+    }
+
+    fn representatives_by_domain(&self) -> impl Iterator<Item = Vec<SocketAddr>> {
         let mut domains: BTreeMap<&str, BTreeMap<&str, SocketAddr>> = BTreeMap::new();
         for (address, host) in &self.hosts {
             if host.domain != self.domain && !host.is_leaving {
@@ -218,10 +240,8 @@
                 domain.insert(&host.name, *address);
             }
         }
-        let representatives = domains
-            .into_iter()
-            .flat_map(|(domain, hosts)| choose_representatives(domain, hosts));
-        representatives.collect()
+        let domains = domains.into_iter();
+        domains.map(|(domain, hosts)| choose_representatives(domain, hosts))
     }
 
     /// Returns the seeds to query now, which are those that do not report; empty until the next
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -95,7 +95,6 @@
             ratio: section.value("retry_ratio", 0.1)?,
             slack: section.value("retry_slack", 20.0)?,
             window: seconds("retry_window_s", 10.0)?,
-            hosts: retry::HOSTS_MIN,
         },
     }))
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod history;
 pub mod load;
+pub mod losses;
 pub mod poll;
 pub mod prefix;
 pub mod registry;
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -12,6 +12,7 @@
 
 use super::history::{Changes, History};
 use super::load::{Footprint, Load};
+use super::losses::{Finder, Loss, Losses};
 use super::reports::{Reports, Source};
 use crate::clock::Clock;
 use crate::peer::report::{EngineHash, Usage};
@@ -56,6 +57,10 @@
 /// Time within which losses of engines in one failure domain count as one event.
 const DOMAIN_LOSS_WINDOW: Duration = Duration::from_millis(500);
 
+/// Time for which the engines of a failure domain in which other hosts lost several are tried last.
+/// They are not checked, as all hosts would check them.
+const DOMAIN_DOUBTED_FOR: Duration = Duration::from_millis(1000);
+
 /// Number of engines of a failure domain lost in one event from which its other engines are checked
 /// before they are used.
 const DOMAIN_LOSSES_MIN: usize = 2;
@@ -106,6 +111,10 @@
     // check began.
     checked_at: Instant,
     is_checking: bool,
+    // When received bytes or a connection last showed that the engine is alive.
+    alive_at: Option<Instant>,
+    // Set while other hosts have just lost several engines of its failure domain.
+    doubted_until: Option<Instant>,
     // Whether several engines of its failure domain were lost, and neither received bytes nor a
     // connection have shown since that this one is alive.
     needs_check: bool,
@@ -145,7 +154,8 @@
     // Time up to which all changes in the store are known.
     confirmed_at: Option<Instant>,
     // Recently lost engines, with their failure domains.
-    losses: Vec<(Instant, Engine, CompactString)>,
+    domain_losses: Vec<(Instant, Engine, CompactString)>,
+    losses: Losses,
     // Invariant: the `peer_load` of each engine in `by_hash` is the sum of its usages in these
     // reports.
     reports: Reports,
@@ -164,7 +174,8 @@
             by_hash: BTreeMap::new(),
             history: History::default(),
             confirmed_at: None,
-            losses: Vec::new(),
+            domain_losses: Vec::new(),
+            losses: Losses::default(),
             reports: Reports::default(),
             own_load_version: 0,
         }
@@ -225,6 +236,8 @@
             lost: Signal::default(),
             checked_at: self.clock.now(),
             is_checking: false,
+            alive_at: None,
+            doubted_until: None,
             needs_check: false,
         });
         self.by_hash.insert(EngineHash::of(&id), key);
@@ -390,8 +403,9 @@
 
     fn is_suspect(&self, state: &State) -> bool {
         let now = self.clock.now();
-        let is_unreachable = state.unreachable_until.is_some_and(|until| until > now);
-        is_unreachable
+        let is_ahead = |until: Option<Instant>| until.is_some_and(|until| until > now);
+        is_ahead(state.unreachable_until)
+            || is_ahead(state.doubted_until)
             || state.needs_check
             || state.lost.is_set()
             || self.is_probably_replaced(state)
@@ -469,15 +483,16 @@
             .collect()
     }
 
-    /// Applies report `number` of a source, unless it is out of date.
-    pub fn set_report(&mut self, source: Source, number: u64, usages: Vec<Usage>) {
+    /// Applies report `number` of a source; returns `false` if it is out of date.
+    pub fn set_report(&mut self, source: Source, number: u64, usages: Vec<Usage>) -> bool {
         if !self.reports.is_newer(&source, number) {
-            return;
+            return false;
         }
         self.update_peer_load(&usages, Load::add);
         let now = self.clock.now();
         let old = self.reports.replace(source, number, usages, now);
         self.update_peer_load(&old, Load::subtract);
+        true
     }
 
     /// Returns the age of the oldest report, or zero if there is none.
@@ -565,8 +580,10 @@
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
             state.checked_at = now;
+            state.alive_at = Some(now);
             state.is_checking = false;
             state.needs_check = false;
+            state.doubted_until = None;
             if state.lost.is_set() {
                 state.lost = Signal::default();
             }
@@ -579,7 +596,9 @@
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
             state.checked_at = now;
+            state.alive_at = Some(now);
             state.needs_check = false;
+            state.doubted_until = None;
         }
     }
 
@@ -626,13 +645,15 @@
         let Some(state) = self.engines.get(engine) else {
             return;
         };
+        let hash = EngineHash::of(&state.registration.id);
+        self.losses.record(hash, now, Finder::Own);
         let domain = state.registration.failure_domain.clone();
-        self.losses.retain(|(at, lost, _)| {
+        self.domain_losses.retain(|(at, lost, _)| {
             now.duration_since(*at) < DOMAIN_LOSS_WINDOW && *lost != engine
         });
-        self.losses.push((now, engine, domain.clone()));
+        self.domain_losses.push((now, engine, domain.clone()));
         let together = self
-            .losses
+            .domain_losses
             .iter()
             .filter(|(_, _, lost_domain)| *lost_domain == domain);
         if together.count() < DOMAIN_LOSSES_MIN {
@@ -645,6 +666,66 @@
         others.for_each(|state| state.needs_check = true);
     }
 
+    /// Records a loss that another host reports; returns whether it changes what this host believes
+    /// of the engine.
+    pub fn record_reported_loss(&mut self, loss: Loss, finder: Finder) -> bool {
+        let now = self.clock.now();
+        let age = Duration::from_millis(loss.age_ms.into());
+        let Some(at) = now.checked_sub(age) else {
+            return false;
+        };
+        if !self.losses.record(loss.engine, at, finder) {
+            return false;
+        }
+        let Some(state) = self.by_hash.get(&loss.engine) else {
+            return false;
+        };
+        let state = &mut self.engines[*state];
+        if state.alive_at.is_some_and(|alive_at| alive_at > at) {
+            return false;
+        }
+        state.unreachable_until = state.unreachable_until.max(Some(at + UNREACHABLE_FOR));
+        state.lost_at = state.lost_at.max(Some(at));
+        // The requests that run there end as soon as the loss is confirmed.
+        state.needs_check |= state.own_load.running > 0;
+        let domain = state.registration.failure_domain.clone();
+        self.doubt_domain(&domain);
+        true
+    }
+
+    /// Lets the engines of a failure domain be tried last if several of them were lost together.
+    fn doubt_domain(&mut self, domain: &str) {
+        let now = self.clock.now();
+        let Some(from) = now.checked_sub(DOMAIN_LOSS_WINDOW) else {
+            return;
+        };
+        let lost = self.losses.since(from);
+        let lost = lost.filter_map(|engine| self.by_hash.get(&engine));
+        let lost_there =
+            lost.filter(|engine| self.engines[**engine].registration.failure_domain == domain);
+        if lost_there.count() < DOMAIN_LOSSES_MIN {
+            return;
+        }
+        let others = self
+            .engines
+            .values_mut()
+            .filter(|state| state.registration.failure_domain == domain);
+        for state in others.filter(|state| state.alive_at.is_none_or(|at| at < from)) {
+            state.doubted_until = Some(now + DOMAIN_DOUBTED_FOR);
+            state.needs_check |= state.own_load.running > 0;
+        }
+    }
+
+    /// Drops losses that are too old to be reported.
+    pub fn expire_losses(&mut self) {
+        self.losses.expire(self.clock.now());
+    }
+
+    /// Returns the recent losses.
+    pub fn losses(&self) -> &Losses {
+        &self.losses
+    }
+
     /// Records that an engine could not be reached, or stopped sending.
     pub fn set_unreachable(&mut self, engine: Engine) {
         let now = self.clock.now();
@@ -660,9 +741,22 @@
         if let Some(state) = self.engines.get_mut(engine) {
             state.unreachable_until = None;
             state.lost_at = None;
+            let hash = EngineHash::of(&state.registration.id);
+            self.losses.remove(hash);
         }
     }
 
+    /// Removes an engine at whose address another one answered.
+    pub fn set_replaced(&mut self, engine: Engine) {
+        let now = self.clock.now();
+        let Some(state) = self.engines.get(engine) else {
+            return;
+        };
+        let id = state.registration.id.clone();
+        self.losses.record(EngineHash::of(&id), now, Finder::Own);
+        self.remove(&id);
+    }
+
     /// Records a failed or malformed response of an engine.
     pub fn set_failed(&mut self, engine: Engine) {
         let now = self.clock.now();
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -5,7 +5,8 @@
 //! - [`lease_task`] reports this host's demand once a second and runs the allocators. [`allocator`]
 //!   divides the slots of a failure domain among hosts, [`lease_client`] holds the leases of this
 //!   host, and [`share`] has the arithmetic of both.
-//! - [`limit`] adapts this host's concurrency limit for each engine, and [`retry`] bounds retries.
+//! - [`limit`] adapts this host's concurrency limit for each engine. [`retry`] bounds the retries of
+//!   all hosts, which it counts in a [`window`].
 
 pub mod allocator;
 pub mod job;
@@ -17,3 +18,4 @@
 pub mod scheduler;
 pub mod share;
 pub mod tree;
+pub mod window;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -30,6 +30,12 @@
     (store, gateway)
 }
 
+/// Returns a port on which no TCP connection of 127.0.0.1 is open.
+fn free_port() -> u16 {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
 fn stream_headers(id: &str) -> String {
     format!(
         "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
@@ -158,6 +164,28 @@
     assert_eq!(answer.header("x-bilberrypost-attempt-id"), Some("refused"));
 }
 
+/// Guards against a request that is refused because the first engines were unreachable: an attempt
+/// that reached no engine is no retry.
+#[test]
+fn refused_connections_use_no_retries() {
+    let free = Engine::start("i-9", |_| ok());
+    let store = Store::start();
+    store.put("config", "main", config(3));
+    let mut closed = free.registration("app", "fd-a");
+    for number in 1..=6 {
+        closed["address"] = json!(format!("127.0.0.1:{number}"));
+        store.put("servers", &format!("i-{number}"), closed.clone());
+    }
+    store.put("servers", &free.id, free.registration("app", "fd-b"));
+    let settings = settings(&store.address, "")
+        .replace("retry_ratio = 0.8", "retry_ratio = 0")
+        .replace("retry_slack = 150", "retry_slack = 0");
+    let gateway = Gateway::start(&settings);
+    wait_for("readiness", || gateway.is_ready());
+    assert_eq!(gateway.status("POST", "/once/x", "r1", "b"), 200);
+    assert_eq!(free.request_count(), 1);
+}
+
 /// Guards against a missing, repeated or partial event after an engine broke off a stream, and
 /// against a resumed run that ignores the replica.
 #[test]
@@ -444,11 +472,7 @@
     let store = Store::start();
     store.put("config", "main", config(3));
     store.put("servers", &app.id, app.registration("app", "fd-a"));
-    let port = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port();
+    let port = free_port();
     let on = |ip: &str, store: &str| {
         settings(
             store,
@@ -487,11 +511,7 @@
     for engine in [&one, &two] {
         store.put("servers", &engine.id, engine.registration("app", "fd-a"));
     }
-    let port = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port();
+    let port = free_port();
     let start = |number: u8| {
         let more = format!("seeds = 127.0.0.1:1\nports = {port},{port}");
         let settings = settings(&store.address, &more);
@@ -502,8 +522,8 @@
         .iter()
         .for_each(|host| wait_for("readiness", || host.is_ready()));
     let watching = |host: &Gateway| host.metric("bilberrypost_watches_store") == Some(1.0);
-    wait_for("two representatives", || {
-        hosts.iter().filter(|host| watching(host)).count() == 2
+    wait_for("one representative that watches", || {
+        hosts.iter().filter(|host| watching(host)).count() == 1
     });
     let expect_all_follow = |hosts: &[Gateway], version: u64, key: &str, status: u16| {
         let mut next = config(version);
@@ -547,14 +567,15 @@
     let store = Store::start();
     store.put("config", "main", config(3));
     store.put("servers", &app.id, app.registration("app", "fd-a"));
-    let socket = std::net::UdpSocket::bind("127.0.0.9:0").unwrap();
-    let port = socket.local_addr().unwrap().port();
+    let port = free_port();
+    let socket = std::net::UdpSocket::bind(("127.0.0.9", port)).unwrap();
     let more = format!("ports = {port},{port}");
     let gateway = Gateway::start(&settings(&store.address, &more));
     wait_for("readiness", || gateway.is_ready());
     let hosts = (1..=30).map(|n| std::net::IpAddr::from([127, 0, 1, n]));
     let mut report = Report {
         number: 1,
+        process: 1,
         domain: "fd-z".into(),
         revision: 0,
         // A leaving host is no representative, so it gets no summaries either.
@@ -562,6 +583,8 @@
         is_question: false,
         hosts: [("fd-z".into(), hosts.collect())].into(),
         usages: Vec::new(),
+        retries: Vec::new(),
+        losses: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
@@ -621,11 +644,7 @@
     for (engine, domain) in engines.iter().zip(["fd-a", "fd-b"]) {
         store.put("servers", &engine.id, engine.registration("model", domain));
     }
-    let port = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port();
+    let port = free_port();
     let on = |ip: &str| {
         settings(
             &store.address,
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -11,7 +11,9 @@
 use bilberrypost::peer::roster::{REPRESENTATIVES, Roster};
 use bilberrypost::relay::handover::Stream;
 use bilberrypost::route::load::Load;
+use bilberrypost::route::losses::Loss;
 use bilberrypost::route::registry::{Registration, Registry};
+use bilberrypost::sched::retry;
 use compact_str::{CompactString, format_compact};
 use rand::rngs::StdRng;
 use rand::{Rng, RngCore, SeedableRng};
@@ -179,27 +181,67 @@
 fn a_follower_tries_all_representatives_before_the_store() {
     let mut representatives = Representatives::default();
     assert!(
-        representatives.all_failed(),
+        representatives.all_failed() && representatives.all_silent(),
         "a host without representatives reads from the store"
     );
     representatives.set(vec![address(1), address(2), address(3)]);
     assert_eq!(representatives.current(), Some(address(1)));
-    representatives.record_failure();
+    representatives.record_failure(true);
     assert_eq!(representatives.current(), Some(address(2)));
-    representatives.record_failure();
+    representatives.record_failure(true);
     assert!(!representatives.all_failed());
     representatives.record_success();
     // The host stays with the representative that answers when the others change.
     representatives.set(vec![address(4), address(3)]);
     assert_eq!(representatives.current(), Some(address(3)));
-    representatives.record_failure();
+    representatives.record_failure(true);
     assert!(!representatives.all_failed());
-    representatives.record_failure();
-    assert!(representatives.all_failed());
+    representatives.record_failure(true);
+    assert!(representatives.all_failed() && representatives.all_silent());
     representatives.record_success();
     assert!(!representatives.all_failed());
 }
 
+/// Guards against a fleet whose hosts all call a store that is out of reach.
+#[test]
+fn representatives_without_the_store_are_not_silent() {
+    let mut representatives = Representatives::default();
+    representatives.set(vec![address(1), address(2)]);
+    for _ in 0..10 {
+        representatives.record_failure(true);
+        representatives.record_failure(false);
+        assert!(representatives.all_failed());
+        assert!(!representatives.all_silent());
+    }
+}
+
+/// Guards against hosts that all follow one representative of the fleet or of another failure
+/// domain first, and against one that follows itself.
+#[test]
+fn the_first_representatives_are_followed_first() {
+    let now = Instant::now();
+    for own in 0..60 {
+        let roster = roster(own, 60, now);
+        let first = roster.own_representatives(false, now)[0];
+        let to_follow = roster.representatives_to_follow(false, now);
+        assert!(!to_follow.contains(&address(own)));
+        if first != address(own) {
+            assert_eq!(to_follow[0], first);
+        }
+        let others = roster.other_representatives();
+        let position = |host: &SocketAddr| {
+            to_follow
+                .iter()
+                .position(|address| address == host)
+                .unwrap()
+        };
+        for pair in others.chunks(REPRESENTATIVES) {
+            assert!(position(&pair[0]) < DOMAINS.len());
+            assert!(position(&pair[1]) + 1 >= DOMAINS.len());
+        }
+    }
+}
+
 /// Guards against hosts that each call the store several times a second during an outage, and
 /// against hosts that notice its return too late.
 #[test]
@@ -277,12 +319,29 @@
             Usage::new(EngineHash::of(&format!("i-{n:08x}")), load)
         })
         .collect();
-    let hosts: Vec<_> = (0..25).map(|n| address(n).ip()).collect();
+    let hosts: Vec<_> = (0..40).map(|n| address(n).ip()).collect();
+    let retries: Vec<_> = (0..8)
+        .map(|n| retry::Usage {
+            service: retry::Service::of(&format!("service-{n}")),
+            requests: 400,
+            committed: 300,
+        })
+        .collect();
+    let losses: Vec<_> = (0..40)
+        .map(|n| Loss {
+            engine: EngineHash::of(&format!("lost-{n}")),
+            age_ms: 1400,
+        })
+        .collect();
     let summary = Summary {
         domain: "fd-a".into(),
         number: 1 << 41,
+        process: 1 << 60,
         hosts: hosts.clone(),
         usages: usages.clone(),
+        retrying_hosts: 40,
+        retries: retries.clone(),
+        losses: losses.clone(),
     };
     let stream = Stream {
         digest: 7,
@@ -291,18 +350,23 @@
     };
     let empty = Report {
         number: 1 << 41,
+        process: 1 << 60,
         domain: "fd-a".into(),
         revision: 5,
         is_leaving: false,
         is_question: false,
         hosts: BTreeMap::from([(CompactString::from("fd-a"), hosts)]),
         usages: Vec::new(),
+        retries: Vec::new(),
+        losses: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
     let reports = [
         Report {
             usages: usages[..100].to_vec(),
+            retries,
+            losses,
             streams: vec![stream; 64],
             ..empty.clone()
         },
@@ -323,12 +387,18 @@
 fn corrupted_datagrams_do_not_panic() {
     let report = Report {
         number: 3,
+        process: 9,
         domain: "fd-a".into(),
         revision: 5,
         is_leaving: true,
         is_question: true,
         hosts: BTreeMap::from([("fd-b".into(), vec![address(1).ip()])]),
         usages: vec![Usage::new(EngineHash::of("a"), Load::default())],
+        retries: Vec::new(),
+        losses: vec![Loss {
+            engine: EngineHash::of("a"),
+            age_ms: 3,
+        }],
         streams: Vec::new(),
         summaries: Vec::new(),
     };
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -110,11 +110,10 @@
 fn retries_stay_within_the_ratio() {
     let policy = Policy {
         ratio: 0.5,
-        slack: 30.0,
+        slack: 10.0,
         window: Duration::from_secs(10),
-        hosts: 3,
     };
-    let mut budget = Budget::new(policy);
+    let mut budget = Budget::new(policy, 0);
     let now = Instant::now();
     let spend_all =
         |budget: &mut Budget, at| (0..1000).filter(|_| budget.try_spend("s", at)).count();
