Answer connections that wait in the listener's queue at a stop

Cause: the accept loop polled the stop signal before the pending accept and then dropped it. The next request of a kept connection could cross its close as well, so idle connections stay open for 700 ms after the listener has closed.

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -21,9 +21,11 @@
             .with_context(|| format!("could not read {path}; check the path"))?;
         let file = File::parse(path, &text)?;
         if let Some(settings) = platform::settings::read(&file)? {
-            output::start()?;
+            let log = output::start()?;
             let store = platform::store::Store::new(&settings.store);
-            return gateway::run::<platform::Platform, _>(settings, store, stop).await;
+            let result = gateway::run::<platform::Platform, _>(settings, store, stop).await;
+            log.flush();
+            return result;
         }
         super::start_log(matches);
         let host = Host::from_file(&file)?;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -20,6 +20,7 @@
 
 use super::body::Body;
 use crate::supervisor::Signal;
+use crate::util::within;
 
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +43,13 @@
 /// Smallest read buffer that hyper accepts; it panics below.
 const HEAD_BYTES_MIN: usize = 8192;
 
+/// Time without a new connection after which the queue of the listener counts as empty.
+const ACCEPT_QUEUE_WAIT: Duration = Duration::from_millis(10);
+
+/// Time after the request to stop in which connections without a running request stay open. A
+/// request that the caller sends at that moment is answered instead of cut.
+const IDLE_GRACE: Duration = Duration::from_millis(700);
+
 /// Polling interval of [`Requests::wait_idle`].
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -108,7 +116,8 @@
 
 /// Serves connections until `stop` is set and all connections have ended.
 ///
-/// After `stop`, running requests are finished and idle connections are closed.
+/// After `stop`, the connections that wait in the queue of the listener are served, running requests
+/// are finished, and idle connections are closed a moment later.
 pub async fn serve<S: Service>(listener: TcpListener, service: Rc<S>, stop: Signal) {
     let mut connections = FuturesUnordered::new();
     while !stop.is_set() {
@@ -116,10 +125,12 @@
         let accepted = {
             let accept = pin!(listener.accept());
             let ended = pin!(next_ended(&mut connections));
-            match select(stopped, select(accept, ended)).await {
-                Either::Left(_) => break,
-                Either::Right((Either::Left((accepted, _)), _)) => accepted,
-                Either::Right((Either::Right(_), _)) => continue,
+            // `accept` is polled first: dropping it after it has taken a connection from the queue
+            // would reset that connection.
+            match select(select(accept, ended), stopped).await {
+                Either::Left((Either::Left((accepted, _)), _)) => accepted,
+                Either::Left((Either::Right(_), _)) => continue,
+                Either::Right(_) => break,
             }
         };
         match accepted {
@@ -134,6 +145,11 @@
             }
         }
     }
+    // Callers have sent their requests on these connections before the listener closes.
+    while let Some(Ok((stream, _))) = within(ACCEPT_QUEUE_WAIT, listener.accept()).await {
+        let task = serve_connection(stream, service.clone(), stop.clone());
+        connections.push(compio::runtime::spawn(task));
+    }
     drop(listener);
     while connections.next().await.is_some() {}
 }
@@ -160,10 +176,12 @@
         .serve_connection(HyperStream::new_plain(stream), handler);
     let mut connection = pin!(connection);
     let stopped = pin!(stop.wait());
-    if let Either::Right(((), connection)) = select(connection.as_mut(), stopped).await {
-        connection.graceful_shutdown();
-    } else {
+    if let Either::Left(_) = select(connection.as_mut(), stopped).await {
+        return;
+    }
+    if within(IDLE_GRACE, connection.as_mut()).await.is_some() {
         return;
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
