Bound engines and callers that send bytes without end; judge streams by their events

An engine that sent zeros without end kept the only thread: a call with a deadline of 3 s ended after 10.6 s, when the stand-in stopped at 64 MB, and no other task ran meanwhile. http/fair.rs yields after four reads in a row, on both sides, so that the limits on time hold. - A body longer than 16 MB was truncated and forwarded as complete. It is now an error, and a response above 16 KB is forwarded as it arrives instead of being buffered. An event may have 16 KB (256 KB before), the read buffer of a connection to an engine 8 KB. Progress is now measured in numbered events against the pace of the stream (relay/silence.rs). A stream that cannot go on elsewhere is kept until its deadline. Engines that disappeared are still found by a connection after 240 ms of silence.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use serde_json::json;
 
-use crate::http::client::{self, Exchange, post_json};
+use crate::http::client::{self, BodyError, Exchange, post_json};
 use crate::http::pool::message_bytes;
 use crate::http::problem::Problem;
 use crate::http::sse;
@@ -58,7 +58,7 @@
             parser: sse::Parser::default(),
         });
     }
-    let broken = |err: hyper::Error| Error::Broken(err.to_string());
+    let broken = |err: BodyError| Error::Broken(err.to_string());
     let body = exchange.read_rest(MAX_ERROR_BYTES).await.map_err(broken)?;
     match serde_json::from_slice(&body) {
         Ok(problem) => Err(Error::Refused(problem)),
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -1,5 +1,6 @@
-//! Requests whose response is not a stream. The response of an engine is buffered before any of it
-//! is sent to the caller, so a response that breaks off can be replaced by that of another engine.
+//! Requests whose response is not a stream. A short response of an engine is buffered before any of
+//! it is sent to the caller, so that one that breaks off can be replaced by that of another engine.
+//! A long one is forwarded as it arrives, which bounds the memory that it takes.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,12 +14,17 @@
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
-use crate::http::body::Body;
+use crate::http::body::{Body, Writer};
+use crate::http::client::{Exchange, Prefix};
 use crate::http::problem::Reason;
+use crate::report::trace::Trace;
 use crate::route::registry::{Engine, Need};
 use crate::util::within;
 
-/// Maximum size of a response body in bytes.
+/// Size in bytes up to which a response body is buffered.
+const BUFFERED_BYTES_MAX: usize = 16 * 1024;
+
+/// Maximum size of a response body in bytes; a longer one is cut.
 const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// A request is refused after it was rejected by this many engines.
@@ -108,8 +114,21 @@
         is_success,
     } = open;
     let left = deadline.saturating_duration_since(gateway.clock.now());
-    let body = match within(left, exchange.read_rest(RESPONSE_BYTES_MAX)).await {
-        Some(Ok(body)) => body,
+    let body = match within(left, exchange.read_up_to(BUFFERED_BYTES_MAX)).await {
+        Some(Ok(Prefix::Whole(body))) => Body::full(Bytes::from(body)),
+        Some(Ok(Prefix::Part(part))) => {
+            let head = response_builder(&exchange.head);
+            let (writer, body) = Body::channel();
+            let long = LongResponse {
+                exchange,
+                _placement: placement,
+                trace: admitted.trace.clone(),
+            };
+            let left = deadline.saturating_duration_since(gateway.clock.now());
+            gateway.stream_tasks.spawn(long.forward(part, writer, left));
+            let response = head.body(body).map_err(|_| Fault::Lost)?;
+            return Ok((response, is_success));
+        }
         Some(Err(_)) => {
             gateway.registry.borrow_mut().set_failed(placement.engine);
             return Err(Fault::Lost);
@@ -117,11 +136,55 @@
         None => return Err(Fault::Silent),
     };
     let response = response_builder(&exchange.head)
-        .body(Body::full(Bytes::from(body)))
+        .body(body)
         .map_err(|_| Fault::Lost)?;
     Ok((response, is_success))
 }
 
+/// A response that is too long to be buffered.
+struct LongResponse<C: Clock> {
+    exchange: Exchange,
+    // Counts the request as running on the engine.
+    _placement: Placement<C>,
+    trace: Trace,
+}
+
+impl<C: Clock> LongResponse<C> {
+    /// Forwards the body, of which `part` was read, for `left` at most. A body that breaks off, is
+    /// too long or takes too long is cut, so that the caller does not take it for complete.
+    async fn forward(mut self, part: Vec<u8>, mut writer: Writer, left: Duration) {
+        let outcome = match within(left, self.forward_chunks(part, &mut writer)).await {
+            Some(Ok(())) => {
+                // An error means that the caller has closed the connection.
+                let _ = writer.finish().await;
+                return;
+            }
+            Some(Err(outcome)) => outcome,
+            None => "timeout",
+        };
+        self.trace
+            .log_failure("response_cut", format_args!("reason={outcome}"));
+    }
+
+    async fn forward_chunks(
+        &mut self,
+        part: Vec<u8>,
+        writer: &mut Writer,
+    ) -> Result<(), &'static str> {
+        let mut size = part.len();
+        let mut next = Some(Bytes::from(part));
+        while let Some(chunk) = next {
+            writer.send(chunk).await.map_err(|_| "caller-gone")?;
+            next = self.exchange.next().await.map_err(|_| "broken")?;
+            size += next.as_ref().map_or(0, Bytes::len);
+            if size > RESPONSE_BYTES_MAX {
+                return Err("too-long");
+            }
+        }
+        Ok(())
+    }
+}
+
 fn give_up<C: Clock>(
     attempts: &Attempts<C>,
     failure: Option<Response<Body>>,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -23,7 +23,8 @@
 use crate::http::problem::Reason;
 use crate::peer::report::EngineHash;
 use crate::relay::event_stream::{Position, Splitter};
-use crate::relay::{handover, silence};
+use crate::relay::handover;
+use crate::relay::silence::{self, Progress};
 use crate::route::registry::{Engine, Need};
 use crate::supervisor::Signal;
 use crate::util::within;
@@ -66,9 +67,7 @@
     /// Set when the engine is declared lost.
     lost: Signal,
     splitter: Splitter,
-    /// When the last bytes arrived.
-    heard_at: Instant,
-    has_output: bool,
+    progress: Progress,
 }
 
 /// Why forwarding the events of an attempt ended.
@@ -329,8 +328,7 @@
             exchange: open.exchange,
             placement,
             splitter: Splitter::default(),
-            heard_at: self.gateway.clock.now(),
-            has_output: false,
+            progress: Progress::new(self.gateway.clock.now()),
         }
     }
 
@@ -377,7 +375,8 @@
                 End::Broken(reason) => reason,
             };
             let broken = active.placement.engine;
-            let silent = self.gateway.clock.now().duration_since(active.heard_at);
+            let last_at = active.progress.last_at();
+            let silent = self.gateway.clock.now().duration_since(last_at);
             self.admitted.trace.log(
                 "stream_broken",
                 format_args!(
@@ -449,7 +448,9 @@
                 if self.position.advance(&event).is_err() {
                     return End::Broken("order");
                 }
-                active.has_output = true;
+                if event.id.is_some() {
+                    active.progress.record_event(self.gateway.clock.now());
+                }
                 active.placement.record_output();
                 if writer.send(event.bytes).await.is_err() {
                     return End::CallerGone;
@@ -473,7 +474,6 @@
             };
             match chunk {
                 Some(Ok(Some(chunk))) => {
-                    active.heard_at = self.gateway.clock.now();
                     self.gateway
                         .registry
                         .borrow_mut()
@@ -491,14 +491,23 @@
         }
     }
 
-    /// Returns until when to wait for the next bytes before the engine counts as silent.
+    /// Returns until when to wait for the next event before the engine counts as silent. A stream that
+    /// cannot go on elsewhere is not given up before its deadline.
     fn silence_deadline(&self, active: &ActiveAttempt<C>) -> Instant {
-        if active.has_output {
-            return active.heard_at + silence::event_limit(self.admitted.route.target_gap);
+        if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
+            return self.admitted.deadline;
         }
         let registry = self.gateway.registry.borrow();
-        let state = registry.get(active.placement.engine);
-        active.heard_at
-            + silence::first_event_limit(state.map_or(0, |state| state.own_load.reading))
+        let load = registry
+            .get(active.placement.engine)
+            .map(|state| (state.own_load.reading, state.total_load().reading));
+        let (own_reading, reading) = load.unwrap_or_default();
+        let limit = match active.progress.has_event() {
+            true => active
+                .progress
+                .event_limit(self.admitted.route.target_gap, reading > 0),
+            false => silence::first_event_limit(own_reading),
+        };
+        active.progress.last_at() + limit
     }
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -15,6 +15,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 
+use super::fair::Fair;
 use crate::util::within;
 
 /// Why a request got no response.
@@ -45,6 +46,29 @@
     }
 }
 
+/// Why a body cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError {
+    /// The connection failed before the end.
+    #[error("the body broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The body is longer than the limit, and perhaps endless.
+    #[error("the body is longer than {limit} bytes; raise the limit or shorten the response")]
+    TooLong {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+/// The beginning of a body.
+#[derive(Debug)]
+pub enum Prefix {
+    /// The whole body.
+    Whole(Vec<u8>),
+    /// As much as was asked for; more follows.
+    Part(Vec<u8>),
+}
+
 /// A response and its connection.
 ///
 /// Dropping it closes the connection; an engine then cancels the attempt.
@@ -80,23 +104,37 @@
         Ok(None)
     }
 
-    /// Reads the rest of the body, truncated to `limit` bytes.
+    /// Reads the rest of the body.
     ///
     /// # Errors
-    /// The connection failed before the end of the body.
-    pub async fn read_rest(&mut self, limit: usize) -> Result<Vec<u8>, hyper::Error> {
-        let mut all = Vec::new();
+    /// The connection failed before the end of the body, or the body is longer than `limit` bytes.
+    pub async fn read_rest(&mut self, limit: usize) -> Result<Vec<u8>, BodyError> {
+        match self.read_up_to(limit).await? {
+            Prefix::Whole(body) => Ok(body),
+            Prefix::Part(_) => Err(BodyError::TooLong { limit }),
+        }
+    }
+
+    /// Reads the body until it ends or `limit` bytes have arrived.
+    ///
+    /// # Errors
+    /// The connection failed before that.
+    pub async fn read_up_to(&mut self, limit: usize) -> Result<Prefix, BodyError> {
+        let mut read = Vec::new();
         while let Some(chunk) = self.next().await? {
-            all.extend_from_slice(&chunk);
-            if all.len() > limit {
-                all.truncate(limit);
-                break;
+            read.extend_from_slice(&chunk);
+            if read.len() > limit {
+                return Ok(Prefix::Part(read));
             }
         }
-        Ok(all)
+        Ok(Prefix::Whole(read))
     }
 }
 
+/// Size of the read buffer of a connection, which bounds the head of a response and the memory that a
+/// server takes which sends bytes without end.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// An open connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -120,7 +158,9 @@
             .ok_or_else(|| unsent(format!("no answer within {} ms", limit.as_millis())))?
             .map_err(|err| unsent(err.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(Fair::new(HyperStream::new_plain(stream)))
             .await
             .map_err(|err| unsent(err.to_string()))?;
         let task = compio::runtime::spawn(async move {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -19,6 +19,7 @@
 use log::warn;
 
 use super::body::Body;
+use super::fair::Fair;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -173,7 +174,7 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(HyperStream::new_plain(stream), handler);
+        .serve_connection(Fair::new(HyperStream::new_plain(stream)), handler);
     let mut connection = pin!(connection);
     let stopped = pin!(stop.wait());
     if let Either::Left(_) = select(connection.as_mut(), stopped).await {
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -3,8 +3,9 @@
 
 use compio::bytes::{Bytes, BytesMut};
 
-/// Limit on buffered bytes, and so on the length of an event.
-const EVENT_BYTES_MAX: usize = 256 * 1024;
+/// Limit on buffered bytes, and so on the length of an event. It also bounds the memory that an engine
+/// takes which sends bytes without end.
+const EVENT_BYTES_MAX: usize = 16 * 1024;
 
 /// A complete event, including the empty line that ends it.
 #[derive(Clone, Debug, Eq, PartialEq)]
