Let nothing that a peer hands over beat something newer

Cause, as read: a follower that changed its representative took the engines of one that lagged behind, and so used engines again that had left; a host without engines took the configuration of the first peer that had a newer one, not of the one with the newest. Updates now carry the store revision of the engines, and an older one is refused. A drain that is cut names the requests in the log.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -52,6 +52,8 @@
     pub process: u64,
     /// Changes of the engines.
     pub engines: Changes,
+    /// Revision of the store up to which the answering host knows these changes.
+    pub engines_revision: u64,
     /// Version of the configuration in force, 0 if there is none.
     pub version: u64,
     /// The configuration document as stored, if the follower has an older one and the size limit
@@ -105,6 +107,7 @@
         Update {
             process: self.0.process,
             engines: self.0.registry.borrow().changes_since(known.flatten()),
+            engines_revision: self.0.engines_revision(),
             version: self.0.revision_version(),
             revision: newer.map(|revision| revision.source.to_string()),
             is_confirmed: self.0.role.is_watching() && self.0.reaches_store(),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -121,8 +121,10 @@
             Some(representative) => fetch_update(&gateway, &pool, representative, known).await,
             None => None,
         };
-        let is_confirmed = update.as_ref().map(|update| update.is_confirmed);
-        match is_confirmed {
+        let is_current = update.as_ref().map(|update| {
+            update.is_confirmed && update.engines_revision >= gateway.engines_revision()
+        });
+        match is_current {
             Some(true) => gateway.role.representatives.borrow_mut().record_success(),
             Some(false) => gateway
                 .role
@@ -202,7 +204,12 @@
     // A representative that does not reach the store may have dropped engines that this host still
     // knows.
     let is_less_reliable = !update.is_confirmed && !gateway.registry.borrow().is_empty();
-    if is_less_reliable || (!update.is_confirmed && update.engines.registered.is_empty()) {
+    // One that lags behind the last one still lists engines that have left.
+    let is_older = update.engines_revision < gateway.engines_revision();
+    if is_older
+        || is_less_reliable
+        || (!update.is_confirmed && update.engines.registered.is_empty())
+    {
         return None;
     }
     let known = (update.process, update.engines.at);
@@ -212,6 +219,7 @@
     if gateway.registry.borrow().last_change() != before {
         gateway.notify_followers();
     }
+    gateway.set_engines_revision(update.engines_revision);
     if gateway.revision_version() >= update.version {
         gateway.confirm_revision(age);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -52,6 +52,9 @@
 /// killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Number of requests that the log names when they are cut at the end of a drain.
+const DRAIN_CUT_IDS_MAX: usize = 16;
+
 /// Time after the start within which a host normally has read its configuration.
 const STARTUP_TIME: Duration = Duration::from_millis(500);
 
@@ -125,6 +128,8 @@
     failing_calls: Cell<usize>,
     // When the registry was last known to match the directory.
     engines_confirmed_at: Cell<Option<Instant>>,
+    // Revision of the store up to which the changes of engines are known.
+    engines_revision: Cell<u64>,
     // When running work is cut; set when draining begins.
     drain_ends_at: Cell<Option<Instant>>,
 }
@@ -156,6 +161,7 @@
             started_at: clock.now(),
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
+            engines_revision: Cell::default(),
             drain_ends_at: Cell::default(),
             clock,
             settings,
@@ -217,6 +223,17 @@
             .set(self.revision_confirmed_at.get().max(at));
     }
 
+    /// Returns the revision of the store up to which the changes of engines are known, 0 if none is.
+    pub fn engines_revision(&self) -> u64 {
+        self.engines_revision.get()
+    }
+
+    /// Records that the changes of engines are known up to `revision` of the store.
+    pub fn set_engines_revision(&self, revision: u64) {
+        let known = self.engines_revision.get();
+        self.engines_revision.set(known.max(revision));
+    }
+
     /// Records that the registry matched the directory `age` ago.
     pub fn confirm_engines(&self, age: Duration) {
         let at = self.clock.now().checked_sub(age);
@@ -447,8 +464,14 @@
         let _ = caller_server.await;
     };
     if within(gateway.drain_limit(), drained).await.is_none() {
-        let running = gateway.requests.running().len();
-        warn!("event=drain_cut requests={running}");
+        let running = gateway.requests.running();
+        let ids = running.iter().take(DRAIN_CUT_IDS_MAX);
+        let ids: Vec<_> = ids.map(|(id, _)| id.as_str()).collect();
+        warn!(
+            "event=drain_cut requests={} ids={}",
+            running.len(),
+            ids.join(",")
+        );
     }
     gateway.stream_tasks.cancel().await;
     within(Duration::from_millis(100), supervisor.stop()).await;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -140,9 +140,9 @@
     is_fetching: Rc<Cell<bool>>,
     // Number of the last report or summary that was sent.
     last_number: u64,
-    // A peer that has a newer configuration, or engines while this host knows none, and when it
-    // first reported that.
-    newer_peer: Option<(SocketAddr, Instant)>,
+    // The peer with the newest configuration that is newer than this host's, or with engines while
+    // this host knows none; with that revision, and when the first such peer reported.
+    newer_peer: Option<(SocketAddr, u64, Instant)>,
     // Hosts of other failure domains that asked for a report. Each gets one.
     awaiting_reply: BTreeSet<SocketAddr>,
     // The last summary of each other failure domain, and whether it was forwarded.
@@ -178,7 +178,10 @@
         if report.revision > self.gateway.revision_version()
             || (has_no_engines && report.revision > 0)
         {
-            self.newer_peer.get_or_insert((from, now));
+            let (peer, newest, _) = self.newer_peer.get_or_insert((from, report.revision, now));
+            if report.revision > *newest {
+                (*peer, *newest) = (from, report.revision);
+            }
         }
         for summary in report.summaries {
             self.handle_summary(summary, from, now);
@@ -452,7 +455,7 @@
     /// from the store, or from the peer if the store does not answer or this host knows no engines.
     fn fetch_newer_revision(&mut self) {
         let now = self.gateway.clock.now();
-        let Some((from, since)) = self.newer_peer else {
+        let Some((from, _, since)) = self.newer_peer else {
             return;
         };
         if now.duration_since(since) < REVISION_FETCH_DELAY || self.is_fetching.replace(true) {
@@ -496,11 +499,12 @@
     }
     let engines = update.engines.registered.len();
     let mut registry = gateway.registry.borrow_mut();
-    if registry.is_empty() && engines > 0 {
+    if registry.is_empty() && engines > 0 && update.engines_revision >= gateway.engines_revision() {
         info!("event=engines_from_peer engines={engines}");
         registry.apply_changes(update.engines);
         drop(registry);
         gateway.notify_followers();
+        gateway.set_engines_revision(update.engines_revision);
         gateway.confirm_engines(Duration::from_millis(update.age_ms));
     }
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -175,6 +175,7 @@
             Ok(next) => {
                 dependency.record_success(&gateway);
                 since = Some(next);
+                gateway.set_engines_revision(next);
                 gateway.confirm_engines(Duration::ZERO);
                 if gateway.registry.borrow().last_change() != before {
                     gateway.notify_followers();
