Draw an engine among near-equal ones, so that late reports do not send all hosts to the same ones

Cause: all hosts chose the engine with the least load by reports up to half a second old, and one running request more made an engine worse than all others.

Services without prompts are chosen as before. Replicas are drawn among engines with about the most room.

Calls to the store use connections of their own for each kind of object, and a response older than its request is an error: a second copy of a response cannot become one about other objects. tests/pool.rs passes without a change: hyper closes a connection with bytes that no request asked for.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,5 +1,7 @@
 //! Client of the platform's store, which holds the configuration and the engines' registrations.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -98,7 +100,9 @@
 #[derive(Clone, Debug)]
 pub struct Store {
     address: Rc<str>,
-    pool: Rc<Pool>,
+    // Connections by kind of object. Responses do not name their request, so a second copy that
+    // arrives late must not be taken for a response about objects of another kind.
+    pools: Rc<RefCell<BTreeMap<CompactString, Rc<Pool>>>>,
 }
 
 impl Store {
@@ -106,7 +110,7 @@
     pub fn new(address: &str) -> Self {
         Self {
             address: address.into(),
-            pool: Rc::default(),
+            pools: Rc::default(),
         }
     }
 
@@ -122,7 +126,7 @@
         };
         let mut path = format!("/bilberrypost/objects/{kind}");
         loop {
-            let page: Page = self.get(&path, CALL_TIMEOUT).await?;
+            let page: Page = self.get(kind, &path, CALL_TIMEOUT).await?;
             let last = page
                 .entries
                 .last()
@@ -154,7 +158,11 @@
             "/bilberrypost/objects/{kind}?watch-revision={since}&wait-ms={}",
             wait.as_millis()
         );
-        let changes: Changes = self.get(&path, wait + WATCH_TIMEOUT_MARGIN).await?;
+        let changes: Changes = self.get(kind, &path, wait + WATCH_TIMEOUT_MARGIN).await?;
+        if changes.at < since {
+            let cause = "the response is older than the request".to_owned();
+            return Err(Error::Unavailable(cause));
+        }
         let mut batch = Batch {
             items: Vec::new(),
             unreadable: 0,
@@ -166,6 +174,7 @@
 
     async fn get<T: for<'a> Deserialize<'a>>(
         &self,
+        kind: &str,
         path: &str,
         timeout: Duration,
     ) -> Result<T, Error> {
@@ -174,8 +183,13 @@
             .header(hyper::header::HOST, &*self.address)
             .body(Full::new(Bytes::new()))
             .map_err(|err| unavailable(err.to_string()))?;
-        let (head, body) = self
-            .pool
+        let pool = self
+            .pools
+            .borrow_mut()
+            .entry(kind.into())
+            .or_default()
+            .clone();
+        let (head, body) = pool
             .call(&self.address, request, timeout)
             .await
             .map_err(|err| unavailable(err.to_string()))?;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -9,6 +9,7 @@
 pub mod history;
 pub mod load;
 pub mod losses;
+pub mod placing;
 pub mod poll;
 pub mod prefix;
 pub mod registry;
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -13,6 +13,7 @@
 use super::history::{Changes, History};
 use super::load::{Footprint, Load};
 use super::losses::{Finder, Loss, Losses};
+use super::placing::{self, Candidate};
 use super::reports::{Reports, Source};
 use crate::clock::Clock;
 use crate::peer::report::{EngineHash, Usage};
@@ -118,8 +119,8 @@
     // Whether several engines of its failure domain were lost, and neither received bytes nor a
     // connection have shown since that this one is alive.
     needs_check: bool,
-    // Order among equal engines. Differs between hosts, so that they do not all choose the same
-    // engine.
+    // Order among equal servers of a service without prompts. Differs between hosts, so that they do
+    // not all choose the same one.
     tie_break: u64,
 }
 
@@ -354,38 +355,67 @@
 
     /// Chooses an engine for a new request.
     ///
-    /// Prefers, in this order, engines that are not suspect, that have room, that have the least
-    /// load, and that are in the host's own failure domain, as traffic between domains costs money.
-    /// Equal ones are ordered differently on each host.
+    /// A service without prompts has few servers whose requests are short, so the one with the least
+    /// load is chosen, and equal ones are ordered differently on each host. Otherwise see
+    /// [`placing`].
     pub fn choose(&self, need: &Need<'_>) -> Option<Engine> {
+        if need.memory_tokens > 0 {
+            let candidates: Vec<_> = self
+                .candidates(need)
+                .map(|(key, state)| self.placing_candidate(key, state, need))
+                .collect();
+            return placing::choose(&candidates, rand::random());
+        }
         let candidates = self.candidates(need);
         candidates
             .min_by_key(|(_, state)| {
-                let is_full = !state.has_room(need);
                 (
                     self.is_suspect(state),
-                    is_full,
-                    self.cost(state),
-                    state.registration.failure_domain != self.failure_domain,
+                    self.failure_penalty(state) + state.total_load().running,
+                    self.is_remote(state),
                     state.tie_break,
                 )
             })
             .map(|(key, _)| key)
     }
 
+    fn placing_candidate(&self, engine: Engine, state: &State, need: &Need<'_>) -> Candidate {
+        let load = state.total_load();
+        let penalty = self.failure_penalty(state) * PREFILL_TOKENS_PER_RUNNING_REQUEST;
+        Candidate {
+            engine,
+            is_suspect: self.is_suspect(state),
+            is_full: !state.has_room(need),
+            is_remote: self.is_remote(state),
+            backlog: load.reading.saturating_add(penalty),
+            running: load.running,
+        }
+    }
+
+    fn is_remote(&self, state: &State) -> bool {
+        state.registration.failure_domain != self.failure_domain
+    }
+
     /// Chooses an engine of another failure domain to hold the replica of a request that runs on
-    /// `engine`. Returns `None` if no such engine has room.
+    /// `engine`. Returns `None` if no such engine has room. Draws one of those with about the most
+    /// room, as other hosts choose at the same time.
     pub fn choose_replica(&self, need: &Need<'_>, engine: Engine) -> Option<Engine> {
         let domain = &self.engines.get(engine)?.registration.failure_domain;
-        let candidates = self.candidates(need);
-        candidates
-            .filter(|(_, state)| state.registration.failure_domain != *domain)
-            .filter(|(_, state)| state.has_room(need) && !self.is_suspect(state))
-            .min_by_key(|(_, state)| {
-                let load = state.total_load();
-                (load.memory.saturating_add(load.reading), state.tie_break)
-            })
-            .map(|(key, _)| key)
+        let used = |state: &State| {
+            let load = state.total_load();
+            load.memory.saturating_add(load.reading)
+        };
+        let fitting = || {
+            self.candidates(need)
+                .filter(|(_, state)| state.registration.failure_domain != *domain)
+                .filter(|(_, state)| state.has_room(need) && !self.is_suspect(state))
+        };
+        let least = fitting().map(|(_, state)| used(state)).min()?;
+        let limit = least.saturating_add(need.footprint.memory());
+        let near = || fitting().filter(|(_, state)| used(state) <= limit);
+        let count = near().count() as u64;
+        let drawn = near().nth((rand::random::<u64>() % count) as usize);
+        drawn.map(|(key, _)| key)
     }
 
     fn candidates<'a>(&'a self, need: &'a Need<'_>) -> impl Iterator<Item = (Engine, &'a State)> {
@@ -428,13 +458,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
-    fn cost(&self, state: &State) -> u64 {
+    /// Returns the cost of recent failed responses in running requests.
+    fn failure_penalty(&self, state: &State) -> u64 {
         let now = self.clock.now();
         let recent = |at: &&Instant| now.duration_since(**at) < FAILURE_WINDOW;
-        let failures = state.failures.iter().filter(recent).count() as u64;
-        let load = state.total_load();
-        let requests = load.running.saturating_add(failures * FAILURE_WEIGHT);
-        requests.saturating_add(load.reading / PREFILL_TOKENS_PER_RUNNING_REQUEST)
+        state.failures.iter().filter(recent).count() as u64 * FAILURE_WEIGHT
     }
 
     /// Returns whether an engine may get requests.
