--- a/src/route/placing.rs
+++ b/src/route/placing.rs
@@ -2,21 +2,16 @@
 //!
 //! Many hosts choose at the same time by the same reports, which are up to half a second old. If all
 //! chose the engine with the least load, the requests of that time would queue there while others
-//! are idle. A host therefore draws one of the engines that are about as good as the best. It prefers
-//! its own failure domain, whose reports are the most recent and whose traffic costs nothing.
+//! are idle. A host therefore draws one of the engines that are about as good as the best.
 
 use super::registry::Engine;
 
-/// Difference in running requests up to which engines without a backlog count as equal. Their
-/// requests run at about the same pace.
-const RUNNING_TOLERANCE: u64 = 3;
+/// Prompt tokens to prefill that delay other requests as much as one running request does.
+const BACKLOG_PER_RUNNING: u64 = 250;
 
-/// Difference in tokens up to which engines with a backlog count as equal, about half of a long
-/// prompt.
-const BACKLOG_TOLERANCE: u64 = 2000;
-
-/// Tokens by which the backlog of an engine in another failure domain counts as larger.
-const REMOTE_BACKLOG: u64 = 750;
+/// Difference in running requests up to which engines count as equal. Their requests run at about
+/// the same pace.
+const TOLERANCE: u64 = 2;
 
 /// An engine that may get a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,32 +32,28 @@
 
 impl Candidate {
     /// Groups of candidates that are tried one after the other.
-    fn group(&self) -> (bool, bool, bool, bool) {
-        let is_busy = self.backlog > 0;
-        let is_idle_elsewhere = !is_busy && self.is_remote;
-        (self.is_suspect, self.is_full, is_busy, is_idle_elsewhere)
+    fn group(&self) -> (bool, bool) {
+        (self.is_suspect, self.is_full)
     }
 
-    /// Load that is compared within a group, and the difference that does not matter.
-    fn load(&self) -> (u64, u64) {
-        match self.backlog {
-            0 => (self.running, RUNNING_TOLERANCE),
-            backlog if self.is_remote => (backlog + REMOTE_BACKLOG, BACKLOG_TOLERANCE),
-            backlog => (backlog, BACKLOG_TOLERANCE),
-        }
+    /// Load in running requests.
+    fn load(&self) -> u64 {
+        let backlog = self.backlog / BACKLOG_PER_RUNNING;
+        self.running.saturating_add(backlog)
     }
 }
 
-/// Chooses a candidate; `draw` is a random number.
+/// Chooses a candidate; `draw` is a random number. Of equal ones those in the own failure domain go
+/// first, as traffic between domains costs money.
 pub fn choose(candidates: &[Candidate], draw: u64) -> Option<Engine> {
     let group = candidates.iter().map(Candidate::group).min()?;
     let members = || candidates.iter().filter(|member| member.group() == group);
-    let least = members().map(|member| member.load().0).min()?;
-    let is_near = |member: &&Candidate| {
-        let (load, tolerance) = member.load();
-        load <= least.saturating_add(tolerance)
-    };
-    let near = members().filter(is_near).count() as u64;
-    let drawn = members().filter(is_near).nth((draw % near) as usize)?;
-    Some(drawn.engine)
+    let least = members().map(Candidate::load).min()?;
+    let limit = least.saturating_add(TOLERANCE);
+    let near = || members().filter(|member| member.load() <= limit);
+    let has_own = near().any(|member| !member.is_remote && member.load() == least);
+    let drawn = || near().filter(|member| !has_own || !member.is_remote);
+    let count = drawn().count() as u64;
+    let chosen = drawn().nth((draw % count) as usize)?;
+    Some(chosen.engine)
 }
