--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -31,9 +31,6 @@
 /// Time between two checks whether this host has become a follower.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time between two checks whether a starting host has a duty.
-const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Pause after all representatives failed, or after the store did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(1000);
 
@@ -43,10 +40,8 @@
 /// Part of a host in watching the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Duty {
-    /// Has just started and does not know yet which hosts it may follow.
-    #[default]
-    Starting,
     /// Watches the store; others may follow it.
+    #[default]
     Watch,
     /// Follows a representative, and watches the store while none reaches it.
     Standby,
@@ -84,7 +79,7 @@
 
     /// Returns whether this host is a representative of its failure domain.
     pub fn is_representative(&self) -> bool {
-        matches!(self.duty.get(), Duty::Watch | Duty::Standby)
+        self.duty.get() != Duty::Follow
     }
 
     /// Returns whether other hosts may follow this one.
@@ -96,7 +91,6 @@
     fn must_watch(&self) -> bool {
         let representatives = self.representatives.borrow();
         match self.duty.get() {
-            Duty::Starting => false,
             Duty::Watch => true,
             Duty::Standby => representatives.all_failed(),
             Duty::Follow => representatives.all_silent(),
@@ -116,10 +110,6 @@
     // The process whose changes of engines were applied, and the number of the last one.
     let mut known: Option<(u64, u64)> = None;
     while !stop.is_set() {
-        if gateway.role.duty.get() == Duty::Starting {
-            within(START_CHECK_INTERVAL, stop.wait()).await;
-            continue;
-        }
         if gateway.role.duty.get() == Duty::Watch {
             gateway.role.set_has_no_representative(false);
             known = None;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,7 +41,7 @@
 use crate::sched::retry;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::within;
-use follow::{Duty, Role};
+use follow::Role;
 use protocol::{Directory, Protocol};
 
 /// Time after the request to stop in which the load balancer still sends new connections to this
@@ -439,8 +439,6 @@
                 supervisor.stop_signal(),
             ),
         );
-    } else {
-        gateway.role.set(Duty::Watch, false, Vec::new());
     }
     let ready = Rc::new(ready::Endpoint::<_, P>::new(gateway.clone()));
     supervisor.spawn(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -47,9 +47,6 @@
 /// Maximum number of streams in one report, which keeps it below [`report::BYTES_MAX`].
 const REPORT_STREAMS_MAX: usize = 64;
 
-/// Time in which a seed that is alive answers the first report of a host.
-const DISCOVERY_TIME: Duration = Duration::from_millis(300);
-
 /// Time after a peer reports a newer configuration in which the store or a representative normally
 /// delivers it. Only then it is fetched.
 const REVISION_FETCH_DELAY: Duration = Duration::from_millis(300);
@@ -67,18 +64,10 @@
 ) {
     let socket = match UdpSocket::bind(address).await {
         Ok(socket) => Rc::new(socket),
-        Err(err) => {
-            gateway.role.set(Duty::Watch, false, Vec::new());
-            return warn!("event=peers_off address={address} error={err:?}");
-        }
+        Err(err) => return warn!("event=peers_off address={address} error={err:?}"),
     };
     let domain = gateway.settings.failure_domain.clone();
-    let now = gateway.clock.now();
     let mut peers = Peers {
-        discovers_until: match seeds.iter().any(|seed| *seed != address) {
-            true => now + DISCOVERY_TIME,
-            false => now,
-        },
         own_address: address,
         roster: Roster::new(address, domain, seeds),
         socket: socket.clone(),
@@ -99,7 +88,6 @@
     };
     let (sender, mut reports) = futures_channel::mpsc::unbounded();
     let receiver = compio::runtime::spawn(receive(socket, sender));
-    peers.send_report().await;
     while !stop.is_set() {
         within(TICK, stop.wait()).await;
         while let Ok((from, report)) = reports.try_recv() {
@@ -144,8 +132,6 @@
 struct Peers<C: Clock, D> {
     gateway: Rc<Gateway<C>>,
     directory: D,
-    // Until when a host that hears no other one waits before it watches the store.
-    discovers_until: Instant,
     own_address: SocketAddr,
     socket: Rc<UdpSocket>,
     roster: Roster,
@@ -284,10 +270,6 @@
     }
 
     fn update_role(&mut self, now: Instant) {
-        // Otherwise every host that starts would call the store, also when all start at once.
-        if self.roster.is_empty() && now < self.discovers_until {
-            return;
-        }
         let is_leaving = self.gateway.leaving.is_set();
         let local_representatives = self.roster.own_representatives(is_leaving, now);
         let is_followed = self.roster.live_in_own_domain(now).len() >= REPRESENTATIVES;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -38,7 +38,7 @@
     (Duration::from_millis(600), Duration::from_millis(4000));
 
 /// Time between two checks whether this host has to watch the store.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Returns the pause after `failures` failed calls in a row. The store charges for refused calls
 /// too, and hosts must not call a recovering store all at once.
--- /dev/null
+++ b/tests/follow.rs
@@ -0,0 +1,164 @@
+//! A gateway that follows representatives which the test plays.
+
+mod support;
+
+use std::io::{BufReader, Write};
+use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bilberrypost::gateway::feed::Update;
+use bilberrypost::member::rendezvous;
+use bilberrypost::peer::report::Report;
+use bilberrypost::route::history::Changes;
+use bilberrypost::route::registry::Registration;
+use compact_str::ToCompactString;
+use support::platform::{
+    Engine, Gateway, Message, Mode, Reaction, Store, config, settings, wait_for,
+};
+
+/// A gateway that answers queries of followers with a fixed list of engines.
+struct Representative {
+    updates: Arc<AtomicU64>,
+}
+
+impl Representative {
+    /// Starts to report from `address` to `follower`, and to answer while `is_up` is not zero.
+    fn start(
+        address: SocketAddr,
+        all: &[IpAddr],
+        follower: SocketAddr,
+        update: impl Fn() -> Update + Send + Sync + 'static,
+        is_up: Arc<AtomicU64>,
+    ) -> Self {
+        let socket = UdpSocket::bind(address).unwrap();
+        let report = Report {
+            number: 1,
+            process: 1,
+            domain: "fd-a".into(),
+            revision: 3,
+            is_leaving: false,
+            is_question: false,
+            hosts: [("fd-a".into(), all.to_vec())].into(),
+            usages: Vec::new(),
+            retries: Vec::new(),
+            losses: Vec::new(),
+            streams: Vec::new(),
+            summaries: Vec::new(),
+        };
+        let datagram = report.encode().unwrap();
+        std::thread::spawn(move || {
+            while socket.send_to(&datagram, follower).is_ok() {
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+        let listener = TcpListener::bind(address).unwrap();
+        let updates = Arc::new(AtomicU64::new(0));
+        let (count, update) = (updates.clone(), Arc::new(update));
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (count, update, is_up) = (count.clone(), update.clone(), is_up.clone());
+                std::thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    while Message::read(&mut reader).is_some() {
+                        if is_up.load(Ordering::Relaxed) == 0 {
+                            return;
+                        }
+                        std::thread::sleep(Duration::from_millis(50));
+                        let body = serde_json::to_string(&update()).unwrap();
+                        let head =
+                            format!("HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n", body.len());
+                        if stream.write_all((head + &body).as_bytes()).is_err() {
+                            return;
+                        }
+                        count.fetch_add(1, Ordering::Relaxed);
+                    }
+                });
+            }
+        });
+        Self { updates }
+    }
+}
+
+fn registration(engine: &Engine) -> Registration {
+    Registration {
+        id: engine.id.as_str().into(),
+        service: "app".into(),
+        address: engine.address.as_str().into(),
+        failure_domain: "fd-a".into(),
+        slots: 12,
+        is_draining: false,
+        started_ms: 1,
+    }
+}
+
+fn update(process: u64, engines_revision: u64, engines: &[&Engine]) -> Update {
+    Update {
+        process,
+        engines: Changes {
+            at: 1,
+            is_whole: true,
+            registered: engines.iter().map(|engine| registration(engine)).collect(),
+            gone: Vec::new(),
+        },
+        engines_revision,
+        version: 3,
+        revision: Some(config(3).to_string()),
+        is_confirmed: true,
+        age_ms: 0,
+    }
+}
+
+/// Guards against an engine that has left and is used again because the host changes to a
+/// representative whose list is older.
+#[test]
+fn an_older_list_of_engines_is_refused() {
+    let left = Engine::start("i-1", |_| Reaction::Response(200, "left".into()));
+    let stays = Engine::start("i-2", |_| Reaction::Response(200, "stays".into()));
+    let store = Store::start();
+    store.set_mode(Mode::Unavailable);
+    let port = {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap().port()
+    };
+    // The host with the lowest rank is the gateway; the others represent the failure domain.
+    let addresses: Vec<_> = (1..=3)
+        .map(|n| SocketAddr::from(([127, 0, 3, n], port)))
+        .collect();
+    let names: Vec<_> = addresses
+        .iter()
+        .map(ToCompactString::to_compact_string)
+        .collect();
+    let ranked = rendezvous::ranked("fd-a", names.iter().map(|name| name.as_str()));
+    let ranked: Vec<SocketAddr> = ranked.iter().map(|name| name.parse().unwrap()).collect();
+    let all: Vec<_> = addresses.iter().map(SocketAddr::ip).collect();
+    let follower = ranked[2];
+    let (first_up, second_up) = (Arc::new(AtomicU64::new(1)), Arc::new(AtomicU64::new(1)));
+    let current = update(11, 20, &[&stays]);
+    let older = update(12, 10, &[&left, &stays]);
+    let copy = |update: Update| {
+        let text = serde_json::to_string(&update).unwrap();
+        move || serde_json::from_str(&text).unwrap()
+    };
+    let first = Representative::start(ranked[0], &all, follower, copy(current), first_up.clone());
+    let second = Representative::start(ranked[1], &all, follower, copy(older), second_up);
+    let more = format!("seeds = {}:1\nports = {port},{port}", ranked[0].ip());
+    let text =
+        settings(&store.address, &more).replace("127.0.0.1:0", &format!("{}:0", follower.ip()));
+    let gateway = Gateway::start(&text);
+    wait_for("readiness", || gateway.is_ready());
+    wait_for("the current list", || {
+        first.updates.load(Ordering::Relaxed) > 2
+    });
+    first_up.store(0, Ordering::Relaxed);
+    let before = second.updates.load(Ordering::Relaxed);
+    wait_for("older lists", || {
+        second.updates.load(Ordering::Relaxed) > before + 3
+    });
+    for number in 0..40 {
+        let answer = gateway.call("GET", "/any/x", &format!("r{number}"), "");
+        assert_eq!(answer.text(), "stays", "request {number}");
+    }
+    assert_eq!(left.request_count(), 0);
+}
