Do not hold the silence of a paused host against its engines

Cause: a host that was paused woke up with the limits of all its streams expired. A wait that ends 100 ms late or more is now excused once per event, as for the checks of engines.

Log: duty=watch, standby or follow.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -30,7 +30,7 @@
 
 /// Delay of a timer from which this process itself was paused, so silence is no evidence against
 /// the engine.
-const LATE_TIMER: Duration = Duration::from_millis(100);
+pub const LATE_TIMER: Duration = Duration::from_millis(100);
 
 /// Checks silent engines until `stop` is set, and declares those lost that accept no connection.
 pub async fn run<C: Clock>(gateway: Rc<Gateway<C>>, stop: Signal) {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -49,6 +49,17 @@
     Follow,
 }
 
+impl Duty {
+    /// Returns the name of the duty in logs.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Watch => "watch",
+            Self::Standby => "standby",
+            Self::Follow => "follow",
+        }
+    }
+}
+
 /// Whether this host watches the store or follows a representative, and which.
 #[derive(Debug, Default)]
 pub struct Role {
@@ -66,7 +77,7 @@
     /// A follower without any watches the store itself.
     pub fn set(&self, duty: Duty, is_followed: bool, representatives: Vec<SocketAddr>) {
         if self.duty.replace(duty) != duty {
-            info!("event=duty duty={duty:?}");
+            info!("event=duty duty={}", duty.as_str());
         }
         self.is_followed.set(is_followed);
         self.representatives.borrow_mut().set(representatives);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use super::Gateway;
 use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
+use super::check::LATE_TIMER;
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -486,11 +487,27 @@
                 Some(Ok(None)) => return End::Complete,
                 Some(Err(_)) => return End::Broken("reset"),
                 None if self.gateway.clock.now() >= self.admitted.deadline => return End::TimedOut,
-                None => return End::Broken("silent"),
+                None if !self.excuses_pause(active, limit) => return End::Broken("silent"),
+                None => {}
             }
         }
     }
 
+    /// Returns whether the wait until `limit` ended late because this process was paused, so that the
+    /// silence is no evidence against the engine; the stream then gets the same time again.
+    fn excuses_pause(&self, active: &mut ActiveAttempt<C>, limit: Instant) -> bool {
+        let now = self.gateway.clock.now();
+        let late = now.duration_since(limit);
+        if late < LATE_TIMER || !active.progress.excuse_pause(now) {
+            return false;
+        }
+        self.admitted.trace.log(
+            "silence_excused",
+            format_args!("late_ms={}", late.as_millis()),
+        );
+        true
+    }
+
     /// Returns until when to wait for the next event before the engine counts as silent. A stream that
     /// cannot go on elsewhere is not given up before its deadline.
     fn silence_deadline(&self, active: &ActiveAttempt<C>) -> Instant {
