--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -2,10 +2,12 @@
 //! it is sent to the caller, so that one that breaks off can be replaced by that of another engine.
 //! A long one is forwarded as it arrives, which bounds the memory that it takes.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::bytes::Bytes;
+use futures_util::future::{Either, select};
 use hyper::Response;
 
 use super::Gateway;
@@ -153,17 +155,17 @@
     /// Forwards the body, of which `part` was read, for `left` at most. A body that breaks off, is
     /// too long or takes too long is cut, so that the caller does not take it for complete.
     async fn forward(mut self, part: Vec<u8>, mut writer: Writer, left: Duration) {
-        let outcome = match within(left, self.forward_chunks(part, &mut writer)).await {
+        let cut = match within(left, self.forward_chunks(part, &mut writer)).await {
             Some(Ok(())) => {
                 // An error means that the caller has closed the connection.
                 let _ = writer.finish().await;
                 return;
             }
-            Some(Err(outcome)) => outcome,
+            Some(Err(cut)) => cut,
             None => "timeout",
         };
         self.trace
-            .log_failure("response_cut", format_args!("reason={outcome}"));
+            .log_failure("response_cut", format_args!("reason={cut}"));
     }
 
     async fn forward_chunks(
@@ -175,7 +177,12 @@
         let mut next = Some(Bytes::from(part));
         while let Some(chunk) = next {
             writer.send(chunk).await.map_err(|_| "caller-gone")?;
-            next = self.exchange.next().await.map_err(|_| "broken")?;
+            let read = pin!(self.exchange.next());
+            // Closing the connection to the engine ends the work on the request.
+            next = match select(read, pin!(writer.closed())).await {
+                Either::Left((read, _)) => read.map_err(|_| "broken")?,
+                Either::Right(_) => return Err("caller-gone"),
+            };
             size += next.as_ref().map_or(0, Bytes::len);
             if size > RESPONSE_BYTES_MAX {
                 return Err("too-long");
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -149,6 +149,49 @@
     }
 }
 
+/// Guards against an engine that works on for a caller that left in the middle of a long response.
+#[test]
+fn a_caller_that_leaves_ends_a_long_response() {
+    let (address, streams) = start_paced(|_| {
+        let long = (Duration::ZERO, "x".repeat(64 * 1024));
+        let rest = (0..2000).map(|_| (Duration::from_secs(10), "x".into()));
+        std::iter::once(long).chain(rest).collect()
+    });
+    let mut entry = paced_registration(&address, "fd-a");
+    entry["service"] = json!("app");
+    let (_store, gateway) = start(&[("i-1", entry)]);
+    let mut caller = TcpStream::connect(&gateway.process.address).unwrap();
+    let text = request("GET", "/any/x", &headers("r1", 20_000), "");
+    caller.write_all(text.as_bytes()).unwrap();
+    let mut head = [0; 1024];
+    caller.read_exact(&mut head).unwrap();
+    assert_eq!(streams.load(Ordering::Relaxed), 1);
+    // The route allows 20 s; the caller's leaving must show long before that.
+    let left_at = Instant::now();
+    drop(caller);
+    wait_for("a gateway without connections to the engine", || {
+        let engine: std::net::SocketAddr = address.parse().unwrap();
+        open_connections_to(engine) == 0
+    });
+    assert!(
+        left_at.elapsed() < Duration::from_secs(8),
+        "{:?}",
+        left_at.elapsed()
+    );
+}
+
+/// Returns the number of established TCP connections to `address` on this machine.
+fn open_connections_to(address: std::net::SocketAddr) -> usize {
+    const ESTABLISHED: &str = "01";
+    let port = format!(":{:04X}", address.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let is_open = |line: &&str| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        fields[2].ends_with(&port) && fields[3] == ESTABLISHED
+    };
+    table.lines().skip(1).filter(is_open).count()
+}
+
 /// Returns the resident memory of a process in bytes.
 fn memory(pid: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
