Judge an engine by comparison, so that a host's own trouble is held against none

What callers saw: beside a change of the configuration, running streams were cut in the middle.

Cause: an engine that accepted no connection within 130 ms (check) or 150 ms (attempt) counted as lost, and a stream without events was given up by time alone. A host whose link is full, as it hands a configuration of up to 16 KB to some 20 followers at 10 Mbit/s, reaches nothing for that long. It then declared up to 32 engines at once lost, broke sound streams, failed each new connection, and told the other hosts of the losses.

Ruled out: engines or their links (81 other hosts lost one engine between them); processor time for checking revisions (no loss while larger ones come from the store).

Change: an engine counts as unreachable only if its address refuses the connection, or if it does not answer while the host reaches another address with a connection that it began later (route/contact.rs decides, gateway/reach.rs connects). Packets of both wait in the same queue and the engine's goes first, so that no limit has to be guessed. Without any contact nothing is concluded: streams go on, calls wait for half a second to two seconds and are refused as not run. A stream whose connection broke, or that is silent while the host has contact, makes its engine suspect on this host; only a check that finds it lost is told to others. Logs name contact_lost and contact_back; the metric decision="comparison" counts both outcomes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,10 +9,11 @@
 use http_body_util::Full;
 use hyper::{Request, Response};
 
-use super::Gateway;
 use super::call::{Attempt, Outcome};
 use super::front::AdmittedRequest;
 use super::protocol::Protocol;
+use super::reach::{self, Unreached};
+use super::{Gateway, check};
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
 use crate::route::load::Footprint;
@@ -20,9 +21,9 @@
 use crate::supervisor::Signal;
 use crate::util::within;
 
-/// Timeout for connecting to an engine. Engines are less than a millisecond away, and one that is
-/// powered off or cut off never answers.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Shortest and longest time for which a request waits while this host reaches nothing. Between
+/// them it is the route's target for the response: later the caller had better try another host.
+const CONTACT_WAIT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(2));
 
 /// Load that a request adds to an engine, and to the engine that holds the replica of its run. It
 /// is removed from the registry when dropped.
@@ -93,8 +94,10 @@
 /// Why an attempt has no usable response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
-    /// No byte reached the engine.
+    /// The engine accepted no connection, so no byte reached it.
     Unsent,
+    /// This host reached neither the engine nor anything else, so no byte was sent.
+    NoContact,
     /// The engine reports that it did not run the request.
     NotRun,
     /// Another engine listens on the address; it did not run the request.
@@ -110,13 +113,17 @@
 impl Fault {
     /// Returns whether the request certainly did not run.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::Unsent | Self::NotRun | Self::OtherEngine)
+        matches!(
+            self,
+            Self::Unsent | Self::NoContact | Self::NotRun | Self::OtherEngine
+        )
     }
 
     /// Returns the name of the fault in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
+            Self::NoContact => "no-contact",
             Self::NotRun => "not-run",
             Self::OtherEngine => "other-engine",
             Self::Lost => "lost",
@@ -150,8 +157,8 @@
     log_placement(gateway, admitted, placement, resume_point);
     let started = gateway.clock.now();
     let result = send::<C, P>(gateway, admitted, placement, resume_point, head_deadline).await;
-    let mut registry = gateway.registry.borrow_mut();
     let engine = placement.engine;
+    let mut registry = gateway.registry.borrow_mut();
     let id = registry
         .get(engine)
         .map(|state| state.registration.id.clone());
@@ -159,11 +166,14 @@
     match &result {
         Ok(open) if open.is_success => {}
         Ok(_) => registry.set_failed(engine),
-        Err(Fault::Unsent | Fault::Silent | Fault::EngineLost) => registry.set_unreachable(engine),
+        Err(Fault::Unsent) => registry.set_unreachable(engine),
+        Err(Fault::Silent) => registry.set_suspect(engine),
         Err(Fault::OtherEngine) => registry.set_replaced(engine),
         Err(Fault::Lost) => registry.set_failed(engine),
-        Err(Fault::NotRun) => {}
+        Err(Fault::NotRun | Fault::NoContact | Fault::EngineLost) => {}
     }
+    drop(registry);
+    check::start_if_due(gateway, engine);
     let elapsed = gateway.clock.now().duration_since(started);
     gateway.metrics.record_duration("attempt_head", elapsed);
     match &result {
@@ -239,9 +249,16 @@
         let state = registry.get(placement.engine).ok_or(Fault::Unsent)?;
         (state.registration.address.clone(), state.lost.clone())
     };
-    let mut connection = Connection::open(&address, CONNECT_TIMEOUT)
+    let limit = contact_limit(gateway, admitted);
+    let stream = reach::connect(gateway, placement.engine, &address, limit)
+        .await
+        .map_err(|cause| match cause {
+            Unreached::Refused | Unreached::Unanswered => Fault::Unsent,
+            Unreached::NoContact => Fault::NoContact,
+        })?;
+    let mut connection = Connection::start(&address, stream)
         .await
-        .map_err(|_| Fault::Unsent)?;
+        .map_err(|_| Fault::NoContact)?;
     gateway
         .registry
         .borrow_mut()
@@ -283,6 +300,15 @@
     }
 }
 
+/// Returns for how long to wait for a connection while this host reaches nothing.
+fn contact_limit<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> Duration {
+    let left = admitted
+        .deadline
+        .saturating_duration_since(gateway.clock.now());
+    let wait = admitted.route.target_latency;
+    wait.clamp(CONTACT_WAIT.0, CONTACT_WAIT.1).min(left)
+}
+
 /// Waits for `future`. If the request may be retried, gives up when the engine is lost. A request
 /// that must not run twice cannot be sent elsewhere, and its response may still arrive.
 async fn until_lost<F: Future>(lost: &Signal, is_retryable: bool, future: F) -> Option<F::Output> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod plain;
 pub mod protocol;
+pub mod reach;
 pub mod ready;
 pub mod stream;
 pub mod watch;
@@ -115,6 +116,10 @@
     pub remote_streams: RefCell<handover::Streams>,
     /// Tasks that relay streams.
     pub stream_tasks: Group,
+    /// Checks of single engines.
+    pub checks: Group,
+    /// Whether this host reaches anything.
+    pub reach: reach::Reach,
     /// Accepted requests whose response is not complete.
     pub requests: server::Requests,
     settings: Settings,
@@ -155,6 +160,8 @@
             local_streams: RefCell::default(),
             remote_streams: RefCell::default(),
             stream_tasks: Group::default(),
+            checks: Group::default(),
+            reach: reach::Reach::default(),
             requests: server::Requests::default(),
             revision: RefCell::default(),
             revision_confirmed_at: Cell::default(),
@@ -474,6 +481,8 @@
         );
     }
     gateway.stream_tasks.cancel().await;
+    gateway.checks.cancel().await;
+    gateway.reach.stop().await;
     within(Duration::from_millis(100), supervisor.stop()).await;
     info!("event=stopped");
     Ok(())
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -287,6 +287,9 @@
         };
         let representatives = self.roster.representatives_to_follow(is_leaving, now);
         self.gateway.role.set(duty, is_followed, representatives);
+        let mut hosts = self.roster.live_in_own_domain(now);
+        hosts.extend(self.roster.other_representatives());
+        self.gateway.reach.set_hosts(hosts);
     }
 
     /// Sends a report to the recipients of direct reports if one is due, to hosts that asked for
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -62,6 +62,7 @@
                 failure = Some(response);
             }
             Err(Fault::Silent) => return Err(timed_out()),
+            Err(Fault::NoContact) => return give_up(&attempts, failure),
             Err(fault) => attempts.record_fault(engine, fault),
         }
         let is_exhausted = attempts.possible_runs >= admitted.route.max_attempts
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,12 +12,11 @@
 use futures_util::future::{Either, select};
 use hyper::Response;
 
-use super::Gateway;
-use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
+use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
-use super::check::LATE_TIMER;
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
+use super::{Gateway, check, reach};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::Exchange;
@@ -49,6 +48,9 @@
 /// Timeout for the body of a failure that an engine reports.
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Reason of a broken stream whose engine a check found lost.
+const ENGINE_LOST: &str = "engine-lost";
+
 /// A stream to a caller, across all its attempts.
 struct Stream<C: Clock> {
     gateway: Rc<Gateway<C>>,
@@ -202,6 +204,9 @@
                         return Ok((open, placement));
                     }
                 }
+                Err(Fault::NoContact) if !self.can_wait_for_contact() => {
+                    return Err(self.refusal());
+                }
                 Err(fault) => {
                     self.attempts.record_fault(engine, fault);
                     if !fault.is_not_run() && !self.admitted.route.kind.is_retryable() {
@@ -263,6 +268,12 @@
         self.admitted.deadline.saturating_duration_since(now) >= RETRY_TIME_LEFT_MIN
     }
 
+    /// Returns whether to wait on while this host reaches nothing. A caller that has not received
+    /// anything had better try another host.
+    fn can_wait_for_contact(&self) -> bool {
+        self.attempts.possible_runs > 0 && self.has_retry_time()
+    }
+
     fn need(&self) -> Need<'_> {
         Need {
             service: &self.admitted.service,
@@ -388,7 +399,10 @@
                 ),
             );
             self.gateway.metrics.count_decision("stream_broken", reason);
-            self.gateway.registry.borrow_mut().set_unreachable(broken);
+            if reason != ENGINE_LOST {
+                self.gateway.registry.borrow_mut().set_suspect(broken);
+                check::start_if_due(&self.gateway, broken);
+            }
             let broken_at = self.gateway.clock.now();
             if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
                 return self.record_incomplete("not-resumable");
@@ -461,16 +475,21 @@
             if now >= self.admitted.deadline {
                 return End::TimedOut;
             }
-            let limit = self.silence_deadline(active).min(self.admitted.deadline);
-            let left = limit.saturating_duration_since(now);
+            let left = self.admitted.deadline.saturating_duration_since(now);
             let chunk = {
+                let silence = pin!(self.silence(active));
                 let next = pin!(within(left, active.exchange.next()));
                 let gone = pin!(writer.closed());
                 let lost = pin!(active.lost.wait());
-                match select(next, select(gone, lost)).await {
+                match select(next, select(silence, select(gone, lost))).await {
                     Either::Left((chunk, _)) => chunk,
-                    Either::Right((Either::Left(_), _)) => return End::CallerGone,
-                    Either::Right((Either::Right(_), _)) => return End::Broken("engine-lost"),
+                    Either::Right((Either::Left(_), _)) => return End::Broken("silent"),
+                    Either::Right((Either::Right((Either::Left(_), _)), _)) => {
+                        return End::CallerGone;
+                    }
+                    Either::Right((Either::Right((Either::Right(_), _)), _)) => {
+                        return End::Broken(ENGINE_LOST);
+                    }
                 }
             };
             match chunk {
@@ -486,26 +505,24 @@
                 Some(Ok(None)) if active.splitter.has_rest() => return End::Broken("half-event"),
                 Some(Ok(None)) => return End::Complete,
                 Some(Err(_)) => return End::Broken("reset"),
-                None if self.gateway.clock.now() >= self.admitted.deadline => return End::TimedOut,
-                None if !self.excuses_pause(active, limit) => return End::Broken("silent"),
-                None => {}
+                None => return End::TimedOut,
             }
         }
     }
 
-    /// Returns whether the wait until `limit` ended late because this process was paused, so that the
-    /// silence is no evidence against the engine; the stream then gets the same time again.
-    fn excuses_pause(&self, active: &mut ActiveAttempt<C>, limit: Instant) -> bool {
-        let now = self.gateway.clock.now();
-        let late = now.duration_since(limit);
-        if late < LATE_TIMER || !active.progress.excuse_pause(now) {
-            return false;
+    /// Waits until the engine counts as silent: its next event is late, and this host has since
+    /// reached another address. The silence of a host that was paused or whose link was full is not
+    /// held against the engine.
+    fn silence(&self, active: &ActiveAttempt<C>) -> impl Future<Output = ()> + use<C> {
+        let gateway = self.gateway.clone();
+        let engine = active.placement.engine;
+        let limit = self.silence_deadline(active);
+        async move {
+            let left = limit.saturating_duration_since(gateway.clock.now());
+            compio::time::sleep(left).await;
+            let since = gateway.clock.now();
+            reach::wait_for_contact(&gateway, engine, since).await;
         }
-        self.admitted.trace.log(
-            "silence_excused",
-            format_args!("late_ms={}", late.as_millis()),
-        );
-        true
     }
 
     /// Returns until when to wait for the next event before the engine counts as silent. A stream that
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -157,6 +157,18 @@
             .await
             .ok_or_else(|| unsent(format!("no answer within {} ms", limit.as_millis())))?
             .map_err(|err| unsent(err.to_string()))?;
+        Self::start(address, stream).await
+    }
+
+    /// Starts to use an open connection.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] if the connection cannot be used.
+    pub async fn start(address: &str, stream: TcpStream) -> Result<Self, Error> {
+        let unsent = |cause: String| Error::Connect {
+            address: address.into(),
+            cause,
+        };
         let _ = stream.set_nodelay(true);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -33,8 +33,6 @@
     at: Instant,
     has_event: bool,
     longest_gap: Option<Duration>,
-    // Whether the silence since the last event was excused.
-    is_excused: bool,
 }
 
 impl Progress {
@@ -44,7 +42,6 @@
             at: now,
             has_event: false,
             longest_gap: None,
-            is_excused: false,
         }
     }
 
@@ -55,17 +52,6 @@
             self.longest_gap = self.longest_gap.max(Some(gap));
         }
         self.at = now;
-        self.is_excused = false;
-    }
-
-    /// Starts the silence anew because this process was paused meanwhile and has yet to read what
-    /// the engine sent. Returns `false` if that was done since the last event.
-    pub fn excuse_pause(&mut self, now: Instant) -> bool {
-        if std::mem::replace(&mut self.is_excused, true) {
-            return false;
-        }
-        self.at = now;
-        true
     }
 
     /// Returns whether an event has arrived.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -5,6 +5,7 @@
 //! other.
 
 pub mod cache;
+pub mod contact;
 pub mod fleet;
 pub mod history;
 pub mod load;
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -630,9 +630,44 @@
         }
     }
 
+    /// Returns whether received bytes or a connection have shown since `since` that an engine is
+    /// alive.
+    pub fn was_heard_since(&self, engine: Engine, since: Instant) -> bool {
+        let state = self.engines.get(engine);
+        state.is_some_and(|state| state.alive_at.is_some_and(|at| at >= since))
+    }
+
+    /// Returns the addresses of engines to try for comparison with one that does not answer: of each
+    /// other failure domain the one that was heard last, or else another of its own. If it is the only
+    /// engine, a new connection to it is all that can be tried.
+    pub fn comparable_to(&self, engine: Engine) -> Vec<CompactString> {
+        let own = self.engines.get(engine);
+        let own = own.map(|state| &state.registration);
+        let mut latest: BTreeMap<&str, &State> = BTreeMap::new();
+        let others = self.by_id.values().filter(|key| **key != engine);
+        for state in others.map(|key| &self.engines[*key]) {
+            let known = latest
+                .entry(&state.registration.failure_domain)
+                .or_insert(state);
+            if known.alive_at < state.alive_at {
+                *known = state;
+            }
+        }
+        if latest.len() > 1 {
+            latest.retain(|domain, _| own.is_none_or(|own| own.failure_domain != *domain));
+        }
+        let compared = latest.into_values().map(|state| &state.registration);
+        let mut addresses: Vec<_> = compared.map(|engine| engine.address.clone()).collect();
+        if addresses.is_empty() {
+            addresses.extend(own.map(|own| own.address.clone()));
+        }
+        addresses
+    }
+
     /// Returns the engines to check now, with their addresses: those with running requests that are
     /// silent for too long, those whose failure domain just lost several others, and lost ones.
-    /// Each is returned once, until [`Registry::set_heard`] or [`Registry::set_lost`].
+    /// Each is returned once, until [`Registry::set_heard`], [`Registry::set_lost`] or
+    /// [`Registry::end_check`].
     pub fn due_checks(&mut self) -> Vec<(Engine, CompactString)> {
         let now = self.clock.now();
         let is_due = |state: &State| {
@@ -653,6 +688,27 @@
         .collect()
     }
 
+    /// Starts the check of an engine if it must be checked before it is used; returns its address.
+    pub fn begin_needed_check(&mut self, engine: Engine) -> Option<CompactString> {
+        let now = self.clock.now();
+        let state = self.engines.get_mut(engine)?;
+        if !state.needs_check || state.is_checking {
+            return None;
+        }
+        state.is_checking = true;
+        state.checked_at = now;
+        Some(state.registration.address.clone())
+    }
+
+    /// Records that a check ended without a result.
+    pub fn end_check(&mut self, engine: Engine) {
+        let now = self.clock.now();
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.is_checking = false;
+            state.checked_at = now;
+        }
+    }
+
     /// Records that an engine is lost, which ends the attempts that run on it.
     pub fn set_lost(&mut self, engine: Engine) {
         let now = self.clock.now();
@@ -754,7 +810,17 @@
         &self.losses
     }
 
-    /// Records that an engine could not be reached, or stopped sending.
+    /// Records that a response of an engine did not come or broke off, which may be the fault of the
+    /// connection alone. The engine is tried last, and is no loss until a check shows it.
+    pub fn set_suspect(&mut self, engine: Engine) {
+        let now = self.clock.now();
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.unreachable_until = Some(now + UNREACHABLE_FOR);
+            state.needs_check = true;
+        }
+    }
+
+    /// Records that an engine could not be reached although this host reaches others.
     pub fn set_unreachable(&mut self, engine: Engine) {
         let now = self.clock.now();
         if let Some(state) = self.engines.get_mut(engine) {
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -318,6 +318,11 @@
     /// Requests in order of arrival.
     pub received: Arc<Mutex<Vec<Message>>>,
     script: Arc<Mutex<Script>>,
+    listener: Arc<Mutex<Option<TcpListener>>>,
+    // Whether new connections wait unanswered.
+    blocked: Arc<(Mutex<bool>, Condvar)>,
+    // Connections that fill the queue of a blocked listener.
+    fillers: Mutex<Vec<TcpStream>>,
 }
 
 impl Engine {
@@ -328,13 +333,16 @@
             address,
             received: Arc::default(),
             script: Arc::new(Mutex::new(Box::new(script))),
+            listener: Arc::new(Mutex::new(Some(listener))),
+            blocked: Arc::default(),
+            fillers: Mutex::default(),
         };
         let (received, script, id) = (
             engine.received.clone(),
             engine.script.clone(),
             id.to_owned(),
         );
-        let listener = Arc::new(Mutex::new(Some(listener)));
+        let (listener, blocked) = (engine.listener.clone(), engine.blocked.clone());
         std::thread::spawn(move || {
             loop {
                 let accepting = listener
@@ -346,6 +354,8 @@
                 let Ok((stream, _)) = accepting.accept() else {
                     return;
                 };
+                let waiting = blocked.0.lock().unwrap();
+                drop(blocked.1.wait_while(waiting, |blocked| *blocked).unwrap());
                 let (received, script, id, listener) = (
                     received.clone(),
                     script.clone(),
@@ -364,6 +374,35 @@
         *self.script.lock().unwrap() = Box::new(script);
     }
 
+    /// Leaves new connections without an answer, as a host that is cut off does. Open ones stay.
+    pub fn block_connections(&self) {
+        *self.blocked.0.lock().unwrap() = true;
+        self.set_backlog(0);
+        let address = self.address.parse().unwrap();
+        let mut fillers = self.fillers.lock().unwrap();
+        let mut failures = 0;
+        // The accepting thread may take a connection after the first failure.
+        while failures < 2 {
+            match TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
+                Ok(filler) => fillers.push(filler),
+                Err(_) => failures += 1,
+            }
+        }
+    }
+
+    /// Answers new connections again.
+    pub fn unblock_connections(&self) {
+        self.set_backlog(128);
+        *self.blocked.0.lock().unwrap() = false;
+        self.blocked.1.notify_all();
+        self.fillers.lock().unwrap().clear();
+    }
+
+    fn set_backlog(&self, backlog: i32) {
+        let listener = self.listener.lock().unwrap();
+        rustix::net::listen(listener.as_ref().unwrap(), backlog).unwrap();
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> usize {
         self.received.lock().unwrap().len()
