Let a begun stream wait while there is no engine for it

What callers saw: their stream was cut although engines were back a moment later.

Cause: once all engines had been tried and were cleared for a second round, a request without any engine was refused at once. That is right for one that an engine has not run yet: the caller can go elsewhere. A stream whose caller has part of it can only be cut.

Change: a request that may have run waits for an engine until 300 ms before its deadline. A host that had no contact keeps the replica to resume from for the next attempt.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -65,12 +65,8 @@
         self.possible_runs += 1;
     }
 
-    /// Records an attempt without a usable response. The next attempt chooses another engine, unless
-    /// this host reached nothing.
+    /// Records an attempt without a usable response. The next attempt chooses another engine.
     pub fn record_fault(&mut self, engine: Engine, fault: Fault) {
-        if fault == Fault::NoContact {
-            return;
-        }
         self.excluded.push(engine);
         if fault == Fault::Unsent {
             self.unsent += 1;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -32,8 +32,8 @@
 /// A request is refused after it was rejected by this many engines.
 const REJECTED_ATTEMPTS_MAX: u32 = 12;
 
-/// Pause after all engines were excluded, before they are tried again.
-const ALL_EXCLUDED_PAUSE: Duration = Duration::from_millis(60);
+/// Pause while there is no engine to try, before those that failed are tried again.
+const NO_ENGINE_PAUSE: Duration = Duration::from_millis(60);
 
 /// A stream is not retried when less time than this is left until its deadline.
 const RETRY_TIME_LEFT_MIN: Duration = Duration::from_millis(300);
@@ -168,11 +168,13 @@
                 resume_replica.filter(|(engine, _)| registry.borrow().is_usable(*engine));
             let from = resume_replica.as_ref().map(|(engine, _)| *engine);
             let Some(engine) = from.or_else(|| self.choose_engine()) else {
-                if self.attempts.excluded.is_empty() || !self.has_retry_time() {
+                let is_begun = self.attempts.possible_runs > 0;
+                let is_hopeless = self.attempts.excluded.is_empty() && !is_begun;
+                if is_hopeless || !self.has_retry_time() {
                     return Err(self.refusal());
                 }
                 self.attempts.excluded.clear();
-                compio::time::sleep(ALL_EXCLUDED_PAUSE).await;
+                compio::time::sleep(NO_ENGINE_PAUSE).await;
                 continue;
             };
             let replica = self.choose_replica(engine);
@@ -180,7 +182,7 @@
             let placement = Placement::new(&self.gateway, engine, replica, footprint);
             let resume_point = ResumePoint {
                 last_event: self.position.last(),
-                replica_run: resume_replica.map(|(_, run)| run),
+                replica_run: resume_replica.as_ref().map(|(_, run)| run.clone()),
             };
             let head_deadline = self.head_deadline_of(engine);
             let gateway = self.gateway.clone();
@@ -207,6 +209,7 @@
                 Err(Fault::NoContact) if !self.can_wait_for_contact() => {
                     return Err(self.refusal());
                 }
+                Err(Fault::NoContact) => self.resume_replica = resume_replica,
                 Err(fault) => {
                     self.attempts.record_fault(engine, fault);
                     if !fault.is_not_run() && !self.admitted.route.kind.is_retryable() {
