Test responses of engines without a length and chunks

Only a body without end was tested.

The emulated engine can reset a connection. No code of the gateway changes.

--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -290,6 +290,8 @@
     Close,
     /// Sends this text with `ID` replaced by the attempt's id, and closes the connection.
     Raw(String),
+    /// Like `Raw`, but resets the connection.
+    Reset(String),
     /// Streams the events up to this number, then ends the stream as given.
     Events(u64, End),
     /// Like `Events`, with the attempt's id in each event and a pause before each.
@@ -377,6 +379,16 @@
     }
 }
 
+/// Head of a successful response without a length and chunks, which ends with its connection; `ID`
+/// stands for the id of the attempt.
+pub const UNFRAMED: &str = "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\n\
+                            x-bilberrypost-response-seal: s\r\n\r\n";
+
+/// Makes the connection end with a reset when it is dropped.
+pub fn reset(stream: &TcpStream) {
+    rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO)).unwrap();
+}
+
 /// Text of event `number`.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece-{number}\n\n")
@@ -435,6 +447,11 @@
                 let _ = stream.write_all(text.replace("ID", &attempt).as_bytes());
                 return;
             }
+            Reaction::Reset(text) => {
+                let _ = stream.write_all(text.replace("ID", &attempt).as_bytes());
+                reset(&stream);
+                return;
+            }
             Reaction::Events(last, end) | Reaction::TaggedEvents(last, end, _) => {
                 let (is_tagged, pause) = match reaction {
                     Reaction::TaggedEvents(_, _, pause) => (true, pause),
@@ -582,6 +599,19 @@
     }
 }
 
+/// Starts a store that holds a configuration and the engines, each with its id and entry, and a
+/// gateway, and waits until it is ready.
+pub fn start_gateway(config: Value, engines: &[(&str, Value)]) -> (Store, Gateway) {
+    let store = Store::start();
+    store.put("config", "main", config);
+    for (id, registration) in engines {
+        store.put("servers", id, registration.clone());
+    }
+    let gateway = Gateway::start(&settings(&store.address, ""));
+    wait_for("readiness", || gateway.is_ready());
+    (store, gateway)
+}
+
 /// Text of a request to `shop.example`.
 pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
     format!(
