Deliver the events that arrived before a stream broke off

Cause: when the writer of a body was dropped before the end, the next poll of the body failed at once. hyper discards what it has buffered on such an error, so events that the log names as forwarded, and even the head, never reached the caller. It happens when the last events and the break arrive together and the stream can go on nowhere.

Ruled out: the relay sends the events before it ends, and the same stream with a pause before its break delivered them.

Change: a truncated body pauses once before it fails, and hyper sends what it has buffered at the pause. The response still ends without its last chunk.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,7 +1,7 @@
 //! Response bodies: complete ones, or chunks written with backpressure.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use compio::bytes::Bytes;
 use futures_channel::{mpsc, oneshot};
@@ -24,6 +24,8 @@
         receiver: mpsc::Receiver<Option<Bytes>>,
         /// Dropped with the body, which tells the writer that the reader disconnected.
         _reader: oneshot::Receiver<()>,
+        /// Whether the writer was found to be dropped before the end.
+        is_truncated: bool,
     },
     /// A body whose request counts as running until the body is dropped.
     Guarded(Box<Self>, RequestGuard),
@@ -68,6 +70,7 @@
         let body = Self::Chunks {
             receiver,
             _reader: reader_side,
+            is_truncated: false,
         };
         (Writer { sender, reader }, body)
     }
@@ -109,13 +112,21 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Chunks { receiver, .. } => {
-                Pin::new(receiver).poll_next(cx).map(|chunk| match chunk {
-                    Some(Some(chunk)) => Some(Ok(Frame::data(chunk))),
-                    Some(None) => None,
-                    None => Some(Err(Truncated)),
-                })
-            }
+            Self::Chunks {
+                receiver,
+                is_truncated,
+                ..
+            } => match ready!(Pin::new(receiver).poll_next(cx)) {
+                Some(Some(chunk)) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+                Some(None) => Poll::Ready(None),
+                None if *is_truncated => Poll::Ready(Some(Err(Truncated))),
+                None => {
+                    // hyper discards what it has buffered on an error, and sends it on a pause.
+                    *is_truncated = true;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+            },
             Self::Guarded(body, _) => Pin::new(body.as_mut()).poll_frame(cx),
         }
     }
--- a/tests/unframed.rs
+++ b/tests/unframed.rs
@@ -367,3 +367,23 @@
         assert_eq!((answer.status(), is_broken(&answer)), (502, false));
     }
 }
+
+/// Guards against events that never reach the caller although they arrived in order, because the
+/// stream breaks off before they are sent.
+#[test]
+fn events_before_a_break_are_delivered() {
+    let only = Engine::start("i-1", |_| {
+        // Event 9 breaks the order, and arrives together with the others.
+        Reaction::Raw(UNFRAMED.to_owned() + &events(1, 3) + &event(9))
+    });
+    let mut config = config(3);
+    config["routes"][3]["stream-resume"] = json!(false);
+    let (_store, gateway) = start_gateway(config, &registrations(&[&only], "model"));
+    for number in 0..3 {
+        let mut caller = Caller::connect(&gateway);
+        let answer = caller.call("/stream/x", &format!("s{number}"));
+        assert_eq!(answer.text(), events(1, 3));
+        assert!(is_broken(&answer));
+        assert_eq!(caller.rest(), b"");
+    }
+}
