Reset a truncated response to a caller of HTTP/1.0

Cause: such a caller is sent no chunks and takes the end of the connection for the end of the response. A long response or a stream that broke off ended with an ordinary close and looked whole. Proxies commonly speak HTTP/1.0 to what is behind them.

Ruled out: callers of HTTP/1.1 see a missing last chunk; for them the connection still closes without a reset, which could discard events that are on their way. A process that is killed still closes its connections without a reset.

Change: the server resets the connection if the body of the last response failed and its request was HTTP/1.0.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1 server: an accept loop that runs and joins one task for each connection.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use log::warn;
 
 use super::body::Body;
@@ -166,7 +166,11 @@
     // Callers wait for each small frame, so Nagle's algorithm would only delay them.
     let _ = stream.set_nodelay(true);
     let limits = service.limits();
-    let handler = service_fn(move |request| {
+    let socket = stream.clone();
+    let has_chunks = Rc::new(Cell::new(true));
+    let sets_chunks = has_chunks.clone();
+    let handler = service_fn(move |request: Request<Incoming>| {
+        sets_chunks.set(request.version() > Version::HTTP_10);
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.call(request).await) }
     });
@@ -177,12 +181,20 @@
         .serve_connection(Fair::new(HyperStream::new_plain(stream)), handler);
     let mut connection = pin!(connection);
     let stopped = pin!(stop.wait());
-    if let Either::Left(_) = select(connection.as_mut(), stopped).await {
-        return;
-    }
-    if within(IDLE_GRACE, connection.as_mut()).await.is_some() {
-        return;
+    let ended = match select(connection.as_mut(), stopped).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(_) => match within(IDLE_GRACE, connection.as_mut()).await {
+            Some(ended) => ended,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        },
+    };
+    let is_truncated = ended.is_err_and(|err| err.is_user());
+    if is_truncated && !has_chunks.get() {
+        // Without chunks, a response ends with its connection, and only a reset tells a truncated
+        // one from a whole one.
+        let _ = socket.set_zero_linger();
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
--- a/tests/unframed.rs
+++ b/tests/unframed.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::cell::OnceCell;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -387,3 +387,32 @@
         assert_eq!(caller.rest(), b"");
     }
 }
+
+/// Guards against a truncated response that looks whole to a caller of HTTP/1.0, which is sent no
+/// chunks and takes the end of the connection for the end of the response.
+#[test]
+fn truncated_responses_are_reset_for_old_callers() {
+    let engine = SteppedEngine::start();
+    let (_store, gateway) = start_gateway(config(3), &[("i-1", engine.registration())]);
+    for is_reset in [false, true] {
+        let mut caller = TcpStream::connect(&gateway.process.address).unwrap();
+        caller
+            .set_read_timeout(Some(support::TEST_TIMEOUT))
+            .unwrap();
+        let text = request("POST", "/once/x", &headers("r1"), "b");
+        let text = text.replace("HTTP/1.1", "HTTP/1.0");
+        caller.write_all(text.as_bytes()).unwrap();
+        let mut stream = engine.answer();
+        stream.write_all(&[b'1'; 20_000]).unwrap();
+        caller.read_exact(&mut [0; 20_000]).unwrap();
+        if is_reset {
+            reset(&stream);
+        }
+        drop(stream);
+        let end = caller.read_to_end(&mut Vec::new());
+        match is_reset {
+            true => assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset),
+            false => assert!(end.unwrap() > 0),
+        }
+    }
+}
