Log which parts a prompt has and whether an engine ended at a stream's beginning

The logs of the incident could not tell which parts crashed engines from those that were merely there, nor the end of an engine from the reset of one connection. admitted names the parts as short hashes (8 at most); broken_at_beginning, at most one line for each attempt that was reset before its second event, opens one connection to the engine to see whether its address refuses.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::route::load::Footprint;
+use crate::route::prompt::Prompt;
 use crate::util::hash64;
 
 /// A caller's request as described by its head.
@@ -43,6 +44,12 @@
         hash64(&parts)
     }
 
+    /// Returns the prompt as it is related to engines that ended.
+    pub fn prompt(&self, path: &str) -> Prompt {
+        let ids = self.prompt_parts.iter().map(|part| part.id.as_str());
+        Prompt::new(self.digest(path), ids)
+    }
+
     /// Returns the load that the request is expected to put on an engine.
     pub fn footprint(&self) -> Footprint {
         let Some(count) = self.token_count else {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -23,6 +23,7 @@
 use crate::http::problem::{Problem, Reason};
 use crate::http::server;
 use crate::report::trace::Trace;
+use crate::route::prompt::Prompt;
 use crate::util::within;
 use crate::wire::Execution;
 
@@ -34,6 +35,8 @@
 pub struct AdmittedRequest {
     /// The decoded head.
     pub call: Call,
+    /// Hashes of the parts of the prompt.
+    pub prompt: Prompt,
     /// Method of the request.
     pub method: Method,
     /// Path and query as the caller sent them.
@@ -124,7 +127,8 @@
         trace.log(
             "admitted",
             format_args!(
-                "route={} service={} rank={} team={} left_ms={} prompt={} output={} last_event={}",
+                "route={} service={} rank={} team={} left_ms={} prompt={} output={} \
+                 parts={} last_event={}",
                 admitted.route.name,
                 admitted.service,
                 admitted.rank,
@@ -135,6 +139,7 @@
                     .as_millis(),
                 footprint.prompt,
                 footprint.output,
+                admitted.prompt,
                 admitted
                     .call
                     .last_event
@@ -181,13 +186,11 @@
         let body = read_body(&revision, body, deadline, arrived_at).await?;
         let service = route.service(rand::random()).clone();
         let service_settings = revision.services.get(&service);
+        let path_and_query = head.uri.path_and_query().map_or("/", |path| path.as_str());
         Ok(AdmittedRequest {
             method: head.method.clone(),
-            path_and_query: head
-                .uri
-                .path_and_query()
-                .map_or("/", |path| path.as_str())
-                .into(),
+            prompt: call.prompt(path_and_query),
+            path_and_query: path_and_query.into(),
             headers: P::forwarded_headers(&head.headers),
             body,
             memory_tokens: service_settings.map_or(0, |settings| settings.kv_capacity_tokens),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod attempts;
 pub mod call;
 pub mod check;
+pub mod crash;
 pub mod feed;
 pub mod follow;
 pub mod front;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,6 +16,7 @@
 use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::check::LATE_TIMER;
+use super::crash;
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -46,6 +47,10 @@
 /// Time between two tries to take a retry out of the budget.
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of events from an engine after which it is past the beginning of the response. One event
+/// may still be sent by an engine that ends for what it is about to write.
+const BEGINNING_EVENTS: u64 = 2;
+
 /// Timeout for the body of a failure that an engine reports.
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -69,6 +74,8 @@
     lost: Signal,
     splitter: Splitter,
     progress: Progress,
+    /// Number of events that this engine has sent.
+    events: u64,
 }
 
 /// Why forwarding the events of an attempt ended.
@@ -330,6 +337,7 @@
             placement,
             splitter: Splitter::default(),
             progress: Progress::new(self.gateway.clock.now()),
+            events: 0,
         }
     }
 
@@ -381,10 +389,11 @@
             self.admitted.trace.log(
                 "stream_broken",
                 format_args!(
-                    "reason={reason} last_event={} has_copy={} silent_ms={}",
+                    "reason={reason} last_event={} has_copy={} silent_ms={} events={}",
                     self.last_event(),
                     active.placement.replica.is_some(),
                     silent.as_millis(),
+                    active.events,
                 ),
             );
             self.gateway.metrics.count_decision("stream_broken", reason);
@@ -395,8 +404,13 @@
             }
             self.attempts.excluded = vec![broken];
             self.resume_replica = self.replica_of(&active.placement);
+            let address = self.address_of(broken);
+            let is_at_beginning = active.events < BEGINNING_EVENTS;
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
+            if is_at_beginning && reason == "reset" {
+                self.record_end_at_beginning(broken, address).await;
+            }
             let next = {
                 let next = pin!(self.open_next::<P>());
                 let gone = pin!(writer.closed());
@@ -421,6 +435,31 @@
         }
     }
 
+    /// Returns the address of an engine.
+    fn address_of(&self, engine: Engine) -> Option<CompactString> {
+        let registry = self.gateway.registry.borrow();
+        let state = registry.get(engine)?;
+        Some(state.registration.address.clone())
+    }
+
+    /// Logs whether an engine ended whose connection was reset while it began to write the response.
+    async fn record_end_at_beginning(&self, engine: Engine, address: Option<CompactString>) {
+        let Some(address) = address.filter(|_| !self.admitted.prompt.parts.is_empty()) else {
+            return;
+        };
+        let has_ended = crash::has_ended(&address).await;
+        let registry = self.gateway.registry.borrow();
+        let id = registry.get(engine).map(|state| &*state.registration.id);
+        self.admitted.trace.log_failure(
+            "broken_at_beginning",
+            format_args!(
+                "engine={} has_ended={has_ended} parts={}",
+                id.unwrap_or("none"),
+                self.admitted.prompt,
+            ),
+        );
+    }
+
     /// Logs and counts the end of a stream that is not complete.
     fn record_incomplete(&self, reason: &'static str) {
         let now = self.gateway.clock.now();
@@ -451,6 +490,7 @@
                 }
                 if event.id.is_some() {
                     active.progress.record_event(self.gateway.clock.now());
+                    active.events += 1;
                 }
                 active.placement.record_output();
                 if writer.send(event.bytes).await.is_err() {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -12,6 +12,7 @@
 pub mod placing;
 pub mod poll;
 pub mod prefix;
+pub mod prompt;
 pub mod registry;
 pub mod reports;
 mod select;
--- /dev/null
+++ b/src/route/prompt.rs
@@ -0,0 +1,77 @@
+//! Prompts as the gateway relates them to engines that ended: by short hashes of their parts.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::util::hash64;
+
+/// Maximum number of parts kept of a prompt, which bounds reports and log lines. Those at the end are
+/// kept, as fewer requests share them.
+pub const PARTS_MAX: usize = 8;
+
+/// Hash of the id of a part of a prompt. Two parts with the same hash count as one; with the few
+/// parts that are ever suspect at a time this is rarer than a coincidence of crashes.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PartHash(u32);
+
+impl PartHash {
+    /// Returns the hash of the part `id`.
+    pub fn of(id: &str) -> Self {
+        Self(hash64(&[id.as_bytes()]) as u32)
+    }
+}
+
+impl fmt::Display for PartHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+/// Hash of a whole request, which is the same when its caller retries.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RequestHash(u32);
+
+impl RequestHash {
+    /// Shortens the digest of a request.
+    pub fn of(digest: u64) -> Self {
+        Self(digest as u32)
+    }
+}
+
+/// The prompt of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Prompt {
+    /// The whole request.
+    pub request: RequestHash,
+    /// Parts that other requests may share, in order. The last part of a prompt is left out, as it
+    /// belongs to the request or its session alone.
+    pub parts: Vec<PartHash>,
+}
+
+impl Prompt {
+    /// Creates the prompt of the request with this digest from the ids of all its parts.
+    pub fn new<'a>(digest: u64, ids: impl Iterator<Item = &'a str>) -> Self {
+        let mut parts: Vec<_> = ids.map(PartHash::of).collect();
+        parts.pop();
+        let excess = parts.len().saturating_sub(PARTS_MAX);
+        parts.drain(..excess);
+        Self {
+            request: RequestHash::of(digest),
+            parts,
+        }
+    }
+}
+
+impl fmt::Display for Prompt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.parts.is_empty() {
+            return f.write_str("none");
+        }
+        for (index, part) in self.parts.iter().enumerate() {
+            let separator = if index > 0 { "," } else { "" };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
