Refuse prompts with a part that crashes engines, on all hosts

Hosts now report each engine that ended as it began to write a response, with the parts of the prompt; each host blocks the parts that three separate crashes of two requests have in common and that no engine has answered since. Parts that cannot be told apart are blocked together, so a sound part is not refused for its company. One request ends two engines at most.

Ruled out: a limit by caller or first part (refuses sound requests), resets as evidence without the end of the engine (resets of connections also happen alone), the crash of a whole domain as many crashes.

tests/crashes.rs failed on the earlier program: 3 engines in place of 2, and 6 in place of 3.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,19 +1,196 @@
-//! Tells the end of an engine from the reset of one connection.
+//! Engines that end as they begin to write a response: recognizes them, and keeps requests that would
+//! end more of them from engines. [`crate::route::quarantine`] decides.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use compio::net::TcpStream;
+use log::info;
 
+use super::Gateway;
+use super::front::{AdmittedRequest, Refusal};
+use crate::clock::Clock;
+use crate::http::problem::Reason;
+use crate::peer::report::EngineHash;
+use crate::route::losses::Finder;
+use crate::route::prompt::{self, Prompt};
+use crate::route::quarantine::{Blocked, Cause, DomainHash, Evidence, Update};
+use crate::route::registry::Engine;
 use crate::util::within;
 
 /// Timeout for the connection. An engine or its machine answers within a round trip if it can be
 /// reached at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// An engine that may have ended, as it was registered.
+#[derive(Clone, Debug)]
+pub struct Suspect {
+    id: CompactString,
+    address: CompactString,
+    failure_domain: CompactString,
+}
+
+impl Suspect {
+    /// Returns the registration of an engine, if it is still known.
+    pub fn of<C: Clock>(gateway: &Gateway<C>, engine: Engine) -> Option<Self> {
+        let registry = gateway.registry.borrow();
+        let registration = &registry.get(engine)?.registration;
+        Some(Self {
+            id: registration.id.clone(),
+            address: registration.address.clone(),
+            failure_domain: registration.failure_domain.clone(),
+        })
+    }
+}
+
 /// Returns whether the machine at `address` refuses connections, so that the engine's process has
 /// ended. Silence is no sign of that: this host's own link may have failed.
-pub async fn has_ended(address: &str) -> bool {
+async fn has_ended(address: &str) -> bool {
     let result = within(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     matches!(result, Some(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
 }
+
+/// Finds out whether an engine ended whose connection was reset while it began to write the response
+/// to a request, and records it if so.
+pub async fn record_reset<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &AdmittedRequest,
+    suspect: &Suspect,
+) {
+    if admitted.prompt.parts.is_empty() {
+        return;
+    }
+    let has_ended = has_ended(&suspect.address).await;
+    admitted.trace.log_failure(
+        "broken_at_beginning",
+        format_args!(
+            "engine={} has_ended={has_ended} parts={}",
+            suspect.id, admitted.prompt
+        ),
+    );
+    if !has_ended {
+        return;
+    }
+    gateway.metrics.count_decision("prompt", "crashed");
+    let engine = EngineHash::of(&suspect.id);
+    let domain = DomainHash::of(&suspect.failure_domain);
+    let now = gateway.clock.now();
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    let update = quarantine.record_crash(engine, domain, &admitted.prompt, now);
+    drop(quarantine);
+    apply(gateway, &update, "own");
+}
+
+/// Records that an engine has begun to write the response to a request and survived.
+pub fn record_pass<C: Clock>(gateway: &Gateway<C>, prompt: &Prompt) {
+    if prompt.parts.is_empty() {
+        return;
+    }
+    let now = gateway.clock.now();
+    let update = gateway.quarantine.borrow_mut().record_pass(prompt, now);
+    apply(gateway, &update, "own");
+}
+
+/// Adds the evidence of another host; returns whether some of it is news.
+pub fn merge<C: Clock>(
+    gateway: &Gateway<C>,
+    evidence: &Evidence,
+    finder: Finder,
+    from: SocketAddr,
+) -> bool {
+    if *evidence == Evidence::default() {
+        return false;
+    }
+    let now = gateway.clock.now();
+    let update = gateway.quarantine.borrow_mut().merge(evidence, finder, now);
+    if update.crashes > 0 {
+        info!("event=crashes_heard peer={from} crashes={}", update.crashes);
+    }
+    apply(gateway, &update, "peer");
+    update.is_news()
+}
+
+/// Logs the parts that are blocked or cleared, and stops the requests that wait for an engine with
+/// one that is blocked.
+fn apply<C: Clock>(gateway: &Gateway<C>, update: &Update, from: &str) {
+    for parts in &update.blocked {
+        let parts = prompt::join(parts);
+        info!("event=parts_blocked parts={parts} from={from}");
+        gateway.metrics.count_decision("prompt", "blocked");
+    }
+    for part in &update.cleared {
+        info!("event=part_cleared parts={part} from={from}");
+        gateway.metrics.count_decision("prompt", "cleared");
+    }
+    if update.crashes > 0 || !update.blocked.is_empty() {
+        gateway.next_block.take().set();
+    }
+}
+
+/// Refuses a new request that would crash engines.
+///
+/// # Errors
+/// [`Refusal`] with the time until the request may be tried again.
+pub fn admit<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> Result<(), Refusal> {
+    let now = gateway.clock.now();
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    let Some(blocked) = quarantine.admit(&admitted.prompt, now) else {
+        return Ok(());
+    };
+    log_blocked(admitted, &blocked);
+    Err(refusal(blocked.left))
+}
+
+/// Returns the refusal of an admitted request that was not sent to an engine.
+pub fn not_sent<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> Refusal {
+    let now = gateway.clock.now();
+    let blocked = gateway.quarantine.borrow().check(&admitted.prompt, now);
+    refusal(blocked.map_or(Duration::ZERO, |blocked| blocked.left))
+}
+
+fn refusal(retry_after: Duration) -> Refusal {
+    let detail = "a part of the prompt crashes engines; leave it out, or retry later";
+    Refusal::not_run(Reason::CrashingPrompt, detail, retry_after)
+}
+
+/// Returns whether a request must not be sent to a further engine.
+pub fn is_blocked<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> bool {
+    let now = gateway.clock.now();
+    let blocked = gateway.quarantine.borrow().check(&admitted.prompt, now);
+    if let Some(blocked) = &blocked {
+        log_blocked(admitted, blocked);
+    }
+    blocked.is_some()
+}
+
+/// Waits until a request must not be sent to a further engine.
+pub async fn wait_until_blocked<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) {
+    loop {
+        let next_block = gateway.next_block.borrow().clone();
+        if is_blocked(gateway, admitted) {
+            return;
+        }
+        next_block.wait().await;
+    }
+}
+
+/// Returns the refusal of a request that has been sent to an engine and is sent to no other.
+pub fn stopped() -> Refusal {
+    let detail = "engines crash as they begin to answer this prompt; do not send it again as it is";
+    Refusal::unknown(Reason::EngineKiller, detail)
+}
+
+fn log_blocked(admitted: &AdmittedRequest, blocked: &Blocked) {
+    let age = blocked.age.as_millis();
+    match &blocked.cause {
+        Cause::Parts(parts) => admitted.trace.log(
+            "prompt_blocked",
+            format_args!("cause=parts parts={} age_ms={age}", prompt::join(parts)),
+        ),
+        Cause::Request => admitted
+            .trace
+            .log("prompt_blocked", format_args!("cause=request age_ms={age}")),
+    }
+}
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -16,7 +16,7 @@
 use super::Gateway;
 use super::call::{Call, InvalidHead};
 use super::protocol::Protocol;
-use super::{plain, stream};
+use super::{crash, plain, stream};
 use crate::clock::Clock;
 use crate::config::routes::{Denied, Revision, Route};
 use crate::http::body::Body;
@@ -146,6 +146,7 @@
                     .map_or(-1, |last| i64::try_from(last).unwrap_or(i64::MAX)),
             ),
         );
+        crash::admit(&self.gateway, &admitted)?;
         if admitted.route.kind.is_stream()
             && !self
                 .gateway
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 use crate::relay::handover;
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
+use crate::route::quarantine::Quarantine;
 use crate::route::registry::Registry;
 use crate::sched::retry;
 use crate::supervisor::{Group, Signal, Supervisor};
@@ -97,6 +98,10 @@
     pub registry: RefCell<Registry<C>>,
     /// Retry budget.
     pub budget: RefCell<retry::Budget>,
+    /// Parts of prompts that crash engines.
+    pub quarantine: RefCell<Quarantine>,
+    /// Set when the next part is blocked, and replaced by a new signal.
+    pub next_block: RefCell<Signal>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Selects the requests that are logged in full.
@@ -146,6 +151,8 @@
                 settings.failure_domain.clone(),
             )),
             budget: RefCell::new(retry::Budget::new(settings.retries, process)),
+            quarantine: RefCell::new(Quarantine::new(process)),
+            next_block: RefCell::default(),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use log::{info, warn};
 
 use super::Gateway;
+use super::crash;
 use super::feed::{self, Query, Update};
 use super::follow::Duty;
 use super::protocol::Directory;
@@ -27,6 +28,7 @@
 use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::relay::handover;
 use crate::route::losses::{Finder, Loss};
+use crate::route::quarantine::Evidence;
 use crate::route::reports::Source;
 use crate::supervisor::{Group, Signal};
 use crate::util::{unix_ms, within};
@@ -82,8 +84,10 @@
         summaries: BTreeMap::new(),
         last_report: None,
         reported_losses: 0,
+        reported_evidence: 0,
         summaries_sent_at: None,
         summarized_losses: 0,
+        summarized_evidence: 0,
         has_urgent_summary: false,
     };
     let (sender, mut reports) = futures_channel::mpsc::unbounded();
@@ -151,6 +155,9 @@
     last_report: Option<(Instant, u64)>,
     // The `Losses::versions` that the last report and the last summary contained.
     reported_losses: u64,
+    // The `Quarantine::versions` that they contained.
+    reported_evidence: u64,
+    summarized_evidence: u64,
     summaries_sent_at: Option<Instant>,
     summarized_losses: u64,
     // Whether a summary with new losses was not forwarded yet.
@@ -203,6 +210,7 @@
         }
         drop(registry);
         self.record_losses(&report.losses, Finder::Peer, from);
+        crash::merge(&self.gateway, &report.evidence, Finder::Peer, from);
     }
 
     /// Records the losses that another host reports; returns whether one of them was not known.
@@ -245,6 +253,8 @@
         }
         drop(registry);
         self.has_urgent_summary |= self.record_losses(&summary.losses, Finder::Remote, from);
+        self.has_urgent_summary |=
+            crash::merge(&self.gateway, &summary.evidence, Finder::Remote, from);
         self.summaries
             .insert(summary.domain.clone(), (summary, false));
     }
@@ -256,6 +266,7 @@
         let mut registry = self.gateway.registry.borrow_mut();
         registry.expire_reports();
         registry.expire_losses();
+        self.gateway.quarantine.borrow_mut().expire(now);
         let before = registry.last_change();
         registry.expire_lapsed();
         let has_changed = registry.last_change() != before;
@@ -295,6 +306,7 @@
         let now = self.gateway.clock.now();
         let load_version = self.gateway.registry.borrow().own_load_version();
         let (losses_version, _) = self.gateway.registry.borrow().losses().versions();
+        let (evidence_version, _) = self.gateway.quarantine.borrow().versions();
         let recipients = self.roster.report_targets();
         let ticks = (recipients.len() as u32)
             .div_ceil(REPORTS_PER_TICK_MAX)
@@ -305,6 +317,7 @@
                 // A loss is reported at once, as the other hosts still choose the engine.
                 let is_due = since >= REPORT_INTERVAL_MAX
                     || losses_version != self.reported_losses
+                    || evidence_version != self.reported_evidence
                     || (sent_version != load_version && since >= TICK * (ticks - 1));
                 if is_due { recipients } else { Vec::new() }
             }
@@ -313,6 +326,7 @@
         if !targets.is_empty() {
             self.last_report = Some((now, load_version));
             self.reported_losses = losses_version;
+            self.reported_evidence = evidence_version;
         }
         targets.extend(std::mem::take(&mut self.awaiting_reply));
         let seeds = self.roster.seeds_to_query(now);
@@ -324,9 +338,11 @@
             (registry.own_usages(), registry.losses().own(now))
         };
         let retries = self.gateway.budget.borrow_mut().own_usages(now);
+        let evidence = self.gateway.quarantine.borrow().own(now);
         let report = Report {
             usages,
             losses,
+            evidence,
             retries,
             streams: self.streams_to_report(),
             ..self.empty_report(now)
@@ -348,7 +364,10 @@
         let is_leaving = self.gateway.leaving.is_set();
         let local_representatives = self.roster.own_representatives(is_leaving, now);
         let (_, losses_version) = self.gateway.registry.borrow().losses().versions();
-        let is_urgent = self.has_urgent_summary || losses_version != self.summarized_losses;
+        let (_, evidence_version) = self.gateway.quarantine.borrow().versions();
+        let is_urgent = self.has_urgent_summary
+            || losses_version != self.summarized_losses
+            || evidence_version != self.summarized_evidence;
         if !self.roster.has_indirect_hosts()
             || local_representatives.first() != Some(&self.own_address)
             || !(is_urgent || self.summaries_sent_at.is_none_or(is_due))
@@ -357,6 +376,7 @@
         }
         self.summaries_sent_at = Some(now);
         self.summarized_losses = losses_version;
+        self.summarized_evidence = evidence_version;
         self.has_urgent_summary = false;
         self.send_own_summary(now).await;
         self.forward_summaries(now).await;
@@ -376,6 +396,7 @@
             retrying_hosts,
             retries,
             losses: self.gateway.registry.borrow().losses().joint(now),
+            evidence: self.gateway.quarantine.borrow().joint(now),
         };
         let report = Report {
             summaries: vec![summary],
@@ -425,6 +446,7 @@
             usages: Vec::new(),
             retries: Vec::new(),
             losses: Vec::new(),
+            evidence: Evidence::default(),
             streams: Vec::new(),
             summaries: Vec::new(),
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -13,10 +13,10 @@
 use hyper::Response;
 
 use super::Gateway;
-use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
+use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::check::LATE_TIMER;
-use super::crash;
+use super::crash::{self, Suspect};
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -167,6 +167,9 @@
             if !self.wait_until_allowed().await {
                 return Err(self.refusal());
             }
+            if crash::is_blocked(&self.gateway, &self.admitted) {
+                return Err(self.blocked());
+            }
             let registry = &self.gateway.registry;
             let resume_replica = self.resume_replica.take();
             let resume_replica =
@@ -189,15 +192,24 @@
             };
             let head_deadline = self.head_deadline_of(engine);
             let gateway = self.gateway.clone();
-            match attempt::open::<C, P>(
-                &gateway,
-                &self.admitted,
-                &placement,
-                &resume_point,
-                head_deadline,
-            )
-            .await
-            {
+            let result = {
+                let open = pin!(attempt::open::<C, P>(
+                    &gateway,
+                    &self.admitted,
+                    &placement,
+                    &resume_point,
+                    head_deadline,
+                ));
+                let blocked = pin!(crash::wait_until_blocked(&gateway, &self.admitted));
+                match select(open, blocked).await {
+                    Either::Left((result, _)) => result,
+                    Either::Right(_) => {
+                        self.attempts.record_fault(engine, Fault::EngineLost);
+                        return Err(crash::stopped());
+                    }
+                }
+            };
+            match result {
                 Ok(open) if open.is_success => {
                     self.attempts.record_answer();
                     return Ok((open, placement));
@@ -302,6 +314,14 @@
         (now + silence::first_event_limit(reading)).min(self.admitted.deadline)
     }
 
+    /// Returns the refusal of a request that has become known to crash engines.
+    fn blocked(&self) -> Refusal {
+        match self.attempts.possible_runs {
+            0 => crash::not_sent(&self.gateway, &self.admitted),
+            _ => crash::stopped(),
+        }
+    }
+
     fn refusal(&self) -> Refusal {
         if self.attempts.possible_runs > 0 {
             return answer_lost();
@@ -404,12 +424,12 @@
             }
             self.attempts.excluded = vec![broken];
             self.resume_replica = self.replica_of(&active.placement);
-            let address = self.address_of(broken);
+            let suspect = Suspect::of(&self.gateway, broken);
             let is_at_beginning = active.events < BEGINNING_EVENTS;
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
-            if is_at_beginning && reason == "reset" {
-                self.record_end_at_beginning(broken, address).await;
+            if let Some(suspect) = suspect.filter(|_| is_at_beginning && reason == "reset") {
+                crash::record_reset(&self.gateway, &self.admitted, &suspect).await;
             }
             let next = {
                 let next = pin!(self.open_next::<P>());
@@ -419,8 +439,12 @@
                     Either::Right(_) => return,
                 }
             };
-            let Ok((open, placement)) = next else {
-                return self.record_incomplete("no-engine");
+            let (open, placement) = match next {
+                Ok(next) => next,
+                Err(refusal) if refusal.problem.reason == Reason::EngineKiller => {
+                    return self.record_incomplete("crashing-prompt");
+                }
+                Err(_) => return self.record_incomplete("no-engine"),
             };
             if !open.is_success {
                 return self.record_incomplete("engine-failed");
@@ -435,31 +459,6 @@
         }
     }
 
-    /// Returns the address of an engine.
-    fn address_of(&self, engine: Engine) -> Option<CompactString> {
-        let registry = self.gateway.registry.borrow();
-        let state = registry.get(engine)?;
-        Some(state.registration.address.clone())
-    }
-
-    /// Logs whether an engine ended whose connection was reset while it began to write the response.
-    async fn record_end_at_beginning(&self, engine: Engine, address: Option<CompactString>) {
-        let Some(address) = address.filter(|_| !self.admitted.prompt.parts.is_empty()) else {
-            return;
-        };
-        let has_ended = crash::has_ended(&address).await;
-        let registry = self.gateway.registry.borrow();
-        let id = registry.get(engine).map(|state| &*state.registration.id);
-        self.admitted.trace.log_failure(
-            "broken_at_beginning",
-            format_args!(
-                "engine={} has_ended={has_ended} parts={}",
-                id.unwrap_or("none"),
-                self.admitted.prompt,
-            ),
-        );
-    }
-
     /// Logs and counts the end of a stream that is not complete.
     fn record_incomplete(&self, reason: &'static str) {
         let now = self.gateway.clock.now();
@@ -491,6 +490,9 @@
                 if event.id.is_some() {
                     active.progress.record_event(self.gateway.clock.now());
                     active.events += 1;
+                    if active.events == BEGINNING_EVENTS {
+                        crash::record_pass(&self.gateway, &self.admitted.prompt);
+                    }
                 }
                 active.placement.record_output();
                 if writer.send(event.bytes).await.is_err() {
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -38,6 +38,8 @@
     VersionGone,
     /// Several engines died while serving this prompt, so it is not tried again.
     EngineKiller,
+    /// A part of the prompt crashes engines, so the request is not sent to one.
+    CrashingPrompt,
     /// The generation could not be resumed within the limits on attempts and time.
     ResumeLimit,
     /// The route requires an `Idempotency-Key` header.
@@ -86,6 +88,7 @@
             Self::Timeout | Self::CallerGone | Self::SlowReader => StatusCode::GATEWAY_TIMEOUT,
             Self::NoSettings
             | Self::NoEngine
+            | Self::CrashingPrompt
             | Self::Leaving
             | Self::StoreUnavailable
             | Self::BackendUnavailable => StatusCode::SERVICE_UNAVAILABLE,
@@ -108,6 +111,7 @@
             Self::NoSettings => "no-settings",
             Self::VersionGone => "version-gone",
             Self::EngineKiller => "engine-killer",
+            Self::CrashingPrompt => "crashing-prompt",
             Self::ResumeLimit => "resume-limit",
             Self::KeyMissing => "key-missing",
             Self::KeyInvalid => "key-invalid",
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -10,11 +10,12 @@
 use crate::relay::handover;
 use crate::route::load::Load;
 use crate::route::losses::Loss;
+use crate::route::quarantine::Evidence;
 use crate::sched::retry;
 use crate::util::hash64;
 
 /// First byte of a datagram. A host drops datagrams of a format that its release does not know.
-const FORMAT_VERSION: u8 = 2;
+const FORMAT_VERSION: u8 = 3;
 
 /// Maximum size of a datagram in bytes.
 pub const BYTES_MAX: usize = 8192;
@@ -85,6 +86,8 @@
     pub retries: Vec<retry::Usage>,
     /// Engines that these hosts lost a moment ago.
     pub losses: Vec<Loss>,
+    /// What these hosts know of parts of prompts that crash engines.
+    pub evidence: Evidence,
 }
 
 /// Content of a datagram: the state of the host that sends it.
@@ -111,6 +114,8 @@
     pub retries: Vec<retry::Usage>,
     /// Engines that the host lost a moment ago.
     pub losses: Vec<Loss>,
+    /// What the host knows of parts of prompts that crash engines.
+    pub evidence: Evidence,
     /// The host's running streams that have a replica.
     pub streams: Vec<handover::Stream>,
     /// Summaries of failure domains; only representatives send them.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -13,6 +13,7 @@
 pub mod poll;
 pub mod prefix;
 pub mod prompt;
+pub mod quarantine;
 pub mod registry;
 pub mod reports;
 mod select;
--- a/src/route/prompt.rs
+++ b/src/route/prompt.rs
@@ -65,13 +65,15 @@
 
 impl fmt::Display for Prompt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if self.parts.is_empty() {
-            return f.write_str("none");
-        }
-        for (index, part) in self.parts.iter().enumerate() {
-            let separator = if index > 0 { "," } else { "" };
-            write!(f, "{separator}{part}")?;
-        }
-        Ok(())
+        f.write_str(&join(&self.parts))
+    }
+}
+
+/// Returns parts as a list for logs, separated by commas; `none` if there is none.
+pub fn join(parts: &[PartHash]) -> String {
+    if parts.is_empty() {
+        return "none".to_owned();
     }
+    let parts: Vec<_> = parts.iter().map(PartHash::to_string).collect();
+    parts.join(",")
 }
--- /dev/null
+++ b/tests/crashes.rs
@@ -0,0 +1,154 @@
+//! Gateways in front of engines that a part of some prompts crashes.
+
+mod support;
+
+use bilberrypost::http::problem::{Problem, Reason};
+use bilberrypost::wire::Execution;
+use support::platform::{
+    API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, events, settings, wait_for,
+};
+
+/// Part that crashes each engine which begins to write a response to it.
+const BAD: &str = "badbad01";
+
+/// Part that sound and bad requests share.
+const SHARED: &str = "5a5a0001";
+
+fn free_port() -> u16 {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+fn has_bad_part(request: &Message) -> bool {
+    request
+        .header("x-bilberrypost-prompt-prefix")
+        .is_some_and(|parts| parts.contains(BAD))
+}
+
+/// Engines of four failure domains, and two gateways that report to each other.
+struct Site {
+    _store: Store,
+    engines: Vec<Engine>,
+    gateways: Vec<Gateway>,
+}
+
+impl Site {
+    fn start() -> Self {
+        let store = Store::start();
+        store.put("config", "main", config(3));
+        let engines: Vec<_> = (0..8)
+            .map(|number| {
+                Engine::start(&format!("i-{number}"), |request| {
+                    match has_bad_part(request) {
+                        true => Reaction::Events(0, End::Crash),
+                        false => Reaction::Events(9, End::Complete),
+                    }
+                })
+            })
+            .collect();
+        for (number, engine) in engines.iter().enumerate() {
+            let domain = ["fd-a", "fd-b", "fd-c", "fd-d"][number % 4];
+            store.put("servers", &engine.id, engine.registration("model", domain));
+        }
+        let port = free_port();
+        let on = |ip: &str| {
+            let more = format!("seeds = 127.0.0.1:1\nports = {port},{port}");
+            let settings = settings(&store.address, &more);
+            Gateway::start(&settings.replace("127.0.0.1:0", &format!("{ip}:0")))
+        };
+        let gateways = vec![on("127.0.0.1"), on("127.0.0.2")];
+        for gateway in &gateways {
+            wait_for("two hosts", || {
+                gateway.is_ready() && gateway.metric("bilberrypost_hosts ") == Some(2.0)
+            });
+        }
+        Self {
+            _store: store,
+            engines,
+            gateways,
+        }
+    }
+
+    fn send(&self, gateway: usize, id: &str, parts: &[&str]) -> Message {
+        let parts: Vec<_> = parts.iter().map(|part| format!("{part}:200")).collect();
+        let headers = format!(
+            "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
+             x-bilberrypost-credential: {API_KEY}\r\nx-bilberrypost-token-count: 1000,70\r\n\
+             x-bilberrypost-prompt-prefix: {},{id}:50\r\n",
+            parts.join(",")
+        );
+        let answer = self.gateways[gateway].send("POST", "/stream/x", &headers, "prompt");
+        answer.expect("a response")
+    }
+
+    /// Number of engines that a request with the bad part has reached.
+    fn crashed(&self) -> usize {
+        let engines = self.engines.iter();
+        engines
+            .filter(|engine| engine.received.lock().unwrap().iter().any(has_bad_part))
+            .count()
+    }
+
+    fn wait_until_blocked(&self, gateway: usize) {
+        let name = "bilberrypost_decisions_total{decision=\"prompt\",outcome=\"blocked\"} ";
+        wait_for("a block", || {
+            self.gateways[gateway].metric(name).unwrap_or(0.0) > 0.0
+        });
+    }
+}
+
+/// Guards against a request that is retried on engine after engine while it crashes each of them.
+#[test]
+fn a_request_crashes_two_engines_at_most() {
+    let site = Site::start();
+    let answer = site.send(0, "a1", &[SHARED, BAD]);
+    assert_eq!(answer.header("broken"), Some("yes"));
+    assert_eq!(site.crashed(), 2);
+}
+
+/// Guards against a part that crashes engine after engine, at hosts that each see few crashes, and
+/// against sound requests that are refused since they share the caller and the other part with it.
+#[test]
+fn a_part_that_crashes_engines_is_refused_at_all_hosts() {
+    let site = Site::start();
+    site.send(0, "a1", &[SHARED, BAD]);
+    site.send(1, "a2", &[SHARED, BAD]);
+    assert_eq!(site.crashed(), 3);
+    for gateway in 0..2 {
+        site.wait_until_blocked(gateway);
+        for round in 0..6 {
+            let answer = site.send(gateway, &format!("b{gateway}{round}"), &[SHARED, BAD]);
+            assert_eq!(answer.status(), 503);
+            assert!(answer.header("retry-after").is_some());
+            let problem: Problem = serde_json::from_str(&answer.text()).unwrap();
+            assert_eq!(problem.reason, Reason::CrashingPrompt);
+            assert_eq!(problem.work, Execution::NotRun);
+            let answer = site.send(gateway, &format!("c{gateway}{round}"), &[SHARED]);
+            assert_eq!(answer.text(), events(1, 9));
+            assert_eq!(answer.header("broken"), None);
+        }
+    }
+    assert_eq!(site.crashed(), 3);
+}
+
+/// Guards against engines that reset single connections and count as crashed.
+#[test]
+fn resets_of_connections_block_no_part() {
+    let site = Site::start();
+    for engine in &site.engines {
+        engine.set_script(|request| match request.header("last-event-id") {
+            None if engine_is_first(request) => Reaction::Events(0, End::HalfEvent),
+            _ => Reaction::Events(9, End::Complete),
+        });
+    }
+    for round in 0..12 {
+        let answer = site.send(round % 2, &format!("r{round}"), &[SHARED]);
+        assert_ne!(answer.status(), 503, "request {round}");
+    }
+}
+
+/// Returns whether a request is one whose connection the engines reset.
+fn engine_is_first(request: &Message) -> bool {
+    let id = request.header("x-bilberrypost-attempt-id");
+    id.is_some_and(|id| id.ends_with(['0', '2', '4']))
+}
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -44,6 +44,7 @@
             usages: Vec::new(),
             retries: Vec::new(),
             losses: Vec::new(),
+            evidence: Default::default(),
             streams: Vec::new(),
             summaries: Vec::new(),
         };
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -585,6 +585,7 @@
         usages: Vec::new(),
         retries: Vec::new(),
         losses: Vec::new(),
+        evidence: Default::default(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -12,6 +12,8 @@
 use bilberrypost::relay::handover::Stream;
 use bilberrypost::route::load::Load;
 use bilberrypost::route::losses::Loss;
+use bilberrypost::route::prompt::{PARTS_MAX, PartHash, RequestHash};
+use bilberrypost::route::quarantine::{Block, Crash, DomainHash, Evidence, Pass};
 use bilberrypost::route::registry::{Registration, Registry};
 use bilberrypost::sched::retry;
 use compact_str::{CompactString, format_compact};
@@ -333,6 +335,35 @@
             age_ms: 1400,
         })
         .collect();
+    let parts: Vec<_> = (0..PARTS_MAX)
+        .map(|n| PartHash::of(&format!("part-{n}")))
+        .collect();
+    let evidence = Evidence {
+        crashes: vec![
+            Crash {
+                engine: EngineHash::of("crashed"),
+                domain: DomainHash::of("fd-a"),
+                request: RequestHash::of(u64::MAX),
+                parts: parts.clone(),
+                age_ms: 3000,
+            };
+            8
+        ],
+        passes: vec![
+            Pass {
+                part: parts[0],
+                age_ms: 60_000,
+            };
+            8
+        ],
+        blocks: vec![
+            Block {
+                parts: parts.clone(),
+                age_ms: 900_000,
+            };
+            8
+        ],
+    };
     let summary = Summary {
         domain: "fd-a".into(),
         number: 1 << 41,
@@ -342,6 +373,7 @@
         retrying_hosts: 40,
         retries: retries.clone(),
         losses: losses.clone(),
+        evidence: evidence.clone(),
     };
     let stream = Stream {
         digest: 7,
@@ -359,6 +391,7 @@
         usages: Vec::new(),
         retries: Vec::new(),
         losses: Vec::new(),
+        evidence: Evidence::default(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
@@ -367,6 +400,7 @@
             usages: usages[..100].to_vec(),
             retries,
             losses,
+            evidence,
             streams: vec![stream; 64],
             ..empty.clone()
         },
@@ -399,6 +433,7 @@
             engine: EngineHash::of("a"),
             age_ms: 3,
         }],
+        evidence: Evidence::default(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -306,6 +306,8 @@
     Endless,
     /// Nothing follows, and the engine accepts no more connections.
     Unresponsive,
+    /// The engine's process ends: its connection closes, and its address refuses further ones.
+    Crash,
 }
 
 /// Decides the reaction to each request.
@@ -474,6 +476,15 @@
                             }
                         }
                     }
+                    End::Crash => {
+                        listener.lock().unwrap().take();
+                        let own = stream.local_addr().unwrap();
+                        // Wakes the accepting thread, which then drops its handle of the listener.
+                        while TcpStream::connect(own).is_ok() {
+                            std::thread::sleep(Duration::from_millis(1));
+                        }
+                        return;
+                    }
                     End::Unresponsive => {
                         // The accepting thread holds another handle of the listener; the connection
                         // wakes the thread, so that it drops its handle too.
