--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
+use super::crash::{self, Suspect};
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use super::{Gateway, check, reach};
@@ -45,6 +46,10 @@
 /// Time between two tries to take a retry out of the budget.
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of events from an engine after which it is past the beginning of the response. One event
+/// may still be sent by an engine that ends for what it is about to write.
+const BEGINNING_EVENTS: u64 = 2;
+
 /// Timeout for the body of a failure that an engine reports.
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -71,6 +76,8 @@
     lost: Signal,
     splitter: Splitter,
     progress: Progress,
+    /// Number of events that this engine has sent.
+    events: u64,
 }
 
 /// Why forwarding the events of an attempt ended.
@@ -162,6 +169,9 @@
             if !self.wait_until_allowed().await {
                 return Err(self.refusal());
             }
+            if crash::is_blocked(&self.gateway, &self.admitted) {
+                return Err(self.blocked());
+            }
             let registry = &self.gateway.registry;
             let resume_replica = self.resume_replica.take();
             let resume_replica =
@@ -186,15 +196,24 @@
             };
             let head_deadline = self.head_deadline_of(engine);
             let gateway = self.gateway.clone();
-            match attempt::open::<C, P>(
-                &gateway,
-                &self.admitted,
-                &placement,
-                &resume_point,
-                head_deadline,
-            )
-            .await
-            {
+            let result = {
+                let open = pin!(attempt::open::<C, P>(
+                    &gateway,
+                    &self.admitted,
+                    &placement,
+                    &resume_point,
+                    head_deadline,
+                ));
+                let blocked = pin!(crash::wait_until_blocked(&gateway, &self.admitted));
+                match select(open, blocked).await {
+                    Either::Left((result, _)) => result,
+                    Either::Right(_) => {
+                        self.attempts.record_fault(engine, Fault::EngineLost);
+                        return Err(crash::stopped());
+                    }
+                }
+            };
+            match result {
                 Ok(open) if open.is_success => {
                     self.attempts.record_answer();
                     return Ok((open, placement));
@@ -309,6 +328,14 @@
         (now + silence::first_event_limit(reading)).min(self.admitted.deadline)
     }
 
+    /// Returns the refusal of a request that has become known to crash engines.
+    fn blocked(&self) -> Refusal {
+        match self.attempts.possible_runs {
+            0 => crash::not_sent(&self.gateway, &self.admitted),
+            _ => crash::stopped(),
+        }
+    }
+
     fn refusal(&self) -> Refusal {
         if self.attempts.possible_runs > 0 {
             return answer_lost();
@@ -344,6 +371,7 @@
             placement,
             splitter: Splitter::default(),
             progress: Progress::new(self.gateway.clock.now()),
+            events: 0,
         }
     }
 
@@ -395,10 +423,11 @@
             self.admitted.trace.log(
                 "stream_broken",
                 format_args!(
-                    "reason={reason} last_event={} has_copy={} silent_ms={}",
+                    "reason={reason} last_event={} has_copy={} silent_ms={} events={}",
                     self.last_event(),
                     active.placement.replica.is_some(),
                     silent.as_millis(),
+                    active.events,
                 ),
             );
             self.gateway.metrics.count_decision("stream_broken", reason);
@@ -412,8 +441,13 @@
             }
             self.attempts.excluded = vec![broken];
             self.resume_replica = self.replica_of(&active.placement);
+            let suspect = Suspect::of(&self.gateway, broken);
+            let is_at_beginning = active.events < BEGINNING_EVENTS;
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
+            if let Some(suspect) = suspect.filter(|_| is_at_beginning && reason == "reset") {
+                crash::record_reset(&self.gateway, &self.admitted, &suspect).await;
+            }
             let next = {
                 let next = pin!(self.open_next::<P>());
                 let gone = pin!(writer.closed());
@@ -422,8 +456,12 @@
                     Either::Right(_) => return,
                 }
             };
-            let Ok((open, placement)) = next else {
-                return self.record_incomplete("no-engine");
+            let (open, placement) = match next {
+                Ok(next) => next,
+                Err(refusal) if refusal.problem.reason == Reason::EngineKiller => {
+                    return self.record_incomplete("crashing-prompt");
+                }
+                Err(_) => return self.record_incomplete("no-engine"),
             };
             if !open.is_success {
                 return self.record_incomplete("engine-failed");
@@ -468,6 +506,10 @@
                 }
                 if event.id.is_some() {
                     active.progress.record_event(self.gateway.clock.now());
+                    active.events += 1;
+                    if active.events == BEGINNING_EVENTS {
+                        crash::record_pass(&self.gateway, &self.admitted.prompt);
+                    }
                 }
                 active.placement.record_output();
                 if writer.send(event.bytes).await.is_err() {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -13,6 +13,8 @@
 pub mod placing;
 pub mod poll;
 pub mod prefix;
+pub mod prompt;
+pub mod quarantine;
 pub mod registry;
 pub mod reports;
 mod select;
