Log the revisions sent to followers and late timers of the process

Cause: when a host declared over a hundred sound engines lost beside a change of the configuration, no line told whether its link was busy with the revision or the process was short of processor time.

Change: one line for each revision (event=revision_sent) with the answers, bytes and time from the first to the last; a counter of the bytes of all answers to followers by content; a line for late timers (event=timer_late), at most one a second, and a histogram of all delays. No decision depends on either.

Ruled out: to measure in the loop of the engine checks. It only knows its own rounds, and its threshold decides about engines.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,18 +1,21 @@
 //! Endpoint that sends the configuration and the engines to hosts that follow this one instead of
 //! the store. A query waits for a change (long polling).
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use log::info;
 use serde::{Deserialize, Serialize};
 
 use super::Gateway;
+use super::delivery::{Delivery, Summary};
 use crate::clock::Clock;
 use crate::http::body::Body;
-use crate::http::problem::{json_response, text_response};
+use crate::http::problem::{json_bytes_response, text_response};
 use crate::http::server;
 use crate::route::history::Changes;
 use crate::util::within;
@@ -66,7 +69,11 @@
 }
 
 /// The HTTP service that answers queries of other gateways.
-pub struct Endpoint<C: Clock>(pub Rc<Gateway<C>>);
+#[derive(Debug)]
+pub struct Endpoint<C: Clock> {
+    gateway: Rc<Gateway<C>>,
+    delivery: RefCell<Delivery>,
+}
 
 impl<C: Clock> server::Service for Endpoint<C> {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
@@ -86,39 +93,87 @@
                 "the query is malformed; run the same version on all hosts",
             );
         };
-        json_response(&self.update(query).await)
+        let update = self.update(query).await;
+        let body = serde_json::to_vec(&update).expect("an update serializes");
+        self.record(query, &update, body.len() as u64);
+        json_bytes_response(body)
     }
 }
 
+fn log_delivery(summary: Summary) {
+    let duration = summary.last_at.duration_since(summary.first_at);
+    info!(
+        "event=revision_sent version={} followers={} referred={} bytes={} took_ms={}",
+        summary.version,
+        summary.followers,
+        summary.referred,
+        summary.bytes,
+        duration.as_millis()
+    );
+}
+
 impl<C: Clock> Endpoint<C> {
+    /// Creates the service for the followers of `gateway`.
+    pub fn new(gateway: Rc<Gateway<C>>) -> Self {
+        Self {
+            gateway,
+            delivery: RefCell::default(),
+        }
+    }
+
+    /// Counts the bytes of an update, and logs the delivery of a revision once it has ended.
+    fn record(&self, query: Query, update: &Update, bytes: u64) {
+        let content = match update.revision {
+            Some(_) => "revision",
+            None if update.engines.is_whole => "engines",
+            None => "changes",
+        };
+        self.gateway.metrics.count_feed_bytes(content, bytes);
+        let now = self.gateway.clock.now();
+        let mut delivery = self.delivery.borrow_mut();
+        let delivered = delivery.take_delivered(now);
+        let is_newer = update.version > query.revision;
+        let ended = is_newer
+            .then(|| delivery.record(update.version, update.revision.is_some(), bytes, now))
+            .flatten();
+        delivered.into_iter().chain(ended).for_each(log_delivery);
+    }
+
     async fn update(&self, query: Query) -> Update {
-        let next_change = self.0.next_change.borrow().clone();
+        let next_change = self.gateway.next_change.borrow().clone();
         if !self.has_changes_for(query) {
             let wait = Duration::from_millis(query.wait_ms).min(WAIT_MAX);
             within(wait, next_change.wait()).await;
         }
-        let known = (query.process == self.0.process).then_some(query.engines);
-        let revision = self.0.revision();
+        let known = (query.process == self.gateway.process).then_some(query.engines);
+        let revision = self.gateway.revision();
         let newer = revision.filter(|revision| {
             let is_sendable = query.is_cut_off || revision.source.len() <= SENT_REVISION_BYTES_MAX;
             is_sendable && revision.version > query.revision
         });
-        let age = self.0.engines_age().max(self.0.configuration_age());
+        let age = self
+            .gateway
+            .engines_age()
+            .max(self.gateway.configuration_age());
         Update {
-            process: self.0.process,
-            engines: self.0.registry.borrow().changes_since(known.flatten()),
-            engines_revision: self.0.engines_revision(),
-            version: self.0.revision_version(),
+            process: self.gateway.process,
+            engines: self
+                .gateway
+                .registry
+                .borrow()
+                .changes_since(known.flatten()),
+            engines_revision: self.gateway.engines_revision(),
+            version: self.gateway.revision_version(),
             revision: newer.map(|revision| revision.source.to_string()),
-            is_confirmed: self.0.role.is_watching() && self.0.reaches_store(),
+            is_confirmed: self.gateway.role.is_watching() && self.gateway.reaches_store(),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
     fn has_changes_for(&self, query: Query) -> bool {
-        let changed = self.0.registry.borrow().last_change();
-        query.process != self.0.process
+        let changed = self.gateway.registry.borrow().last_change();
+        query.process != self.gateway.process
             || query.engines != Some(changed)
-            || query.revision < self.0.revision_version()
+            || query.revision < self.gateway.revision_version()
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,9 +8,11 @@
 pub mod attempts;
 pub mod call;
 pub mod check;
+pub mod delivery;
 pub mod feed;
 pub mod follow;
 pub mod front;
+pub mod lateness;
 pub mod peers;
 pub mod plain;
 pub mod protocol;
@@ -420,7 +422,7 @@
     );
     if let Some((address, seeds)) = gateway.settings.peers.clone() {
         let listener = listen_on(&address.to_string()).await?;
-        let service = Rc::new(feed::Endpoint(gateway.clone()));
+        let service = Rc::new(feed::Endpoint::new(gateway.clone()));
         supervisor.spawn(
             "feed",
             server::serve(listener, service, supervisor.stop_signal()),
@@ -449,6 +451,10 @@
         "checks",
         check::run(gateway.clone(), supervisor.stop_signal()),
     );
+    supervisor.spawn(
+        "lateness",
+        lateness::run(gateway.clone(), supervisor.stop_signal()),
+    );
     supervisor.spawn("reloads", log_sighup(supervisor.stop_signal()));
     supervisor.spawn("stops", log_sigterm(supervisor.stop_signal()));
     let caller_stop = Signal::default();
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -205,11 +205,14 @@
 
 /// Creates a `200` response with a JSON body.
 pub fn json_response<T: Serialize>(value: &T) -> Response<Body> {
+    json_bytes_response(serde_json::to_vec(value).expect("wire types serialize"))
+}
+
+/// Creates a `200` response whose body is JSON already.
+pub fn json_bytes_response(json: Vec<u8>) -> Response<Body> {
     Response::builder()
         .header(hyper::header::CONTENT_TYPE, "application/json")
-        .body(Body::full(
-            serde_json::to_vec(value).expect("wire types serialize"),
-        ))
+        .body(Body::full(json))
         .expect("the headers are valid")
 }
 
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -46,6 +46,12 @@
     step: &'static str,
 }
 
+/// Kind of content that a host sends to the hosts that follow it.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Feed {
+    content: &'static str,
+}
+
 /// Upper bounds of the histogram buckets for durations.
 const DURATION_BUCKETS_S: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
@@ -69,6 +75,7 @@
     engines_age: Gauge<f64, AtomicU64>,
     refusals: Family<Refusal, Counter>,
     relayed: Family<Relayed, Counter>,
+    feed_bytes: Family<Feed, Counter>,
 }
 
 impl Default for Metrics {
@@ -80,6 +87,9 @@
         registry.register("relay", "Events of relayed generations", relayed.clone());
         let decisions = Family::default();
         registry.register("decisions", "Decisions by outcome", decisions.clone());
+        let feed_bytes = Family::default();
+        let text = "Bytes of answers to following hosts by content, without heads";
+        registry.register_with_unit("feed", text, Unit::Bytes, feed_bytes.clone());
         let durations = Family::new_with_constructor(durations as fn() -> Histogram);
         let text = "Time of a step";
         registry.register_with_unit("duration", text, Unit::Seconds, durations.clone());
@@ -112,6 +122,7 @@
             engines_age,
             refusals,
             relayed,
+            feed_bytes,
         }
     }
 }
@@ -138,6 +149,13 @@
         self.decisions.get_or_create(&key).inc();
     }
 
+    /// Counts bytes sent to a host that follows this one.
+    pub fn count_feed_bytes(&self, content: &'static str, bytes: u64) {
+        self.feed_bytes
+            .get_or_create(&Feed { content })
+            .inc_by(bytes);
+    }
+
     /// Records the duration of a step.
     pub fn record_duration(&self, step: &'static str, duration: Duration) {
         let durations = self.durations.get_or_create(&Step { step });
