Send followers the change of a configuration instead of the whole

Cause: a representative sent each new configuration whole to each of its followers, and JSON escapes the quotes of the text: 20 followers and a document of 16 KB took 362,800 bytes, 0.29 s of a link of 10 Mbit/s. In that time the host's connects to engines got no answer within 130 ms, and it declared engines lost that had not failed.

Change: a follower names the digest of its document and gets a patch: LZ4 blocks with its document as dictionary, and the digest of the result. The limit of 16 KB applies to what is sent. A patch that does not fit is refused, logged, and the follower reads the store. Followers of the previous release name no digest and get the whole text; answers of its representatives carry no patch and are read as before.

Ruled out: lines or fields as units of the difference. The product does not know the document's fields.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 pub mod host;
 pub mod ini;
 pub mod operator;
+pub mod patch;
 pub mod publish;
 pub mod revision;
 pub mod routes;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -14,6 +14,7 @@
 use super::Gateway;
 use super::delivery::{Delivery, Summary};
 use crate::clock::Clock;
+use crate::config::patch::Patch;
 use crate::http::body::Body;
 use crate::http::problem::{json_bytes_response, text_response};
 use crate::http::server;
@@ -29,8 +30,9 @@
 /// Longest time that a query waits for a change.
 const WAIT_MAX: Duration = Duration::from_secs(2);
 
-/// Maximum size in bytes of a configuration that is sent to followers. Sending a larger one to
-/// each follower would saturate the link of a small host, so they read it from the store.
+/// Maximum size in bytes of a configuration, or of a patch to it, that is sent to followers. Sending
+/// a larger one to each follower would saturate the link of a small host, so they read the
+/// configuration from the store.
 const SENT_REVISION_BYTES_MAX: usize = 16 * 1024;
 
 /// What a follower already knows.
@@ -42,6 +44,10 @@
     pub engines: Option<u64>,
     /// Version of the follower's configuration, 0 if it has none.
     pub revision: u64,
+    /// Digest of the follower's configuration document, that of the empty text if it has none.
+    /// `None` if the follower cannot apply patches, as in releases before they existed.
+    #[serde(default)]
+    pub document: Option<u64>,
     /// Time to wait for a change, in milliseconds.
     pub wait_ms: u64,
     /// Whether the follower cannot read the store and needs the configuration whatever its size.
@@ -59,9 +65,13 @@
     pub engines_revision: u64,
     /// Version of the configuration in force, 0 if there is none.
     pub version: u64,
-    /// The configuration document as stored, if the follower has an older one and the size limit
-    /// allows.
+    /// The configuration document as stored, if the follower has an older one, cannot apply patches,
+    /// and the size limit allows.
     pub revision: Option<String>,
+    /// A patch to the configuration document, if the follower has an older one, can apply patches,
+    /// and the size limit allows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub patch: Option<Patch>,
     /// Whether the answering host watches the store itself and reaches it.
     pub is_confirmed: bool,
     /// Age in milliseconds of the older one of its configuration and its engines.
@@ -123,18 +133,20 @@
 
     /// Counts the bytes of an update, and logs the delivery of a revision once it has ended.
     fn record(&self, query: Query, update: &Update, bytes: u64) {
-        let content = match update.revision {
-            Some(_) => "revision",
-            None if update.engines.is_whole => "engines",
-            None => "changes",
+        let content = match (&update.revision, &update.patch) {
+            (Some(_), _) => "revision",
+            (_, Some(_)) => "patch",
+            _ if update.engines.is_whole => "engines",
+            _ => "changes",
         };
         self.gateway.metrics.count_feed_bytes(content, bytes);
         let now = self.gateway.clock.now();
         let mut delivery = self.delivery.borrow_mut();
         let delivered = delivery.take_delivered(now);
         let is_newer = update.version > query.revision;
+        let is_sent = update.revision.is_some() || update.patch.is_some();
         let ended = is_newer
-            .then(|| delivery.record(update.version, update.revision.is_some(), bytes, now))
+            .then(|| delivery.record(update.version, is_sent, bytes, now))
             .flatten();
         delivered.into_iter().chain(ended).for_each(log_delivery);
     }
@@ -146,11 +158,13 @@
             within(wait, next_change.wait()).await;
         }
         let known = (query.process == self.gateway.process).then_some(query.engines);
-        let revision = self.gateway.revision();
-        let newer = revision.filter(|revision| {
-            let is_sendable = query.is_cut_off || revision.source.len() <= SENT_REVISION_BYTES_MAX;
-            is_sendable && revision.version > query.revision
-        });
+        let newer = self.gateway.revision();
+        let newer = newer.filter(|revision| revision.version > query.revision);
+        let is_sendable = |bytes| query.is_cut_off || bytes <= SENT_REVISION_BYTES_MAX;
+        let patch = newer.as_ref().zip(query.document);
+        let patch = patch.map(|(revision, base)| self.gateway.patch_to(revision, base));
+        let whole = newer.filter(|_| query.document.is_none());
+        let whole = whole.map(|revision| revision.source.to_string());
         let age = self
             .gateway
             .engines_age()
@@ -164,7 +178,8 @@
                 .changes_since(known.flatten()),
             engines_revision: self.gateway.engines_revision(),
             version: self.gateway.revision_version(),
-            revision: newer.map(|revision| revision.source.to_string()),
+            revision: whole.filter(|whole| is_sendable(whole.len())),
+            patch: patch.filter(|patch| is_sendable(patch.bytes())),
             is_confirmed: self.gateway.role.is_watching() && self.gateway.reaches_store(),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -178,6 +178,7 @@
         process: known.map_or(0, |(process, _)| process),
         engines: known.map(|(_, at)| at),
         revision: gateway.revision_version(),
+        document: Some(gateway.document_digest()),
         wait_ms: wait.as_millis() as u64,
         is_cut_off: false,
     };
@@ -209,9 +210,7 @@
     directory: &D,
     update: Update,
 ) -> Option<(u64, u64)> {
-    if let Some(source) = &update.revision {
-        gateway.set_encoded_revision(directory, source, "representative");
-    }
+    gateway.apply_revision(directory, &update, "representative");
     // A representative that does not reach the store may have dropped engines that this host still
     // knows.
     let is_less_reliable = !update.is_confirmed && !gateway.registry.borrow().is_empty();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod check;
 pub mod delivery;
+pub mod documents;
 pub mod feed;
 pub mod follow;
 pub mod front;
@@ -34,6 +35,7 @@
 use log::{info, warn};
 
 use crate::clock::{self, Clock};
+use crate::config::patch::{self, Patch};
 use crate::config::routes::Revision;
 use crate::http::server;
 use crate::relay::handover;
@@ -43,6 +45,7 @@
 use crate::sched::retry;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::within;
+use documents::Documents;
 use follow::Role;
 use protocol::{Directory, Protocol};
 
@@ -121,6 +124,7 @@
     pub requests: server::Requests,
     settings: Settings,
     revision: RefCell<Option<Rc<Revision>>>,
+    documents: RefCell<Documents>,
     // When the revision in force was last known to be the newest one.
     revision_confirmed_at: Cell<Option<Instant>>,
     started_at: Instant,
@@ -159,6 +163,7 @@
             stream_tasks: Group::default(),
             requests: server::Requests::default(),
             revision: RefCell::default(),
+            documents: RefCell::default(),
             revision_confirmed_at: Cell::default(),
             started_at: clock.now(),
             has_engine_list: Cell::default(),
@@ -191,11 +196,50 @@
         }
         info!("event=revision version={version} from={from}");
         self.metrics.set_revision(version);
-        *self.revision.borrow_mut() = Some(Rc::new(revision));
+        let replaced = self.revision.replace(Some(Rc::new(revision)));
+        let mut documents = self.documents.borrow_mut();
+        match replaced {
+            Some(replaced) if self.role.is_representative() => {
+                documents.keep(replaced.source.clone());
+            }
+            _ => documents.clear(),
+        }
+        drop(documents);
         self.notify_followers();
         true
     }
 
+    /// Returns the digest of the configuration document in force, that of the empty text if there is
+    /// none.
+    pub fn document_digest(&self) -> u64 {
+        let revision = self.revision.borrow();
+        patch::digest(revision.as_ref().map_or("", |known| known.source.as_str()))
+    }
+
+    /// Returns a patch to the document of `revision` for a host whose document has the digest `base`.
+    pub fn patch_to(&self, revision: &Revision, base: u64) -> Patch {
+        let mut documents = self.documents.borrow_mut();
+        documents.patch_to(&revision.source, base)
+    }
+
+    /// Applies the configuration that another host sent, as patch or whole, if it is newer.
+    pub fn apply_revision<D: Directory>(&self, directory: &D, update: &feed::Update, from: &str) {
+        if update.version <= self.revision_version() {
+            return;
+        }
+        if let Some(patch) = &update.patch {
+            let known = self.revision();
+            match patch.apply(known.as_ref().map_or("", |known| known.source.as_str())) {
+                Ok(source) => {
+                    self.set_encoded_revision(directory, &source, from);
+                }
+                Err(err) => warn!("event=revision_unreadable from={from} error={err:?}"),
+            }
+        } else if let Some(source) = &update.revision {
+            self.set_encoded_revision(directory, source, from);
+        }
+    }
+
     /// Decodes a configuration sent by another host and puts it into force if it is newer; returns
     /// whether it was newer.
     pub fn set_encoded_revision<D: Directory>(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -483,6 +483,7 @@
 ) {
     let query = Query {
         revision: gateway.revision_version(),
+        document: Some(gateway.document_digest()),
         is_cut_off: true,
         ..Query::default()
     };
@@ -494,9 +495,7 @@
         Ok(Err(err)) => return info!("event=peer_unreadable peer={from} error={err:?}"),
         Err(err) => return info!("event=peer_failed peer={from} error={err:?}"),
     };
-    if let Some(source) = update.revision {
-        gateway.set_encoded_revision(directory, &source, "peer");
-    }
+    gateway.apply_revision(directory, &update, "peer");
     let engines = update.engines.registered.len();
     let mut registry = gateway.registry.borrow_mut();
     if registry.is_empty() && engines > 0 && update.engines_revision >= gateway.engines_revision() {
--- /dev/null
+++ b/tests/feed.rs
@@ -0,0 +1,209 @@
+//! What a gateway sends to the hosts that follow it when the configuration changes.
+
+mod support;
+
+use std::net::TcpListener;
+
+use bilberrypost::config::patch::{Error, Patch, digest};
+use bilberrypost::gateway::documents::Documents;
+use bilberrypost::gateway::feed::{PATH, Update};
+use serde_json::{Value, json};
+use support::platform::{Gateway, Message, Store, config, exchange, settings, wait_for};
+
+/// Hosts that follow one representative on large fleets.
+const FOLLOWERS: usize = 20;
+
+/// Bytes that may be sent for a small change to all followers. A host counts an engine that is
+/// silent for 130 ms as lost, so the change may take a tenth of that of a link of 10 Mbit/s:
+/// 0.013 s x 1.25 MB/s.
+const SENT_BYTES_MAX: usize = 16_250;
+
+/// Returns a configuration of about 16 KB; `timeout_ms` is the timeout of a route in its middle.
+fn large_config(version: u64, timeout_ms: u64) -> Value {
+    let mut document = config(version);
+    let routes = document["routes"].as_array_mut().unwrap();
+    for number in 0..60 {
+        let mut route = routes[1].clone();
+        route["name"] = format!("r-{number}").into();
+        route["path-prefix"] = format!("/any/{number}/").into();
+        routes.push(route);
+    }
+    routes[25]["timeout-ms"] = timeout_ms.into();
+    document
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+/// Sends a follower's query; returns the answer and its size in bytes.
+fn query(port: u16, query: &Value) -> (Update, usize) {
+    let body = query.to_string();
+    let request = format!(
+        "POST {PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let answer = exchange(&format!("127.0.0.1:{port}"), &request).expect("an answer");
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+    let update = serde_json::from_slice(&answer.body).unwrap();
+    (update, size(&answer))
+}
+
+fn size(message: &Message) -> usize {
+    let headers = message.headers.iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.len() + value.len() + 4)
+        .sum();
+    message.first_line.len() + headers + message.body.len() + 4
+}
+
+/// Returns the query of a host of the release before patches, which has `revision`.
+fn old_query(revision: u64) -> Value {
+    json!({"process": 0, "engines": null, "revision": revision, "wait_ms": 0, "is_cut_off": false})
+}
+
+/// Returns the query of a host that has `revision` with this document.
+fn query_with(revision: u64, document: &str) -> Value {
+    let mut query = old_query(revision);
+    query["document"] = digest(document).into();
+    query
+}
+
+/// Starts a gateway that has put revision 1 and then `second` into force. Returns its port for
+/// followers and the document of revision 1.
+fn start_with_change(store: &Store, more: &str, second: Value) -> (Gateway, u16, String) {
+    let port = free_port();
+    store.put("config", "main", large_config(1, 20_000));
+    let more = format!("ports = {port},{port}\n{more}");
+    let gateway = Gateway::start(&settings(&store.address, &more));
+    let has_version = |version| {
+        let name = "bilberrypost_revision_version ";
+        wait_for("the revision", || gateway.metric(name) == Some(version));
+    };
+    has_version(1.0);
+    let (update, _) = query(port, &old_query(0));
+    let document = update.revision.expect("the whole document");
+    store.put("config", "main", second);
+    has_version(2.0);
+    (gateway, port, document)
+}
+
+/// Guards against a representative whose link is full while it sends a small change.
+#[test]
+fn a_small_change_takes_few_bytes() {
+    let store = Store::start();
+    let (_gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
+    assert!((14_000..=16 * 1024).contains(&first.len()));
+    let answers: Vec<_> = (0..FOLLOWERS)
+        .map(|_| query(port, &query_with(1, &first)))
+        .collect();
+    let bytes: usize = answers.iter().map(|(_, bytes)| bytes).sum();
+    assert!(bytes <= SENT_BYTES_MAX, "{bytes} bytes");
+    let (whole, _) = query(port, &old_query(1));
+    for (update, _) in &answers {
+        let patch = update.patch.as_ref().expect("a patch");
+        assert_eq!(patch.apply(&first).ok(), whole.revision);
+    }
+}
+
+/// Guards against followers of the previous release, or with a document that the host never had,
+/// that cannot read what they get.
+#[test]
+fn any_follower_gets_a_readable_revision() {
+    let store = Store::start();
+    let (_gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
+    let (old, _) = query(port, &old_query(1));
+    assert!(old.patch.is_none());
+    let whole = old.revision.expect("the whole document");
+    for (revision, document) in [(0, ""), (1, "another"), (1, first.as_str())] {
+        let (update, _) = query(port, &query_with(revision, document));
+        assert!(update.revision.is_none());
+        let restored = update.patch.expect("a patch").apply(document);
+        assert_eq!(restored, Ok(whole.clone()), "{document}");
+    }
+}
+
+fn text(routes: std::ops::Range<usize>) -> String {
+    let route = |n: usize| {
+        let hash = digest(&n.to_string());
+        format!(r#"{{"name":"{hash:x}","timeout-ms":{}}}"#, hash % 999)
+    };
+    routes.map(route).collect()
+}
+
+/// Guards against patches that restore something else, also where LZ4 cannot refer back far enough.
+#[test]
+fn a_patch_restores_the_document() {
+    let long = text(0..12_000);
+    assert!(long.len() > 400_000);
+    let inserted = format!(
+        "{}{}{}",
+        &long[..90_000],
+        text(20_000..21_000),
+        &long[90_000..]
+    );
+    let removed = format!("{}{}", &long[..50_000], &long[80_000..]);
+    let short = long[..16_000].to_owned();
+    let all = ["", "x", "käse", &short, &long, &inserted, &removed];
+    for base in all {
+        for document in all {
+            let patch = Patch::new(base, document);
+            assert_eq!(patch.apply(base).as_deref(), Ok(document));
+        }
+    }
+}
+
+/// Guards against patches whose size grows with the document instead of the change.
+#[test]
+fn the_patch_for_a_small_change_is_small() {
+    for length in [16_000, 60_000, 70_000, 400_000] {
+        let base = text(0..12_000)[..length].to_owned();
+        let mut document = base.clone();
+        document.replace_range(length / 2..length / 2 + 4, "abcdefgh");
+        let bytes = Patch::new(&base, &document).bytes();
+        assert!(bytes * 50 <= length, "{bytes} of {length}");
+    }
+}
+
+/// Guards against a document that is put into force although a patch was damaged or made for
+/// another one.
+#[test]
+fn a_patch_that_does_not_fit_is_refused() {
+    let (base, document) = (text(0..500), text(3..500));
+    let patch = Patch::new(&base, &document);
+    assert_eq!(patch.apply(&document), Err(Error::OtherBase));
+    assert_eq!(patch.apply(""), Err(Error::OtherBase));
+    let encoded = serde_json::to_value(&patch).unwrap();
+    let damages = [
+        ("result", json!(1)),
+        ("size", json!(document.len() - 1)),
+        ("size", json!(u32::MAX)),
+        ("blocks", json!([])),
+        ("blocks", json!(["AAAA"])),
+        ("blocks", json!(["", "", "////////"])),
+    ];
+    for (field, value) in damages {
+        let mut damaged = encoded.clone();
+        damaged[field] = value;
+        let damaged: Patch = serde_json::from_value(damaged).unwrap();
+        let result = damaged.apply(&base);
+        assert!(matches!(result, Err(Error::Corrupt(_))), "{result:?}");
+    }
+}
+
+/// Guards against memory that grows with each change of the configuration.
+#[test]
+fn few_earlier_documents_are_kept() {
+    let mut documents = Documents::default();
+    for number in 0..50 {
+        documents.keep(format!("{number}-{}", text(0..400)).into());
+    }
+    assert!(documents.bytes() <= 256 * 1024);
+    let current = format!("50-{}", text(0..400));
+    let last = format!("49-{}", text(0..400));
+    let patch = documents.patch_to(&current, digest(&last));
+    assert!(patch.bytes() < 500, "{} bytes", patch.bytes());
+    documents.keep("x".repeat(300 * 1024).into());
+    assert_eq!(documents.bytes(), 0);
+}
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use bilberrypost::config::patch::Patch;
 use bilberrypost::gateway::feed::Update;
 use bilberrypost::member::rendezvous;
 use bilberrypost::peer::report::Report;
@@ -105,11 +106,50 @@
         engines_revision,
         version: 3,
         revision: Some(config(3).to_string()),
+        patch: None,
         is_confirmed: true,
         age_ms: 0,
     }
 }
 
+/// Returns the addresses of three hosts of the failure domain `fd-a`: its two representatives and a
+/// follower.
+fn ranked_addresses() -> [SocketAddr; 3] {
+    let port = {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap().port()
+    };
+    let names = (1..=3).map(|n| SocketAddr::from(([127, 0, 3, n], port)).to_compact_string());
+    let names: Vec<_> = names.collect();
+    let ranked = rendezvous::ranked("fd-a", names.iter().map(|name| name.as_str()));
+    let ranked: Vec<SocketAddr> = ranked.iter().map(|name| name.parse().unwrap()).collect();
+    ranked.try_into().unwrap()
+}
+
+/// Starts a gateway with the address `follower` whose seed is `representative`.
+fn start_gateway(store: &Store, follower: SocketAddr, representative: SocketAddr) -> Gateway {
+    let port = follower.port();
+    let more = format!("seeds = {}:1\nports = {port},{port}", representative.ip());
+    let text =
+        settings(&store.address, &more).replace("127.0.0.1:0", &format!("{}:0", follower.ip()));
+    Gateway::start(&text)
+}
+
+/// Starts a gateway that follows a representative with these updates.
+fn start_follower(
+    store: &Store,
+    update: impl Fn() -> Update + Send + Sync + 'static,
+) -> (Gateway, Representative) {
+    let ranked = ranked_addresses();
+    let all: Vec<_> = ranked.iter().map(SocketAddr::ip).collect();
+    let is_up = Arc::new(AtomicU64::new(1));
+    let update = Arc::new(update);
+    let second = update.clone();
+    let first = Representative::start(ranked[0], &all, ranked[2], move || update(), is_up.clone());
+    Representative::start(ranked[1], &all, ranked[2], move || second(), is_up);
+    (start_gateway(store, ranked[2], ranked[0]), first)
+}
+
 /// Guards against an engine that has left and is used again because the host changes to a
 /// representative whose list is older.
 #[test]
@@ -118,21 +158,9 @@
     let stays = Engine::start("i-2", |_| Reaction::Response(200, "stays".into()));
     let store = Store::start();
     store.set_mode(Mode::Unavailable);
-    let port = {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.local_addr().unwrap().port()
-    };
     // The host with the lowest rank is the gateway; the others represent the failure domain.
-    let addresses: Vec<_> = (1..=3)
-        .map(|n| SocketAddr::from(([127, 0, 3, n], port)))
-        .collect();
-    let names: Vec<_> = addresses
-        .iter()
-        .map(ToCompactString::to_compact_string)
-        .collect();
-    let ranked = rendezvous::ranked("fd-a", names.iter().map(|name| name.as_str()));
-    let ranked: Vec<SocketAddr> = ranked.iter().map(|name| name.parse().unwrap()).collect();
-    let all: Vec<_> = addresses.iter().map(SocketAddr::ip).collect();
+    let ranked = ranked_addresses();
+    let all: Vec<_> = ranked.iter().map(SocketAddr::ip).collect();
     let follower = ranked[2];
     let (first_up, second_up) = (Arc::new(AtomicU64::new(1)), Arc::new(AtomicU64::new(1)));
     let current = update(11, 20, &[&stays]);
@@ -143,10 +171,7 @@
     };
     let first = Representative::start(ranked[0], &all, follower, copy(current), first_up.clone());
     let second = Representative::start(ranked[1], &all, follower, copy(older), second_up);
-    let more = format!("seeds = {}:1\nports = {port},{port}", ranked[0].ip());
-    let text =
-        settings(&store.address, &more).replace("127.0.0.1:0", &format!("{}:0", follower.ip()));
-    let gateway = Gateway::start(&text);
+    let gateway = start_gateway(&store, follower, ranked[0]);
     wait_for("readiness", || gateway.is_ready());
     wait_for("the current list", || {
         first.updates.load(Ordering::Relaxed) > 2
@@ -162,3 +187,44 @@
     }
     assert_eq!(left.request_count(), 0);
 }
+
+/// Guards against a follower that stays behind because the patch from its representative is
+/// damaged.
+#[test]
+fn a_damaged_patch_is_replaced_from_the_store() {
+    let store = Store::start();
+    let patch = Patch::new("", &config(4).to_string());
+    let mut damaged = serde_json::to_value(&patch).unwrap();
+    damaged["result"] = 1.into();
+    let damaged: Patch = serde_json::from_value(damaged).unwrap();
+    let (gateway, representative) = start_follower(&store, move || Update {
+        version: 4,
+        revision: None,
+        patch: Some(damaged.clone()),
+        ..update(11, 20, &[])
+    });
+    wait_for("an update", || {
+        representative.updates.load(Ordering::Relaxed) > 1
+    });
+    store.put("config", "main", config(4));
+    wait_for("the revision", || {
+        gateway.metric("bilberrypost_revision_version ") == Some(4.0)
+    });
+}
+
+/// Guards against a follower that does not understand patches of its representative.
+#[test]
+fn a_patch_is_put_into_force_without_the_store() {
+    let store = Store::start();
+    store.set_mode(Mode::Unavailable);
+    let patch = Patch::new("", &config(4).to_string());
+    let (gateway, _representative) = start_follower(&store, move || Update {
+        version: 4,
+        revision: None,
+        patch: Some(patch.clone()),
+        ..update(11, 20, &[])
+    });
+    wait_for("the revision", || {
+        gateway.metric("bilberrypost_revision_version ") == Some(4.0)
+    });
+}
