Pace what is sent to followers to a quarter of the link

Cause: even patches are sent to all followers at once.

Change: the new setting link_mbps, which the platform fills in, gives the rate of the host's link. Answers to followers are scheduled so that they take a quarter of it. An answer waits at most 200 ms; a follower whose revision would wait longer is told the version and reads the store. A follower that cannot read the store waits up to 2 s. Without the setting nothing is paced. The time that an answer waited counts toward the age that it states.

Ruled out: longer waits. After 300 ms followers hear of the revision from their peers and read the store as well.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -13,6 +13,7 @@
 
 use super::Gateway;
 use super::delivery::{Delivery, Summary};
+use super::pacing::Pacing;
 use crate::clock::Clock;
 use crate::config::patch::Patch;
 use crate::http::body::Body;
@@ -35,6 +36,14 @@
 /// configuration from the store.
 const SENT_REVISION_BYTES_MAX: usize = 16 * 1024;
 
+/// Longest time that an answer waits for the link. It stays below the 300 ms after which a host that
+/// hears of a newer revision from its peers reads the store anyway, and below the 300 ms that a
+/// follower waits beyond the requested time.
+const SEND_WAIT_MAX: Duration = Duration::from_millis(200);
+
+/// [`SEND_WAIT_MAX`] for a follower that cannot read the store. It stays below its timeout of 3 s.
+const CUT_OFF_WAIT_MAX: Duration = Duration::from_secs(2);
+
 /// What a follower already knows.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub struct Query {
@@ -83,6 +92,7 @@
 pub struct Endpoint<C: Clock> {
     gateway: Rc<Gateway<C>>,
     delivery: RefCell<Delivery>,
+    pacing: RefCell<Pacing>,
 }
 
 impl<C: Clock> server::Service for Endpoint<C> {
@@ -103,13 +113,18 @@
                 "the query is malformed; run the same version on all hosts",
             );
         };
-        let update = self.update(query).await;
-        let body = serde_json::to_vec(&update).expect("an update serializes");
+        let mut update = self.update(query).await;
+        self.pace(query, &mut update).await;
+        let body = encode(&update);
         self.record(query, &update, body.len() as u64);
         json_bytes_response(body)
     }
 }
 
+fn encode(update: &Update) -> Vec<u8> {
+    serde_json::to_vec(update).expect("an update serializes")
+}
+
 fn log_delivery(summary: Summary) {
     let duration = summary.last_at.duration_since(summary.first_at);
     info!(
@@ -126,9 +141,37 @@
     /// Creates the service for the followers of `gateway`.
     pub fn new(gateway: Rc<Gateway<C>>) -> Self {
         Self {
-            gateway,
             delivery: RefCell::default(),
+            pacing: RefCell::new(Pacing::new(gateway.settings.link_mbps)),
+            gateway,
+        }
+    }
+
+    /// Waits until the link is free for `update`. If that takes too long, the revision is left out and
+    /// the rest sent at once, so that the follower reads the store.
+    async fn pace(&self, query: Query, update: &mut Update) {
+        let now = self.gateway.clock.now();
+        let wait = self.pacing.borrow().wait(now);
+        let wait_max = match query.is_cut_off {
+            true => CUT_OFF_WAIT_MAX,
+            false => SEND_WAIT_MAX,
+        };
+        let has_revision = update.revision.is_some() || update.patch.is_some();
+        if has_revision && wait > wait_max {
+            update.revision = None;
+            update.patch = None;
+            return;
+        }
+        let bytes = encode(update).len();
+        self.pacing.borrow_mut().reserve(bytes, now);
+        let wait = wait.min(wait_max);
+        if wait.is_zero() {
+            return;
         }
+        compio::time::sleep(wait).await;
+        let waited = self.gateway.clock.now().duration_since(now);
+        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        update.age_ms = update.age_ms.saturating_add(waited_ms);
     }
 
     /// Counts the bytes of an update, and logs the delivery of a revision once it has ended.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod follow;
 pub mod front;
 pub mod lateness;
+pub mod pacing;
 pub mod peers;
 pub mod plain;
 pub mod protocol;
@@ -88,6 +89,8 @@
     pub is_fail_closed: bool,
     /// Age of the last confirmation above which the configuration counts as stale.
     pub revoke_limit: Duration,
+    /// Rate of the host's link in Mbit/s; `None` if what it sends to followers is not paced.
+    pub link_mbps: Option<f64>,
     /// Limits on retries.
     pub retries: retry::Policy,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -19,12 +19,17 @@
     "store",
     "fail_closed",
     "drain_limit_s",
+    "link_mbps",
     "retry_ratio",
     "retry_slack",
     "retry_window_s",
     "revoke_limit_ms",
 ];
 
+/// Accepted rates of a link in Mbit/s.
+const LINK_MBPS_MIN: f64 = 0.1;
+const LINK_MBPS_MAX: f64 = 1_000_000.0;
+
 /// Reads the own address for messages between gateways and the addresses of the seeds. All hosts
 /// use the first port of `ports` for these messages; only the IP addresses are taken from `listen`
 /// and `seeds`. `None` if `ports` is empty.
@@ -54,6 +59,25 @@
     Ok(Some((SocketAddr::new(own.ip(), port), seeds?)))
 }
 
+/// Reads the rate of the host's link in Mbit/s; `None` if it is not set. The bounds keep the times
+/// that follow from it within what a duration can hold.
+fn link_mbps(section: &Section<'_>) -> Result<Option<f64>, Error> {
+    if section.text("link_mbps").is_none() {
+        return Ok(None);
+    }
+    let rate: f64 = section.value("link_mbps", LINK_MBPS_MIN)?;
+    match (LINK_MBPS_MIN..=LINK_MBPS_MAX).contains(&rate) {
+        true => Ok(Some(rate)),
+        false => {
+            let message = format!(
+                "link_mbps = {rate} is out of range; write the rate of the link in Mbit/s, \
+                 from {LINK_MBPS_MIN} to {LINK_MBPS_MAX}"
+            );
+            Err(section.error("link_mbps", message))
+        }
+    }
+}
+
 /// Reads the `[platform]` section of a settings file; `None` if the file has none.
 ///
 /// # Errors
@@ -89,6 +113,7 @@
         peers: peer_addresses(&section)?,
         store: address("store")?,
         drain_limit: seconds("drain_limit_s", 8.0)?,
+        link_mbps: link_mbps(&section)?,
         is_fail_closed: section.flag("fail_closed", false)?,
         revoke_limit: section.millis("revoke_limit_ms", Duration::from_secs(5))?,
         retries: retry::Policy {
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -3,10 +3,13 @@
 mod support;
 
 use std::net::TcpListener;
+use std::time::Duration;
 
+use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::config::patch::{Error, Patch, digest};
 use bilberrypost::gateway::documents::Documents;
 use bilberrypost::gateway::feed::{PATH, Update};
+use bilberrypost::gateway::pacing::Pacing;
 use serde_json::{Value, json};
 use support::platform::{Gateway, Message, Store, config, exchange, settings, wait_for};
 
@@ -207,3 +210,55 @@
     documents.keep("x".repeat(300 * 1024).into());
     assert_eq!(documents.bytes(), 0);
 }
+
+/// Guards against messages to followers that fill the link, and against a schedule that stays
+/// behind after a pause.
+#[test]
+fn messages_take_a_quarter_of_the_link() {
+    const LINK_BYTES_PER_S: usize = 1_250_000;
+    let clock = Manual::default();
+    let started = clock.now();
+    let mut pacing = Pacing::new(Some(10.0));
+    let mut sent = 0;
+    for bytes in [16_000, 500, 3000].into_iter().cycle().take(300) {
+        clock.advance(pacing.wait(clock.now()));
+        let elapsed = clock.now().duration_since(started).as_secs_f64();
+        assert!(sent as f64 <= elapsed * LINK_BYTES_PER_S as f64 / 4.0 + 1.0);
+        pacing.reserve(bytes, clock.now());
+        sent += bytes;
+    }
+    clock.advance(Duration::from_secs(3600));
+    assert_eq!(pacing.wait(clock.now()), Duration::ZERO);
+    pacing.reserve(LINK_BYTES_PER_S / 4, clock.now());
+    let wait = pacing.wait(clock.now());
+    assert!((0.999..1.001).contains(&wait.as_secs_f64()), "{wait:?}");
+}
+
+/// Guards against waits on hosts whose settings do not name the rate of the link.
+#[test]
+fn nothing_waits_without_a_rate() {
+    let clock = Manual::default();
+    let mut pacing = Pacing::new(None);
+    pacing.reserve(usize::MAX, clock.now());
+    assert_eq!(pacing.wait(clock.now()), Duration::ZERO);
+}
+
+/// Guards against a slow link that delays a revision for the last of many followers.
+#[test]
+fn followers_read_the_store_if_the_link_is_slow() {
+    let store = Store::start();
+    let more = "link_mbps = 0.1";
+    let (gateway, port, first) = start_with_change(&store, more, large_config(2, 15_000));
+    wait_for("a referral to the store", || {
+        // The whole document takes seconds of this link.
+        query(port, &old_query(0));
+        let (update, _) = query(port, &query_with(1, &first));
+        update.version == 2 && update.patch.is_none() && update.revision.is_none()
+    });
+    let mut cut_off = query_with(1, &first);
+    cut_off["is_cut_off"] = true.into();
+    wait_for("a patch in an outage", || {
+        query(port, &cut_off).0.patch.is_some()
+    });
+    drop(gateway);
+}
