Fetch only a revision that did not arrive

Cause: 300 ms after a peer reported a newer revision, a host read the store even if the revision had arrived from its representative meanwhile. In a series of changes the delay of each revision also counted from the first report, so that hosts read the store for one that was 50 ms old.

Change: what peers reported is a state of its own (peer/newer.rs). It is forgotten when the revision arrives, and the delay starts again when an older one arrived. The delay itself stays 300 ms.

Ruled out: a longer delay. It would also hold back hosts whose representative does not deliver.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -37,7 +37,7 @@
 const SENT_REVISION_BYTES_MAX: usize = 16 * 1024;
 
 /// Longest time that an answer waits for the link. It stays below the 300 ms after which a host that
-/// hears of a newer revision from its peers reads the store anyway, and below the 300 ms that a
+/// hears of a newer revision from its peers reads the store anyway (`peer::newer`), and below the 300 ms that a
 /// follower waits beyond the requested time.
 const SEND_WAIT_MAX: Duration = Duration::from_millis(200);
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 use crate::clock::Clock;
 use crate::http::client::post_json;
 use crate::http::pool::Pool;
+use crate::peer::newer::Newer;
 use crate::peer::report::{self, Report, Summary};
 use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::relay::handover;
@@ -47,10 +48,6 @@
 /// Maximum number of streams in one report, which keeps it below [`report::BYTES_MAX`].
 const REPORT_STREAMS_MAX: usize = 64;
 
-/// Time after a peer reports a newer configuration in which the store or a representative normally
-/// delivers it. Only then it is fetched.
-const REVISION_FETCH_DELAY: Duration = Duration::from_millis(300);
-
 /// Timeout for fetching the configuration and the engines from a peer, which may be large.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -77,7 +74,7 @@
         fetches: Group::default(),
         is_fetching: Rc::default(),
         last_number: 0,
-        newer_peer: None,
+        newer: Newer::default(),
         awaiting_reply: BTreeSet::new(),
         summaries: BTreeMap::new(),
         last_report: None,
@@ -140,9 +137,9 @@
     is_fetching: Rc<Cell<bool>>,
     // Number of the last report or summary that was sent.
     last_number: u64,
-    // The peer with the newest configuration that is newer than this host's, or with engines while
-    // this host knows none; with that revision, and when the first such peer reported.
-    newer_peer: Option<(SocketAddr, u64, Instant)>,
+    // The newest configuration that is newer than this host's, or that of a peer with engines while
+    // this host knows none.
+    newer: Newer,
     // Hosts of other failure domains that asked for a report. Each gets one.
     awaiting_reply: BTreeSet<SocketAddr>,
     // The last summary of each other failure domain, and whether it was forwarded.
@@ -178,10 +175,8 @@
         if report.revision > self.gateway.revision_version()
             || (has_no_engines && report.revision > 0)
         {
-            let (peer, newest, _) = self.newer_peer.get_or_insert((from, report.revision, now));
-            if report.revision > *newest {
-                (*peer, *newest) = (from, report.revision);
-            }
+            let own = self.gateway.revision_version();
+            self.newer.record(from, report.revision, own, now);
         }
         for summary in report.summaries {
             self.handle_summary(summary, from, now);
@@ -451,17 +446,20 @@
         }
     }
 
-    /// Starts to fetch a newer configuration that a peer reported [`REVISION_FETCH_DELAY`] ago:
+    /// Starts to fetch a newer configuration that a peer reported and that did not arrive in time:
     /// from the store, or from the peer if the store does not answer or this host knows no engines.
     fn fetch_newer_revision(&mut self) {
         let now = self.gateway.clock.now();
-        let Some((from, _, since)) = self.newer_peer else {
+        if !self.gateway.registry.borrow().is_empty() {
+            self.newer.record_own(self.gateway.revision_version(), now);
+        }
+        let Some(from) = self.newer.due(now) else {
             return;
         };
-        if now.duration_since(since) < REVISION_FETCH_DELAY || self.is_fetching.replace(true) {
+        if self.is_fetching.replace(true) {
             return;
         }
-        self.newer_peer = None;
+        self.newer.clear();
         let (gateway, directory) = (self.gateway.clone(), self.directory.clone());
         let (pool, is_fetching) = (self.pool.clone(), self.is_fetching.clone());
         self.fetches.spawn(async move {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod auth;
 pub mod client;
+pub mod newer;
 pub mod report;
 pub mod representatives;
 pub mod roster;
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -6,6 +6,7 @@
 
 use bilberrypost::clock::Manual;
 use bilberrypost::gateway::watch::retry_pause;
+use bilberrypost::peer::newer::Newer;
 use bilberrypost::peer::report::{BYTES_MAX, EngineHash, Report, Summary, Usage};
 use bilberrypost::peer::representatives::Representatives;
 use bilberrypost::peer::roster::{REPRESENTATIVES, Roster};
@@ -215,6 +216,30 @@
     }
 }
 
+/// Guards against calls to the store for revisions that arrived in the meantime, also in a series of
+/// changes.
+#[test]
+fn only_a_revision_that_does_not_arrive_is_fetched() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut newer = Newer::default();
+    for number in 0..20 {
+        let now = number * 200;
+        newer.record(address(1), number + 2, number + 1, at(now));
+        assert_eq!(newer.due(at(now + 150)), None);
+        newer.record_own(number + 2, at(now + 150));
+        assert_eq!(newer.due(at(now + 400)), None);
+    }
+    newer.record(address(1), 30, 21, at(5000));
+    newer.record(address(2), 31, 21, at(5200));
+    newer.record_own(30, at(5250));
+    newer.record_own(30, at(5400));
+    assert_eq!(newer.due(at(5549)), None);
+    assert_eq!(newer.due(at(5550)), Some(address(2)));
+    newer.clear();
+    assert_eq!(newer.due(at(9000)), None);
+}
+
 /// Guards against hosts that all follow one representative of the fleet or of another failure
 /// domain first, and against one that follows itself.
 #[test]
