--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,18 +1,23 @@
 //! Endpoint that sends the configuration and the engines to hosts that follow this one instead of
 //! the store. A query waits for a change (long polling).
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use log::info;
 use serde::{Deserialize, Serialize};
 
 use super::Gateway;
+use super::delivery::{Delivery, Summary};
+use super::pacing::Pacing;
 use crate::clock::Clock;
+use crate::config::patch::Patch;
 use crate::http::body::Body;
-use crate::http::problem::{json_response, text_response};
+use crate::http::problem::{json_bytes_response, text_response};
 use crate::http::server;
 use crate::route::history::Changes;
 use crate::util::within;
@@ -26,10 +31,19 @@
 /// Longest time that a query waits for a change.
 const WAIT_MAX: Duration = Duration::from_secs(2);
 
-/// Maximum size in bytes of a configuration that is sent to followers. Sending a larger one to
-/// each follower would saturate the link of a small host, so they read it from the store.
+/// Maximum size in bytes of a configuration, or of a patch to it, that is sent to followers. Sending
+/// a larger one to each follower would saturate the link of a small host, so they read the
+/// configuration from the store.
 const SENT_REVISION_BYTES_MAX: usize = 16 * 1024;
 
+/// Longest time that an answer waits for the link. It stays below the 300 ms after which a host that
+/// hears of a newer revision from its peers reads the store anyway (`peer::newer`), and below the 300 ms that a
+/// follower waits beyond the requested time.
+const SEND_WAIT_MAX: Duration = Duration::from_millis(200);
+
+/// [`SEND_WAIT_MAX`] for a follower that cannot read the store. It stays below its timeout of 3 s.
+const CUT_OFF_WAIT_MAX: Duration = Duration::from_secs(2);
+
 /// What a follower already knows.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub struct Query {
@@ -39,6 +53,10 @@
     pub engines: Option<u64>,
     /// Version of the follower's configuration, 0 if it has none.
     pub revision: u64,
+    /// Digest of the follower's configuration document, that of the empty text if it has none.
+    /// `None` if the follower cannot apply patches, as in releases before they existed.
+    #[serde(default)]
+    pub document: Option<u64>,
     /// Time to wait for a change, in milliseconds.
     pub wait_ms: u64,
     /// Whether the follower cannot read the store and needs the configuration whatever its size.
@@ -56,9 +74,13 @@
     pub engines_revision: u64,
     /// Version of the configuration in force, 0 if there is none.
     pub version: u64,
-    /// The configuration document as stored, if the follower has an older one and the size limit
-    /// allows.
+    /// The configuration document as stored, if the follower has an older one, cannot apply patches,
+    /// and the size limit allows.
     pub revision: Option<String>,
+    /// A patch to the configuration document, if the follower has an older one, can apply patches,
+    /// and the size limit allows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub patch: Option<Patch>,
     /// Whether the answering host watches the store itself and reaches it.
     pub is_confirmed: bool,
     /// Age in milliseconds of the older one of its configuration and its engines.
@@ -66,7 +88,12 @@
 }
 
 /// The HTTP service that answers queries of other gateways.
-pub struct Endpoint<C: Clock>(pub Rc<Gateway<C>>);
+#[derive(Debug)]
+pub struct Endpoint<C: Clock> {
+    gateway: Rc<Gateway<C>>,
+    delivery: RefCell<Delivery>,
+    pacing: RefCell<Pacing>,
+}
 
 impl<C: Clock> server::Service for Endpoint<C> {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
@@ -86,39 +113,125 @@
                 "the query is malformed; run the same version on all hosts",
             );
         };
-        json_response(&self.update(query).await)
+        let mut update = self.update(query).await;
+        self.pace(query, &mut update).await;
+        let body = encode(&update);
+        self.record(query, &update, body.len() as u64);
+        json_bytes_response(body)
     }
 }
 
+fn encode(update: &Update) -> Vec<u8> {
+    serde_json::to_vec(update).expect("an update serializes")
+}
+
+fn log_delivery(summary: Summary) {
+    let duration = summary.last_at.duration_since(summary.first_at);
+    info!(
+        "event=revision_sent version={} followers={} referred={} bytes={} took_ms={}",
+        summary.version,
+        summary.followers,
+        summary.referred,
+        summary.bytes,
+        duration.as_millis()
+    );
+}
+
 impl<C: Clock> Endpoint<C> {
+    /// Creates the service for the followers of `gateway`.
+    pub fn new(gateway: Rc<Gateway<C>>) -> Self {
+        Self {
+            delivery: RefCell::default(),
+            pacing: RefCell::new(Pacing::new(gateway.settings.link_mbps)),
+            gateway,
+        }
+    }
+
+    /// Waits until the link is free for `update`. If that takes too long, the revision is left out and
+    /// the rest sent at once, so that the follower reads the store.
+    async fn pace(&self, query: Query, update: &mut Update) {
+        let now = self.gateway.clock.now();
+        let wait = self.pacing.borrow().wait(now);
+        let wait_max = match query.is_cut_off {
+            true => CUT_OFF_WAIT_MAX,
+            false => SEND_WAIT_MAX,
+        };
+        let has_revision = update.revision.is_some() || update.patch.is_some();
+        if has_revision && wait > wait_max {
+            update.revision = None;
+            update.patch = None;
+            return;
+        }
+        let bytes = encode(update).len();
+        self.pacing.borrow_mut().reserve(bytes, now);
+        let wait = wait.min(wait_max);
+        if wait.is_zero() {
+            return;
+        }
+        compio::time::sleep(wait).await;
+        let waited = self.gateway.clock.now().duration_since(now);
+        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        update.age_ms = update.age_ms.saturating_add(waited_ms);
+    }
+
+    /// Counts the bytes of an update, and logs the delivery of a revision once it has ended.
+    fn record(&self, query: Query, update: &Update, bytes: u64) {
+        let content = match (&update.revision, &update.patch) {
+            (Some(_), _) => "revision",
+            (_, Some(_)) => "patch",
+            _ if update.engines.is_whole => "engines",
+            _ => "changes",
+        };
+        self.gateway.metrics.count_feed_bytes(content, bytes);
+        let now = self.gateway.clock.now();
+        let mut delivery = self.delivery.borrow_mut();
+        let delivered = delivery.take_delivered(now);
+        let is_newer = update.version > query.revision;
+        let is_sent = update.revision.is_some() || update.patch.is_some();
+        let ended = is_newer
+            .then(|| delivery.record(update.version, is_sent, bytes, now))
+            .flatten();
+        delivered.into_iter().chain(ended).for_each(log_delivery);
+    }
+
     async fn update(&self, query: Query) -> Update {
-        let next_change = self.0.next_change.borrow().clone();
+        let next_change = self.gateway.next_change.borrow().clone();
         if !self.has_changes_for(query) {
             let wait = Duration::from_millis(query.wait_ms).min(WAIT_MAX);
             within(wait, next_change.wait()).await;
         }
-        let known = (query.process == self.0.process).then_some(query.engines);
-        let revision = self.0.revision();
-        let newer = revision.filter(|revision| {
-            let is_sendable = query.is_cut_off || revision.source.len() <= SENT_REVISION_BYTES_MAX;
-            is_sendable && revision.version > query.revision
-        });
-        let age = self.0.engines_age().max(self.0.configuration_age());
+        let known = (query.process == self.gateway.process).then_some(query.engines);
+        let newer = self.gateway.revision();
+        let newer = newer.filter(|revision| revision.version > query.revision);
+        let is_sendable = |bytes| query.is_cut_off || bytes <= SENT_REVISION_BYTES_MAX;
+        let patch = newer.as_ref().zip(query.document);
+        let patch = patch.map(|(revision, base)| self.gateway.patch_to(revision, base));
+        let whole = newer.filter(|_| query.document.is_none());
+        let whole = whole.map(|revision| revision.source.to_string());
+        let age = self
+            .gateway
+            .engines_age()
+            .max(self.gateway.configuration_age());
         Update {
-            process: self.0.process,
-            engines: self.0.registry.borrow().changes_since(known.flatten()),
-            engines_revision: self.0.engines_revision(),
-            version: self.0.revision_version(),
-            revision: newer.map(|revision| revision.source.to_string()),
-            is_confirmed: self.0.role.is_watching() && self.0.reaches_store(),
+            process: self.gateway.process,
+            engines: self
+                .gateway
+                .registry
+                .borrow()
+                .changes_since(known.flatten()),
+            engines_revision: self.gateway.engines_revision(),
+            version: self.gateway.revision_version(),
+            revision: whole.filter(|whole| is_sendable(whole.len())),
+            patch: patch.filter(|patch| is_sendable(patch.bytes())),
+            is_confirmed: self.gateway.role.is_watching() && self.gateway.reaches_store(),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
     fn has_changes_for(&self, query: Query) -> bool {
-        let changed = self.0.registry.borrow().last_change();
-        query.process != self.0.process
+        let changed = self.gateway.registry.borrow().last_change();
+        query.process != self.gateway.process
             || query.engines != Some(changed)
-            || query.revision < self.0.revision_version()
+            || query.revision < self.gateway.revision_version()
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,9 +9,13 @@
 pub mod call;
 pub mod check;
 pub mod crash;
+pub mod delivery;
+pub mod documents;
 pub mod feed;
 pub mod follow;
 pub mod front;
+pub mod lateness;
+pub mod pacing;
 pub mod peers;
 pub mod plain;
 pub mod protocol;
@@ -34,6 +38,7 @@
 use log::{info, warn};
 
 use crate::clock::{self, Clock};
+use crate::config::patch::{self, Patch};
 use crate::config::routes::Revision;
 use crate::http::server;
 use crate::relay::handover;
@@ -44,6 +49,7 @@
 use crate::sched::retry;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::within;
+use documents::Documents;
 use follow::Role;
 use protocol::{Directory, Protocol};
 
@@ -86,6 +92,8 @@
     pub is_fail_closed: bool,
     /// Age of the last confirmation above which the configuration counts as stale.
     pub revoke_limit: Duration,
+    /// Rate of the host's link in Mbit/s; `None` if what it sends to followers is not paced.
+    pub link_mbps: Option<f64>,
     /// Limits on retries.
     pub retries: retry::Policy,
 }
@@ -130,6 +138,7 @@
     pub requests: server::Requests,
     settings: Settings,
     revision: RefCell<Option<Rc<Revision>>>,
+    documents: RefCell<Documents>,
     // When the revision in force was last known to be the newest one.
     revision_confirmed_at: Cell<Option<Instant>>,
     started_at: Instant,
@@ -172,6 +181,7 @@
             reach: reach::Reach::default(),
             requests: server::Requests::default(),
             revision: RefCell::default(),
+            documents: RefCell::default(),
             revision_confirmed_at: Cell::default(),
             started_at: clock.now(),
             has_engine_list: Cell::default(),
@@ -204,11 +214,50 @@
         }
         info!("event=revision version={version} from={from}");
         self.metrics.set_revision(version);
-        *self.revision.borrow_mut() = Some(Rc::new(revision));
+        let replaced = self.revision.replace(Some(Rc::new(revision)));
+        let mut documents = self.documents.borrow_mut();
+        match replaced {
+            Some(replaced) if self.role.is_representative() => {
+                documents.keep(replaced.source.clone());
+            }
+            _ => documents.clear(),
+        }
+        drop(documents);
         self.notify_followers();
         true
     }
 
+    /// Returns the digest of the configuration document in force, that of the empty text if there is
+    /// none.
+    pub fn document_digest(&self) -> u64 {
+        let revision = self.revision.borrow();
+        patch::digest(revision.as_ref().map_or("", |known| known.source.as_str()))
+    }
+
+    /// Returns a patch to the document of `revision` for a host whose document has the digest `base`.
+    pub fn patch_to(&self, revision: &Revision, base: u64) -> Patch {
+        let mut documents = self.documents.borrow_mut();
+        documents.patch_to(&revision.source, base)
+    }
+
+    /// Applies the configuration that another host sent, as patch or whole, if it is newer.
+    pub fn apply_revision<D: Directory>(&self, directory: &D, update: &feed::Update, from: &str) {
+        if update.version <= self.revision_version() {
+            return;
+        }
+        if let Some(patch) = &update.patch {
+            let known = self.revision();
+            match patch.apply(known.as_ref().map_or("", |known| known.source.as_str())) {
+                Ok(source) => {
+                    self.set_encoded_revision(directory, &source, from);
+                }
+                Err(err) => warn!("event=revision_unreadable from={from} error={err:?}"),
+            }
+        } else if let Some(source) = &update.revision {
+            self.set_encoded_revision(directory, source, from);
+        }
+    }
+
     /// Decodes a configuration sent by another host and puts it into force if it is newer; returns
     /// whether it was newer.
     pub fn set_encoded_revision<D: Directory>(
@@ -435,7 +484,7 @@
     );
     if let Some((address, seeds)) = gateway.settings.peers.clone() {
         let listener = listen_on(&address.to_string()).await?;
-        let service = Rc::new(feed::Endpoint(gateway.clone()));
+        let service = Rc::new(feed::Endpoint::new(gateway.clone()));
         supervisor.spawn(
             "feed",
             server::serve(listener, service, supervisor.stop_signal()),
@@ -464,6 +513,10 @@
         "checks",
         check::run(gateway.clone(), supervisor.stop_signal()),
     );
+    supervisor.spawn(
+        "lateness",
+        lateness::run(gateway.clone(), supervisor.stop_signal()),
+    );
     supervisor.spawn("reloads", log_sighup(supervisor.stop_signal()));
     supervisor.spawn("stops", log_sigterm(supervisor.stop_signal()));
     let caller_stop = Signal::default();
