Compress the list of engines for hosts that change their representative

Cause: a host that changes its representative gets all engines as JSON. 20 hosts do so at once when theirs is lost: 426,540 bytes for 126 engines, 0.34 s of a link of 10 Mbit/s, longer than the 130 ms after which a silent engine counts as lost.

Change: the list is compressed for followers that can apply patches; others get it as before.

Ruled out: the changes since the follower's revision of the store. The registry numbers its changes by process and does not keep revisions of the store.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -15,7 +15,7 @@
 use super::delivery::{Delivery, Summary};
 use super::pacing::Pacing;
 use crate::clock::Clock;
-use crate::config::patch::Patch;
+use crate::config::patch::{self, Patch};
 use crate::http::body::Body;
 use crate::http::problem::{json_bytes_response, text_response};
 use crate::http::server;
@@ -70,6 +70,10 @@
     pub process: u64,
     /// Changes of the engines.
     pub engines: Changes,
+    /// `engines.registered` as compressed JSON, in place of all engines if the follower can apply
+    /// patches.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub packed_engines: Option<Patch>,
     /// Revision of the store up to which the answering host knows these changes.
     pub engines_revision: u64,
     /// Version of the configuration in force, 0 if there is none.
@@ -87,6 +91,38 @@
     pub age_ms: u64,
 }
 
+/// Why an update could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The answer, or the list of engines in it, is not valid JSON of the expected form.
+    #[error("the answer cannot be parsed: {0}; run the same version on all hosts")]
+    Malformed(#[from] serde_json::Error),
+    /// The compressed list of engines is corrupt.
+    #[error("the list of engines cannot be restored: {0}")]
+    Corrupt(#[from] patch::Error),
+}
+
+impl Update {
+    /// Parses the answer to a query and restores the list of engines.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub fn decode(body: &[u8]) -> Result<Self, Error> {
+        let mut update: Self = serde_json::from_slice(body)?;
+        if let Some(packed) = update.packed_engines.take() {
+            update.engines.registered = serde_json::from_str(&packed.apply("")?)?;
+        }
+        Ok(update)
+    }
+
+    /// Compresses the list of engines. A follower that changes to this host gets all of them.
+    fn pack_engines(&mut self) {
+        let registered = std::mem::take(&mut self.engines.registered);
+        let list = serde_json::to_string(&registered).expect("registrations serialize");
+        self.packed_engines = Some(Patch::new("", &list));
+    }
+}
+
 /// The HTTP service that answers queries of other gateways.
 #[derive(Debug)]
 pub struct Endpoint<C: Clock> {
@@ -114,6 +150,9 @@
             );
         };
         let mut update = self.update(query).await;
+        if update.engines.is_whole && query.document.is_some() {
+            update.pack_engines();
+        }
         self.pace(query, &mut update).await;
         let body = encode(&update);
         self.record(query, &update, body.len() as u64);
@@ -219,6 +258,7 @@
                 .registry
                 .borrow()
                 .changes_since(known.flatten()),
+            packed_engines: None,
             engines_revision: self.gateway.engines_revision(),
             version: self.gateway.revision_version(),
             revision: whole.filter(|whole| is_sendable(whole.len())),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -217,7 +217,7 @@
     };
     gateway.metrics.count_decision("follow", outcome);
     let cause = match update {
-        Ok((_, body)) => match serde_json::from_slice(&body) {
+        Ok((_, body)) => match Update::decode(&body) {
             Ok(update) => return Some(update),
             Err(err) => err.to_string(),
         },
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -488,7 +488,7 @@
     let address = from.to_string();
     let request = post_json(&address, feed::PATH, &query);
     let update = pool.call(&address, request, FETCH_TIMEOUT).await;
-    let update: Update = match update.map(|(_, body)| serde_json::from_slice(&body)) {
+    let update = match update.map(|(_, body)| Update::decode(&body)) {
         Ok(Ok(update)) => update,
         Ok(Err(err)) => return info!("event=peer_unreadable peer={from} error={err:?}"),
         Err(err) => return info!("event=peer_failed peer={from} error={err:?}"),
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -49,7 +49,7 @@
     );
     let answer = exchange(&format!("127.0.0.1:{port}"), &request).expect("an answer");
     assert_eq!(answer.status(), 200, "{}", answer.text());
-    let update = serde_json::from_slice(&answer.body).unwrap();
+    let update = Update::decode(&answer.body).unwrap();
     (update, size(&answer))
 }
 
@@ -127,6 +127,37 @@
     }
 }
 
+/// Guards against a link that is full for longer than the check of an engine waits, when the hosts of
+/// a failure domain change their representative and get all engines.
+#[test]
+fn all_engines_take_few_bytes() {
+    const ENGINES: usize = 126;
+    // 0.13 s of a link of 10 Mbit/s.
+    const BYTES_MAX: usize = 162_500;
+    let store = Store::start();
+    for number in 0..ENGINES as u64 {
+        let id = format!("i-{:010x}", digest(&number.to_string()) >> 24);
+        let address = format!("10.{}.64.{}:8026", 1 + number % 4, 4 + number / 4);
+        let service = ["kegelassist", "buchungsdienst"][usize::from(number % 20 == 0)];
+        let engine = json!({"service": service, "address": address, "zone": "niederbach-nord",
+                            "version": "v1", "batch-slots": 12, "lifecycle": "available",
+                            "cold-remaining-ms": 0, "sequence": 4,
+                            "born": 1_774_738_407_000 + digest(&address) % 100_000});
+        store.put("servers", &id, engine);
+    }
+    let (_gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
+    let changed = query_with(2, &first);
+    wait_for("all engines", || {
+        query(port, &changed).0.engines.registered.len() == ENGINES
+    });
+    let answers: Vec<_> = (0..FOLLOWERS).map(|_| query(port, &changed)).collect();
+    let bytes: usize = answers.iter().map(|(_, bytes)| bytes).sum();
+    assert!(bytes <= BYTES_MAX, "{bytes} bytes");
+    let (old, bytes) = query(port, &old_query(2));
+    assert_eq!(answers[0].0.engines.registered, old.engines.registered);
+    assert!(bytes * FOLLOWERS > BYTES_MAX, "{bytes} bytes, uncompressed");
+}
+
 fn text(routes: std::ops::Range<usize>) -> String {
     let route = |n: usize| {
         let hash = digest(&n.to_string());
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -103,6 +103,7 @@
             registered: engines.iter().map(|engine| registration(engine)).collect(),
             gone: Vec::new(),
         },
+        packed_engines: None,
         engines_revision,
         version: 3,
         revision: Some(config(3).to_string()),
