Count the bytes of reports and summaries between hosts

Cause: what a host sends to other hosts by UDP was not measured, so a link filled by it leaves no trace.

Change: the counter bilberrypost_report_bytes_total by content. No decision depends on it.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -434,10 +434,16 @@
     }
 
     async fn send(&self, report: Report, targets: &[SocketAddr]) {
+        let content = match report.summaries.is_empty() {
+            true => "report",
+            false => "summary",
+        };
         let bytes = match report.encode() {
             Ok(bytes) => Bytes::from(bytes),
             Err(err) => return warn!("event=report_unsent error={err:?}"),
         };
+        let total = (bytes.len() * targets.len()) as u64;
+        self.gateway.metrics.count_report_bytes(content, total);
         for target in targets {
             let compio::BufResult(result, _) = self.socket.send_to(bytes.clone(), *target).await;
             if let Err(err) = result {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -46,9 +46,9 @@
     step: &'static str,
 }
 
-/// Kind of content that a host sends to the hosts that follow it.
+/// Kind of content that a host sends to other hosts.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct Feed {
+struct Sent {
     content: &'static str,
 }
 
@@ -75,7 +75,8 @@
     engines_age: Gauge<f64, AtomicU64>,
     refusals: Family<Refusal, Counter>,
     relayed: Family<Relayed, Counter>,
-    feed_bytes: Family<Feed, Counter>,
+    feed_bytes: Family<Sent, Counter>,
+    report_bytes: Family<Sent, Counter>,
 }
 
 impl Default for Metrics {
@@ -90,6 +91,9 @@
         let feed_bytes = Family::default();
         let text = "Bytes of answers to following hosts by content, without heads";
         registry.register_with_unit("feed", text, Unit::Bytes, feed_bytes.clone());
+        let report_bytes = Family::default();
+        let text = "Bytes of datagrams to other hosts by content, without IP and UDP headers";
+        registry.register_with_unit("report", text, Unit::Bytes, report_bytes.clone());
         let durations = Family::new_with_constructor(durations as fn() -> Histogram);
         let text = "Time of a step";
         registry.register_with_unit("duration", text, Unit::Seconds, durations.clone());
@@ -123,6 +127,7 @@
             refusals,
             relayed,
             feed_bytes,
+            report_bytes,
         }
     }
 }
@@ -152,7 +157,14 @@
     /// Counts bytes sent to a host that follows this one.
     pub fn count_feed_bytes(&self, content: &'static str, bytes: u64) {
         self.feed_bytes
-            .get_or_create(&Feed { content })
+            .get_or_create(&Sent { content })
+            .inc_by(bytes);
+    }
+
+    /// Counts bytes of datagrams sent to other hosts.
+    pub fn count_report_bytes(&self, content: &'static str, bytes: u64) {
+        self.report_bytes
+            .get_or_create(&Sent { content })
             .inc_by(bytes);
     }
 
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -115,7 +115,7 @@
 #[test]
 fn any_follower_gets_a_readable_revision() {
     let store = Store::start();
-    let (_gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
+    let (gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
     let (old, _) = query(port, &old_query(1));
     assert!(old.patch.is_none());
     let whole = old.revision.expect("the whole document");
@@ -125,6 +125,10 @@
         let restored = update.patch.expect("a patch").apply(document);
         assert_eq!(restored, Ok(whole.clone()), "{document}");
     }
+    for content in ["revision", "patch"] {
+        let name = format!("bilberrypost_feed_bytes_total{{content=\"{content}\"}} ");
+        assert!(gateway.metric(&name).is_some_and(|bytes| bytes > 0.0));
+    }
 }
 
 /// Guards against a link that is full for longer than the check of an engine waits, when the hosts of
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -255,3 +255,14 @@
         first.updates.load(Ordering::Relaxed) > 2
     });
 }
+
+/// Guards against datagrams that fill a link without a trace in the metrics.
+#[test]
+fn bytes_of_reports_are_counted() {
+    let store = Store::start();
+    let (gateway, _representative) = start_follower(&store, || update(11, 20, &[]));
+    let name = "bilberrypost_report_bytes_total{content=\"report\"} ";
+    wait_for("a report", || {
+        gateway.metric(name).is_some_and(|bytes| bytes > 0.0)
+    });
+}
