--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -459,10 +459,16 @@
     }
 
     async fn send(&self, report: Report, targets: &[SocketAddr]) {
+        let content = match report.summaries.is_empty() {
+            true => "report",
+            false => "summary",
+        };
         let bytes = match report.encode() {
             Ok(bytes) => Bytes::from(bytes),
             Err(err) => return warn!("event=report_unsent error={err:?}"),
         };
+        let total = (bytes.len() * targets.len()) as u64;
+        self.gateway.metrics.count_report_bytes(content, total);
         for target in targets {
             let compio::BufResult(result, _) = self.socket.send_to(bytes.clone(), *target).await;
             if let Err(err) = result {
@@ -513,7 +519,7 @@
     let address = from.to_string();
     let request = post_json(&address, feed::PATH, &query);
     let update = pool.call(&address, request, FETCH_TIMEOUT).await;
-    let update: Update = match update.map(|(_, body)| serde_json::from_slice(&body)) {
+    let update = match update.map(|(_, body)| Update::decode(&body)) {
         Ok(Ok(update)) => update,
         Ok(Err(err)) => return info!("event=peer_unreadable peer={from} error={err:?}"),
         Err(err) => return info!("event=peer_failed peer={from} error={err:?}"),
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -104,6 +104,7 @@
             registered: engines.iter().map(|engine| registration(engine)).collect(),
             gone: Vec::new(),
         },
+        packed_engines: None,
         engines_revision,
         version: 3,
         revision: Some(config(3).to_string()),
@@ -255,3 +256,14 @@
         first.updates.load(Ordering::Relaxed) > 2
     });
 }
+
+/// Guards against datagrams that fill a link without a trace in the metrics.
+#[test]
+fn bytes_of_reports_are_counted() {
+    let store = Store::start();
+    let (gateway, _representative) = start_follower(&store, || update(11, 20, &[]));
+    let name = "bilberrypost_report_bytes_total{content=\"report\"} ";
+    wait_for("a report", || {
+        gateway.metric(name).is_some_and(|bytes| bytes > 0.0)
+    });
+}
