Let a request that waits for an engine leave the list of waiters when it ends

Each request that waited for the head of a response registered with a signal that lives until the next crash, and a signal keeps the wakers of waiters that were dropped. Between two crashes a host would have kept one for each request, and searched all of them at each. Waiting requests are now listed with a signal each, and leave the list when dropped.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,6 +1,8 @@
 //! Engines that end as they begin to write a response: recognizes them, and keeps requests that would
 //! end more of them from engines. [`crate::route::quarantine`] decides.
 
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,12 +20,58 @@
 use crate::route::prompt::{self, Prompt};
 use crate::route::quarantine::{Blocked, Cause, DomainHash, Evidence, Update};
 use crate::route::registry::Engine;
+use crate::supervisor::Signal;
 use crate::util::within;
 
 /// Timeout for the connection. An engine or its machine answers within a round trip if it can be
 /// reached at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Requests that wait for an engine to begin its response.
+#[derive(Debug, Default)]
+pub struct Waiting {
+    last: Cell<u64>,
+    // The prompt of each, and the signal that ends its wait.
+    requests: RefCell<BTreeMap<u64, (Prompt, Signal)>>,
+}
+
+/// A request in [`Waiting`], which it leaves when dropped.
+struct Wait<'a> {
+    waiting: &'a Waiting,
+    number: u64,
+    stop: Signal,
+}
+
+impl Waiting {
+    fn enter(&self, prompt: &Prompt) -> Wait<'_> {
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        let stop = Signal::default();
+        let entry = (prompt.clone(), stop.clone());
+        self.requests.borrow_mut().insert(number, entry);
+        Wait {
+            waiting: self,
+            number,
+            stop,
+        }
+    }
+
+    /// Ends the wait of the requests that `is_blocked` selects.
+    fn stop(&self, is_blocked: impl Fn(&Prompt) -> bool) {
+        for (prompt, stop) in self.requests.borrow().values() {
+            if is_blocked(prompt) {
+                stop.set();
+            }
+        }
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.waiting.requests.borrow_mut().remove(&self.number);
+    }
+}
+
 /// An engine that may have ended, as it was registered.
 #[derive(Clone, Debug)]
 pub struct Suspect {
@@ -125,7 +173,10 @@
         gateway.metrics.count_decision("prompt", "cleared");
     }
     if update.crashes > 0 || !update.blocked.is_empty() {
-        gateway.next_block.take().set();
+        let now = gateway.clock.now();
+        let quarantine = gateway.quarantine.borrow();
+        let is_blocked = |prompt: &Prompt| quarantine.check(prompt, now).is_some();
+        gateway.waiting.stop(is_blocked);
     }
 }
 
@@ -167,13 +218,9 @@
 
 /// Waits until a request must not be sent to a further engine.
 pub async fn wait_until_blocked<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) {
-    loop {
-        let next_block = gateway.next_block.borrow().clone();
-        if is_blocked(gateway, admitted) {
-            return;
-        }
-        next_block.wait().await;
-    }
+    let wait = gateway.waiting.enter(&admitted.prompt);
+    wait.stop.wait().await;
+    is_blocked(gateway, admitted);
 }
 
 /// Returns the refusal of a request that has been sent to an engine and is sent to no other.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -100,8 +100,8 @@
     pub budget: RefCell<retry::Budget>,
     /// Parts of prompts that crash engines.
     pub quarantine: RefCell<Quarantine>,
-    /// Set when the next part is blocked, and replaced by a new signal.
-    pub next_block: RefCell<Signal>,
+    /// Requests that wait for an engine to begin, which end when a part of theirs is blocked.
+    pub waiting: crash::Waiting,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Selects the requests that are logged in full.
@@ -152,7 +152,7 @@
             )),
             budget: RefCell::new(retry::Budget::new(settings.retries, process)),
             quarantine: RefCell::new(Quarantine::new(process)),
-            next_block: RefCell::default(),
+            waiting: crash::Waiting::default(),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
             leaving: Signal::default(),
