Count the crash by a stream that cannot go on at another engine

Whether the engine had ended was asked only before a resume, so that streams on routes without resume, and the last attempt of others, were no evidence. A connection that closes inside an event is asked about as well, as an engine that crashes may cut an event; a stream that is complete after one event clears its parts.

streams_that_cannot_be_resumed_are_evidence_too failed on the program before (no block within 60 s).

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use compio::net::TcpStream;
 use log::info;
 
@@ -72,27 +71,6 @@
     }
 }
 
-/// An engine that may have ended, as it was registered.
-#[derive(Clone, Debug)]
-pub struct Suspect {
-    id: CompactString,
-    address: CompactString,
-    failure_domain: CompactString,
-}
-
-impl Suspect {
-    /// Returns the registration of an engine, if it is still known.
-    pub fn of<C: Clock>(gateway: &Gateway<C>, engine: Engine) -> Option<Self> {
-        let registry = gateway.registry.borrow();
-        let registration = &registry.get(engine)?.registration;
-        Some(Self {
-            id: registration.id.clone(),
-            address: registration.address.clone(),
-            failure_domain: registration.failure_domain.clone(),
-        })
-    }
-}
-
 /// Returns whether the machine at `address` refuses connections, so that the engine's process has
 /// ended. Silence is no sign of that: this host's own link may have failed.
 async fn has_ended(address: &str) -> bool {
@@ -105,25 +83,29 @@
 pub async fn record_reset<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
-    suspect: &Suspect,
+    engine: Engine,
 ) {
-    if admitted.prompt.parts.is_empty() {
+    let registration = {
+        let registry = gateway.registry.borrow();
+        registry.get(engine).map(|state| state.registration.clone())
+    };
+    let Some(registration) = registration.filter(|_| !admitted.prompt.parts.is_empty()) else {
         return;
-    }
-    let has_ended = has_ended(&suspect.address).await;
+    };
+    let has_ended = has_ended(&registration.address).await;
     admitted.trace.log_failure(
         "broken_at_beginning",
         format_args!(
             "engine={} has_ended={has_ended} parts={}",
-            suspect.id, admitted.prompt
+            registration.id, admitted.prompt
         ),
     );
     if !has_ended {
         return;
     }
     gateway.metrics.count_decision("prompt", "crashed");
-    let engine = EngineHash::of(&suspect.id);
-    let domain = DomainHash::of(&suspect.failure_domain);
+    let engine = EngineHash::of(&registration.id);
+    let domain = DomainHash::of(&registration.failure_domain);
     let now = gateway.clock.now();
     let mut quarantine = gateway.quarantine.borrow_mut();
     let update = quarantine.record_crash(engine, domain, &admitted.prompt, now);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,7 +16,7 @@
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::check::LATE_TIMER;
-use super::crash::{self, Suspect};
+use super::crash;
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -384,6 +384,9 @@
         loop {
             let reason = match self.forward_events(&mut active, &mut writer).await {
                 End::Complete => {
+                    if active.events > 0 {
+                        crash::record_pass(&self.gateway, &self.admitted.prompt);
+                    }
                     self.admitted.trace.log(
                         "stream_complete",
                         format_args!(
@@ -419,18 +422,16 @@
             self.gateway.metrics.count_decision("stream_broken", reason);
             self.gateway.registry.borrow_mut().set_unreachable(broken);
             let broken_at = self.gateway.clock.now();
+            if active.events < BEGINNING_EVENTS && matches!(reason, "reset" | "half-event") {
+                crash::record_reset(&self.gateway, &self.admitted, broken).await;
+            }
             if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
                 return self.record_incomplete("not-resumable");
             }
             self.attempts.excluded = vec![broken];
             self.resume_replica = self.replica_of(&active.placement);
-            let suspect = Suspect::of(&self.gateway, broken);
-            let is_at_beginning = active.events < BEGINNING_EVENTS;
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
-            if let Some(suspect) = suspect.filter(|_| is_at_beginning && reason == "reset") {
-                crash::record_reset(&self.gateway, &self.admitted, &suspect).await;
-            }
             let next = {
                 let next = pin!(self.open_next::<P>());
                 let gone = pin!(writer.closed());
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -4,6 +4,7 @@
 
 use bilberrypost::http::problem::{Problem, Reason};
 use bilberrypost::wire::Execution;
+use serde_json::{Value, json};
 use support::platform::{
     API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, events, settings, wait_for,
 };
@@ -25,7 +26,8 @@
         .is_some_and(|parts| parts.contains(BAD))
 }
 
-/// Engines of four failure domains, and two gateways that report to each other.
+/// Engines, each in a failure domain of its own so that crashes close together do not count as one, and
+/// two gateways that report to each other.
 struct Site {
     _store: Store,
     engines: Vec<Engine>,
@@ -34,8 +36,12 @@
 
 impl Site {
     fn start() -> Self {
+        Self::start_with(config(3))
+    }
+
+    fn start_with(config: Value) -> Self {
         let store = Store::start();
-        store.put("config", "main", config(3));
+        store.put("config", "main", config);
         let engines: Vec<_> = (0..8)
             .map(|number| {
                 Engine::start(&format!("i-{number}"), |request| {
@@ -47,8 +53,9 @@
             })
             .collect();
         for (number, engine) in engines.iter().enumerate() {
-            let domain = ["fd-a", "fd-b", "fd-c", "fd-d"][number % 4];
-            store.put("servers", &engine.id, engine.registration("model", domain));
+            let domain = format!("fd-{number}");
+            let registration = engine.registration("model", &domain);
+            store.put("servers", &engine.id, registration);
         }
         let port = free_port();
         let on = |ip: &str| {
@@ -131,6 +138,23 @@
     assert_eq!(site.crashed(), 3);
 }
 
+/// Guards against crashes by streams that cannot go on at another engine and count as no evidence.
+#[test]
+fn streams_that_cannot_be_resumed_are_evidence_too() {
+    let mut config = config(3);
+    config["routes"][3]["stream-resume"] = json!(false);
+    let site = Site::start_with(config);
+    for number in 0..3 {
+        site.send(number % 2, &format!("a{number}"), &[SHARED, BAD]);
+    }
+    assert_eq!(site.crashed(), 3);
+    for gateway in 0..2 {
+        site.wait_until_blocked(gateway);
+        let answer = site.send(gateway, &format!("b{gateway}"), &[SHARED, BAD]);
+        assert_eq!(answer.status(), 503);
+    }
+}
+
 /// Guards against engines that reset single connections and count as crashed.
 #[test]
 fn resets_of_connections_block_no_part() {
