--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,10 +14,9 @@
 
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
-use super::crash::{self, Suspect};
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
-use super::{Gateway, check, reach};
+use super::{Gateway, check, crash, reach};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::Exchange;
@@ -398,6 +397,9 @@
         loop {
             let reason = match self.forward_events(&mut active, &mut writer).await {
                 End::Complete => {
+                    if active.events > 0 {
+                        crash::record_pass(&self.gateway, &self.admitted.prompt);
+                    }
                     self.admitted.trace.log(
                         "stream_complete",
                         format_args!(
@@ -436,18 +438,16 @@
                 check::start_if_due(&self.gateway, broken);
             }
             let broken_at = self.gateway.clock.now();
+            if active.events < BEGINNING_EVENTS && matches!(reason, "reset" | "half-event") {
+                crash::record_reset(&self.gateway, &self.admitted, broken).await;
+            }
             if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
                 return self.record_incomplete("not-resumable");
             }
             self.attempts.excluded = vec![broken];
             self.resume_replica = self.replica_of(&active.placement);
-            let suspect = Suspect::of(&self.gateway, broken);
-            let is_at_beginning = active.events < BEGINNING_EVENTS;
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
-            if let Some(suspect) = suspect.filter(|_| is_at_beginning && reason == "reset") {
-                crash::record_reset(&self.gateway, &self.admitted, &suspect).await;
-            }
             let next = {
                 let next = pin!(self.open_next::<P>());
                 let gone = pin!(writer.closed());
