Share the opening of gateway tests

Cause: five test files repeat how they start a store with engines and a gateway, the headers of a request, pairs of engines and the spec of an engine.

Change: tests/support/platform.rs holds them under one name each; tests/unframed.rs uses them. Process::reload sends SIGHUP. No assertion, bound or wait differs.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -124,6 +124,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP, which says that the settings file has changed.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -149,6 +149,16 @@
         store
     }
 
+    /// Starts a store that holds a configuration, and engines by id and spec.
+    pub fn with(config: Value, engines: &[(&str, Value)]) -> Self {
+        let store = Self::start();
+        store.put("config", "main", config);
+        for (id, registration) in engines {
+            store.put("servers", id, registration.clone());
+        }
+        store
+    }
+
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.change(kind, name, Some(spec));
     }
@@ -373,12 +383,40 @@
 
     /// Returns the engine's spec in the store.
     pub fn registration(&self, service: &str, domain: &str) -> Value {
-        json!({"service": service, "address": self.address, "zone": domain, "version": "v1",
-               "batch-slots": 12, "lifecycle": "available", "cold-remaining-ms": 0,
-               "sequence": 4, "born": 1})
+        registration(&self.address, service, domain)
     }
 }
 
+/// Returns the spec in the store of an engine at an address.
+pub fn registration(address: &str, service: &str, domain: &str) -> Value {
+    json!({"service": service, "address": address, "zone": domain, "version": "v1",
+           "batch-slots": 12, "lifecycle": "available", "cold-remaining-ms": 0,
+           "sequence": 4, "born": 1})
+}
+
+/// Starts engines `i-1` and `i-2` with the same script.
+pub fn two_engines(script: impl Fn(&Message) -> Reaction + Clone + Send + 'static) -> [Engine; 2] {
+    ["i-1", "i-2"].map(|id| Engine::start(id, script.clone()))
+}
+
+/// Script of a stream that ends as given after event `first_end`, and up to event `last` where it is
+/// resumed.
+pub fn resumable(
+    first_end: u64,
+    end: End,
+    last: u64,
+) -> impl Fn(&Message) -> Reaction + Clone + Send + 'static {
+    move |request| match request.header("last-event-id") {
+        None => Reaction::Events(first_end, end),
+        Some(_) => Reaction::Events(last, End::Complete),
+    }
+}
+
+/// A complete response with status 200.
+pub fn ok() -> Reaction {
+    Reaction::Response(200, "done".into())
+}
+
 /// Head of a successful response without a length and chunks, which ends with its connection; `ID`
 /// stands for the id of the attempt.
 pub const UNFRAMED: &str = "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\n\
@@ -591,27 +629,60 @@
 
     /// Sends a request with the tenant's key and returns the response.
     pub fn call(&self, method: &str, path: &str, id: &str, body: &str) -> Message {
-        let headers = format!(
-            "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
-             x-bilberrypost-credential: {API_KEY}\r\n"
-        );
-        self.send(method, path, &headers, body).expect("a response")
+        self.send(method, path, &headers(id), body)
+            .expect("a response")
+    }
+
+    /// Sends a request for a stream and returns the response.
+    pub fn stream(&self, id: &str) -> Message {
+        self.send("POST", "/stream/x", &stream_headers(id), "prompt")
+            .expect("a response")
+    }
+
+    /// Sends a request over a new connection without waiting for the response.
+    pub fn open(&self, method: &str, path: &str, headers: &str, body: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(&self.process.address).unwrap();
+        let text = request(method, path, headers, body);
+        stream.write_all(text.as_bytes()).unwrap();
+        stream
     }
 }
 
-/// Starts a store that holds a configuration and the engines, each with its id and entry, and a
-/// gateway, and waits until it is ready.
+/// Headers of a request with the tenant's key and a deadline of 20 s.
+pub fn headers(id: &str) -> String {
+    format!(
+        "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
+         x-bilberrypost-credential: {API_KEY}\r\n"
+    )
+}
+
+/// Headers of a request for a stream, with a prompt of 1000 tokens.
+pub fn stream_headers(id: &str) -> String {
+    headers(id) + "x-bilberrypost-token-count: 1000,70\r\n"
+}
+
+/// Starts a store with the configuration [`config`] and engines, each with its service and failure
+/// domain, and a gateway, and waits until it is ready.
+pub fn start(engines: &[(&Engine, &str, &str)]) -> (Store, Gateway) {
+    start_gateway(config(3), &registrations(engines))
+}
+
+/// Like [`start`], with a configuration, and engines by id and spec.
 pub fn start_gateway(config: Value, engines: &[(&str, Value)]) -> (Store, Gateway) {
-    let store = Store::start();
-    store.put("config", "main", config);
-    for (id, registration) in engines {
-        store.put("servers", id, registration.clone());
-    }
+    let store = Store::with(config, engines);
     let gateway = Gateway::start(&settings(&store.address, ""));
     wait_for("readiness", || gateway.is_ready());
     (store, gateway)
 }
 
+/// Returns the id and spec of each engine.
+pub fn registrations<'a>(engines: &[(&'a Engine, &str, &str)]) -> Vec<(&'a str, Value)> {
+    let with_spec = |(engine, service, domain): &(&'a Engine, &str, &str)| {
+        (engine.id.as_str(), engine.registration(service, domain))
+    };
+    engines.iter().map(with_spec).collect()
+}
+
 /// Text of a request to `shop.example`.
 pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
     format!(
--- a/tests/unframed.rs
+++ b/tests/unframed.rs
@@ -9,8 +9,8 @@
 
 use serde_json::{Value, json};
 use support::platform::{
-    API_KEY, Engine, Gateway, Message, Reaction, Store, UNFRAMED, config, event, events, exchange,
-    request, reset, start_gateway, wait_for,
+    Engine, Gateway, Message, Reaction, UNFRAMED, config, event, events, exchange, registration,
+    registrations, request, reset, start, start_gateway, stream_headers, two_engines, wait_for,
 };
 
 /// Sizes in bytes of response bodies around the size up to which the gateway buffers them.
@@ -23,26 +23,6 @@
     Reaction::Reset,
 ];
 
-fn start(engines: &[&Engine], service: &str) -> (Store, Gateway) {
-    start_gateway(config(3), &registrations(engines, service))
-}
-
-/// Returns the id and entry of each engine, which are in different failure domains.
-fn registrations<'a>(engines: &[&'a Engine], service: &str) -> Vec<(&'a str, Value)> {
-    let domains = ["fd-a", "fd-b"];
-    let registered = engines.iter().zip(domains);
-    registered
-        .map(|(engine, domain)| (engine.id.as_str(), engine.registration(service, domain)))
-        .collect()
-}
-
-fn headers(id: &str) -> String {
-    format!(
-        "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
-         x-bilberrypost-credential: {API_KEY}\r\nx-bilberrypost-token-count: 1000,70\r\n"
-    )
-}
-
 /// Connection of a caller that stays open for several requests.
 struct Caller(BufReader<TcpStream>);
 
@@ -56,7 +36,7 @@
     }
 
     fn send(&mut self, path: &str, id: &str) {
-        let text = request("POST", path, &headers(id), "b");
+        let text = request("POST", path, &stream_headers(id), "b");
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
@@ -97,7 +77,7 @@
             let head = UNFRAMED.replace("200", &status.to_string());
             Reaction::Raw(head + &body_of(id, size))
         });
-        let (_store, gateway) = start(&[&app], "app");
+        let (_store, gateway) = start(&[(&app, "app", "fd-a")]);
         for path in ["/once/x", "/any/x"] {
             let mut caller = Caller::connect(&gateway);
             for size in BODY_SIZES {
@@ -117,13 +97,9 @@
 #[test]
 fn reset_responses_are_not_complete() {
     for part in ["", "a part"] {
-        let one = Engine::start("i-1", |_| Reaction::NotExecuted);
-        let two = Engine::start("i-2", |_| Reaction::NotExecuted);
-        let (_store, gateway) = start(&[&one, &two], "app");
+        let [one, two] = two_engines(move |_| Reaction::Reset(UNFRAMED.to_owned() + part));
+        let (_store, gateway) = start(&[(&one, "app", "fd-a"), (&two, "app", "fd-b")]);
         let runs = || one.request_count() + two.request_count();
-        for engine in [&one, &two] {
-            engine.set_script(move |_| Reaction::Reset(UNFRAMED.to_owned() + part));
-        }
         let mut caller = Caller::connect(&gateway);
         assert_eq!(caller.call("/once/x", "once").status(), 502, "{part:?}");
         assert_eq!(runs(), 1, "{part:?}");
@@ -152,9 +128,7 @@
 
     fn registration(&self) -> Value {
         let address = self.0.local_addr().unwrap().to_string();
-        json!({"service": "app", "address": address, "zone": "fd-a", "version": "v1",
-               "batch-slots": 12, "lifecycle": "available", "cold-remaining-ms": 0,
-               "sequence": 4, "born": 1})
+        registration(&address, "app", "fd-a")
     }
 
     /// Accepts a connection; skips those that only check whether the engine is alive.
@@ -232,7 +206,9 @@
 }
 
 /// Returns a script of a stream of 6 events that breaks off after event 3, unless it is resumed.
-fn breaks_after_3(end: fn(String) -> Reaction) -> impl Fn(&Message) -> Reaction + Send + 'static {
+fn breaks_after_3(
+    end: fn(String) -> Reaction,
+) -> impl Fn(&Message) -> Reaction + Clone + Send + 'static {
     move |request| match request.header("last-event-id") {
         None => end(UNFRAMED.to_owned() + &events(1, 3)),
         Some(last) => {
@@ -249,7 +225,7 @@
     let model = Engine::start("i-1", |_| {
         Reaction::Raw(UNFRAMED.to_owned() + &events(1, 40))
     });
-    let (_store, gateway) = start(&[&model], "model");
+    let (_store, gateway) = start(&[(&model, "model", "fd-a")]);
     let mut caller = Caller::connect(&gateway);
     for number in 1..=3 {
         let answer = caller.call("/stream/x", &format!("s{number}"));
@@ -264,9 +240,8 @@
 #[test]
 fn broken_streams_resume_at_the_next_event() {
     for (number, end) in BREAKS.into_iter().enumerate() {
-        let one = Engine::start("i-1", breaks_after_3(end));
-        let two = Engine::start("i-2", breaks_after_3(end));
-        let (_store, gateway) = start(&[&one, &two], "model");
+        let [one, two] = two_engines(breaks_after_3(end));
+        let (_store, gateway) = start(&[(&one, "model", "fd-a"), (&two, "model", "fd-b")]);
         let mut caller = Caller::connect(&gateway);
         let answer = caller.call("/stream/x", "s1");
         assert_eq!(answer.text(), events(1, 6), "break {number}");
@@ -297,9 +272,8 @@
                 None => Reaction::Raw(framed(events(1, 3) + &event(4)[..cut])),
                 Some(_) => Reaction::Raw(framed(events(4, 6))),
             };
-            let one = Engine::start("i-1", script);
-            let two = Engine::start("i-2", script);
-            let (_store, gateway) = start(&[&one, &two], "model");
+            let [one, two] = two_engines(script);
+            let (_store, gateway) = start(&[(&one, "model", "fd-a"), (&two, "model", "fd-b")]);
             let answer = Caller::connect(&gateway).call("/stream/x", "s1");
             assert_eq!(answer.text(), events(1, 6), "framing {number} cut {cut}");
             assert!(!is_broken(&answer), "framing {number} cut {cut}");
@@ -323,7 +297,8 @@
             });
             let mut config = config(3);
             config["routes"][3]["stream-resume"] = json!(may_resume);
-            let (_store, gateway) = start_gateway(config, &registrations(&[&only], "model"));
+            let (_store, gateway) =
+                start_gateway(config, &registrations(&[(&only, "model", "fd-a")]));
             let mut caller = Caller::connect(&gateway);
             caller.send("/stream/x", "s1");
             caller.send("/stream/x", "s2");
@@ -351,7 +326,12 @@
     let (_store, gateway) = start_gateway(config, &[("i-1", engine.registration())]);
     for number in 0..5 {
         let id = format!("r{number}");
-        let text = request("POST", "/once/x", &headers(&id), &"b".repeat(REQUEST_BYTES));
+        let text = request(
+            "POST",
+            "/once/x",
+            &stream_headers(&id),
+            &"b".repeat(REQUEST_BYTES),
+        );
         let address = gateway.process.address.clone();
         let caller = std::thread::spawn(move || exchange(&address, &text).unwrap());
         let mut stream = engine.accept();
@@ -378,7 +358,7 @@
     });
     let mut config = config(3);
     config["routes"][3]["stream-resume"] = json!(false);
-    let (_store, gateway) = start_gateway(config, &registrations(&[&only], "model"));
+    let (_store, gateway) = start_gateway(config, &registrations(&[(&only, "model", "fd-a")]));
     for number in 0..3 {
         let mut caller = Caller::connect(&gateway);
         let answer = caller.call("/stream/x", &format!("s{number}"));
@@ -399,7 +379,7 @@
         caller
             .set_read_timeout(Some(support::TEST_TIMEOUT))
             .unwrap();
-        let text = request("POST", "/once/x", &headers("r1"), "b");
+        let text = request("POST", "/once/x", &stream_headers("r1"), "b");
         let text = text.replace("HTTP/1.1", "HTTP/1.0");
         caller.write_all(text.as_bytes()).unwrap();
         let mut stream = engine.answer();
