--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -6,47 +6,21 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, request, settings, wait_for,
-};
+use support::platform::{End, Engine, Message, Reaction, headers, ok, request, start, wait_for};
 
 /// Time after SIGTERM in which a process must end: the default drain limit of the settings.
 const DRAIN_LIMIT: Duration = Duration::from_secs(8);
 
-fn ok() -> Reaction {
-    Reaction::Response(200, "done".into())
-}
-
-fn start(engine: &Engine, service: &str) -> (Store, Gateway) {
-    let store = Store::start();
-    store.put("config", "main", config(3));
-    store.put("servers", &engine.id, engine.registration(service, "fd-a"));
-    let gateway = Gateway::start(&settings(&store.address, ""));
-    wait_for("readiness", || gateway.is_ready());
-    (store, gateway)
-}
-
-fn headers(id: &str) -> String {
-    format!(
-        "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
-         x-bilberrypost-credential: {API_KEY}\r\n"
-    )
-}
-
 /// Guards against a process that does not end by itself because a caller reads its stream too
 /// slowly or not at all.
 #[test]
 fn a_process_ends_beside_a_caller_that_does_not_read() {
     let engine = Engine::start("i-1", |_| Reaction::Events(300_000, End::Endless));
-    let (_store, mut gateway) = start(&engine, "model");
+    let (_store, mut gateway) = start(&[(&engine, "model", "fd-a")]);
     let mut streams = Vec::new();
     for number in 0..3 {
-        let mut stream = TcpStream::connect(&gateway.process.address).unwrap();
         let headers = headers(&format!("s{number}")) + "x-bilberrypost-token-count: 100,70\r\n";
-        stream
-            .write_all(request("POST", "/stream/x", &headers, "p").as_bytes())
-            .unwrap();
-        streams.push(stream);
+        streams.push(gateway.open("POST", "/stream/x", &headers, "p"));
     }
     wait_for("runs", || engine.request_count() == 3);
     // Until the buffers between engine and caller are full.
@@ -58,12 +32,6 @@
     assert!(elapsed < DRAIN_LIMIT, "{elapsed:?}");
 }
 
-/// Sends a signal to the gateway.
-fn signal(gateway: &Gateway, signal: rustix::process::Signal) {
-    let pid = rustix::process::Pid::from_raw(gateway.process.id() as i32).unwrap();
-    rustix::process::kill_process(pid, signal).unwrap();
-}
-
 fn once(id: &str) -> String {
     request("POST", "/once/x", &headers(id), "b")
 }
@@ -81,21 +49,16 @@
 #[test]
 fn queued_connections_are_answered_at_a_stop() {
     let engine = Engine::start("i-1", |_| ok());
-    let (_store, mut gateway) = start(&engine, "app");
+    let (_store, mut gateway) = start(&[(&engine, "app", "fd-a")]);
     gateway.process.terminate();
     wait_for("refusal of readiness", || !gateway.is_ready());
     std::thread::sleep(Duration::from_millis(2000));
-    signal(&gateway, rustix::process::Signal::STOP);
+    gateway.process.pause();
     let queued: Vec<_> = (0..20)
-        .map(|number| {
-            let mut stream = TcpStream::connect(&gateway.process.address).unwrap();
-            let text = once(&format!("q{number}"));
-            stream.write_all(text.as_bytes()).unwrap();
-            stream
-        })
+        .map(|number| gateway.open("POST", "/once/x", &headers(&format!("q{number}")), "b"))
         .collect();
     std::thread::sleep(Duration::from_millis(500));
-    signal(&gateway, rustix::process::Signal::CONT);
+    gateway.process.unpause();
     for (number, stream) in queued.into_iter().enumerate() {
         assert_eq!(status(stream), Some(200), "connection {number}");
     }
@@ -107,13 +70,10 @@
 #[test]
 fn open_connections_are_answered_at_a_stop() {
     let engine = Engine::start("i-1", |_| ok());
-    let (_store, mut gateway) = start(&engine, "app");
-    let connect = || TcpStream::connect(&gateway.process.address).unwrap();
+    let (_store, mut gateway) = start(&[(&engine, "app", "fd-a")]);
     let mut kept: Vec<_> = (0..10)
         .map(|number| {
-            let mut stream = connect();
-            let text = once(&format!("k{number}"));
-            stream.write_all(text.as_bytes()).unwrap();
+            let stream = gateway.open("POST", "/once/x", &headers(&format!("k{number}")), "b");
             let mut reader = BufReader::new(stream);
             assert_eq!(Message::read(&mut reader).unwrap().status(), 200);
             reader
@@ -123,7 +83,7 @@
         .map(|number| {
             let mut text = once(&format!("p{number}"));
             let rest = text.split_off(10 + 12 * number);
-            let mut stream = connect();
+            let mut stream = TcpStream::connect(&gateway.process.address).unwrap();
             stream.write_all(text.as_bytes()).unwrap();
             (stream, rest)
         })
