--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -11,8 +11,8 @@
 
 use serde_json::json;
 use support::platform::{
-    API_KEY, Engine, Gateway, Reaction, Store, config, event, events, exchange, request, settings,
-    wait_for,
+    API_KEY, Engine, Gateway, UNFRAMED, config, event, events, exchange, ok, registration, request,
+    start_gateway, wait_for,
 };
 
 /// Bytes that an endless sender writes at most; the test fails before that.
@@ -63,9 +63,9 @@
     }
 
     fn registration(&self, service: &str, domain: &str) -> serde_json::Value {
-        json!({"service": service, "address": self.address, "zone": domain, "version": "v1",
-               "batch-slots": 100, "lifecycle": "available", "cold-remaining-ms": 0,
-               "sequence": 4, "born": 1})
+        let mut entry = registration(&self.address, service, domain);
+        entry["batch-slots"] = json!(100);
+        entry
     }
 }
 
@@ -90,23 +90,10 @@
     )
 }
 
-fn start(registrations: &[(&str, serde_json::Value)]) -> (Store, Gateway) {
-    let store = Store::start();
-    store.put("config", "main", config(3));
-    for (id, registration) in registrations {
-        store.put("servers", id, registration.clone());
-    }
-    let gateway = Gateway::start(&settings(&store.address, ""));
-    wait_for("readiness", || gateway.is_ready());
-    (store, gateway)
-}
-
 const HEAD: &str = "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\n\
                     x-bilberrypost-response-seal: s\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\n\
                        x-bilberrypost-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
-const UNFRAMED: &str = "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\n\
-                        x-bilberrypost-response-seal: s\r\n\r\n";
 const TRAILERS: &str = "HTTP/1.1 200 x\r\nx-bilberrypost-attempt-id: ID\r\n\
                         x-bilberrypost-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n\
                         2\r\nhi\r\n0\r\n";
@@ -127,7 +114,7 @@
         for (path, service) in [("/once/x", "app"), ("/stream/x", "model")] {
             let engine = EndlessEngine::start(head, bytes);
             let entry = engine.registration(service, "fd-a");
-            let (_store, gateway) = start(&[("i-1", entry)]);
+            let (_store, gateway) = start_gateway(config(3), &[("i-1", entry)]);
             let started = Instant::now();
             let answer = gateway.send("POST", path, &headers("r1", 3000), "b");
             assert!(
@@ -167,9 +154,8 @@
         let _ = stream.read_to_end(&mut Vec::new());
         closed.store(1, Ordering::Relaxed);
     });
-    let mut entry = paced_registration(&address, "fd-a");
-    entry["service"] = json!("app");
-    let (_store, gateway) = start(&[("i-1", entry)]);
+    let entry = registration(&address, "app", "fd-a");
+    let (_store, gateway) = start_gateway(config(3), &[("i-1", entry)]);
     let mut caller = TcpStream::connect(&gateway.process.address).unwrap();
     let text = request("GET", "/any/x", &headers("r1", 20_000), "");
     caller.write_all(text.as_bytes()).unwrap();
@@ -200,15 +186,19 @@
 fn endless_bytes_do_not_fill_the_memory() {
     let stream = EndlessEngine::start(CHUNKED, b"4\r\nabcd\r\n");
     let call = EndlessEngine::start(CHUNKED, b"4\r\nabcd\r\n");
-    let (_store, gateway) = start(&[
-        ("i-1", stream.registration("model", "fd-a")),
-        ("i-2", call.registration("app", "fd-a")),
-    ]);
+    let (_store, gateway) = start_gateway(
+        config(3),
+        &[
+            ("i-1", stream.registration("model", "fd-a")),
+            ("i-2", call.registration("app", "fd-a")),
+        ],
+    );
     let sound = Engine::start("i-9", |_| {
         std::thread::sleep(Duration::from_millis(1000));
-        Reaction::Response(200, "done".into())
+        ok()
     });
-    let (_sound_store, sound_gateway) = start(&[("i-9", sound.registration("app", "fd-a"))]);
+    let (_sound_store, sound_gateway) =
+        start_gateway(config(3), &[("i-9", sound.registration("app", "fd-a"))]);
     let ordinary = peak_memory(&sound_gateway, |_| "/any/x");
     let endless = peak_memory(&gateway, |number| match number % 2 {
         0 => "/once/x",
@@ -241,8 +231,8 @@
 /// keeps a connection and memory of the host.
 #[test]
 fn endless_bytes_of_a_caller_end_in_time() {
-    let app = Engine::start("i-1", |_| Reaction::Response(200, "done".into()));
-    let (_store, gateway) = start(&[("i-1", app.registration("app", "fd-a"))]);
+    let app = Engine::start("i-1", |_| ok());
+    let (_store, gateway) = start_gateway(config(3), &[("i-1", app.registration("app", "fd-a"))]);
     let head = format!(
         "POST /once/x HTTP/1.1\r\nhost: shop.example\r\n{}transfer-encoding: chunked\r\n\r\n",
         headers("r1", 3000)
@@ -304,12 +294,6 @@
     (address, streams)
 }
 
-fn paced_registration(address: &str, domain: &str) -> serde_json::Value {
-    json!({"service": "model", "address": address, "zone": domain, "version": "v1",
-           "batch-slots": 12, "lifecycle": "available", "cold-remaining-ms": 0, "sequence": 4,
-           "born": 1})
-}
-
 /// Guards against a slow but sound stream that is cut or moved to other engines until it has no
 /// attempts left. Its events have nearly the longest gap that the route allows.
 #[test]
@@ -320,10 +304,13 @@
     };
     let (address, streams) = start_paced(parts);
     let (other, moved) = start_paced(parts);
-    let (_store, gateway) = start(&[
-        ("i-1", paced_registration(&address, "fd-a")),
-        ("i-2", paced_registration(&other, "fd-b")),
-    ]);
+    let (_store, gateway) = start_gateway(
+        config(3),
+        &[
+            ("i-1", registration(&address, "model", "fd-a")),
+            ("i-2", registration(&other, "model", "fd-b")),
+        ],
+    );
     let answer = gateway
         .send("POST", "/stream/x", &headers("s1", 20_000), "p")
         .unwrap();
@@ -355,13 +342,16 @@
         // Both addresses belong to one stand-in, so that the second attempt is its second stream.
         let (address, streams) = start_paced(parts);
         let port = address.rsplit(':').next().unwrap();
-        let (_store, gateway) = start(&[
-            ("i-1", paced_registration(&address, "fd-a")),
-            (
-                "i-2",
-                paced_registration(&format!("127.0.0.1:{port}"), "fd-b"),
-            ),
-        ]);
+        let (_store, gateway) = start_gateway(
+            config(3),
+            &[
+                ("i-1", registration(&address, "model", "fd-a")),
+                (
+                    "i-2",
+                    registration(&format!("127.0.0.1:{port}"), "model", "fd-b"),
+                ),
+            ],
+        );
         let started = Instant::now();
         let answer = gateway
             .send("POST", "/stream/x", &headers("s1", 20_000), "p")
