Use the shared opening in tests/gateway.rs

No assertion, bound, seed or wait differs. The scripts of a stream that is resumed, and of one that cannot be, get names. SIGHUP goes through Process.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,38 +9,22 @@
 use bilberrypost::peer::report::{BYTES_MAX, Report};
 use serde_json::json;
 use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, Mode, Reaction, Store, config, events, exchange,
-    request, settings, wait_for,
+    API_KEY, End, Engine, Gateway, Message, Mode, Reaction, Store, config, events, exchange, ok,
+    registrations, request, resumable, settings, start, stream_headers, two_engines, wait_for,
 };
 
-fn ok() -> Reaction {
-    Reaction::Response(200, "done".into())
-}
-
-/// Starts a store that holds a configuration and the engines, each with its service and failure
-/// domain, and a gateway, and waits until it is ready.
-fn start(engines: &[(&Engine, &str, &str)]) -> (Store, Gateway) {
-    let store = Store::start();
-    store.put("config", "main", config(3));
-    for (engine, service, domain) in engines {
-        store.put("servers", &engine.id, engine.registration(service, domain));
-    }
-    let gateway = Gateway::start(&settings(&store.address, ""));
-    wait_for("readiness", || gateway.is_ready());
-    (store, gateway)
-}
-
 /// Returns a port on which no TCP connection of 127.0.0.1 is open.
 fn free_port() -> u16 {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap().port()
 }
 
-fn stream_headers(id: &str) -> String {
-    format!(
-        "x-bilberrypost-attempt-id: {id}\r\nx-bilberrypost-deadline-ms: 20000\r\n\
-         x-bilberrypost-credential: {API_KEY}\r\nx-bilberrypost-token-count: 1000,70\r\n"
-    )
+/// Script of a stream that breaks off inside event 4 and cannot be resumed.
+fn breaks_for_good(request: &Message) -> Reaction {
+    match request.header("last-event-id") {
+        None => Reaction::Events(3, End::HalfEvent),
+        Some(_) => Reaction::Close,
+    }
 }
 
 /// Guards against changed requests or responses, keys that reach engines, and forwarded headers of
@@ -190,9 +174,7 @@
 /// against a resumed run that ignores the replica.
 #[test]
 fn a_broken_stream_resumes_at_the_next_event() {
-    let engines: Vec<_> = (1..=2)
-        .map(|n| Engine::start(&format!("i-{n}"), |_| ok()))
-        .collect();
+    let engines = two_engines(|_| ok());
     for (engine, other) in [(0, 1), (1, 0)] {
         let other = engines[other].address.clone();
         engines[engine].set_script(move |request| match request.header("last-event-id") {
@@ -210,9 +192,7 @@
         (&engines[0], "model", "fd-a"),
         (&engines[1], "model", "fd-b"),
     ]);
-    let answer = gateway
-        .send("POST", "/stream/x", &stream_headers("s1"), "prompt")
-        .unwrap();
+    let answer = gateway.stream("s1");
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.text(), events(1, 12));
     assert_eq!(answer.header("broken"), None);
@@ -237,22 +217,9 @@
 /// Guards against streams that hang on an engine that stopped responding without a reset.
 #[test]
 fn a_stream_leaves_an_unresponsive_engine() {
-    let engines: Vec<_> = (1..=2)
-        .map(|n| Engine::start(&format!("i-{n}"), |_| ok()))
-        .collect();
-    for engine in &engines {
-        engine.set_script(|request| match request.header("last-event-id") {
-            None => Reaction::Events(3, End::Unresponsive),
-            Some(_) => Reaction::Events(9, End::Complete),
-        });
-    }
-    let (_store, gateway) = start(&[
-        (&engines[0], "model", "fd-a"),
-        (&engines[1], "model", "fd-b"),
-    ]);
-    let answer = gateway
-        .send("POST", "/stream/x", &stream_headers("s1"), "prompt")
-        .unwrap();
+    let [one, two] = two_engines(resumable(3, End::Unresponsive, 9));
+    let (_store, gateway) = start(&[(&one, "model", "fd-a"), (&two, "model", "fd-b")]);
+    let answer = gateway.stream("s1");
     assert_eq!(answer.text(), events(1, 9));
     assert_eq!(answer.header("broken"), None);
 }
@@ -261,14 +228,9 @@
 /// it.
 #[test]
 fn a_stream_without_another_engine_ends_incomplete() {
-    let only = Engine::start("i-1", |request| match request.header("last-event-id") {
-        None => Reaction::Events(3, End::HalfEvent),
-        Some(_) => Reaction::Close,
-    });
+    let only = Engine::start("i-1", breaks_for_good);
     let (_store, gateway) = start(&[(&only, "model", "fd-a")]);
-    let answer = gateway
-        .send("POST", "/stream/x", &stream_headers("s1"), "prompt")
-        .unwrap();
+    let answer = gateway.stream("s1");
     assert_eq!(answer.text(), events(1, 3));
     assert_eq!(answer.header("broken"), Some("yes"));
 }
@@ -423,14 +385,10 @@
         ok()
     });
     let (_store, mut gateway) = start(&[(&app, "app", "fd-a")]);
-    let pid = rustix::process::Pid::from_raw(gateway.process.id() as i32).unwrap();
-    rustix::process::kill_process(pid, rustix::process::Signal::HUP).unwrap();
-    let mut stream = TcpStream::connect(&gateway.process.address).unwrap();
+    gateway.process.reload();
     let headers =
         format!("x-bilberrypost-attempt-id: r1\r\nx-bilberrypost-credential: {API_KEY}\r\n");
-    stream
-        .write_all(request("POST", "/once/x", &headers, "b").as_bytes())
-        .unwrap();
+    let stream = gateway.open("POST", "/once/x", &headers, "b");
     wait_for("arrival", || app.request_count() == 1 || gateway.is_ready());
     gateway.process.terminate();
     wait_for("refusal of readiness", || !gateway.is_ready());
@@ -447,11 +405,7 @@
 fn a_leaving_host_refuses_streams_that_it_would_cut() {
     let engine = Engine::start("i-1", |_| Reaction::Events(3, End::Endless));
     let (_store, gateway) = start(&[(&engine, "model", "fd-a")]);
-    let mut running = TcpStream::connect(&gateway.process.address).unwrap();
-    let headers = stream_headers("s1");
-    running
-        .write_all(request("POST", "/stream/x", &headers, "p").as_bytes())
-        .unwrap();
+    let _running = gateway.open("POST", "/stream/x", &stream_headers("s1"), "p");
     wait_for("a run", || engine.request_count() == 1);
     gateway.process.terminate();
     wait_for("refusal of readiness", || !gateway.is_ready());
@@ -469,9 +423,7 @@
 #[test]
 fn a_host_without_the_store_reads_from_its_peers() {
     let app = Engine::start("i-1", |_| ok());
-    let store = Store::start();
-    store.put("config", "main", config(3));
-    store.put("servers", &app.id, app.registration("app", "fd-a"));
+    let store = Store::with(config(3), &registrations(&[(&app, "app", "fd-a")]));
     let port = free_port();
     let on = |ip: &str, store: &str| {
         settings(
@@ -506,11 +458,8 @@
 fn most_hosts_follow_a_representative() {
     let one = Engine::start("i-1", |_| ok());
     let two = Engine::start("i-2", |_| ok());
-    let store = Store::start();
-    store.put("config", "main", config(3));
-    for engine in [&one, &two] {
-        store.put("servers", &engine.id, engine.registration("app", "fd-a"));
-    }
+    let engines = registrations(&[(&one, "app", "fd-a"), (&two, "app", "fd-a")]);
+    let store = Store::with(config(3), &engines);
     let port = free_port();
     let start = |number: u8| {
         let more = format!("seeds = 127.0.0.1:1\nports = {port},{port}");
@@ -564,9 +513,7 @@
 #[test]
 fn reports_from_other_domains_are_answered_only_if_they_ask() {
     let app = Engine::start("i-1", |_| ok());
-    let store = Store::start();
-    store.put("config", "main", config(3));
-    store.put("servers", &app.id, app.registration("app", "fd-a"));
+    let store = Store::with(config(3), &registrations(&[(&app, "app", "fd-a")]));
     let port = free_port();
     let socket = std::net::UdpSocket::bind(("127.0.0.9", port)).unwrap();
     let more = format!("ports = {port},{port}");
@@ -630,20 +577,10 @@
 /// host, although an engine holds a replica of the run.
 #[test]
 fn a_stream_resumes_at_another_host() {
-    let engines: Vec<_> = (1..=2)
-        .map(|n| Engine::start(&format!("i-{n}"), |_| ok()))
-        .collect();
-    for engine in &engines {
-        engine.set_script(|request| match request.header("last-event-id") {
-            None => Reaction::Events(3, End::Endless),
-            Some(_) => Reaction::Events(9, End::Complete),
-        });
-    }
-    let store = Store::start();
-    store.put("config", "main", config(3));
-    for (engine, domain) in engines.iter().zip(["fd-a", "fd-b"]) {
-        store.put("servers", &engine.id, engine.registration("model", domain));
-    }
+    let engines = two_engines(resumable(3, End::Endless, 9));
+    let [one, two] = &engines;
+    let registered = registrations(&[(one, "model", "fd-a"), (two, "model", "fd-b")]);
+    let store = Store::with(config(3), &registered);
     let port = free_port();
     let on = |ip: &str| {
         settings(
@@ -659,10 +596,7 @@
     wait_for("readiness", || first.is_ready() && second.is_ready());
     let parts = "x-bilberrypost-prompt-prefix: aa:200,bb:800\r\n";
     let headers = stream_headers("s1") + parts;
-    let mut stream = TcpStream::connect(&first.process.address).unwrap();
-    stream
-        .write_all(request("POST", "/stream/x", &headers, "prompt").as_bytes())
-        .unwrap();
+    let _stream = first.open("POST", "/stream/x", &headers, "prompt");
     let runs_at = |engine: &Engine| engine.request_count() > 0;
     wait_for("a run", || engines.iter().any(runs_at));
     let replica = engines.iter().find(|engine| !runs_at(engine)).unwrap();
@@ -698,14 +632,9 @@
 /// Guards against a broken stream whose log does not tell the engine, the reason and the attempts.
 #[test]
 fn the_log_explains_a_broken_stream() {
-    let only = Engine::start("i-1", |request| match request.header("last-event-id") {
-        None => Reaction::Events(3, End::HalfEvent),
-        Some(_) => Reaction::Close,
-    });
+    let only = Engine::start("i-1", breaks_for_good);
     let (_store, mut gateway) = start(&[(&only, "model", "fd-a")]);
-    let answer = gateway
-        .send("POST", "/stream/x", &stream_headers("s1"), "prompt")
-        .unwrap();
+    let answer = gateway.stream("s1");
     assert_eq!(answer.header("broken"), Some("yes"));
     let (_, explanation) = explain(&mut gateway, "s1");
     for word in [
