Neither pass on nor count a loss that this host has refuted

Cause: a reported loss was recorded before the host compared it with its own contact. A representative that had heard from the engine since passed the loss on to all failure domains in its summary, and the loss counted when two of them let a whole failure domain be tried last.

Change: the comparison goes first.

Tests: a_refuted_loss_is_not_passed_on and refuted_losses_do_not_count_against_a_failure_domain failed before.

--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -758,16 +758,17 @@
         let Some(at) = now.checked_sub(age) else {
             return false;
         };
-        if !self.losses.record(loss.engine, at, finder) {
+        let known = self.by_hash.get(&loss.engine).copied();
+        let alive_at = known.and_then(|engine| self.engines[engine].alive_at);
+        if alive_at.is_some_and(|alive_at| alive_at > at)
+            || !self.losses.record(loss.engine, at, finder)
+        {
             return false;
         }
-        let Some(state) = self.by_hash.get(&loss.engine) else {
+        let Some(engine) = known else {
             return false;
         };
-        let state = &mut self.engines[*state];
-        if state.alive_at.is_some_and(|alive_at| alive_at > at) {
-            return false;
-        }
+        let state = &mut self.engines[engine];
         state.unreachable_until = state.unreachable_until.max(Some(at + UNREACHABLE_FOR));
         state.lost_at = state.lost_at.max(Some(at));
         // The requests that run there end as soon as the loss is confirmed.
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -151,3 +151,43 @@
     registry.expire_losses();
     assert!(registry.losses().joint(clock.now()).is_empty());
 }
+
+/// Guards against a representative that passes on to all failure domains a loss that it knows to be
+/// false.
+#[test]
+fn a_refuted_loss_is_not_passed_on() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    clock.advance(Duration::from_secs(5));
+    registry.set_heard(registry.by_id("a").unwrap());
+    clock.advance(Duration::from_millis(50));
+    assert!(!registry.record_reported_loss(loss("a", 100), Finder::Peer));
+    assert!(registry.losses().joint(clock.now()).is_empty());
+}
+
+/// Guards against a failure domain that is tried last because of losses that this host knows to be
+/// false.
+#[test]
+fn refuted_losses_do_not_count_against_a_failure_domain() {
+    let is_a3_preferred = |has_refuted_loss: bool| {
+        let clock = Manual::default();
+        let engines = [
+            ("a1", "fd-a"),
+            ("a2", "fd-a"),
+            ("a3", "fd-a"),
+            ("b", "fd-b"),
+        ];
+        let mut registry = registry(&clock, &engines);
+        clock.advance(Duration::from_secs(5));
+        registry.set_heard(registry.by_id("a1").unwrap());
+        clock.advance(Duration::from_millis(50));
+        if has_refuted_loss {
+            assert!(!registry.record_reported_loss(loss("a1", 100), Finder::Peer));
+        }
+        assert!(registry.record_reported_loss(loss("a2", 10), Finder::Peer));
+        let excluded = ["a1", "a2"].map(|id| registry.by_id(id).unwrap());
+        chosen(&registry, &excluded).as_deref() == Some("a3")
+    };
+    assert!(is_a3_preferred(false));
+    assert!(is_a3_preferred(true));
+}
