Let a begun stream try all engines again instead of ending after 24 refused attempts

Cause: a begun stream waits for an engine, but each refused connection still counted towards the limit of 24 after which a request is refused. With a dozen lost engines that was two rounds, 60 ms apart, and the stream was cut with seconds left.

Change: at the limit a request that may have run pauses for half a second and begins another round; any other is refused as before. A begun stream without contact pauses before it tries again.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -27,6 +27,9 @@
     pub excluded: Vec<Engine>,
     rejected: u32,
     unsent: u32,
+    // The attempts that certainly did not run, in all rounds but the last. Only requests that may have
+    // run begin another round.
+    earlier_not_run: u32,
     // Whether a retry was taken out of the budget and not yet used.
     has_retry: bool,
 }
@@ -41,6 +44,7 @@
             excluded: Vec::new(),
             rejected: 0,
             unsent: 0,
+            earlier_not_run: 0,
             has_retry: false,
         }
     }
@@ -68,7 +72,7 @@
     /// Records an attempt without a usable response. The next attempt chooses another engine.
     pub fn record_fault(&mut self, engine: Engine, fault: Fault) {
         self.excluded.push(engine);
-        if fault == Fault::Unsent {
+        if matches!(fault, Fault::Unsent | Fault::Busy) {
             self.unsent += 1;
             return;
         }
@@ -79,7 +83,15 @@
         }
     }
 
-    /// Returns whether the request was rejected by `rejected_max` engines, or could not be sent to
+    /// Starts a new round, in which all engines are tried again.
+    pub fn begin_round(&mut self) {
+        self.excluded.clear();
+        self.earlier_not_run += self.rejected + self.unsent;
+        self.rejected = 0;
+        self.unsent = 0;
+    }
+
+    /// Returns whether, in this round, the request was rejected by `rejected_max` engines, or could not be sent to
     /// too many.
     pub fn is_unplaceable(&self, rejected_max: u32) -> bool {
         self.rejected >= rejected_max || self.unsent >= UNSENT_ATTEMPTS_MAX
@@ -87,7 +99,7 @@
 
     /// Returns the number of attempts that certainly did not run.
     pub fn not_run(&self) -> u32 {
-        self.rejected + self.unsent
+        self.earlier_not_run + self.rejected + self.unsent
     }
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -35,6 +35,9 @@
 /// Pause while there is no engine to try, before those that failed are tried again.
 const NO_ENGINE_PAUSE: Duration = Duration::from_millis(60);
 
+/// Pause after the last engine that a begun stream may try in one round, before the next round.
+const ROUND_PAUSE: Duration = Duration::from_millis(500);
+
 /// A stream is not retried when less time than this is left until its deadline.
 const RETRY_TIME_LEFT_MIN: Duration = Duration::from_millis(300);
 
@@ -177,9 +180,8 @@
                 resume_replica.filter(|(engine, _)| registry.borrow().is_usable(*engine));
             let from = resume_replica.as_ref().map(|(engine, _)| *engine);
             let Some(engine) = from.or_else(|| self.choose_engine()) else {
-                let is_begun = self.attempts.possible_runs > 0;
-                let is_hopeless = self.attempts.excluded.is_empty() && !is_begun;
-                if is_hopeless || !self.has_retry_time() {
+                let is_retried = !self.attempts.excluded.is_empty() && self.has_retry_time();
+                if !is_retried && !self.can_wait() {
                     return Err(self.refusal());
                 }
                 self.attempts.excluded.clear();
@@ -224,10 +226,13 @@
                         return Ok((open, placement));
                     }
                 }
-                Err(Fault::NoContact) if !self.can_wait_for_contact() => {
+                Err(Fault::NoContact) if !self.can_wait() => {
                     return Err(self.refusal());
                 }
-                Err(Fault::NoContact) => self.resume_replica = resume_replica,
+                Err(Fault::NoContact) => {
+                    self.resume_replica = resume_replica;
+                    compio::time::sleep(NO_ENGINE_PAUSE).await;
+                }
                 Err(fault) => {
                     self.attempts.record_fault(engine, fault);
                     if !fault.is_not_run() && !self.admitted.route.kind.is_retryable() {
@@ -235,9 +240,16 @@
                     }
                 }
             }
-            if !self.has_attempts_left() || self.attempts.is_unplaceable(REJECTED_ATTEMPTS_MAX) {
+            if !self.has_attempts_left() {
                 return Err(self.refusal());
             }
+            if self.attempts.is_unplaceable(REJECTED_ATTEMPTS_MAX) {
+                if !self.can_wait() {
+                    return Err(self.refusal());
+                }
+                self.attempts.begin_round();
+                compio::time::sleep(ROUND_PAUSE).await;
+            }
         }
     }
 
@@ -289,9 +301,9 @@
         self.admitted.deadline.saturating_duration_since(now) >= RETRY_TIME_LEFT_MIN
     }
 
-    /// Returns whether to wait on while this host reaches nothing. A caller that has not received
-    /// anything had better try another host.
-    fn can_wait_for_contact(&self) -> bool {
+    /// Returns whether to wait on while no engine takes the request. A caller whose request no engine
+    /// may have run had better try another host.
+    fn can_wait(&self) -> bool {
         self.attempts.possible_runs > 0 && self.has_retry_time()
     }
 
