Cancel the checks of engines only once no more are started

At a stop the checks were cancelled before the task that starts them, so one started in between was not joined. Found by the review by reading; no run showed it.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -542,9 +542,9 @@
         );
     }
     gateway.stream_tasks.cancel().await;
+    within(Duration::from_millis(100), supervisor.stop()).await;
     gateway.checks.cancel().await;
     gateway.reach.stop().await;
-    within(Duration::from_millis(100), supervisor.stop()).await;
     info!("event=stopped");
     Ok(())
 }
