Judge an engine anew when contact returns, and try another one when it is busy

Cause (found by the review of the verdict by comparison, each by a test that failed): - A packet that was dropped is sent again only after a second. When contact returned, the comparison was answered first and the engine counted as lost. - An error other than a refusal counted as lost contact: calls were refused while another engine was idle. - An engine that takes no new connection while its streams run held each request until its limit. - Engines were compared with the one heard last in each failure domain, or with two hosts only.

Change: a verdict that comes after a failed comparison opens a new connection first; errors wait for the comparison; a busy engine is a fault of its own, is penalized as after a failure, and the next one is tried; other engines, drawn at random, take part in each comparison; a comparison that gets no answer lasts its 300 ms.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -96,6 +96,8 @@
 pub enum Fault {
     /// The engine accepted no connection, so no byte reached it.
     Unsent,
+    /// The engine runs, but accepted no connection, so no byte reached it.
+    Busy,
     /// This host reached neither the engine nor anything else, so no byte was sent.
     NoContact,
     /// The engine reports that it did not run the request.
@@ -115,7 +117,7 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Unsent | Self::NoContact | Self::NotRun | Self::OtherEngine
+            Self::Unsent | Self::Busy | Self::NoContact | Self::NotRun | Self::OtherEngine
         )
     }
 
@@ -123,6 +125,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
+            Self::Busy => "busy",
             Self::NoContact => "no-contact",
             Self::NotRun => "not-run",
             Self::OtherEngine => "other-engine",
@@ -169,7 +172,7 @@
         Err(Fault::Unsent) => registry.set_unreachable(engine),
         Err(Fault::Silent) => registry.set_suspect(engine),
         Err(Fault::OtherEngine) => registry.set_replaced(engine),
-        Err(Fault::Lost) => registry.set_failed(engine),
+        Err(Fault::Lost | Fault::Busy) => registry.set_failed(engine),
         Err(Fault::NotRun | Fault::NoContact | Fault::EngineLost) => {}
     }
     drop(registry);
@@ -254,6 +257,7 @@
         .await
         .map_err(|cause| match cause {
             Unreached::Refused | Unreached::Unanswered => Fault::Unsent,
+            Unreached::Busy => Fault::Busy,
             Unreached::NoContact => Fault::NoContact,
         })?;
     let mut connection = Connection::start(&address, stream)
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -2,7 +2,8 @@
 //!
 //! After a power loss or a network partition no reset arrives and open connections stay silent. An
 //! engine that is silent although requests run on it is checked by opening a TCP connection, which
-//! is the cheapest check that a live engine answers.
+//! is the cheapest check that a live engine answers. [`reach`] tells a lost engine from a host that
+//! reaches nothing.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +11,8 @@
 use compact_str::CompactString;
 use log::info;
 
-use super::{Gateway, reach};
+use super::Gateway;
+use super::reach::{self, Unreached};
 use crate::clock::Clock;
 use crate::route::registry::Engine;
 use crate::supervisor::Signal;
@@ -68,8 +70,10 @@
         Err(cause) => cause,
     };
     gateway.metrics.count_decision("check", cause.as_str());
-    if !cause.is_loss() {
-        return registry.end_check(engine);
+    match cause {
+        Unreached::Busy => return registry.set_heard(engine),
+        Unreached::NoContact => return registry.end_check(engine),
+        Unreached::Refused | Unreached::Unanswered => {}
     }
     let id = registry
         .get(engine)
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -28,7 +28,7 @@
 /// Number of other hosts that are tried at once for comparison.
 const COMPARED_HOSTS: usize = 2;
 
-/// Time after which other addresses are tried for comparison.
+/// Timeout for an answer of the addresses that are tried at once for comparison.
 const COMPARISON_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Why there is no connection to an engine. No byte of a request was sent.
@@ -38,21 +38,19 @@
     Refused,
     /// The engine did not answer, while this host reached another address.
     Unanswered,
+    /// The engine accepts no connection at present, but it sent bytes meanwhile.
+    Busy,
     /// Neither the engine nor another address answered, so nothing is known of the engine.
     NoContact,
 }
 
 impl Unreached {
-    /// Returns whether it shows that the engine is lost.
-    pub fn is_loss(self) -> bool {
-        self != Self::NoContact
-    }
-
     /// Returns the name of the cause in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Refused => "refused",
             Self::Unanswered => "unanswered",
+            Self::Busy => "busy",
             Self::NoContact => "no-contact",
         }
     }
@@ -100,24 +98,47 @@
     address: &str,
     limit: Duration,
 ) -> Result<TcpStream, Unreached> {
+    let connecting = async {
+        loop {
+            // Packets of a connection that began before contact was lost may have been dropped, and
+            // are sent again only after a second. It proves nothing once contact is back.
+            if let Some(result) = connect_once(gateway, engine, address).await {
+                return result;
+            }
+        }
+    };
+    within(limit, connecting)
+        .await
+        .unwrap_or(Err(Unreached::NoContact))
+}
+
+/// Opens a connection; `None` if this host had no contact for so long that it has to be tried again.
+async fn connect_once<C: Clock>(
+    gateway: &Rc<Gateway<C>>,
+    engine: Engine,
+    address: &str,
+) -> Option<Result<TcpStream, Unreached>> {
     let began = gateway.clock.now();
     let connected = pin!(connect_twice(address));
     let unanswered = pin!(unanswered(gateway, engine, began));
-    match within(limit, select(connected, unanswered)).await {
-        Some(Either::Left((Ok(stream), _))) => {
+    match select(connected, unanswered).await {
+        Either::Left((Ok(stream), _)) => {
             gateway.reach.record(began);
-            Ok(stream)
+            Some(Ok(stream))
         }
-        Some(Either::Left((Err(err), _))) if is_refusal(&err) => {
+        Either::Left((Err(err), _)) if is_refusal(&err) => {
             gateway.reach.record(began);
-            Err(Unreached::Refused)
+            Some(Err(Unreached::Refused))
         }
-        Some(Either::Left((Err(err), _))) => {
+        Either::Left((Err(err), unanswered)) => {
             warn!("event=connect_failed address={address} error={err:?}");
-            Err(Unreached::NoContact)
+            Some(Err(unanswered.await))
+        }
+        Either::Right((cause, _)) => {
+            let elapsed = gateway.clock.now().duration_since(began);
+            let was_without_contact = elapsed >= COMPARISON_TIMEOUT;
+            (!was_without_contact).then_some(Err(cause))
         }
-        Some(Either::Right(_)) => Err(Unreached::Unanswered),
-        None => Err(Unreached::NoContact),
     }
 }
 
@@ -138,8 +159,12 @@
     }
 }
 
-/// Waits until the engine counts as unreachable.
-async fn unanswered<C: Clock>(gateway: &Rc<Gateway<C>>, engine: Engine, began: Instant) {
+/// Waits until this host has contact and the engine has not answered in time; returns why.
+async fn unanswered<C: Clock>(
+    gateway: &Rc<Gateway<C>>,
+    engine: Engine,
+    began: Instant,
+) -> Unreached {
     compio::time::sleep(COMPARE_AFTER).await;
     wait_for_contact(gateway, engine, began).await;
     loop {
@@ -147,9 +172,8 @@
         let verdict = gateway.reach.contact.borrow().judge(began, now);
         let is_heard = gateway.registry.borrow().was_heard_since(engine, began);
         match verdict {
-            Verdict::Unreachable if !is_heard => return,
-            // Its connections work, but it accepts no new one at present.
-            Verdict::Unreachable => compio::time::sleep(ANSWER_TIME).await,
+            Verdict::Unreachable if is_heard => return Unreached::Busy,
+            Verdict::Unreachable => return Unreached::Unanswered,
             Verdict::Open => {
                 let left = (began + ANSWER_TIME).saturating_duration_since(now);
                 compio::time::sleep(left).await;
@@ -186,18 +210,12 @@
     gateway.reach.comparisons.spawn(task);
 }
 
-/// Returns addresses of other hosts, or those of other engines if no other host is known.
+/// Returns addresses of other hosts and of other engines.
 fn compared_addresses<C: Clock>(gateway: &Gateway<C>, engine: Engine) -> Vec<CompactString> {
     let hosts = gateway.reach.hosts.borrow();
     let hosts = hosts
         .iter()
         .choose_multiple(&mut rand::rng(), COMPARED_HOSTS);
-    if hosts.len() == COMPARED_HOSTS {
-        return hosts
-            .iter()
-            .map(ToCompactString::to_compact_string)
-            .collect();
-    }
     let engines = gateway.registry.borrow().comparable_to(engine);
     let hosts = hosts.iter().map(ToCompactString::to_compact_string);
     hosts.chain(engines).collect()
@@ -221,6 +239,11 @@
             .is_some_and(|answer| answer.is_ok()),
     };
     let reach = &gateway.reach;
+    if !answered {
+        // Connections that fail at once are not tried again without a pause.
+        let ends_at = began + COMPARISON_TIMEOUT;
+        compio::time::sleep(ends_at.saturating_duration_since(gateway.clock.now())).await;
+    }
     let now = gateway.clock.now();
     let outcome = if answered { "answered" } else { "no-answer" };
     gateway.metrics.count_decision("comparison", outcome);
--- a/src/route/registry.rs
+++ b/src/route/registry.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
@@ -638,20 +639,19 @@
     }
 
     /// Returns the addresses of engines to try for comparison with one that does not answer: of each
-    /// other failure domain the one that was heard last, or else another of its own. If it is the only
+    /// other failure domain one at random, or else another of its own. If it is the only
     /// engine, a new connection to it is all that can be tried.
     pub fn comparable_to(&self, engine: Engine) -> Vec<CompactString> {
         let own = self.engines.get(engine);
         let own = own.map(|state| &state.registration);
         let mut latest: BTreeMap<&str, &State> = BTreeMap::new();
-        let others = self.by_id.values().filter(|key| **key != engine);
+        let mut others: Vec<_> = self.by_id.values().filter(|key| **key != engine).collect();
+        others.shuffle(&mut rand::rng());
+        let others = others.into_iter();
         for state in others.map(|key| &self.engines[*key]) {
-            let known = latest
+            latest
                 .entry(&state.registration.failure_domain)
                 .or_insert(state);
-            if known.alive_at < state.alive_at {
-                *known = state;
-            }
         }
         if latest.len() > 1 {
             latest.retain(|domain, _| own.is_none_or(|own| own.failure_domain != *domain));
