Let updates without a revision hold back others no longer than they wait themselves

Cause: an update without a revision is sent after 200 ms at most, but reserved its whole time on the link. The lists of engines of many followers pushed the schedule seconds ahead, though their bytes had left, and every revision was then left out, so that all followers read the store.

Change: such an update moves the schedule at most as far as it waits.

Test: messages_without_a_revision_hold_back_no_longer_than_they_wait.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -202,7 +202,13 @@
             return;
         }
         let bytes = encode(update).len();
-        self.pacing.borrow_mut().reserve(bytes, now);
+        match has_revision {
+            true => self.pacing.borrow_mut().reserve(bytes, now),
+            false => {
+                let mut pacing = self.pacing.borrow_mut();
+                pacing.reserve_within(bytes, now, wait_max);
+            }
+        }
         let wait = wait.min(wait_max);
         if wait.is_zero() {
             return;
--- a/src/gateway/pacing.rs
+++ b/src/gateway/pacing.rs
@@ -41,4 +41,11 @@
         let duration = Duration::from_secs_f64(bytes as f64 / rate);
         self.next_at = Some(now + self.wait(now) + duration);
     }
+
+    /// Like [`Pacing::reserve`], for a message that is sent after `wait_max` in any case. Later
+    /// messages wait no longer for it than that, as its bytes have left by then.
+    pub fn reserve_within(&mut self, bytes: usize, now: Instant, wait_max: Duration) {
+        self.reserve(bytes, now);
+        self.next_at = self.next_at.min(Some(now + wait_max));
+    }
 }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -269,6 +269,19 @@
     assert!((0.999..1.001).contains(&wait.as_secs_f64()), "{wait:?}");
 }
 
+/// Guards against revisions that no follower gets, because many lists of engines that were sent after
+/// their longest wait still count as waiting.
+#[test]
+fn messages_without_a_revision_hold_back_no_longer_than_they_wait() {
+    let wait_max = Duration::from_millis(200);
+    let mut pacing = Pacing::new(Some(10.0));
+    let now = Manual::default().now();
+    for _ in 0..20 {
+        pacing.reserve_within(20_000, now, wait_max);
+    }
+    assert_eq!(pacing.wait(now), wait_max);
+}
+
 /// Guards against waits on hosts whose settings do not name the rate of the link.
 #[test]
 fn nothing_waits_without_a_rate() {
