Share the opening of the benches ranks, flood and fairness

Cause: the three repeat the speed of their engines, the capacity, the start of engines and routers, the threads that send, and the wait for measured requests.

Change: benches/parts/paced.rs holds them. Seeds, loads, times, limits and the order in which random numbers are drawn stay. The requests of a router are now picked in its own thread instead of before it starts.

--- a/benches/fairness.rs
+++ b/benches/fairness.rs
@@ -1,6 +1,8 @@
 //! Measures the accuracy of shares, the time of a scheduling decision at full size, and the latency
 //! of small callers next to a large one.
 
+#[path = "parts/paced.rs"]
+mod paced;
 #[path = "parts/shares.rs"]
 mod shares;
 #[path = "../tests/support/mod.rs"]
@@ -18,10 +20,10 @@
 use bilberrypost::sched::scheduler::Scheduler;
 use bilberrypost::wire::{self, Rank};
 use compact_str::format_compact;
+use paced::{ROUTERS, capacity, finish_measured, next_gap, send_to_all};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Map, Value, json};
-use support::{Cluster, Pace};
 
 const SEED: u64 = 13;
 
@@ -37,16 +39,8 @@
 
 const PARTNERS: usize = 6;
 
-/// Size of a small installation: 20 engines, 6 routers.
+/// Number of engines of a small installation.
 const ENGINES: usize = 20;
-const ROUTERS: usize = 6;
-const SLOTS: u32 = 16;
-
-/// Time of a decoding step with an empty batch, and the time that each stream adds. The ratio is about
-/// that of the default engine. The times are longer to limit the load on the machine: a token of a
-/// full batch takes 32 of the 41 ms allowed.
-const STEP_US: u32 = 21_000;
-const STEP_PER_STREAM_US: u32 = 700;
 
 /// Smallest and largest number of output tokens of a request.
 const TOKENS: (u32, u32) = (40, 120);
@@ -229,16 +223,11 @@
     format!("key-of-caller-{caller}")
 }
 
-fn capacity() -> f64 {
-    let step_us = STEP_US + STEP_PER_STREAM_US * SLOTS;
-    (ENGINES as u32 * SLOTS) as f64 * 1e6 / f64::from(step_us)
-}
-
 /// Sends requests of all callers to one router; returns the times to the first token of the measured
 /// requests of small callers, `ANSWER_TIMEOUT` for those without an answer.
 async fn send(address: String, large_factor: f64, router: u64) -> Vec<Duration> {
     let mut rng = StdRng::seed_from_u64(SEED + router);
-    let small_per_s = SMALL_LOAD * capacity() * 2.0 / f64::from(TOKENS.0 + TOKENS.1);
+    let small_per_s = SMALL_LOAD * capacity(ENGINES) * 2.0 / f64::from(TOKENS.0 + TOKENS.1);
     let per_small_caller = small_per_s / SMALL_CALLERS as f64;
     let per_s = (small_per_s + large_factor * per_small_caller) / ROUTERS as f64;
     let small_fraction = small_per_s / (small_per_s + large_factor * per_small_caller);
@@ -248,7 +237,7 @@
     let started = Instant::now();
     let mut at = 0.0;
     while at < (WARM_UP + MEASURE).as_secs_f64() {
-        at += -rng.random_range(f64::EPSILON..1.0).ln() / per_s;
+        at += next_gap(per_s, &mut rng);
         let instant = started + Duration::from_secs_f64(at);
         compio::time::sleep(instant.saturating_duration_since(Instant::now())).await;
         let is_small = rng.random_bool(small_fraction);
@@ -277,11 +266,7 @@
         });
         tasks.push((is_measured, task));
     }
-    let until = Instant::now() + ANSWER_TIMEOUT;
-    for (_, task) in tasks.iter_mut().filter(|(is_measured, _)| *is_measured) {
-        let left = until.saturating_duration_since(Instant::now());
-        let _ = compio::time::timeout(left, task).await;
-    }
+    finish_measured(&mut tasks, ANSWER_TIMEOUT).await;
     let mut latencies = latencies.take();
     latencies.resize(planned, ANSWER_TIMEOUT);
     latencies
@@ -289,27 +274,10 @@
 
 /// Returns the p95 time to the first token of small callers, in milliseconds.
 fn small_ttft_ms(settings: &str, large_factor: f64) -> f64 {
-    let mut cluster = Cluster::start();
-    let pace = Pace {
-        slots: SLOTS,
-        step_us: STEP_US,
-        step_per_stream_us: STEP_PER_STREAM_US,
-    };
-    cluster.paced_engines(ENGINES, &pace, &[]);
-    for _ in 0..ROUTERS {
-        cluster.router_with(&small_shared_settings(), ENGINES, settings);
-    }
-    let threads: Vec<_> = (0..ROUTERS)
-        .map(|index| {
-            let address = cluster.routers[index].address.clone();
-            let sending = move || support::block_on(send(address, large_factor, index as u64));
-            std::thread::spawn(sending)
-        })
-        .collect();
-    let mut latencies: Vec<_> = threads
-        .into_iter()
-        .flat_map(|thread| thread.join().expect("the load ran"))
-        .collect();
+    let cluster = paced::start(ENGINES, &[], &small_shared_settings(), settings);
+    let mut latencies = send_to_all(&cluster, |index, address| {
+        send(address, large_factor, index as u64)
+    });
     latencies.sort();
     let at =
         |part: f64| latencies[(part * (latencies.len() - 1) as f64) as usize].as_secs_f64() * 1e3;
--- a/benches/flood.rs
+++ b/benches/flood.rs
@@ -1,6 +1,8 @@
 //! Measures how much of their throughput partners keep while another one sends ten times its usual
 //! load: first routine requests to one host, then urgent requests to several hosts unevenly.
 
+#[path = "parts/paced.rs"]
+mod paced;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
@@ -12,22 +14,14 @@
 use bilberrypost::config::split::key_digest;
 use bilberrypost::load::client::{self, Call};
 use bilberrypost::wire::Rank;
+use paced::{ROUTERS, capacity, next_gap, send_to_all};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
-use support::{Cluster, Pace};
 
 const SEED: u64 = 17;
 
-const ROUTERS: usize = 6;
 const ENGINES: usize = 20;
-const SLOTS: u32 = 16;
-
-/// Time of a decoding step with an empty batch, and the time that each stream adds. The ratio is about
-/// that of the default engine. The times are longer to limit the load on the machine: a token of a
-/// full batch takes 32 of the 41 ms allowed.
-const STEP_US: u32 = 21_000;
-const STEP_PER_STREAM_US: u32 = 700;
 
 /// Smallest and largest number of output tokens of a request.
 const TOKENS: (u32, u32) = (40, 120);
@@ -85,11 +79,6 @@
     wrong_tokens: u32,
 }
 
-fn capacity() -> f64 {
-    let step_us = STEP_US + STEP_PER_STREAM_US * SLOTS;
-    f64::from(ENGINES as u32 * SLOTS) * 1e6 / f64::from(step_us)
-}
-
 fn phase_duration() -> Duration {
     WARM_UP + MEASURE
 }
@@ -110,11 +99,11 @@
     fractions: &[f64; ROUTERS],
     rng: &mut StdRng,
 ) -> Vec<Arrival> {
-    let per_s = load * capacity() * 2.0 / f64::from(TOKENS.0 + TOKENS.1);
+    let per_s = load * capacity(ENGINES) * 2.0 / f64::from(TOKENS.0 + TOKENS.1);
     let mut drawn = Vec::new();
     let mut at = 0.0;
     loop {
-        at += -rng.random_range(f64::EPSILON..1.0).ln() / per_s;
+        at += next_gap(per_s, rng);
         if at >= phase_duration().as_secs_f64() {
             return drawn;
         }
@@ -229,30 +218,13 @@
 /// Runs all phases with the given host settings; returns the smallest percentage of its throughput
 /// that a partner other than the flooding one keeps.
 fn run(settings: &str) -> f64 {
-    let mut cluster = Cluster::start();
-    let pace = Pace {
-        slots: SLOTS,
-        step_us: STEP_US,
-        step_per_stream_us: STEP_PER_STREAM_US,
-    };
-    cluster.paced_engines(ENGINES, &pace, &[]);
-    for _ in 0..ROUTERS {
-        cluster.router_with(&shared_settings(), ENGINES, settings);
-    }
+    let cluster = paced::start(ENGINES, &[], &shared_settings(), settings);
     let plan = plan();
     let started = Instant::now() + Duration::from_secs(4);
-    let threads: Vec<_> = (0..ROUTERS)
-        .map(|index| {
-            let address = cluster.routers[index].address.clone();
-            let own = plan.iter().filter(|arrival| arrival.router == index);
-            let own: Vec<_> = own.cloned().collect();
-            std::thread::spawn(move || support::block_on(send(address, own, started)))
-        })
-        .collect();
-    let completions: Vec<Completion> = threads
-        .into_iter()
-        .flat_map(|thread| thread.join().expect("the load ran"))
-        .collect();
+    let completions = send_to_all(&cluster, |index, address| {
+        let own = plan.iter().filter(|arrival| arrival.router == index);
+        send(address, own.cloned().collect(), started)
+    });
     let wrong_tokens: u32 = completions
         .iter()
         .map(|completion| completion.wrong_tokens)
--- a/benches/parts/shares.rs
+++ b/benches/parts/shares.rs
@@ -13,8 +13,9 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Map, Value, json};
 
-use super::support::{self, Cluster, Pace};
-use super::{ENGINES, ROUTERS, SEED, SLOTS, STEP_PER_STREAM_US, STEP_US, TOKENS};
+use super::paced::{PACE, ROUTERS};
+use super::support::{self, Cluster};
+use super::{ENGINES, SEED, TOKENS};
 
 const PARTNERS: [&str; 3] = ["a", "b", "c"];
 const SHARES: [u32; 3] = [50, 30, 20];
@@ -155,12 +156,7 @@
 
 fn start() -> (Cluster, support::Proxy) {
     let mut cluster = Cluster::start();
-    let pace = Pace {
-        slots: SLOTS,
-        step_us: STEP_US,
-        step_per_stream_us: STEP_PER_STREAM_US,
-    };
-    cluster.paced_engines(ENGINES, &pace, &[]);
+    cluster.paced_engines(ENGINES, &PACE, &[]);
     let mut proxy = None;
     for index in 0..ROUTERS {
         match index == CUT_OFF {
--- a/benches/ranks.rs
+++ b/benches/ranks.rs
@@ -1,6 +1,8 @@
 //! Measures the time to the first token of urgent requests within their share, first while routine
 //! requests ask for three times the capacity, then while urgent requests of another team do.
 
+#[path = "parts/paced.rs"]
+mod paced;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
@@ -12,26 +14,16 @@
 use bilberrypost::emulate::engine::Totals;
 use bilberrypost::load::client::{self, Call};
 use bilberrypost::wire::Rank;
+use paced::{ROUTERS, capacity, finish_measured, next_gap, send_to_all};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
-use support::{Cluster, Pace, get};
+use support::{Cluster, get};
 
 const SEED: u64 = 11;
 
-const ROUTERS: usize = 6;
-
 const ENGINES: usize = 35;
 
-const SLOTS: u32 = 16;
-
-/// Time of a decoding step with an empty batch, and the time that each stream adds. The ratio is about
-/// that of the default engine. The times are longer to limit the load on the machine: a token of a
-/// full batch takes 32 of the 41 ms allowed.
-const STEP_US: u32 = 21_000;
-
-const STEP_PER_STREAM_US: u32 = 700;
-
 /// Length of the prompt prefix that all requests of a team share, in tokens.
 const SHARED_PREFIX_TOKENS: usize = 1024;
 
@@ -102,11 +94,6 @@
     wrong_tokens: u32,
 }
 
-fn capacity() -> f64 {
-    let step_us = STEP_US + STEP_PER_STREAM_US * SLOTS;
-    (ENGINES as u32 * SLOTS) as f64 * 1e6 / f64::from(step_us)
-}
-
 /// Draws the arrivals of one kind of request, with `load` as a multiple of the capacity.
 fn arrivals(
     kind: Kind,
@@ -119,12 +106,12 @@
         Kind::Urgent => SHORT_TOKENS,
         Kind::Routine | Kind::Flood => LONG_TOKENS,
     };
-    let per_s = load * capacity() * 2.0 / f64::from(least + most);
+    let per_s = load * capacity(ENGINES) * 2.0 / f64::from(least + most);
     let total: f64 = teams.iter().map(|(_, weight)| weight).sum();
     let mut drawn = Vec::new();
     let mut at = from.as_secs_f64();
     loop {
-        at += -rng.random_range(f64::EPSILON..1.0).ln() / per_s;
+        at += next_gap(per_s, rng);
         if at >= to.as_secs_f64() {
             return drawn;
         }
@@ -237,11 +224,7 @@
         });
         tasks.push((is_measured, task));
     }
-    let until = Instant::now() + ANSWER_TIMEOUT;
-    for (_, task) in tasks.iter_mut().filter(|(is_measured, _)| *is_measured) {
-        let left = until.saturating_duration_since(Instant::now());
-        let _ = compio::time::timeout(left, task).await;
-    }
+    finish_measured(&mut tasks, ANSWER_TIMEOUT).await;
     completions.take()
 }
 
@@ -261,29 +244,14 @@
 }
 
 fn run(settings: &str) -> Outcome {
-    let mut cluster = Cluster::start();
-    let pace = Pace {
-        slots: SLOTS,
-        step_us: STEP_US,
-        step_per_stream_us: STEP_PER_STREAM_US,
-    };
-    cluster.paced_engines(ENGINES, &pace, &["--cache-blocks", CACHE_BLOCKS]);
-    for _ in 0..ROUTERS {
-        cluster.router_with(&shared_settings(), ENGINES, settings);
-    }
+    let cache = ["--cache-blocks", CACHE_BLOCKS];
+    let cluster = paced::start(ENGINES, &cache, &shared_settings(), settings);
     let plan = plan();
     let started = Instant::now() + Duration::from_millis(200);
-    let threads: Vec<_> = (0..ROUTERS)
-        .map(|index| {
-            let address = cluster.routers[index].address.clone();
-            let own = plan.iter().skip(index).step_by(ROUTERS).cloned().collect();
-            std::thread::spawn(move || support::block_on(send(address, own, started)))
-        })
-        .collect();
-    let completions: Vec<Completion> = threads
-        .into_iter()
-        .flat_map(|thread| thread.join().expect("the load ran"))
-        .collect();
+    let completions = send_to_all(&cluster, |index, address| {
+        let own = plan.iter().skip(index).step_by(ROUTERS);
+        send(address, own.cloned().collect(), started)
+    });
     outcome(&cluster, &plan, &completions)
 }
 
@@ -331,7 +299,7 @@
                 .filter(|completion| counts(completion))
                 .map(|completion| completion.tokens)
                 .sum();
-            100.0 * f64::from(tokens) / (capacity() * MEASURE.as_secs_f64())
+            100.0 * f64::from(tokens) / (capacity(ENGINES) * MEASURE.as_secs_f64())
         };
         outcome.routine_percent[index] = percent(|completion| completion.kind == Kind::Routine);
         outcome.all_percent[index] = percent(|_| true);
@@ -357,7 +325,7 @@
 }
 
 fn main() {
-    println!("seed {SEED}, capacity {:.0} tokens/s", capacity());
+    println!("seed {SEED}, capacity {:.0} tokens/s", capacity(ENGINES));
     let cases = [
         ("queue", "preemption = queue\n"),
         ("pause", "preemption = pause\n"),
