Do not refuse a request whose parts have all been answered since

A request that began on two engines which crashed for other reasons was refused for 60 s, also when its caller sent it again, although other requests with the same parts had been answered meanwhile. Only its last part was then left as a cause, and that is none.

a_request_of_parts_that_passed_is_not_refused failed before (refused at 2 of 2 hosts). A test now covers evidence that goes through representatives.

--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -374,7 +374,10 @@
             blocked(cause, block.crashed_at, self.lasts(&block.parts))
         });
         by_part.or_else(|| {
-            let own = || self.crashes.iter().filter(|c| c.request == prompt.request);
+            let own = || {
+                let crashes = self.crashes.iter();
+                crashes.filter(|crash| crash.request == prompt.request && self.is_evidence(crash))
+            };
             let ends = own().map(|crash| (crash.domain, crash.at)).collect();
             let last = own().map(|crash| crash.at).max()?;
             (count_events(ends) >= REQUEST_EVENTS_MAX)
@@ -609,6 +612,12 @@
         suspicions
     }
 
+    /// Returns whether a part of the request may be the cause of a crash: some part has not passed since.
+    fn is_evidence(&self, crash: &KnownCrash) -> bool {
+        let has_passed = |part: &PartHash| self.passes.last(*part).is_some_and(|at| at >= crash.at);
+        !crash.parts.iter().all(has_passed)
+    }
+
     /// Returns the ends of engines that a block explains. What else began there at the time is no
     /// evidence.
     fn explained_ends(&self) -> BTreeMap<EngineHash, Vec<Instant>> {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -156,6 +156,26 @@
     assert_eq!(fleet.refusing(&prompt(8, &["p", "s"])), 0);
 }
 
+/// Guards against a sound request that is refused because it began on two engines that crashed for
+/// other reasons, although all its parts have been answered since.
+#[test]
+fn a_request_of_parts_that_passed_is_not_refused() {
+    let mut fleet = Fleet::new(2);
+    let request = prompt(7, &["s", "t"]);
+    fleet.crash(0, "fd-a", &request);
+    fleet.clock.advance(Duration::from_secs(1));
+    fleet.crash(0, "fd-b", &request);
+    fleet.report();
+    assert_eq!(fleet.refusing(&request), 2);
+    fleet.pass(1, &prompt(8, &["s"]));
+    fleet.report();
+    assert_eq!(fleet.refusing(&request), 2);
+    fleet.pass(0, &prompt(9, &["t"]));
+    fleet.report();
+    fleet.report();
+    assert_eq!(fleet.refusing(&request), 0);
+}
+
 /// Guards against a failure domain that crashes with many requests at their beginning and counts as
 /// many crashes.
 #[test]
@@ -346,3 +366,45 @@
     assert_eq!(request.parts, vec![PartHash::of("a"), PartHash::of("b")]);
     assert_eq!(Prompt::new(2, ["own"].into_iter()).parts, vec![]);
 }
+
+/// Guards against evidence that representatives do not pass on between failure domains, and against
+/// summaries that return to where they came from.
+#[test]
+fn summaries_carry_the_evidence_of_a_failure_domain() {
+    let clock = Manual::default();
+    let mut hosts: Vec<_> = (0..4).map(Quarantine::new).collect();
+    let domain = DomainHash::of("fd");
+    for number in 0..3 {
+        let engine = EngineHash::of(&format!("i-{number}"));
+        let request = prompt(number, &["p", "s"]);
+        hosts[0].record_crash(engine, domain, &request, clock.now());
+        clock.advance(Duration::from_millis(600));
+    }
+    // Host 0 reports to its representative 1, which sends a summary to 2, which forwards it to 3.
+    let before = hosts[1].versions();
+    let report = hosts[0].own(clock.now());
+    hosts[1].merge(&report, Finder::Peer, clock.now());
+    assert_eq!(hosts[1].versions().0, before.0);
+    assert!(hosts[1].versions().1 > before.1);
+    assert!(hosts[1].own(clock.now()).crashes.is_empty());
+    let summary = hosts[1].joint(clock.now());
+    assert_eq!(summary.crashes.len(), 3);
+    for number in [2, 3] {
+        hosts[number].merge(&summary, Finder::Remote, clock.now());
+        let blocked = hosts[number].check(&prompt(900, &["p", "s"]), clock.now());
+        assert!(blocked.is_some());
+        assert!(hosts[number].joint(clock.now()).crashes.is_empty());
+        assert_eq!(hosts[number].versions().1, 0);
+    }
+    // A pass in the other domain comes back the same way.
+    clock.advance(Duration::from_millis(100));
+    hosts[3].record_pass(&prompt(901, &["s"]), clock.now());
+    let report = hosts[3].own(clock.now());
+    hosts[2].merge(&report, Finder::Peer, clock.now());
+    let summary = hosts[2].joint(clock.now());
+    hosts[1].merge(&summary, Finder::Remote, clock.now());
+    for host in &hosts[1..] {
+        assert!(host.check(&prompt(902, &["p"]), clock.now()).is_some());
+        assert!(host.check(&prompt(903, &["s"]), clock.now()).is_none());
+    }
+}
