Give gateways of a test addresses and a port that nothing else uses

Traced: its second gateway ended with "could not listen on 127.0.0.2:36245; Address already in use". The port was drawn on 127.0.0.1, and another test of the file listened there on 127.0.0.2.

Change: tests/crashes.rs and tests/feed.rs take loopback addresses of their own and a port outside of the range from which the system draws ports. No assertion or wait changes.

--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -9,7 +9,8 @@
 use bilberrypost::wire::Execution;
 use serde_json::{Value, json};
 use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, events, settings, wait_for,
+    API_KEY, End, Engine, Gateway, Message, PEER_PORT, Reaction, Store, config, events, own_ips,
+    settings, wait_for,
 };
 
 /// Part that crashes each engine which begins to write a response to it.
@@ -18,11 +19,6 @@
 /// Part that sound and bad requests share.
 const SHARED: &str = "5a5a0001";
 
-fn free_port() -> u16 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
-}
-
 fn has_bad_part(request: &Message) -> bool {
     request
         .header("x-bilberrypost-prompt-prefix")
@@ -60,13 +56,13 @@
             let registration = engine.registration("model", &domain);
             store.put("servers", &engine.id, registration);
         }
-        let port = free_port();
+        let [first, second] = own_ips();
         let on = |ip: &str| {
-            let more = format!("seeds = 127.0.0.1:1\nports = {port},{port}");
+            let more = format!("seeds = {first}:1\nports = {PEER_PORT},{PEER_PORT}");
             let settings = settings(&store.address, &more);
             Gateway::start(&settings.replace("127.0.0.1:0", &format!("{ip}:0")))
         };
-        let gateways = vec![on("127.0.0.1"), on("127.0.0.2")];
+        let gateways = vec![on(&first), on(&second)];
         for gateway in &gateways {
             wait_for("two hosts", || {
                 gateway.is_ready() && gateway.metric("bilberrypost_hosts ") == Some(2.0)
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::net::TcpListener;
 use std::time::Duration;
 
 use bilberrypost::clock::{Clock, Manual};
@@ -11,7 +10,9 @@
 use bilberrypost::gateway::feed::{PATH, Update};
 use bilberrypost::gateway::pacing::Pacing;
 use serde_json::{Value, json};
-use support::platform::{Gateway, Message, Store, config, exchange, settings, wait_for};
+use support::platform::{
+    Gateway, Message, PEER_PORT, Store, config, exchange, own_ips, settings, wait_for,
+};
 
 /// Hosts that follow one representative on large fleets.
 const FOLLOWERS: usize = 20;
@@ -35,19 +36,14 @@
     document
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
-}
-
 /// Sends a follower's query; returns the answer and its size in bytes.
-fn query(port: u16, query: &Value) -> (Update, usize) {
+fn query(address: &str, query: &Value) -> (Update, usize) {
     let body = query.to_string();
     let request = format!(
         "POST {PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
-    let answer = exchange(&format!("127.0.0.1:{port}"), &request).expect("an answer");
+    let answer = exchange(address, &request).expect("an answer");
     assert_eq!(answer.status(), 200, "{}", answer.text());
     let update = Update::decode(&answer.body).unwrap();
     (update, size(&answer))
@@ -73,37 +69,39 @@
     query
 }
 
-/// Starts a gateway that has put revision 1 and then `second` into force. Returns its port for
-/// followers and the document of revision 1.
-fn start_with_change(store: &Store, more: &str, second: Value) -> (Gateway, u16, String) {
-    let port = free_port();
+/// Starts a gateway that has put revision 1 and then `second` into force. Returns its address
+/// for followers and the document of revision 1.
+fn start_with_change(store: &Store, more: &str, second: Value) -> (Gateway, String, String) {
+    let [ip] = own_ips();
     store.put("config", "main", large_config(1, 20_000));
-    let more = format!("ports = {port},{port}\n{more}");
-    let gateway = Gateway::start(&settings(&store.address, &more));
+    let more = format!("ports = {PEER_PORT},{PEER_PORT}\n{more}");
+    let settings = settings(&store.address, &more);
+    let gateway = Gateway::start(&settings.replace("127.0.0.1:0", &format!("{ip}:0")));
+    let address = format!("{ip}:{PEER_PORT}");
     let has_version = |version| {
         let name = "bilberrypost_revision_version ";
         wait_for("the revision", || gateway.metric(name) == Some(version));
     };
     has_version(1.0);
-    let (update, _) = query(port, &old_query(0));
+    let (update, _) = query(&address, &old_query(0));
     let document = update.revision.expect("the whole document");
     store.put("config", "main", second);
     has_version(2.0);
-    (gateway, port, document)
+    (gateway, address, document)
 }
 
 /// Guards against a representative whose link is full while it sends a small change.
 #[test]
 fn a_small_change_takes_few_bytes() {
     let store = Store::start();
-    let (_gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
+    let (_gateway, address, first) = start_with_change(&store, "", large_config(2, 15_000));
     assert!((14_000..=16 * 1024).contains(&first.len()));
     let answers: Vec<_> = (0..FOLLOWERS)
-        .map(|_| query(port, &query_with(1, &first)))
+        .map(|_| query(&address, &query_with(1, &first)))
         .collect();
     let bytes: usize = answers.iter().map(|(_, bytes)| bytes).sum();
     assert!(bytes <= SENT_BYTES_MAX, "{bytes} bytes");
-    let (whole, _) = query(port, &old_query(1));
+    let (whole, _) = query(&address, &old_query(1));
     for (update, _) in &answers {
         let patch = update.patch.as_ref().expect("a patch");
         assert_eq!(patch.apply(&first).ok(), whole.revision);
@@ -115,12 +113,12 @@
 #[test]
 fn any_follower_gets_a_readable_revision() {
     let store = Store::start();
-    let (gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
-    let (old, _) = query(port, &old_query(1));
+    let (gateway, address, first) = start_with_change(&store, "", large_config(2, 15_000));
+    let (old, _) = query(&address, &old_query(1));
     assert!(old.patch.is_none());
     let whole = old.revision.expect("the whole document");
     for (revision, document) in [(0, ""), (1, "another"), (1, first.as_str())] {
-        let (update, _) = query(port, &query_with(revision, document));
+        let (update, _) = query(&address, &query_with(revision, document));
         assert!(update.revision.is_none());
         let restored = update.patch.expect("a patch").apply(document);
         assert_eq!(restored, Ok(whole.clone()), "{document}");
@@ -149,15 +147,15 @@
                             "born": 1_774_738_407_000 + digest(&address) % 100_000});
         store.put("servers", &id, engine);
     }
-    let (_gateway, port, first) = start_with_change(&store, "", large_config(2, 15_000));
+    let (_gateway, address, first) = start_with_change(&store, "", large_config(2, 15_000));
     let changed = query_with(2, &first);
     wait_for("all engines", || {
-        query(port, &changed).0.engines.registered.len() == ENGINES
+        query(&address, &changed).0.engines.registered.len() == ENGINES
     });
-    let answers: Vec<_> = (0..FOLLOWERS).map(|_| query(port, &changed)).collect();
+    let answers: Vec<_> = (0..FOLLOWERS).map(|_| query(&address, &changed)).collect();
     let bytes: usize = answers.iter().map(|(_, bytes)| bytes).sum();
     assert!(bytes <= BYTES_MAX, "{bytes} bytes");
-    let (old, bytes) = query(port, &old_query(2));
+    let (old, bytes) = query(&address, &old_query(2));
     assert_eq!(answers[0].0.engines.registered, old.engines.registered);
     assert!(bytes * FOLLOWERS > BYTES_MAX, "{bytes} bytes, uncompressed");
 }
@@ -296,17 +294,17 @@
 fn followers_read_the_store_if_the_link_is_slow() {
     let store = Store::start();
     let more = "link_mbps = 0.1";
-    let (gateway, port, first) = start_with_change(&store, more, large_config(2, 15_000));
+    let (gateway, address, first) = start_with_change(&store, more, large_config(2, 15_000));
     wait_for("a referral to the store", || {
         // The whole document takes seconds of this link.
-        query(port, &old_query(0));
-        let (update, _) = query(port, &query_with(1, &first));
+        query(&address, &old_query(0));
+        let (update, _) = query(&address, &query_with(1, &first));
         update.version == 2 && update.patch.is_none() && update.revision.is_none()
     });
     let mut cut_off = query_with(1, &first);
     cut_off["is_cut_off"] = true.into();
     wait_for("a patch in an outage", || {
-        query(port, &cut_off).0.patch.is_some()
+        query(&address, &cut_off).0.patch.is_some()
     });
     drop(gateway);
 }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -595,6 +596,19 @@
     }
 }
 
+/// Port for messages between gateways, outside of the range from which the system draws ports.
+pub const PEER_PORT: u16 = 7200;
+
+/// Returns loopback addresses that no other test uses, so that [`PEER_PORT`] is free on them.
+pub fn own_ips<const N: usize>() -> [String; N] {
+    static LAST: AtomicU8 = AtomicU8::new(0);
+    let process = std::process::id();
+    std::array::from_fn(|_| {
+        let host = LAST.fetch_add(1, Ordering::Relaxed) + 1;
+        format!("127.{}.{}.{host}", 1 + (process >> 8) % 254, process % 256)
+    })
+}
+
 /// API key of the tenant in [`config`].
 pub const API_KEY: &str = "secret-key-of-the-team";
 
