--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -8,9 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::relay::handover;
+use crate::route::evidence::Evidence;
 use crate::route::load::Load;
 use crate::route::losses::Loss;
-use crate::route::quarantine::Evidence;
 use crate::sched::retry;
 use crate::util::hash64;
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -6,10 +6,12 @@
 
 pub mod cache;
 pub mod contact;
+pub mod evidence;
 pub mod fleet;
 pub mod history;
 pub mod load;
 pub mod losses;
+mod passes;
 pub mod placing;
 pub mod poll;
 pub mod prefix;
@@ -18,3 +20,4 @@
 pub mod registry;
 pub mod reports;
 mod select;
+mod suspicion;
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -19,13 +19,14 @@
 //! A block ends after a while, as the engines may have been mended, and one request at a time then
 //! shows whether it was still right.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
+use super::evidence::{Block, Crash, DomainHash, Evidence, Pass};
 use super::losses::Finder;
-use super::prompt::{self, PartHash, Prompt, RequestHash};
+use super::passes::Passes;
+use super::prompt::{self, PartHash, Prompt};
+use super::suspicion::{KnownCrash, Suspicion, count_events};
 use crate::peer::report::EngineHash;
 use crate::util::hash64;
 
@@ -42,9 +43,6 @@
 /// another engine. One crash may be a coincidence.
 pub const REQUEST_EVENTS_MAX: usize = 2;
 
-/// Ends of engines in one failure domain within this time count as one crash.
-const EVENT_WINDOW: Duration = Duration::from_millis(500);
-
 /// Time for which a crash is evidence. Requests with a part that few use may be this far apart.
 const CRASH_TTL: Duration = Duration::from_secs(60);
 
@@ -69,74 +67,12 @@
 /// Maximum number of crashes kept; the oldest are dropped first.
 const CRASHES_MAX: usize = 256;
 
-/// Number of parts that passed in one generation of the memory. Two generations are kept: at 66
-/// requests a second with three parts each, those of the last 20 to 40 s.
-const PASSES_MAX: usize = 4096;
-
 /// Maximum number of blocked parts; the one whose last crash is oldest is dropped first.
 const BLOCKS_MAX: usize = 64;
 
 /// Maximum number of crashes, passes and blocks each in one report, which bounds its size.
 const REPORTED_MAX: usize = 8;
 
-/// Difference up to which two hosts' times of the end of one engine are the same event.
-const SAME_END_WITHIN: Duration = Duration::from_secs(1);
-
-/// Hash of the name of a failure domain.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct DomainHash(u16);
-
-impl DomainHash {
-    /// Returns the hash of the failure domain `name`.
-    pub fn of(name: &str) -> Self {
-        Self(hash64(&[name.as_bytes()]) as u16)
-    }
-}
-
-/// An engine that ended just as it began to write the response to a request.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Crash {
-    /// The engine.
-    pub engine: EngineHash,
-    /// Its failure domain.
-    pub domain: DomainHash,
-    /// The request.
-    pub request: RequestHash,
-    /// Parts of the request's prompt that others may share.
-    pub parts: Vec<PartHash>,
-    /// Time since the engine ended in milliseconds.
-    pub age_ms: u32,
-}
-
-/// A part that an engine has begun to write a response to and survived.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Pass {
-    /// The part.
-    pub part: PartHash,
-    /// Time since then in milliseconds.
-    pub age_ms: u32,
-}
-
-/// Parts of which one crashes engines; requests with all of them are refused.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Block {
-    /// The parts, in ascending order.
-    pub parts: Vec<PartHash>,
-    /// Time since their last crash in milliseconds.
-    pub age_ms: u32,
-}
-
-/// What hosts report to each other.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Evidence {
-    /// Crashes of the last moments.
-    pub crashes: Vec<Crash>,
-    /// Recent passes of parts that are suspect or blocked.
-    pub passes: Vec<Pass>,
-    /// Blocks in force, for hosts that have started since the crashes.
-    pub blocks: Vec<Block>,
-}
-
 /// What changed with new evidence.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Update {
@@ -175,28 +111,6 @@
     pub left: Duration,
 }
 
-#[derive(Clone, Debug)]
-struct KnownCrash {
-    engine: EngineHash,
-    domain: DomainHash,
-    request: RequestHash,
-    parts: Vec<PartHash>,
-    at: Instant,
-    finder: Finder,
-}
-
-impl KnownCrash {
-    fn has_all(&self, parts: &[PartHash]) -> bool {
-        parts.iter().all(|part| self.parts.contains(part))
-    }
-
-    /// Returns whether an end of its engine at `at` is the same event.
-    fn is_end_at(&self, at: Instant) -> bool {
-        let (first, last) = (self.at.min(at), self.at.max(at));
-        last.duration_since(first) < SAME_END_WITHIN
-    }
-}
-
 #[derive(Clone, Debug)]
 struct KnownBlock {
     // Invariant: not empty, in ascending order.
@@ -206,63 +120,6 @@
     trial_until: Option<Instant>,
 }
 
-/// Last pass of each part. The older generation is dropped when the newer one is full.
-#[derive(Debug, Default)]
-struct Passes {
-    newer: BTreeMap<PartHash, (Instant, Finder)>,
-    older: BTreeMap<PartHash, (Instant, Finder)>,
-}
-
-impl Passes {
-    fn record(&mut self, part: PartHash, at: Instant, finder: Finder) {
-        if self.last(part).is_some_and(|known| known >= at) {
-            return;
-        }
-        if self.newer.len() >= PASSES_MAX {
-            self.older = std::mem::take(&mut self.newer);
-        }
-        self.newer.insert(part, (at, finder));
-    }
-
-    fn get(&self, part: PartHash) -> Option<(Instant, Finder)> {
-        let newer = self.newer.get(&part);
-        newer.or_else(|| self.older.get(&part)).copied()
-    }
-
-    fn last(&self, part: PartHash) -> Option<Instant> {
-        self.get(part).map(|(at, _)| at)
-    }
-}
-
-/// Evidence against one part.
-#[derive(Debug, Default)]
-struct Suspicion {
-    ends: Vec<(DomainHash, Instant)>,
-    requests: BTreeSet<RequestHash>,
-    // Parts that all these crashes have in common.
-    common: Option<BTreeSet<PartHash>>,
-}
-
-impl Suspicion {
-    fn add(&mut self, crash: &KnownCrash) {
-        self.ends.push((crash.domain, crash.at));
-        self.requests.insert(crash.request);
-        let parts: BTreeSet<_> = crash.parts.iter().copied().collect();
-        self.common = Some(match self.common.take() {
-            Some(common) => &common & &parts,
-            None => parts,
-        });
-    }
-
-    fn last_at(&self) -> Option<Instant> {
-        self.ends.iter().map(|(_, at)| *at).max()
-    }
-
-    fn first_at(&self) -> Option<Instant> {
-        self.ends.iter().map(|(_, at)| *at).min()
-    }
-}
-
 /// What this host believes of parts that may crash engines.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -446,8 +303,7 @@
 
     /// Returns the numbers of crashes, passes and blocks that are kept.
     pub fn sizes(&self) -> (usize, usize, usize) {
-        let passes = self.passes.newer.len() + self.passes.older.len();
-        (self.crashes.len(), passes, self.blocks.len())
+        (self.crashes.len(), self.passes.len(), self.blocks.len())
     }
 
     /// Inserts a crash in order of time; returns whether it was not known.
@@ -693,20 +549,3 @@
 fn has_all(parts: &[PartHash], wanted: &[PartHash]) -> bool {
     wanted.iter().all(|part| parts.contains(part))
 }
-
-/// Counts ends of engines, those close together in one failure domain as one.
-fn count_events(mut ends: Vec<(DomainHash, Instant)>) -> usize {
-    ends.sort();
-    let mut count = 0;
-    let mut first: Option<(DomainHash, Instant)> = None;
-    for (domain, at) in ends {
-        let is_same = first.is_some_and(|(first_domain, first_at)| {
-            first_domain == domain && at.duration_since(first_at) < EVENT_WINDOW
-        });
-        if !is_same {
-            count += 1;
-            first = Some((domain, at));
-        }
-    }
-    count
-}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -4,10 +4,11 @@
 
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::peer::report::EngineHash;
+use bilberrypost::route::evidence::{DomainHash, Evidence};
 use bilberrypost::route::losses::Finder;
 use bilberrypost::route::prompt::{PartHash, Prompt};
 use bilberrypost::route::quarantine::{
-    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, DomainHash, EVENTS_MIN, Evidence, Quarantine,
+    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, EVENTS_MIN, Quarantine,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
