--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -192,31 +192,10 @@
                 compio::time::sleep(NO_ENGINE_PAUSE).await;
                 continue;
             };
-            let replica = self.choose_replica(engine);
-            let footprint = self.admitted.call.footprint();
-            let placement = Placement::new(&self.gateway, engine, replica, footprint);
-            let resume_point = ResumePoint {
-                last_event: self.position.last(),
-                replica_run: resume_replica.as_ref().map(|(_, run)| run.clone()),
-            };
-            let head_deadline = self.head_deadline_of(engine);
-            let gateway = self.gateway.clone();
-            let result = {
-                let open = pin!(attempt::open::<C, P>(
-                    &gateway,
-                    &self.admitted,
-                    &placement,
-                    &resume_point,
-                    head_deadline,
-                ));
-                let blocked = pin!(crash::wait_until_blocked(&gateway, &self.admitted));
-                match select(open, blocked).await {
-                    Either::Left((result, _)) => result,
-                    Either::Right(_) => {
-                        self.attempts.record_fault(engine, Fault::EngineLost);
-                        return Err(crash::stopped());
-                    }
-                }
+            let run = resume_replica.as_ref().map(|(_, run)| run.clone());
+            let (result, placement) = match self.open_at::<P>(engine, run).await {
+                Some(opened) => opened,
+                None => return Err(crash::stopped()),
             };
             match result {
                 Ok(open) if open.is_success => {
@@ -244,6 +223,7 @@
                     }
                 }
             }
+            drop(placement);
             if !self.has_attempts_left() {
                 return Err(self.refusal());
             }
@@ -257,6 +237,41 @@
         }
     }
 
+    /// Makes one attempt at `engine`, from the replica of `run` there if given. Returns `None` if the
+    /// request has become known to crash engines meanwhile.
+    async fn open_at<P: Protocol>(
+        &mut self,
+        engine: Engine,
+        run: Option<CompactString>,
+    ) -> Option<(Result<OpenResponse, Fault>, Placement<C>)> {
+        let replica = self.choose_replica(engine);
+        let footprint = self.admitted.call.footprint();
+        let placement = Placement::new(&self.gateway, engine, replica, footprint);
+        let resume_point = ResumePoint {
+            last_event: self.position.last(),
+            replica_run: run,
+        };
+        let head_deadline = self.head_deadline_of(engine);
+        let result = {
+            let open = pin!(attempt::open::<C, P>(
+                &self.gateway,
+                &self.admitted,
+                &placement,
+                &resume_point,
+                head_deadline,
+            ));
+            let blocked = pin!(crash::wait_until_blocked(&self.gateway, &self.admitted));
+            match select(open, blocked).await {
+                Either::Left((result, _)) => Some(result),
+                Either::Right(_) => None,
+            }
+        };
+        if result.is_none() {
+            self.attempts.record_fault(engine, Fault::EngineLost);
+        }
+        Some((result?, placement))
+    }
+
     fn replica_of(&self, placement: &Placement<C>) -> Option<(Engine, CompactString)> {
         let run = self.admitted.call.id.clone();
         placement.replica.map(|replica| (replica, run))
