Bound the addresses that are tried at once for comparison

One engine of each failure domain was tried beside two hosts: with 31 failure domains, 30 connections. Two engines drawn at random are enough, as the next comparison draws others.

--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -25,8 +25,8 @@
 /// other addresses are tried for comparison.
 const COMPARE_AFTER: Duration = Duration::from_millis(50);
 
-/// Number of other hosts that are tried at once for comparison.
-const COMPARED_HOSTS: usize = 2;
+/// Number of other hosts, and of other engines, that are tried at once for comparison.
+const COMPARED: usize = 2;
 
 /// Timeout for an answer of the addresses that are tried at once for comparison.
 const COMPARISON_TIMEOUT: Duration = Duration::from_millis(300);
@@ -213,11 +213,12 @@
 /// Returns addresses of other hosts and of other engines.
 fn compared_addresses<C: Clock>(gateway: &Gateway<C>, engine: Engine) -> Vec<CompactString> {
     let hosts = gateway.reach.hosts.borrow();
-    let hosts = hosts
-        .iter()
-        .choose_multiple(&mut rand::rng(), COMPARED_HOSTS);
-    let engines = gateway.registry.borrow().comparable_to(engine);
+    let hosts = hosts.iter().choose_multiple(&mut rand::rng(), COMPARED);
     let hosts = hosts.iter().map(ToCompactString::to_compact_string);
+    let engines = gateway.registry.borrow().comparable_to(engine);
+    let engines = engines
+        .into_iter()
+        .choose_multiple(&mut rand::rng(), COMPARED);
     hosts.chain(engines).collect()
 }
 
