Limit the rounds of summaries while engines are being lost

Cause: a representative forwards the summaries of other failure domains to its hosts at once when they have a new loss, in every tick of 50 ms. With 126 engines, three failure domains and 20 hosts a round is up to 100 KB (computed from the encoder), so that losses that follow each other took up to 2 MB/s of a link of 1.25 MB/s: the class of the incident of lost streams, full links by control bytes.

Change: rounds with news are 100 ms apart or more; the first goes at once, also just after a round without news.

Test: summaries_leave_room_on_a_small_link. By the rule before, 20 rounds in its second, 2 MB.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,6 +27,7 @@
 use crate::peer::newer::Newer;
 use crate::peer::report::{self, Report, Summary};
 use crate::peer::roster::{REPRESENTATIVES, Roster};
+use crate::peer::schedule::Schedule;
 use crate::relay::handover;
 use crate::route::evidence::Evidence;
 use crate::route::losses::{Finder, Loss};
@@ -44,9 +45,6 @@
 /// Time after which a report is sent even if nothing changed.
 const REPORT_INTERVAL_MAX: Duration = Duration::from_millis(500);
 
-/// Time between two summaries.
-const SUMMARY_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Maximum number of streams in one report, which keeps it below [`report::BYTES_MAX`].
 const REPORT_STREAMS_MAX: usize = 64;
 
@@ -82,7 +80,7 @@
         last_report: None,
         reported_losses: 0,
         reported_evidence: 0,
-        summaries_sent_at: None,
+        schedule: Schedule::default(),
         summarized_losses: 0,
         summarized_evidence: 0,
         has_urgent_summary: false,
@@ -155,7 +153,8 @@
     // The `Quarantine::versions` that they contained.
     reported_evidence: u64,
     summarized_evidence: u64,
-    summaries_sent_at: Option<Instant>,
+    // The rounds of summaries.
+    schedule: Schedule,
     summarized_losses: u64,
     // Whether a summary with new losses was not forwarded yet.
     has_urgent_summary: bool,
@@ -358,7 +357,6 @@
     /// is lost.
     async fn send_summaries(&mut self) {
         let now = self.gateway.clock.now();
-        let is_due = |at: Instant| now.duration_since(at) >= SUMMARY_INTERVAL;
         let is_leaving = self.gateway.leaving.is_set();
         let local_representatives = self.roster.own_representatives(is_leaving, now);
         let (_, losses_version) = self.gateway.registry.borrow().losses().versions();
@@ -368,11 +366,11 @@
             || evidence_version != self.summarized_evidence;
         if !self.roster.has_indirect_hosts()
             || local_representatives.first() != Some(&self.own_address)
-            || !(is_urgent || self.summaries_sent_at.is_none_or(is_due))
+            || !self.schedule.is_due(is_urgent, now)
         {
             return;
         }
-        self.summaries_sent_at = Some(now);
+        self.schedule.record(is_urgent, now);
         self.summarized_losses = losses_version;
         self.summarized_evidence = evidence_version;
         self.has_urgent_summary = false;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,6 +7,7 @@
 pub mod report;
 pub mod representatives;
 pub mod roster;
+pub mod schedule;
 pub mod server;
 
 use compact_str::CompactString;
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bilberrypost::clock::Manual;
+use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::gateway::watch::retry_pause;
 use bilberrypost::peer::newer::Newer;
 use bilberrypost::peer::report::{BYTES_MAX, EngineHash, Report, Summary, Usage};
 use bilberrypost::peer::representatives::Representatives;
 use bilberrypost::peer::roster::{REPRESENTATIVES, Roster};
+use bilberrypost::peer::schedule::Schedule;
 use bilberrypost::relay::handover::Stream;
 use bilberrypost::route::evidence::{Block, Crash, DomainHash, Evidence, Pass};
 use bilberrypost::route::load::Load;
@@ -482,3 +483,28 @@
     }
     assert_eq!(Report::decode(&bytes).unwrap(), report);
 }
+
+/// Guards against losses that follow each other and fill the link of a representative with summaries.
+#[test]
+fn summaries_leave_room_on_a_small_link() {
+    // A round to 20 hosts about three failure domains and 126 engines, and a link of 10 Mbit/s.
+    const ROUND_BYTES: usize = 100_000;
+    const LINK_BYTES_PER_S: usize = 1_250_000;
+    let clock = Manual::default();
+    let mut schedule = Schedule::default();
+    let mut rounds = 0;
+    for _ in 0..20 {
+        if schedule.is_due(true, clock.now()) {
+            schedule.record(true, clock.now());
+            rounds += 1;
+        }
+        clock.advance(Duration::from_millis(50));
+    }
+    assert!(rounds * ROUND_BYTES <= LINK_BYTES_PER_S, "{rounds} rounds");
+    // News after a quiet time go at once, also just after a round without news.
+    clock.advance(Duration::from_millis(200));
+    schedule.record(false, clock.now());
+    clock.advance(Duration::from_millis(50));
+    assert!(!schedule.is_due(false, clock.now()));
+    assert!(schedule.is_due(true, clock.now()));
+}
