Keep the memory of attempts out of connections and running streams

The futures of an attempt, which have grown by the comparison of engines, were part of each connection and each running stream.

Change: they are boxed, and exist only while a request, or a stream without an engine, needs them. Nothing else changes.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -162,9 +162,10 @@
             .budget
             .borrow_mut()
             .record_request(&service, now);
+        // Boxed, so that a connection takes their memory only while it has a request.
         match admitted.route.kind.is_stream() {
-            true => stream::serve::<C, P>(&self.gateway, admitted).await,
-            false => plain::serve::<C, P>(&self.gateway, &admitted).await,
+            true => Box::pin(stream::serve::<C, P>(&self.gateway, admitted)).await,
+            false => Box::pin(plain::serve::<C, P>(&self.gateway, &admitted)).await,
         }
     }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -480,7 +480,8 @@
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
             let next = {
-                let next = pin!(self.open_next::<P>());
+                // Boxed, so that a stream takes its memory only while it has no engine.
+                let next = Box::pin(self.open_next::<P>());
                 let gone = pin!(writer.closed());
                 match select(next, gone).await {
                     Either::Left((next, _)) => next,
