--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -14,6 +14,14 @@
     output: 100,
 };
 
+/// Engines of two failure domains; three of them share one.
+const TWO_DOMAINS: [(&str, &str); 4] = [
+    ("a1", "fd-a"),
+    ("a2", "fd-a"),
+    ("a3", "fd-a"),
+    ("b", "fd-b"),
+];
+
 fn registry(clock: &Manual, engines: &[(&str, &str)]) -> Registry<Manual> {
     let mut registry = Registry::new(clock.clone(), "host-a".into(), "fd-a".into());
     for (id, domain) in engines {
@@ -85,13 +93,7 @@
 #[test]
 fn a_domain_in_which_others_lost_engines_is_tried_last() {
     let clock = Manual::default();
-    let engines = [
-        ("a1", "fd-a"),
-        ("a2", "fd-a"),
-        ("a3", "fd-a"),
-        ("b", "fd-b"),
-    ];
-    let mut registry = registry(&clock, &engines);
+    let mut registry = registry(&clock, &TWO_DOMAINS);
     clock.advance(Duration::from_secs(5));
     registry.record_reported_loss(loss("a1", 100), Finder::Peer);
     let first = registry.by_id("a1").unwrap();
@@ -171,13 +173,7 @@
 fn refuted_losses_do_not_count_against_a_failure_domain() {
     let is_a3_preferred = |has_refuted_loss: bool| {
         let clock = Manual::default();
-        let engines = [
-            ("a1", "fd-a"),
-            ("a2", "fd-a"),
-            ("a3", "fd-a"),
-            ("b", "fd-b"),
-        ];
-        let mut registry = registry(&clock, &engines);
+        let mut registry = registry(&clock, &TWO_DOMAINS);
         clock.advance(Duration::from_secs(5));
         registry.set_heard(registry.by_id("a1").unwrap());
         clock.advance(Duration::from_millis(50));
