Move the choice of backend servers to route/

The choice of a backend server for a call is decision logic without sockets, and stood in http/backend.rs beside the calls themselves. No behaviour changes.

--- a/src/http/backend.rs
+++ b/src/http/backend.rs
@@ -4,7 +4,6 @@
 //! that it is known whether any byte was sent.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +18,6 @@
 use hyper::{Response, StatusCode};
 use log::info;
 use sha2::{Digest, Sha256};
-use slotmap::{SlotMap, new_key_type};
 
 use super::body::Body;
 use super::client;
@@ -30,10 +28,10 @@
 use crate::claim::task::Verdict;
 use crate::clock::{self, Clock};
 use crate::config::split::{Caller, Route, SharedSettings};
+use crate::route::servers::{End, ServerKey, Servers};
 use crate::router::Router;
-use crate::sched::retry;
 use crate::util::{hash64, unix_ms, within};
-use crate::wire::{Execution, Kind, Lifecycle, Member};
+use crate::wire::Execution;
 
 /// Timeout for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -45,195 +43,15 @@
 /// Maximum number of attempts of one call.
 const ATTEMPTS_MAX: usize = 3;
 
-/// Time after the failure of a server in which other servers are preferred.
-const FAILED_PENALTY: Duration = Duration::from_secs(2);
-
 /// Answers of this size or larger are discarded.
 const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
 
-/// Limit on retries, which bounds the additional load when all servers fail.
-const RETRY_POLICY: retry::Policy = retry::Policy {
-    ratio: 0.1,
-    slack: 20.0,
-    window: Duration::from_secs(10),
-};
-
 /// Request id sent to backend servers; an answer with another id is discarded.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
 /// Set on an answer that was replayed from the record of an earlier call.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 
-new_key_type! {
-    /// Key of a server in [`Servers`].
-    pub struct ServerKey;
-}
-
-#[derive(Debug)]
-struct Server {
-    name: CompactString,
-    address: CompactString,
-    service: CompactString,
-    failure_domain: CompactString,
-    // Calls of this host that run on the server.
-    running: u32,
-    is_listed_leaving: bool,
-    // Whether the server itself said that it is leaving. Cleared when the membership list has another
-    // address for it, or shows it as live after it was shown as leaving.
-    has_reported_leaving: bool,
-    failed_at: Option<Instant>,
-    // Value of `Servers::pick_count` when this server was last chosen.
-    last_pick: u64,
-}
-
-impl Server {
-    fn accepts_calls(&self) -> bool {
-        !self.is_listed_leaving && !self.has_reported_leaving
-    }
-}
-
-/// How an attempt on a server ended, as used for choosing servers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum End {
-    /// The server answered.
-    Answered,
-    /// The server could not be reached, gave no usable answer or did not answer in time.
-    Failed,
-    /// The server said that it accepts no new calls.
-    Leaving,
-}
-
-/// The backend servers of all services and the retry budget.
-#[derive(Debug)]
-pub struct Servers<C: Clock> {
-    clock: C,
-    failure_domain: CompactString,
-    servers: SlotMap<ServerKey, Server>,
-    pick_count: u64,
-    retries: retry::Budget,
-}
-
-impl<C: Clock> Servers<C> {
-    /// Creates an empty set for a host in `failure_domain`.
-    pub fn new(clock: C, failure_domain: CompactString) -> Self {
-        Self {
-            clock,
-            failure_domain,
-            servers: SlotMap::with_key(),
-            pick_count: 0,
-            retries: retry::Budget::new(RETRY_POLICY, 0),
-        }
-    }
-
-    /// Adds and removes servers so that they match the membership list.
-    pub fn set_members(&mut self, members: &[Member]) {
-        let backends = || members.iter().filter(|member| member.kind == Kind::Backend);
-        self.servers.retain(|_, server| {
-            backends().any(|member| {
-                member.name == server.name
-                    && member.address == server.address
-                    && member.service == server.service
-            })
-        });
-        for member in backends() {
-            let is_leaving = member.state == Lifecycle::Leaving;
-            let known = self.servers.values_mut();
-            match { known }.find(|server| server.name == member.name) {
-                Some(server) => {
-                    server.has_reported_leaving &= is_leaving || !server.is_listed_leaving;
-                    server.is_listed_leaving = is_leaving;
-                }
-                None => {
-                    self.servers.insert(Server {
-                        name: member.name.clone(),
-                        address: member.address.clone(),
-                        service: member.service.clone(),
-                        failure_domain: member.failure_domain.clone(),
-                        running: 0,
-                        is_listed_leaving: is_leaving,
-                        has_reported_leaving: false,
-                        failed_at: None,
-                        last_pick: 0,
-                    });
-                }
-            }
-        }
-    }
-
-    /// Returns the number of running calls of this host on each server that accepts calls, by name.
-    pub fn overview(&self) -> BTreeMap<CompactString, u32> {
-        let accepting = self
-            .servers
-            .values()
-            .filter(|server| server.accepts_calls());
-        accepting
-            .map(|server| (server.name.clone(), server.running))
-            .collect()
-    }
-
-    /// Chooses a server for an attempt, which must be ended with [`Servers::end_attempt`], and returns
-    /// its key and address.
-    ///
-    /// Prefers, in this order, servers that are not in `tried`, that did not fail recently, that have
-    /// the fewest running calls of this host, that are in the failure domain of this host, and that
-    /// were chosen least recently.
-    pub fn begin_attempt(
-        &mut self,
-        service: &str,
-        tried: &[ServerKey],
-    ) -> Option<(ServerKey, CompactString)> {
-        let now = self.clock.now();
-        let candidates = self
-            .servers
-            .iter()
-            .filter(|(_, server)| server.service == service && server.accepts_calls());
-        let (key, _) = candidates.min_by_key(|(key, server)| {
-            let has_failed = server
-                .failed_at
-                .is_some_and(|at| now.duration_since(at) < FAILED_PENALTY);
-            let is_other_domain = server.failure_domain != self.failure_domain;
-            (
-                tried.contains(key),
-                has_failed,
-                server.running,
-                is_other_domain,
-                server.last_pick,
-            )
-        })?;
-        self.pick_count += 1;
-        let server = &mut self.servers[key];
-        server.running += 1;
-        server.last_pick = self.pick_count;
-        Some((key, server.address.clone()))
-    }
-
-    /// Records the end of an attempt.
-    pub fn end_attempt(&mut self, key: ServerKey, end: End) {
-        let now = self.clock.now();
-        let Some(server) = self.servers.get_mut(key) else {
-            return;
-        };
-        server.running = server.running.saturating_sub(1);
-        match end {
-            End::Answered => server.failed_at = None,
-            End::Failed => server.failed_at = Some(now),
-            End::Leaving => server.has_reported_leaving = true,
-        }
-    }
-
-    /// Records a new call to a service, from which its retry budget is computed.
-    pub fn record_call(&mut self, service: &str) {
-        let now = self.clock.now();
-        self.retries.record_request(service, now);
-    }
-
-    /// Takes one retry out of the budget of a service; returns `false` if none is left.
-    pub fn take_retry(&mut self, service: &str) -> bool {
-        let now = self.clock.now();
-        self.retries.try_spend(service, now)
-    }
-}
-
 /// The servers, shared by the tasks of all calls.
 pub type Shared = Rc<RefCell<Servers<clock::System>>>;
 
@@ -686,66 +504,3 @@
     headers.insert(REPLAYED, HeaderValue::from_static("true"));
     (Outcome::Served(0), response)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::clock::Manual;
-
-    fn member(name: &str, domain: &str) -> Member {
-        Member {
-            name: name.into(),
-            kind: Kind::Backend,
-            address: name.into(),
-            peer_address: None,
-            failure_domain: domain.into(),
-            region: "r".into(),
-            state: Lifecycle::Live,
-            service: "booking".into(),
-        }
-    }
-
-    /// Guards against choosing a busy server, one in another failure domain, or one that is leaving or
-    /// failed recently while there is a better one.
-    #[test]
-    fn chooses_idle_servers_in_the_own_failure_domain() {
-        let clock = Manual::default();
-        let mut servers = Servers::new(clock.clone(), "fd-a".into());
-        let list = [member("far", "fd-b"), member("near", "fd-a")];
-        servers.set_members(&list);
-        let (near, address) = servers.begin_attempt("booking", &[]).unwrap();
-        assert_eq!(address, "near");
-        let (far, address) = servers.begin_attempt("booking", &[]).unwrap();
-        assert_eq!(address, "far");
-        servers.end_attempt(near, End::Failed);
-        assert_eq!(servers.begin_attempt("booking", &[]).unwrap().1, "far");
-        clock.advance(FAILED_PENALTY);
-        assert_eq!(servers.begin_attempt("booking", &[]).unwrap().1, "near");
-        servers.end_attempt(far, End::Leaving);
-        servers.set_members(&list);
-        for _ in 0..5 {
-            assert_eq!(servers.begin_attempt("booking", &[near]).unwrap().1, "near");
-        }
-        assert!(servers.begin_attempt("other", &[]).is_none());
-        let mut leaving = list;
-        leaving[0].state = Lifecycle::Leaving;
-        leaving[1].state = Lifecycle::Leaving;
-        servers.set_members(&leaving);
-        assert!(servers.begin_attempt("booking", &[]).is_none());
-        leaving[0].state = Lifecycle::Live;
-        servers.set_members(&leaving);
-        assert_eq!(servers.begin_attempt("booking", &[]).unwrap().1, "far");
-    }
-
-    /// Guards against retries that multiply the load of servers that all fail.
-    #[test]
-    fn retries_are_bounded() {
-        let mut servers = Servers::new(Manual::default(), "fd-a".into());
-        let retries = (0..1000).filter(|_| {
-            servers.record_call("booking");
-            servers.take_retry("booking")
-        });
-        let retries = retries.count();
-        assert!((100..=120).contains(&retries), "{retries}");
-    }
-}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -20,4 +20,5 @@
 pub mod registry;
 pub mod reports;
 mod select;
+pub mod servers;
 mod suspicion;
