Log how claims end, and print the routers' logs when a test fails

- A cluster prints the logs of its routers when its test panics; test routers log at level info.
- The log shows fractions of a second.
- New lines: outcome_given_up (an owner sets an outcome to unknown), outcome_not_needed (an owner confirms an outcome without a write), claim_given_up (a claimant ends its wait).
- members_changed was logged at each tick by every router whose name is not the first, because the list compared was not sorted by name.
It is now logged when the set changes.

--- a/src/claim/range.rs
+++ b/src/claim/range.rs
@@ -173,7 +173,14 @@
                 entry.outcome.get_or_insert(report.outcome.clone());
                 self.push_write(Record::Outcome(report), Some(waiter));
             }
-            _ => self.answers.push((waiter, Answer::Noted)),
+            entry => {
+                info!(
+                    "event=outcome_not_needed nonce={:016x} known={}",
+                    report.nonce,
+                    entry.is_some()
+                );
+                self.answers.push((waiter, Answer::Noted));
+            }
         }
     }
 
@@ -216,6 +223,12 @@
             }
             None if is_own => None,
             None if now >= entry.outcome_deadline => {
+                info!(
+                    "event=outcome_given_up claimant={} nonce={:016x} late_ms={}",
+                    entry.claim.claimant,
+                    entry.claim.nonce,
+                    now.duration_since(entry.outcome_deadline).as_millis()
+                );
                 self.set_outcome(claim.key, Outcome::Unknown);
                 Some(Answer::Recorded(Outcome::Unknown))
             }
--- a/src/claim/task.rs
+++ b/src/claim/task.rs
@@ -225,6 +225,13 @@
                 }
             }
         }
+        info!(
+            "event=claim_given_up range={} nonce={:016x} running={is_running} ms={} silent_ms={}",
+            claim.key.range(),
+            claim.nonce,
+            started.elapsed().as_millis(),
+            last_answer_at.elapsed().as_millis()
+        );
         self.report(claim, Outcome::NotRun);
         match is_running {
             true => Verdict::Unknown,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -57,7 +57,10 @@
         1 => log::LevelFilter::Info,
         _ => log::LevelFilter::Debug,
     };
-    let _ = simplelog::WriteLogger::init(level, simplelog::Config::default(), std::io::stderr());
+    let config = simplelog::ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .build();
+    let _ = simplelog::WriteLogger::init(level, config, std::io::stderr());
 }
 
 /// Keeps a SIGTERM handler installed for the life of the process. A listener removes itself after
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -182,13 +182,13 @@
     }
 
     fn publish(&self) {
-        let live = self.table.live();
         let before = self.view.live();
+        self.view.set(self.table.live());
+        let live = self.view.live();
         if before != live {
             let names: Vec<_> = live.iter().map(|peer| peer.name.as_str()).collect();
             info!("event=members_changed live={}", names.join(","));
         }
-        self.view.set(live);
         self.view.set_active(self.table.is_active());
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -191,6 +191,19 @@
     )
 }
 
+/// Prints the routers' logs when a test fails, as their files are deleted.
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for router in 0..self.routers.len() {
+            let log = std::fs::read_to_string(self.log_path(router)).unwrap_or_default();
+            eprintln!("log of router-{router}:\n{log}");
+        }
+    }
+}
+
 impl Cluster {
     /// Starts the store and the membership list.
     pub fn start() -> Self {
@@ -361,7 +374,7 @@
             .append(true)
             .open(self.log_path(index))
             .unwrap();
-        let router = Process::start_logging(&["serve", "-c", &host], log.into());
+        let router = Process::start_logging(&["serve", "-v", "-c", &host], log.into());
         self.list_member(&Member {
             name: format!("router-{index}").into(),
             kind: Kind::Router,
