Write the outcome of an unknown claim before confirming it

What callers saw: a repeat of a call that had run and been answered got 409 outcome-unknown, for the rest of the key's life.

Cause: Range::report confirmed the outcome of a claim that it did not know at once, without a write. A router that has lost a range notices this only at its next write. Routers that lose sight of each other and meet again send their reports to the owner by the common view, which is then such a former owner: it does not know the claim, which another host granted meanwhile, and confirmed the outcome. The claimant dropped it, and the next owner found a claim without an outcome.

Change: the outcome of an unknown claim is written to the log like any other. The write fails if another host has taken the range over, and the claimant reports to that host. A report of an outcome that is already in the log is still confirmed at once. The cost is one line for a claim that was given up before its owner knew it.

--- a/src/claim/range.rs
+++ b/src/claim/range.rs
@@ -53,7 +53,7 @@
     Unavailable,
     /// This host does not hold the range; find the owner and ask again.
     Moved,
-    /// The outcome is in the log, or the claim that it belongs to is unknown.
+    /// The outcome is in the log.
     Noted,
 }
 
@@ -160,28 +160,23 @@
     }
 
     /// Accepts the outcome of a claim; [`Range::take_answers`] returns `noted` once it is in the
-    /// log, or at once if the claim is unknown or its outcome is in the log already.
+    /// log.
     pub fn report(&mut self, report: Report, waiter: W) {
         if !self.is_held() {
             self.answers.push((waiter, Answer::Moved));
             return;
         }
         let entry = self.entries.get_mut(&report.key);
-        let entry = entry.filter(|entry| entry.claim.nonce == report.nonce);
-        match entry {
-            Some(entry) if !entry.is_outcome_durable => {
-                entry.outcome.get_or_insert(report.outcome.clone());
-                self.push_write(Record::Outcome(report), Some(waiter));
-            }
-            entry => {
-                info!(
-                    "event=outcome_not_needed nonce={:016x} known={}",
-                    report.nonce,
-                    entry.is_some()
-                );
+        if let Some(entry) = entry.filter(|entry| entry.claim.nonce == report.nonce) {
+            if entry.is_outcome_durable {
                 self.answers.push((waiter, Answer::Noted));
+                return;
             }
+            entry.outcome.get_or_insert(report.outcome.clone());
         }
+        // The outcome of an unknown claim is written too: if another host has taken over the range
+        // and granted the claim, the write fails and the claimant reports to that host.
+        self.push_write(Record::Outcome(report), Some(waiter));
     }
 
     /// Takes out the answers that are due.
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -286,6 +286,38 @@
     }
 }
 
+/// Guards against an outcome that is lost because its claimant reports it to the former owner of the
+/// range, which was cut off and does not know yet that the range was taken over.
+#[test]
+fn outcome_survives_the_return_of_a_former_owner() {
+    let mut cluster = Cluster::start();
+    cluster.backend("booking", &[]);
+    let settings = keyed::settings_with_timeout(20_000);
+    let peers = [0, 1].map(|_| cluster.proxied_router(&settings, 0));
+    wait_for_cluster(&cluster, 2, 1);
+    peers.iter().for_each(|proxy| proxy.set(Fault::Cut));
+    for router in [0, 1] {
+        wait_until("the routers do not see each other", || {
+            live_count(&cluster, router) == 1
+        });
+    }
+    let (key, _) = key_owned_by(2, |owner| owner == 1);
+    let call = Call::reserve(&key, &format!("{key}/first")).fault("slow@8000");
+    let running = spawn_send(&cluster, 0, &call);
+    wait_until("the call runs", || runs_of(&cluster, &key) == 1);
+    peers.iter().for_each(|proxy| proxy.set(Fault::Pass));
+    wait_until("the claimant sees the former owner again", || {
+        live_count(&cluster, 0) == 2
+    });
+    assert_eq!(running.join().unwrap().status, 200);
+    wait_until("the outcome is in the log", || {
+        is_outcome_stored(&cluster, &key)
+    });
+    let repeat = send(&cluster, 1, &Call::reserve(&key, &format!("{key}/repeat")));
+    assert_eq!((repeat.status, repeat.replayed), (200, true), "{repeat:?}");
+    assert_eq!(runs_of(&cluster, &key), 1);
+}
+
 /// Guards against calls that run without a recorded claim during an outage of the store, and
 /// against an outage that also stops recorded responses and idempotent calls.
 #[test]
--- a/tests/support/keyed.rs
+++ b/tests/support/keyed.rs
@@ -25,10 +25,15 @@
 
 /// Returns settings with two routes of a booking service: `/reserve` is not idempotent, `/status` is.
 pub fn shared_settings() -> String {
+    settings_with_timeout(3000)
+}
+
+/// Like [`shared_settings`], with the timeout of `/reserve` in milliseconds.
+pub fn settings_with_timeout(reserve_ms: u32) -> String {
     format!(
         "[partner niederbach]\nshare = 50\n[team desk]\npartner = niederbach\n\
          [caller tester]\nteam = desk\nkey_sha256 = {}\n[model atlas]\nversion = 1\n\
-         [route /reserve]\nservice = booking\nidempotent = no\ntimeout_ms = 3000\n\
+         [route /reserve]\nservice = booking\nidempotent = no\ntimeout_ms = {reserve_ms}\n\
          [route /status]\nservice = booking\nidempotent = yes\ntimeout_ms = 8000\n",
         key_digest(CALLER_KEY)
     )
