Answer an outcome as unknown only once that is in the log

What callers could see: 409 outcome-unknown for a key whose outcome another router has in the log.

Cause: an owner that no longer expects an outcome sets it to unknown, and answered that at once. A former owner that has not noticed the takeover does the same for claims whose outcomes went to the present owner, though its write of unknown then fails.

Change: repeats wait for the write of an unknown outcome, up to the time at which they are told that the call is still running. If the range was lost they get moved, and ask the present owner.

Shown: a_former_owner_does_not_give_up_outcomes (no network, time moved by hand) got recorded(unknown) in place of moved before, and passes now. No run with real processes has shown this fault.

--- a/src/claim/range.rs
+++ b/src/claim/range.rs
@@ -210,6 +210,11 @@
         match &entry.outcome {
             Some(Outcome::NotRun) if is_own => Some(Answer::Unavailable),
             Some(Outcome::NotRun) => self.register(claim),
+            // Another host may have taken over the range and have the real outcome, which only a
+            // write can show.
+            Some(Outcome::Unknown) if !entry.is_outcome_durable => {
+                (now >= pending.answer_by).then_some(Answer::Running)
+            }
             Some(outcome) => Some(Answer::Recorded(outcome.clone())),
             None if is_own && entry.is_durable => Some(Answer::Granted),
             None if is_own && self.is_store_down => {
@@ -225,7 +230,7 @@
                     now.duration_since(entry.outcome_deadline).as_millis()
                 );
                 self.set_outcome(claim.key, Outcome::Unknown);
-                Some(Answer::Recorded(Outcome::Unknown))
+                None
             }
             None => (now >= pending.answer_by).then_some(Answer::Running),
         }
--- a/tests/claim_range.rs
+++ b/tests/claim_range.rs
@@ -118,3 +118,23 @@
     let repeat = fixture.ask(&mut owner, fixture.claim("other", 2));
     assert_eq!(repeat, Some(Answer::Recorded(answered())));
 }
+
+/// Guards against a former owner that gives up an outcome that the present owner has in the log.
+#[test]
+fn a_former_owner_does_not_give_up_outcomes() {
+    let fixture = Fixture::new();
+    let (mut former, mut owner) = (fixture.owner("former"), fixture.owner("owner"));
+    poll_ready(former.take_over(|_| true)).unwrap();
+    let claim = fixture.claim("claimant", 1);
+    assert_eq!(
+        fixture.ask(&mut former, claim.clone()),
+        Some(Answer::Granted)
+    );
+    poll_ready(owner.take_over(|_| true)).unwrap();
+    assert_eq!(fixture.report(&mut owner, &claim), Some(Answer::Noted));
+    fixture.clock.advance(Duration::from_secs(60));
+    let repeat = fixture.ask(&mut former, fixture.claim("other", 2));
+    assert_eq!(repeat, Some(Answer::Moved));
+    let repeat = fixture.ask(&mut owner, fixture.claim("other", 3));
+    assert_eq!(repeat, Some(Answer::Recorded(answered())));
+}
