Do not take membership as proof that a claimant has ended

What callers saw: 409 outcome-unknown, for the rest of the key's life, for a call that ran and whose router was alive and about to report its outcome.

Cause: an owner that took over a range set the outcome of every claim without one to unknown at the next repeat, unless the claimant was live in its view. A suspected or leaving router is not in the view, nor is one that was paused and is back, or one that a new router does not know yet. In the test, a router that still sees the resumed one as dead takes the range from it again; if the outcome, which is sent and written in batches, is not in the log by then, it is lost. The reverse acted too: a claimant that is paused for less than the timeout of a claim (4 s) may use its grant after a repeat was told that the outcome is unknown.

Change: an owner decides when a repeat asks, and again while it waits. A router that shut down cleanly has ended. One that does not answer probes, or is unknown, is probed, and its outcome is given up after it has been silent for the timeout of a claim since a repeat came. Leaving and live ones are awaited until the call's limit and 5 s. Requested probes now go to dead routers too, so that one that is back is found. An owner that did not just take over also notices the end of a claimant now; before, it waited for the call's limit.

Cost: after a takeover, a repeat of a call of a dead router is told unknown after 4 s, not at once.

Shown: an_outcome_is_awaited_from_a_claimant_that_seems_dead (no network, time moved by hand) got recorded(unknown) before (with the former interface: claimant not alive at the takeover), and passes now.

--- a/src/claim/range.rs
+++ b/src/claim/range.rs
@@ -8,8 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::log::{Error, Log};
-use super::record::{Claim, Key, Outcome, RETENTION, Record, Report};
+use super::record::{CLAIM_TIMEOUT, Claim, Key, Outcome, RETENTION, Record, Report};
 use crate::clock::Clock;
+use crate::member::view::Liveness;
 use crate::store::objects::Objects;
 use crate::util::unix_ms;
 
@@ -27,6 +28,10 @@
 /// Time beyond the call's timeout after which the owner no longer expects an outcome.
 const OUTCOME_GRACE: Duration = Duration::from_secs(5);
 
+/// Silence of a claimant after which its outcome is no longer expected. A paused claimant cannot be
+/// told from a dead one, and must not use a grant once a repeat was told that the outcome is unknown.
+const CLAIMANT_SILENCE: Duration = CLAIM_TIMEOUT;
+
 /// Maximum number of segments deleted by one call of [`Range::remove_expired`], so that a long log
 /// does not use up the store's write limit.
 const DELETIONS_MAX: usize = 10;
@@ -68,6 +73,29 @@
     is_outcome_durable: bool,
     // A repeat that arrives later, while there is no outcome, sets the outcome to unknown.
     outcome_deadline: Instant,
+    // Start of the claimant's silence, but not before a repeat has found the claimant silent: the
+    // claimant can make a claim before this host notices that it is back.
+    silent_since: Option<Instant>,
+}
+
+impl Entry {
+    /// Updates what is known about the claimant.
+    fn update_claimant(&mut self, liveness: Liveness, now: Instant) {
+        match liveness {
+            Liveness::Running => self.silent_since = None,
+            Liveness::Silent(since) => {
+                let found_at = self.silent_since.unwrap_or(now);
+                self.silent_since = since.max(Some(found_at));
+            }
+            Liveness::Ended => self.outcome_deadline = self.outcome_deadline.min(now),
+        }
+    }
+
+    /// Returns whether the claimant is not expected to report an outcome any more.
+    fn is_overdue(&self, now: Instant) -> bool {
+        let silence = self.silent_since.map(|since| now.duration_since(since));
+        now >= self.outcome_deadline || silence.is_some_and(|silence| silence >= CLAIMANT_SILENCE)
+    }
 }
 
 /// A claim that is not answered yet.
@@ -128,27 +156,37 @@
         self.entries.len()
     }
 
-    /// Takes over the range. `is_alive` returns whether the host with this name is alive, so that
-    /// it can still report the outcome of its claims.
+    /// Takes over the range.
     ///
     /// # Errors
     /// See [`Error`]; after an error the range is not held.
-    pub async fn take_over(&mut self, is_alive: impl Fn(&str) -> bool) -> Result<(), Error> {
+    pub async fn take_over(&mut self) -> Result<(), Error> {
         self.reset();
         let records = self.log.take_over().await?;
         self.is_store_down = false;
-        let now = self.clock.now();
         for record in &records {
             self.apply(record);
         }
-        for entry in self.entries.values_mut() {
-            if is_alive(&entry.claim.claimant) {
-                entry.outcome_deadline = now + outcome_timeout(&entry.claim);
-            }
-        }
         Ok(())
     }
 
+    /// Updates what is known about the claimants of the keys with pending claims.
+    /// `liveness` returns the liveness of the host with this name.
+    pub fn update_claimants(&mut self, liveness: impl Fn(&str) -> Liveness) {
+        let now = self.clock.now();
+        for pending in &self.pending_claims {
+            let Some(entry) = self.entries.get_mut(&pending.claim.key) else {
+                continue;
+            };
+            let liveness = match entry.claim.nonce == pending.claim.nonce {
+                // The claimant itself asks.
+                true => Liveness::Running,
+                false => liveness(&entry.claim.claimant),
+            };
+            entry.update_claimant(liveness, now);
+        }
+    }
+
     /// Accepts a claim; [`Range::take_answers`] returns its answer. While another claim with the
     /// key has no outcome there is no answer until `answer_by`, and `running` from then on.
     pub fn claim(&mut self, claim: Claim, waiter: W, answer_by: Instant) {
@@ -222,12 +260,12 @@
                 Some(Answer::Unavailable)
             }
             None if is_own => None,
-            None if now >= entry.outcome_deadline => {
+            None if entry.is_overdue(now) => {
                 info!(
-                    "event=outcome_given_up claimant={} nonce={:016x} late_ms={}",
+                    "event=outcome_given_up claimant={} nonce={:016x} silent={}",
                     entry.claim.claimant,
                     entry.claim.nonce,
-                    now.duration_since(entry.outcome_deadline).as_millis()
+                    entry.silent_since.is_some()
                 );
                 self.set_outcome(claim.key, Outcome::Unknown);
                 None
@@ -247,18 +285,13 @@
     }
 
     fn insert(&mut self, claim: Claim, is_durable: bool) {
-        let outcome_deadline = match is_durable {
-            // The claim was read from the log during a takeover: no outcome is expected, unless
-            // `take_over` finds that the claimant is alive.
-            true => self.clock.now(),
-            false => self.clock.now() + outcome_timeout(&claim),
-        };
         let entry = Entry {
+            outcome_deadline: self.clock.now() + outcome_timeout(&claim),
             claim,
             is_durable,
             outcome: None,
             is_outcome_durable: false,
-            outcome_deadline,
+            silent_since: None,
         };
         self.entries.insert(entry.claim.key, entry);
     }
--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -13,6 +13,9 @@
 /// a second for the whole fleet; the store allows several hundred.
 pub const RANGE_COUNT: u32 = 4;
 
+/// Timeout of a claim; a grant that arrives later is not used.
+pub const CLAIM_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Maximum age at which a key is accepted.
 pub const KEY_AGE_MAX: Duration = Duration::from_secs(600);
 
--- a/src/claim/task.rs
+++ b/src/claim/task.rs
@@ -13,18 +13,15 @@
 
 use super::log::{Error, Log, Owner};
 use super::range::{Answer, Range};
-use super::record::{Claim, Outcome, RANGE_COUNT, Report};
+use super::record::{CLAIM_TIMEOUT, Claim, Outcome, RANGE_COUNT, Report};
 use crate::clock;
-use crate::member::view::{Peer, View};
+use crate::member::view::{Liveness, Peer, View};
 use crate::peer;
 use crate::peer::server::Methods;
 use crate::store::objects::{Client, Objects};
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::within;
 
-/// Timeout of a claim; a grant that arrives later is not used.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Timeout of one request to the owner of a range. It must be longer than a store write whose
 /// response is lost plus the read that checks it.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -524,9 +521,7 @@
 
     async fn take_over(&mut self) {
         let started = Instant::now();
-        let view = self.handle.0.view.clone();
-        let is_alive = |name: &str| view.get(name).is_some();
-        match self.range.take_over(is_alive).await {
+        match self.range.take_over().await {
             Ok(()) => {
                 info!(
                     "event=range_taken range={} keys={} ms={}",
@@ -569,7 +564,16 @@
         }
     }
 
+    /// Sends the answers that are due.
     fn send_answers(&mut self) {
+        let view = &self.handle.0.view;
+        self.range.update_claimants(|name| {
+            let liveness = view.liveness(name);
+            if matches!(liveness, Liveness::Silent(_)) {
+                view.request_probe(name);
+            }
+            liveness
+        });
         for (waiter, answer) in self.range.take_answers() {
             waiter.answer(answer);
         }
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -9,7 +9,7 @@
 use rand::{RngCore, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-use super::view::Peer;
+use super::view::{Liveness, Peer};
 use crate::clock::Clock;
 use crate::util::hash64;
 
@@ -82,10 +82,22 @@
     update: Update,
     // Start of the state; it is reset after a pause of this process.
     since: Instant,
+    // Start of the suspicion, also of a dead router; it is reset like `since`.
+    silent_since: Option<Instant>,
     // Number of messages that are still to carry this update.
     sends_left: u32,
 }
 
+impl Entry {
+    fn liveness(&self) -> Liveness {
+        match self.update.state {
+            State::Live | State::Leaving => Liveness::Running,
+            State::Suspect | State::Dead => Liveness::Silent(self.silent_since),
+            State::Left => Liveness::Ended,
+        }
+    }
+}
+
 /// Call that the membership task must make.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -208,7 +220,11 @@
     fn insert(&mut self, update: Update) {
         let name = update.peer.name.clone();
         let fleet_size = self.entries.len() as u32 + 2;
-        let known = self.entries.get(&name).map(|entry| &entry.update);
+        let now = self.clock.now();
+        let previous = self.entries.get(&name);
+        let known = previous.map(|entry| &entry.update);
+        let is_silent = matches!(update.state, State::Suspect | State::Dead);
+        let silent_since = previous.and_then(|entry| entry.silent_since);
         // An update that changes only the incarnation, or adds a router that is only listed, is not
         // spread: peers learn the incarnation of a listed router from the router itself.
         let is_already_known = match known {
@@ -216,7 +232,8 @@
             None => update.incarnation == 0,
         };
         let entry = Entry {
-            since: self.clock.now(),
+            since: now,
+            silent_since: is_silent.then(|| silent_since.unwrap_or(now)),
             // Enough messages for an update to reach all routers with high probability.
             sends_left: if is_already_known {
                 0
@@ -319,6 +336,7 @@
             // Suspicions that aged during the pause prove nothing, so their age is reset.
             for entry in self.entries.values_mut() {
                 entry.since = now;
+                entry.silent_since = entry.silent_since.map(|_| now);
             }
             self.probe_requests.extend(self.unconfirmed.iter().cloned());
         }
@@ -336,7 +354,7 @@
         let probe_requests = std::mem::take(&mut self.probe_requests);
         let probes = probe_requests.iter().filter_map(|name| {
             let update = &self.entries.get(name)?.update;
-            (update.state < State::Dead).then(|| Action::Probe(update.peer.clone()))
+            (update.state != State::Left).then(|| Action::Probe(update.peer.clone()))
         });
         probes.collect()
     }
@@ -427,6 +445,15 @@
             .collect()
     }
 
+    /// Returns the liveness of all other routers that are neither live nor unknown.
+    pub fn not_live(&self) -> BTreeMap<CompactString, Liveness> {
+        let others = self.entries.iter();
+        others
+            .filter(|(_, entry)| entry.update.state != State::Live)
+            .map(|(name, entry)| (name.clone(), entry.liveness()))
+            .collect()
+    }
+
     /// Returns whether this host may act on duties: it is live, and has heard from or probed all
     /// peers since its process was last paused.
     pub fn is_active(&self) -> bool {
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -183,7 +183,7 @@
 
     fn publish(&self) {
         let before = self.view.live();
-        self.view.set(self.table.live());
+        self.view.set(self.table.live(), self.table.not_live());
         let live = self.view.live();
         if before != live {
             let names: Vec<_> = live.iter().map(|peer| peer.name.as_str()).collect();
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -22,12 +23,26 @@
     pub region: CompactString,
 }
 
+/// What this host knows about whether a router still runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Liveness {
+    /// It runs; it may be leaving.
+    Running,
+    /// It has not answered probes since this time, or is not known. It may be dead, paused or cut
+    /// off.
+    Silent(Option<Instant>),
+    /// It shut down cleanly.
+    Ended,
+}
+
 /// The live routers, this one included; clones share the same view.
 #[derive(Clone, Debug)]
 pub struct View {
     own_name: CompactString,
     // Invariant: contains only live routers, none that is leaving or suspected.
     live: Rc<RefCell<BTreeMap<CompactString, Peer>>>,
+    // The other known routers. Invariant: does not contain this host.
+    not_live: Rc<RefCell<BTreeMap<CompactString, Liveness>>>,
     is_active: Rc<Cell<bool>>,
     probe_requests: Rc<RefCell<Vec<CompactString>>>,
 }
@@ -38,15 +53,30 @@
         Self {
             own_name: own.name.clone(),
             live: Rc::new(RefCell::new(BTreeMap::from([(own.name.clone(), own)]))),
+            not_live: Rc::default(),
             is_active: Rc::new(Cell::new(true)),
             probe_requests: Rc::default(),
         }
     }
 
-    /// Replaces the live routers.
-    pub fn set(&self, live: impl IntoIterator<Item = Peer>) {
+    /// Replaces the live routers, and the liveness of the others.
+    pub fn set(
+        &self,
+        live: impl IntoIterator<Item = Peer>,
+        not_live: BTreeMap<CompactString, Liveness>,
+    ) {
         let live = live.into_iter().map(|peer| (peer.name.clone(), peer));
         *self.live.borrow_mut() = live.collect();
+        *self.not_live.borrow_mut() = not_live;
+    }
+
+    /// Returns whether the router `name` still runs, as far as this host knows.
+    pub fn liveness(&self, name: &str) -> Liveness {
+        if name == self.own_name || self.live.borrow().contains_key(name) {
+            return Liveness::Running;
+        }
+        let not_live = self.not_live.borrow().get(name).copied();
+        not_live.unwrap_or(Liveness::Silent(None))
     }
 
     /// Returns the name of this host.
--- a/tests/claim_range.rs
+++ b/tests/claim_range.rs
@@ -6,8 +6,9 @@
 
 use bilberrypost::claim::log::{Log, Owner};
 use bilberrypost::claim::range::{Answer, CLAIM_WRITE_INTERVAL, Range};
-use bilberrypost::claim::record::{Claim, Key, Outcome, Report, Response};
+use bilberrypost::claim::record::{CLAIM_TIMEOUT, Claim, Key, Outcome, Report, Response};
 use bilberrypost::clock::{Clock, Manual};
+use bilberrypost::member::view::Liveness;
 use bilberrypost::store::fake::Fake;
 use bilberrypost::util::unix_ms;
 
@@ -57,7 +58,7 @@
             caller: 1,
             nonce,
             claimant: claimant.into(),
-            limit_ms: 1000,
+            limit_ms: 60_000,
         }
     }
 
@@ -65,13 +66,36 @@
         Manual::default().wall()
     }
 
-    /// Sends a claim to an owner, which may write; returns the answer if there is one.
+    /// Sends a claim to an owner that sees all claimants as running; returns the answer if there is
+    /// one after a write.
     fn ask(&self, range: &mut TestRange, claim: Claim) -> Option<Answer> {
+        self.ask_seeing(range, claim, Liveness::Running)
+    }
+
+    /// Like [`Fixture::ask`], with the liveness of earlier claimants as the owner sees it.
+    fn ask_seeing(
+        &self,
+        range: &mut TestRange,
+        claim: Claim,
+        liveness: Liveness,
+    ) -> Option<Answer> {
         let nonce = claim.nonce;
         range.claim(claim, nonce, self.clock.now() + ANSWER_WAIT);
+        range.update_claimants(|_| liveness);
         self.answer(range, nonce)
     }
 
+    /// Returns an owner that has taken over a range with a granted claim without an outcome, and
+    /// this claim.
+    fn owner_after_takeover(&self) -> (TestRange, Claim) {
+        let (mut former, mut owner) = (self.owner("former"), self.owner("owner"));
+        poll_ready(former.take_over()).unwrap();
+        let claim = self.claim("claimant", 1);
+        assert_eq!(self.ask(&mut former, claim.clone()), Some(Answer::Granted));
+        poll_ready(owner.take_over()).unwrap();
+        (owner, claim)
+    }
+
     fn answer(&self, range: &mut TestRange, nonce: u64) -> Option<Answer> {
         let mut answers = range.take_answers();
         self.clock.advance(CLAIM_WRITE_INTERVAL);
@@ -106,8 +130,8 @@
 fn a_former_owner_does_not_confirm_outcomes() {
     let fixture = Fixture::new();
     let (mut former, mut owner) = (fixture.owner("former"), fixture.owner("owner"));
-    poll_ready(former.take_over(|_| true)).unwrap();
-    poll_ready(owner.take_over(|_| true)).unwrap();
+    poll_ready(former.take_over()).unwrap();
+    poll_ready(owner.take_over()).unwrap();
     let claim = fixture.claim("claimant", 1);
     assert_eq!(
         fixture.ask(&mut owner, claim.clone()),
@@ -124,17 +148,84 @@
 fn a_former_owner_does_not_give_up_outcomes() {
     let fixture = Fixture::new();
     let (mut former, mut owner) = (fixture.owner("former"), fixture.owner("owner"));
-    poll_ready(former.take_over(|_| true)).unwrap();
+    poll_ready(former.take_over()).unwrap();
     let claim = fixture.claim("claimant", 1);
     assert_eq!(
         fixture.ask(&mut former, claim.clone()),
         Some(Answer::Granted)
     );
-    poll_ready(owner.take_over(|_| true)).unwrap();
+    poll_ready(owner.take_over()).unwrap();
     assert_eq!(fixture.report(&mut owner, &claim), Some(Answer::Noted));
-    fixture.clock.advance(Duration::from_secs(60));
+    fixture
+        .clock
+        .advance(Duration::from_millis(2 * claim.limit_ms));
     let repeat = fixture.ask(&mut former, fixture.claim("other", 2));
     assert_eq!(repeat, Some(Answer::Moved));
     let repeat = fixture.ask(&mut owner, fixture.claim("other", 3));
     assert_eq!(repeat, Some(Answer::Recorded(answered())));
 }
+
+/// Guards against an outcome that is set to unknown because the claimant counts as dead for a
+/// moment, although it then reports the outcome.
+#[test]
+fn an_outcome_is_awaited_from_a_claimant_that_seems_dead() {
+    let fixture = Fixture::new();
+    let (mut owner, claim) = fixture.owner_after_takeover();
+    let long_silent = Liveness::Silent(Some(fixture.clock.now()));
+    fixture.clock.advance(2 * CLAIM_TIMEOUT);
+    let repeat = fixture.ask_seeing(&mut owner, fixture.claim("other", 2), long_silent);
+    assert_eq!(repeat, None);
+    assert_eq!(fixture.report(&mut owner, &claim), Some(Answer::Noted));
+    let repeat = fixture.ask_seeing(&mut owner, fixture.claim("other", 3), long_silent);
+    assert_eq!(repeat, Some(Answer::Recorded(answered())));
+}
+
+/// Guards against repeats that wait for the outcome of a dead claimant until the timeout of the
+/// call, against an outcome that is given up while a paused claimant may still use its grant, and
+/// against two short silences that count as one long one.
+#[test]
+fn the_outcome_of_a_silent_claimant_is_given_up_after_the_claim_timeout() {
+    let fixture = Fixture::new();
+    let (mut owner, claim) = fixture.owner_after_takeover();
+    let mut ask = |claim, liveness| {
+        let repeat = fixture.ask_seeing(&mut owner, claim, liveness);
+        fixture
+            .clock
+            .advance(CLAIM_TIMEOUT - 2 * CLAIM_WRITE_INTERVAL);
+        repeat
+    };
+    let repeat = |nonce| fixture.claim("other", nonce);
+    let silent = Liveness::Silent(None);
+    assert_eq!(ask(repeat(2), silent), None);
+    assert_eq!(ask(repeat(3), Liveness::Running), None);
+    assert_eq!(ask(repeat(4), silent), None);
+    assert_eq!(ask(claim, silent), Some(Answer::Granted));
+    assert_eq!(ask(repeat(5), silent), None);
+    assert_eq!(ask(repeat(6), silent), None);
+    let unknown = Some(Answer::Recorded(Outcome::Unknown));
+    assert_eq!(ask(repeat(7), silent), unknown);
+}
+
+/// Guards against repeats that wait for the outcome of a claimant that has shut down.
+#[test]
+fn the_outcome_of_an_ended_claimant_is_given_up_at_once() {
+    let fixture = Fixture::new();
+    let (mut owner, _) = fixture.owner_after_takeover();
+    let repeat = fixture.ask_seeing(&mut owner, fixture.claim("other", 2), Liveness::Ended);
+    assert_eq!(repeat, Some(Answer::Recorded(Outcome::Unknown)));
+}
+
+/// Guards against an outcome that is given up while its claimant runs within its timeout, and
+/// against one that is awaited for ever.
+#[test]
+fn the_outcome_of_a_running_claimant_is_awaited_until_its_timeout() {
+    let fixture = Fixture::new();
+    let (mut owner, claim) = fixture.owner_after_takeover();
+    fixture
+        .clock
+        .advance(Duration::from_millis(claim.limit_ms + 4000));
+    assert_eq!(fixture.ask(&mut owner, fixture.claim("other", 2)), None);
+    fixture.clock.advance(Duration::from_secs(1));
+    let repeat = fixture.ask(&mut owner, fixture.claim("other", 3));
+    assert_eq!(repeat, Some(Answer::Recorded(Outcome::Unknown)));
+}
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -12,6 +12,7 @@
 use bilberrypost::claim::range::{Answer, Range};
 use bilberrypost::claim::record::{Claim, Key, Outcome, Record, Report, Response};
 use bilberrypost::clock::{Clock, Manual};
+use bilberrypost::member::view::Liveness;
 use bilberrypost::store::fake::{Fake, Fault};
 use bilberrypost::util::unix_ms;
 use rand::rngs::StdRng;
@@ -48,12 +49,18 @@
 }
 
 /// Runs an owner that always assumes that it should hold the range.
+///
+/// Owners of odd incarnations see all claimants as silent, the others see them as running.
 async fn run_owner(store: Fake, clock: Manual, owner: Owner, mail: SharedMailbox) {
+    let liveness = match owner.incarnation.is_multiple_of(2) {
+        true => Liveness::Running,
+        false => Liveness::Silent(None),
+    };
     let log = Log::new(store, 0, owner).seal_bytes(700);
     let mut range: Range<Fake, Manual, (u64, bool)> = Range::new(clock.clone(), log);
     loop {
         if !range.is_held() {
-            let _ = range.take_over(|_| true).await;
+            let _ = range.take_over().await;
         }
         let messages = std::mem::take(&mut mail.borrow_mut().inbox);
         for message in messages {
@@ -68,6 +75,7 @@
                 }
             }
         }
+        range.update_claimants(|_| liveness);
         for ((nonce, is_outcome), answer) in range.take_answers() {
             mail.borrow_mut()
                 .outbox
