Forget the waiters of a signal that have left

Each finished connection and each finished stream kept the memory of its task as long as the process ran: the signal to stop, and the signal that an engine is lost, held the wakers of all tasks that had ever waited for them, and a waker holds its task. Each poll of a waiter also searched all of these wakers.

Change: a waiter is a future that removes its waker when it is dropped.

--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -2,11 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Waker;
+use std::task::{Context, Poll, Waker};
 
 use compio::runtime::JoinHandle;
 use log::error;
+use slotmap::{SlotMap, new_key_type};
 
 /// A one-shot event that tasks wait for. Clones share its state, and it is never cleared.
 #[derive(Clone, Debug, Default)]
@@ -15,14 +17,21 @@
 #[derive(Debug, Default)]
 struct Inner {
     is_set: Cell<bool>,
-    wakers: RefCell<Vec<Waker>>,
+    // Invariant: contains one waker for each `Wait` that was polled and not dropped. A waker keeps
+    // the memory of its task, so one that stayed would be a leak.
+    wakers: RefCell<SlotMap<WaiterKey, Waker>>,
+}
+
+new_key_type! {
+    /// Identifies a waiter of a signal.
+    struct WaiterKey;
 }
 
 impl Signal {
     /// Sets the signal and wakes all waiters; later calls have no effect.
     pub fn set(&self) {
         self.0.is_set.set(true);
-        for waker in self.0.wakers.take() {
+        for (_, waker) in self.0.wakers.take() {
             waker.wake();
         }
     }
@@ -33,18 +42,45 @@
     }
 
     /// Waits until the signal is set.
-    pub async fn wait(&self) {
-        std::future::poll_fn(|cx| {
-            if self.is_set() {
-                return std::task::Poll::Ready(());
-            }
-            let mut wakers = self.0.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
-                wakers.push(cx.waker().clone());
-            }
-            std::task::Poll::Pending
-        })
-        .await;
+    pub fn wait(&self) -> Wait<'_> {
+        Wait {
+            signal: self,
+            key: None,
+        }
+    }
+}
+
+/// Future of [`Signal::wait`].
+#[derive(Debug)]
+pub struct Wait<'a> {
+    signal: &'a Signal,
+    // Key of the waker, once polled.
+    key: Option<WaiterKey>,
+}
+
+impl Future for Wait<'_> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.signal.is_set() {
+            return Poll::Ready(());
+        }
+        let mut wakers = self.signal.0.wakers.borrow_mut();
+        match self.key.and_then(|key| wakers.get_mut(key)) {
+            Some(waker) => waker.clone_from(cx.waker()),
+            None => self.key = Some(wakers.insert(cx.waker().clone())),
+        }
+        Poll::Pending
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        // `set` has removed all wakers, and none is added after it.
+        let waker = self
+            .key
+            .and_then(|key| self.signal.0.wakers.borrow_mut().remove(key));
+        drop(waker);
     }
 }
 
