Keep entries that lapsed on one host from its followers

A host that was in touch all the time sent a request to a backend server 3.28 s after the store had its leaving, and 0.6 s after its representative was back from a cut of 8 s.

Cause: a host that lists the engines after it did not reach the store keeps those that are not listed for 2 s more, as their entries may have lapsed in an outage. It sent them to its followers like registered ones, as of the newest revision of the store and confirmed. A follower that had learned through another representative that the server had left, and that returned to its preferred representative in these 2 s, added it again. Class: what a host only supposes is handed on as confirmed.

The server is gone for other representatives at 22.83 s. The representative places requests on it at 25.996 and 26.25 s, which it still answers; a follower, which had placed none on it since it left, does so at 27.45 s with a list of an age of 483 ms. By then the server had ended.

Ruled out: a follower that was behind all the time.

Change: lapsed entries are sent apart (`Changes::lapsing`) with the time left. A follower keeps those that it still has for no longer than that, and adds none. A renewed entry counts as a change. A server that was draining and is no longer listed has left, and does not lapse.

Tests, failed before: a_lapsed_entry_is_not_handed_on_as_registered, lapsed_entries_stay_in_use_on_followers, an_engine_that_left_during_a_cut_is_not_sent_to_followers. followers_match_the_host_they_follow compares the entries that the store lists, as `registrations` no longer holds lapsed ones, and now also checks that a follower uses no engine that its host does not.

--- a/src/route/history.rs
+++ b/src/route/history.rs
@@ -14,6 +14,16 @@
 /// Maximum number of changes kept. A follower that missed more gets all registrations.
 const CHANGES_MAX: usize = 4096;
 
+/// An engine that the store no longer lists after an outage, and that stays in use until it would
+/// have renewed its entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lapse {
+    /// Id of the engine.
+    pub id: CompactString,
+    /// Time in milliseconds for which it stays in use.
+    pub left_ms: u64,
+}
+
 /// Changes that a follower applies to its registry.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Changes {
@@ -21,8 +31,13 @@
     pub at: u64,
     /// Whether `registered` holds all registrations; otherwise only those that changed.
     pub is_whole: bool,
-    /// Registrations that are new or changed, or all of them.
+    /// Registrations that are new or changed, or all of them, without those in `lapsing`.
     pub registered: Vec<Registration>,
+    /// Engines whose entries lapsed, or that left while the sender did not reach the store. A
+    /// follower that reached it through another host may know that they left, so it keeps those
+    /// that it still has and adds none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lapsing: Vec<Lapse>,
     /// Ids of engines that were removed. Empty if `is_whole`.
     pub gone: Vec<CompactString>,
 }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -3,14 +3,14 @@
 //! Engines register themselves in the store. Their load is what this host runs on them, and what
 //! the other hosts report.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
-use super::history::{Changes, History};
+use super::history::{Changes, History, Lapse};
 use super::load::Load;
 use super::losses::Losses;
 use super::reports::Reports;
@@ -139,21 +139,13 @@
     }
 
     /// Applies a listing of all registrations. Engines that it does not list are removed, after an
-    /// outage of the store only once `LAPSE_GRACE` has passed.
+    /// outage of the store only once `LAPSE_GRACE` has passed. One that was draining has left.
     pub fn replace(&mut self, listed: Vec<Registration>, is_after_outage: bool) {
-        let now = self.clock.now();
-        let missing: Vec<_> = self
-            .by_id
-            .keys()
-            .filter(|id| !listed.iter().any(|registration| registration.id == **id))
-            .cloned()
-            .collect();
-        for id in missing {
-            match is_after_outage {
-                true => {
-                    let engine = &mut self.engines[self.by_id[&id]];
-                    engine.expires_at.get_or_insert(now + LAPSE_GRACE);
-                }
+        let expires_at = self.clock.now() + LAPSE_GRACE;
+        for id in self.ids_missing_in(&listed) {
+            let is_draining = self.engines[self.by_id[&id]].registration.is_draining;
+            match is_after_outage && !is_draining {
+                true => self.begin_lapse(&id, expires_at),
                 false => self.remove(&id),
             }
         }
@@ -162,6 +154,28 @@
         }
     }
 
+    fn ids_missing_in(&self, listed: &[Registration]) -> Vec<CompactString> {
+        let listed: BTreeSet<_> = listed.iter().map(|registration| &registration.id).collect();
+        let missing = self.by_id.keys().filter(|id| !listed.contains(id));
+        missing.cloned().collect()
+    }
+
+    /// Limits the use of an engine that the store no longer lists; one that is not known is not
+    /// added.
+    fn begin_lapse(&mut self, id: &CompactString, expires_at: Instant) {
+        let Some(key) = self.by_id.get(id) else {
+            return;
+        };
+        let known = &mut self.engines[*key].expires_at;
+        match known {
+            Some(known) => *known = expires_at.min(*known),
+            None => {
+                *known = Some(expires_at);
+                self.history.push(id.clone());
+            }
+        }
+    }
+
     /// Adds or updates one registration. That of a restarted engine replaces the earlier one.
     pub fn insert(&mut self, registration: Registration) {
         if let Some(key) = self.by_id.get(&registration.id) {
@@ -169,8 +183,8 @@
             let is_same = known.registration.started_ms == registration.started_ms
                 && known.registration.address == registration.address;
             if is_same {
-                known.expires_at = None;
-                if known.registration != registration {
+                let was_lapsing = known.expires_at.take().is_some();
+                if was_lapsing || known.registration != registration {
                     known.registration = registration.clone();
                     self.history.push(registration.id);
                 }
@@ -215,26 +229,54 @@
                 at: self.last_change(),
                 is_whole: true,
                 registered: self.registrations(),
+                lapsing: self.lapses(self.by_id.values()),
                 gone: Vec::new(),
             };
         };
         let (known, gone): (Vec<_>, Vec<_>) =
             ids.into_iter().partition(|id| self.by_id.contains_key(*id));
-        let registered = known
-            .iter()
-            .map(|id| self.engines[self.by_id[*id]].registration.clone());
+        let known: Vec<_> = known.iter().map(|id| &self.by_id[*id]).collect();
         Changes {
             at: self.last_change(),
             is_whole: false,
-            registered: registered.collect(),
+            registered: self.listed(known.iter().copied()),
+            lapsing: self.lapses(known.iter().copied()),
             gone: gone.into_iter().cloned().collect(),
         }
     }
 
+    /// Returns the registrations of those of `engines` that the store lists.
+    fn listed<'a>(&self, engines: impl Iterator<Item = &'a Engine>) -> Vec<Registration> {
+        let states = engines.map(|key| &self.engines[*key]);
+        let listed = states.filter(|state| state.expires_at.is_none());
+        listed.map(|state| state.registration.clone()).collect()
+    }
+
+    /// Returns those of `engines` that the store no longer lists.
+    fn lapses<'a>(&self, engines: impl Iterator<Item = &'a Engine>) -> Vec<Lapse> {
+        let now = self.clock.now();
+        let states = engines.map(|key| &self.engines[*key]);
+        let lapses = states.filter_map(|state| {
+            let left = state.expires_at?.saturating_duration_since(now);
+            Some(Lapse {
+                id: state.registration.id.clone(),
+                left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            })
+        });
+        lapses.collect()
+    }
+
     /// Applies changes that were read from another host.
     pub fn apply_changes(&mut self, changes: Changes) {
+        let now = self.clock.now();
+        for lapse in &changes.lapsing {
+            let left = Duration::from_millis(lapse.left_ms).min(LAPSE_GRACE);
+            self.begin_lapse(&lapse.id, now + left);
+        }
         if changes.is_whole {
-            return self.replace(changes.registered, false);
+            let mut missing = self.ids_missing_in(&changes.registered);
+            missing.retain(|id| !changes.lapsing.iter().any(|lapse| lapse.id == *id));
+            missing.iter().for_each(|id| self.remove(id));
         }
         changes.gone.iter().for_each(|id| self.remove(id));
         for registration in changes.registered {
@@ -314,10 +356,15 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
-    /// Returns the registrations of all registered engines.
+    /// Returns the registrations of all engines that the store lists.
     pub fn registrations(&self) -> Vec<Registration> {
-        let engines = self.by_id.values().map(|key| &self.engines[*key]);
-        engines.map(|state| state.registration.clone()).collect()
+        self.listed(self.by_id.values())
+    }
+
+    /// Returns the number of engines that the store no longer lists and that stay in use for a while.
+    pub fn lapsing(&self) -> usize {
+        let states = self.by_id.values().map(|key| &self.engines[*key]);
+        states.filter(|state| state.expires_at.is_some()).count()
     }
 }
 
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -11,7 +11,8 @@
 use bilberrypost::gateway::pacing::Pacing;
 use serde_json::{Value, json};
 use support::platform::{
-    Gateway, Message, PEER_PORT, Store, config, exchange, own_ips, settings, wait_for,
+    Gateway, Message, Mode, PEER_PORT, Store, config, exchange, own_ips, registration, settings,
+    wait_for,
 };
 
 /// Hosts that follow one representative on large fleets.
@@ -160,6 +161,37 @@
     assert!(bytes * FOLLOWERS > BYTES_MAX, "{bytes} bytes, uncompressed");
 }
 
+/// Guards against an engine that has left and is used again by hosts that knew it, because their
+/// representative did not reach the store when it left.
+#[test]
+fn an_engine_that_left_during_a_cut_is_not_sent_to_followers() {
+    let store = Store::start();
+    for (id, address) in [("i-1", "127.0.0.1:1"), ("i-2", "127.0.0.1:2")] {
+        store.put("servers", id, registration(address, "app", "fd-a"));
+    }
+    let (gateway, address, first) = start_with_change(&store, "", large_config(2, 15_000));
+    let whole = query_with(2, &first);
+    wait_for("both engines", || {
+        query(&address, &whole).0.engines.registered.len() == 2
+    });
+    store.set_mode(Mode::Unavailable);
+    let failed = "bilberrypost_decisions_total{decision=\"engines_call\",outcome=\"no-answer\"} ";
+    wait_for("the loss of the store", || gateway.metric(failed).is_some());
+    let (before, _) = query(&address, &whole);
+    store.remove("servers", "i-2");
+    store.set_mode(Mode::Normal);
+    wait_for("the list of the store", || {
+        let (update, _) = query(&address, &whole);
+        if update.engines_revision <= before.engines_revision {
+            return false;
+        }
+        let registered = update.engines.registered.iter();
+        let ids: Vec<_> = registered.map(|engine| engine.id.as_str()).collect();
+        assert_eq!(ids, ["i-1"]);
+        update.is_confirmed
+    });
+}
+
 fn text(routes: std::ops::Range<usize>) -> String {
     let route = |n: usize| {
         let hash = digest(&n.to_string());
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -102,6 +102,7 @@
             at: 1,
             is_whole: true,
             registered: engines.iter().map(|engine| registration(engine)).collect(),
+            lapsing: Vec::new(),
             gone: Vec::new(),
         },
         packed_engines: None,
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -255,6 +255,49 @@
     assert!(!registry.is_usable(b));
 }
 
+/// Guards against an engine that has left and is used again, because a host that did not reach the
+/// store meanwhile keeps its entry as lapsed and hands it on.
+#[test]
+fn a_lapsed_entry_is_not_handed_on_as_registered() {
+    let clock = Manual::default();
+    let mut returned = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    let mut follower = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    let before = returned.last_change();
+    follower.remove("b");
+    returned.replace(vec![registration("a", "fd-a")], true);
+    assert!(returned.is_usable(returned.by_id("b").unwrap()));
+    for from in [None, Some(0), Some(before)] {
+        follower.apply_changes(returned.changes_since(from));
+        assert_eq!(follower.by_id("b"), None, "{from:?}");
+    }
+    returned.insert(registration("b", "fd-b"));
+    follower.apply_changes(returned.changes_since(Some(before)));
+    assert!(follower.is_usable(follower.by_id("b").unwrap()));
+}
+
+/// Guards against followers that drop all engines whose entries lapsed during an outage of the store,
+/// before the engines can renew them, or use them for longer than the host that they follow.
+#[test]
+fn lapsed_entries_stay_in_use_on_followers() {
+    for position in [None, Some(2)] {
+        let clock = Manual::default();
+        let mut watcher = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+        let mut follower = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+        watcher.replace(vec![registration("a", "fd-a")], true);
+        clock.advance(Duration::from_millis(500));
+        follower.apply_changes(watcher.changes_since(position));
+        let b = follower.by_id("b").unwrap();
+        assert!(follower.is_usable(b));
+        clock.advance(Duration::from_millis(1400));
+        assert!(follower.is_usable(b));
+        clock.advance(Duration::from_millis(200));
+        assert!(!follower.is_usable(b));
+        watcher.insert(registration("b", "fd-b"));
+        follower.apply_changes(watcher.changes_since(position));
+        assert!(follower.is_usable(follower.by_id("b").unwrap()));
+    }
+}
+
 /// Guards against the choice of an engine that is draining, removed or excluded, and against loads
 /// that do not return to zero when all requests have ended.
 #[test]
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -294,8 +294,9 @@
     }
 }
 
-/// Guards, over random histories, against a follower whose engines differ from those of the host
-/// that it follows, also after it missed changes.
+/// Guards, over random histories, against a follower whose engines differ from those that the host
+/// that it follows has from the store, also after it missed changes, and against one that uses other
+/// engines than that host.
 #[test]
 fn followers_match_the_host_they_follow() {
     for seed in 0..100 {
@@ -324,6 +325,13 @@
                     follower.apply_changes(changes);
                     let known = follower.registrations();
                     assert_eq!(known, watcher.registrations(), "seed {seed} step {step}");
+                    for id in (0..8).map(|n| format!("e{n}")) {
+                        let is_usable = |of: &Registry<_>| {
+                            of.by_id(&id).is_some_and(|engine| of.is_usable(engine))
+                        };
+                        let is_kept = is_usable(&follower);
+                        assert!(!is_kept || is_usable(&watcher), "seed {seed} step {step}");
+                    }
                 }
             }
             if rng.random_bool(0.01) {
