Log which representative a host follows and which engines it takes over

While the broken DRAIN was traced, logs did not tell when a follower changed its representative, why, and how old its engines were; only hosts that watch the store logged changes of engines. followed and followed_lost tell it once for each change, engines_followed for each update with changes, and engines_listed names the revision of the store and the lapsed entries. A host that queries representatives in turn logs nothing more until it can follow one (tested).

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -13,6 +13,7 @@
 
 use super::Gateway;
 use super::feed::{self, Query, Update};
+use super::followed::{Cause, Followed};
 use super::protocol::Directory;
 use super::watch;
 use crate::clock::Clock;
@@ -128,6 +129,7 @@
     let mut known: Option<(u64, u64)> = None;
     // When to try the preferred representative again.
     let mut return_at = None;
+    let mut followed = Followed::default();
     while !stop.is_set() {
         if gateway.role.duty.get() == Duty::Watch {
             gateway.role.set_has_no_representative(false);
@@ -141,22 +143,9 @@
             Some(representative) => fetch_update(&gateway, &pool, representative, known).await,
             None => None,
         };
-        let is_current = update.as_ref().map(|update| {
-            update.is_confirmed && update.engines_revision >= gateway.engines_revision()
-        });
-        match is_current {
-            Some(true) => gateway.role.representatives.borrow_mut().record_success(),
-            Some(false) => gateway
-                .role
-                .representatives
-                .borrow_mut()
-                .record_failure(false),
-            None => gateway
-                .role
-                .representatives
-                .borrow_mut()
-                .record_failure(true),
-        }
+        let failure = cause_against(&gateway, update.as_ref());
+        log_followed(&gateway, &mut followed, representative, failure);
+        record_outcome(&mut gateway.role.representatives.borrow_mut(), failure);
         let version = update.as_ref().map_or(0, |update| update.version);
         if let Some(update) = update {
             known = apply_update(&gateway, &directory, update).or(known);
@@ -173,6 +162,51 @@
     }
 }
 
+/// Returns why the representative with this answer cannot be followed; `None` if it can.
+fn cause_against<C: Clock>(gateway: &Gateway<C>, update: Option<&Update>) -> Option<Cause> {
+    match update {
+        None => Some(Cause::Silent),
+        Some(update) if !update.is_confirmed => Some(Cause::WithoutStore),
+        Some(update) if update.engines_revision < gateway.engines_revision() => Some(Cause::Behind),
+        Some(_) => None,
+    }
+}
+
+fn record_outcome(representatives: &mut Representatives, failure: Option<Cause>) {
+    match failure {
+        None => representatives.record_success(),
+        Some(cause) => representatives.record_failure(cause == Cause::Silent),
+    }
+}
+
+/// Logs when the followed representative is lost, and when another one is followed.
+fn log_followed<C: Clock>(
+    gateway: &Gateway<C>,
+    followed: &mut Followed,
+    queried: Option<SocketAddr>,
+    failure: Option<Cause>,
+) {
+    let age = gateway.engines_age().as_millis();
+    let revision = gateway.engines_revision();
+    match failure {
+        None => {
+            if let Some(peer) = queried.filter(|peer| followed.record_success(*peer)) {
+                info!(
+                    "event=followed peer={peer} engines_revision={revision} engines_age_ms={age}"
+                );
+            }
+        }
+        Some(cause) => {
+            if let Some(peer) = followed.record_failure() {
+                info!(
+                    "event=followed_lost peer={peer} cause={} engines_revision={revision} engines_age_ms={age}",
+                    cause.as_str()
+                );
+            }
+        }
+    }
+}
+
 /// Selects the preferred representative at `return_at`, which is set once a substitute is followed.
 fn return_to_preferred<C: Clock>(gateway: &Gateway<C>, return_at: &mut Option<Instant>) {
     let mut representatives = gateway.role.representatives.borrow_mut();
@@ -249,8 +283,10 @@
     let known = (update.process, update.engines.at);
     let age = Duration::from_millis(update.age_ms);
     let before = gateway.registry.borrow().last_change();
+    let content = engines_content(&update);
     gateway.registry.borrow_mut().apply_changes(update.engines);
     if gateway.registry.borrow().last_change() != before {
+        info!("event=engines_followed {content}");
         gateway.notify_followers();
     }
     gateway.set_engines_revision(update.engines_revision);
@@ -260,3 +296,16 @@
     gateway.confirm_engines(age);
     Some(known)
 }
+
+/// Returns the keys of the log line for engines that another host sent.
+fn engines_content(update: &Update) -> String {
+    format!(
+        "engines_revision={} whole={} registered={} lapsing={} gone={} age_ms={}",
+        update.engines_revision,
+        update.engines.is_whole,
+        update.engines.registered.len(),
+        update.engines.lapsing.len(),
+        update.engines.gone.len(),
+        update.age_ms
+    )
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod documents;
 pub mod feed;
 pub mod follow;
+pub mod followed;
 pub mod front;
 pub mod lateness;
 pub mod pacing;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -204,12 +204,12 @@
 ) -> Result<u64, Unavailable> {
     let listing = directory.list_engines().await?;
     warn_unreadable("engines", listing.unreadable);
-    info!("event=engines_listed engines={}", listing.items.len());
-    gateway
-        .registry
-        .borrow_mut()
-        .replace(listing.items, was_lost);
-    Ok(listing.store_revision)
+    let (engines, revision) = (listing.items.len(), listing.store_revision);
+    let mut registry = gateway.registry.borrow_mut();
+    registry.replace(listing.items, was_lost);
+    let lapsing = registry.lapsing();
+    info!("event=engines_listed engines={engines} lapsing={lapsing} engines_revision={revision}");
+    Ok(revision)
 }
 
 async fn watch_engines<C: Clock, D: Directory>(
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::clock::{Clock, Manual};
+use bilberrypost::gateway::followed::Followed;
 use bilberrypost::gateway::watch::retry_pause;
 use bilberrypost::peer::newer::Newer;
 use bilberrypost::peer::report::{BYTES_MAX, EngineHash, Report, Summary, Usage};
@@ -516,3 +517,16 @@
     assert!(!schedule.is_due(false, clock.now()));
     assert!(schedule.is_due(true, clock.now()));
 }
+
+/// Guards against a log line for each query while no representative can be followed.
+#[test]
+fn only_changes_of_the_followed_representative_are_reported() {
+    let mut followed = Followed::default();
+    let [first, second] = [address(1), address(2)];
+    assert!(followed.record_success(first));
+    assert!(!followed.record_success(first));
+    assert_eq!(followed.record_failure(), Some(first));
+    assert_eq!(followed.record_failure(), None);
+    assert!(followed.record_success(second));
+    assert!(followed.record_success(first));
+}
