--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::clock::{Clock, Manual};
+use bilberrypost::gateway::followed::Followed;
 use bilberrypost::gateway::watch::retry_pause;
 use bilberrypost::peer::newer::Newer;
 use bilberrypost::peer::report::{BYTES_MAX, EngineHash, Report, Summary, Usage};
@@ -294,8 +295,9 @@
     }
 }
 
-/// Guards, over random histories, against a follower whose engines differ from those of the host
-/// that it follows, also after it missed changes.
+/// Guards, over random histories, against a follower whose engines differ from those that the host
+/// that it follows has from the store, also after it missed changes, and against one that uses other
+/// engines than that host.
 #[test]
 fn followers_match_the_host_they_follow() {
     for seed in 0..100 {
@@ -324,6 +326,13 @@
                     follower.apply_changes(changes);
                     let known = follower.registrations();
                     assert_eq!(known, watcher.registrations(), "seed {seed} step {step}");
+                    for id in (0..8).map(|n| format!("e{n}")) {
+                        let is_usable = |of: &Registry<_>| {
+                            of.by_id(&id).is_some_and(|engine| of.is_usable(engine))
+                        };
+                        let is_kept = is_usable(&follower);
+                        assert!(!is_kept || is_usable(&watcher), "seed {seed} step {step}");
+                    }
                 }
             }
             if rng.random_bool(0.01) {
@@ -508,3 +517,16 @@
     assert!(!schedule.is_due(false, clock.now()));
     assert!(schedule.is_due(true, clock.now()));
 }
+
+/// Guards against a log line for each query while no representative can be followed.
+#[test]
+fn only_changes_of_the_followed_representative_are_reported() {
+    let mut followed = Followed::default();
+    let [first, second] = [address(1), address(2)];
+    assert!(followed.record_success(first));
+    assert!(!followed.record_success(first));
+    assert_eq!(followed.record_failure(), Some(first));
+    assert_eq!(followed.record_failure(), None);
+    assert!(followed.record_success(second));
+    assert!(followed.record_success(first));
+}
