Let a host that missed crashes take over the block of a part that it once saw pass

A host that had answered requests with a part before it became bad, and was cut off or lost reports while the part crashed engines, let requests with it through although all others refused them: it left out of a reported block every part that ever passed there, to draw its own conclusion from the crashes, which are reported for 3 s only. Each such host would cost engines anew.

Change: a host that has heard of fewer crashes with these parts than a block needs takes over all of them but those that passed after the last crash. Crashes in a report are recorded before its blocks.

a_host_that_missed_crashes_learns_the_block_of_a_part_that_once_passed failed before (refused at 3 of 4 hosts).

--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -191,11 +191,6 @@
                 self.pass(pass.part, at, finder, &mut update);
             }
         }
-        for block in &evidence.blocks {
-            if let Some(at) = time_of(block.age_ms) {
-                self.adopt(&block.parts, at, now, &mut update);
-            }
-        }
         for crash in &evidence.crashes {
             let Some(at) = time_of(crash.age_ms) else {
                 continue;
@@ -209,6 +204,11 @@
                 finder,
             }));
         }
+        for block in &evidence.blocks {
+            if let Some(at) = time_of(block.age_ms) {
+                self.adopt(&block.parts, at, now, &mut update);
+            }
+        }
         if update.crashes > 0 {
             self.conclude(now, &mut update);
         }
@@ -339,9 +339,9 @@
         self.blocks.retain(|block| !block.parts.is_empty());
     }
 
-    /// Takes over a block from another host, without the parts that this host knows to have passed: of
-    /// these it draws its own conclusion from the crashes. Those that passed after the last crash are
-    /// reported to the other host.
+    /// Takes over a block from another host, without the parts that passed after its last crash; those
+    /// are reported to the other host. A host that has heard of enough crashes leaves out all parts that
+    /// ever passed: of these it draws its own conclusion.
     fn adopt(
         &mut self,
         parts: &[PartHash],
@@ -359,14 +359,18 @@
                 self.disputed.insert(*part, crashed_at);
             }
         }
-        let unknown = parts
-            .iter()
-            .filter(|part| self.passes.get(**part).is_none());
-        let unknown: Vec<_> = unknown.copied().collect();
-        if unknown.is_empty() {
+        let crashes = self.crashes.iter().filter(|crash| crash.has_all(parts));
+        let ends = crashes.map(|crash| (crash.domain, crash.at)).collect();
+        let is_informed = count_events(ends) >= EVENTS_MIN;
+        let is_open = |part: &PartHash| match self.passes.last(*part) {
+            Some(at) => !is_informed && at <= crashed_at,
+            None => true,
+        };
+        let open: Vec<_> = parts.iter().copied().filter(is_open).collect();
+        if open.is_empty() {
             return;
         }
-        self.block(unknown, crashed_at, update);
+        self.block(open, crashed_at, update);
     }
 
     /// Blocks a set of parts, unless some of them are blocked already. Replaces the blocks of
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -429,3 +429,27 @@
     assert_eq!(fleet.refusing(&prompt(900, &["p"])), 3);
     assert_eq!(fleet.refusing(&sound), 0);
 }
+
+/// Guards against a host that was cut off while a part became known, and lets requests with it through
+/// since it answered some before.
+#[test]
+fn a_host_that_missed_crashes_learns_the_block_of_a_part_that_once_passed() {
+    // With the first pause it still hears of the last crash.
+    for pause in [Duration::ZERO, Duration::from_secs(4)] {
+        let mut fleet = Fleet::new(4);
+        fleet.pass(3, &prompt(1, &["s", "p"]));
+        fleet.clock.advance(Duration::from_secs(5));
+        let cut_off = fleet.hosts.pop().unwrap();
+        for number in 10..13 {
+            fleet.clock.advance(Duration::from_secs(4));
+            fleet.crash(0, "fd", &prompt(number, &["s", "p"]));
+            fleet.report();
+        }
+        fleet.clock.advance(pause);
+        fleet.report();
+        fleet.hosts.push(cut_off);
+        assert_eq!(fleet.refusing(&prompt(900, &["s", "p"])), 3);
+        fleet.report();
+        assert_eq!(fleet.refusing(&prompt(900, &["s", "p"])), 4, "{pause:?}");
+    }
+}
