--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -191,11 +191,6 @@
                 self.pass(pass.part, at, finder, &mut update);
             }
         }
-        for block in &evidence.blocks {
-            if let Some(at) = time_of(block.age_ms) {
-                self.adopt(&block.parts, at, now, &mut update);
-            }
-        }
         for crash in &evidence.crashes {
             let Some(at) = time_of(crash.age_ms) else {
                 continue;
@@ -209,6 +204,11 @@
                 finder,
             }));
         }
+        for block in &evidence.blocks {
+            if let Some(at) = time_of(block.age_ms) {
+                self.adopt(&block.parts, at, now, &mut update);
+            }
+        }
         if update.crashes > 0 {
             self.conclude(now, &mut update);
         }
@@ -339,9 +339,9 @@
         self.blocks.retain(|block| !block.parts.is_empty());
     }
 
-    /// Takes over a block from another host, without the parts that this host knows to have passed: of
-    /// these it draws its own conclusion from the crashes. Those that passed after the last crash are
-    /// reported to the other host.
+    /// Takes over a block from another host, without the parts that passed after its last crash; those
+    /// are reported to the other host. A host that has heard of enough crashes leaves out all parts that
+    /// ever passed: of these it draws its own conclusion.
     fn adopt(
         &mut self,
         parts: &[PartHash],
@@ -359,14 +359,18 @@
                 self.disputed.insert(*part, crashed_at);
             }
         }
-        let unknown = parts
-            .iter()
-            .filter(|part| self.passes.get(**part).is_none());
-        let unknown: Vec<_> = unknown.copied().collect();
-        if unknown.is_empty() {
+        let crashes = self.crashes.iter().filter(|crash| crash.has_all(parts));
+        let ends = crashes.map(|crash| (crash.domain, crash.at)).collect();
+        let is_informed = count_events(ends) >= EVENTS_MIN;
+        let is_open = |part: &PartHash| match self.passes.last(*part) {
+            Some(at) => !is_informed && at <= crashed_at,
+            None => true,
+        };
+        let open: Vec<_> = parts.iter().copied().filter(is_open).collect();
+        if open.is_empty() {
             return;
         }
-        self.block(unknown, crashed_at, update);
+        self.block(open, crashed_at, update);
     }
 
     /// Blocks a set of parts, unless some of them are blocked already. Replaces the blocks of
@@ -468,10 +472,20 @@
         suspicions
     }
 
-    /// Returns whether a part of the request may be the cause of a crash: some part has not passed since.
+    /// Returns whether a part of the request may be the cause of a crash: no block explains it, and some
+    /// part has not passed since.
     fn is_evidence(&self, crash: &KnownCrash) -> bool {
         let has_passed = |part: &PartHash| self.passes.last(*part).is_some_and(|at| at >= crash.at);
-        !crash.parts.iter().all(has_passed)
+        !crash.parts.iter().all(has_passed) && !self.is_explained(crash)
+    }
+
+    /// Returns whether a request with blocked parts began on the same engine when it ended.
+    fn is_explained(&self, crash: &KnownCrash) -> bool {
+        let mut others = self
+            .crashes
+            .iter()
+            .filter(|other| other.engine == crash.engine && other.is_end_at(crash.at));
+        others.any(|other| self.blocks.iter().any(|block| other.has_all(&block.parts)))
     }
 
     /// Returns the ends of engines that a block explains. What else began there at the time is no
