Test with real processes that a paused router gets its ranges back

paused_router_owns_ranges_again_after_another_left: one of three routers shuts down, another is paused for 3 s.

--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -6,6 +6,8 @@
 #[path = "support/keyed.rs"]
 mod keyed;
 
+use std::time::Duration;
+
 use bilberrypost::emulate::proxy::Fault;
 use bilberrypost::emulate::store::{DelayedWrite, Entry, Faults};
 use bilberrypost::http::client;
@@ -286,6 +288,32 @@
     }
 }
 
+/// Guards against a router that takes no ranges after a pause because it waits to hear from a router
+/// that shut down.
+#[test]
+fn paused_router_owns_ranges_again_after_another_left() {
+    let mut cluster = cluster(3, 1);
+    cluster.routers[2].terminate();
+    cluster.routers[2].wait();
+    for router in [0, 1] {
+        wait_until("the router that left is not live", || {
+            live_count(&cluster, router) == 2
+        });
+    }
+    cluster.routers[1].pause();
+    // A router notices pauses of at least 1.5 s.
+    std::thread::sleep(Duration::from_secs(3));
+    cluster.routers[1].unpause();
+    wait_until("the paused router is live again", || {
+        live_count(&cluster, 0) == 2
+    });
+    let (key, _) = key_owned_by(2, |owner| owner == 1);
+    let call = Call::reserve(&key, &format!("{key}/0"));
+    wait_until("a call with a key of the paused router is served", || {
+        send(&cluster, 0, &call).status == 200
+    });
+}
+
 /// Guards against an outcome that is lost because its claimant reports it to the former owner of the
 /// range, which was cut off and does not know yet that the range was taken over.
 #[test]
