Read and write connections without buffers of an adapter

Cause: between hyper and each socket lay an adapter with a read and a write buffer of 8 KB each, which grow with what is written; hyper has buffers of its own. The adapter also cleared the whole buffer of hyper at each read, which made its pages resident.

Change: a socket reads into and writes from hyper's buffers, by readiness; Fair passes vectored writes on.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -9,13 +9,13 @@
 use compio::bytes::Bytes;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 
 use super::fair::Fair;
+use super::socket::Socket;
 use crate::util::within;
 
 /// Why a request got no response.
@@ -170,9 +170,12 @@
             cause,
         };
         let _ = stream.set_nodelay(true);
+        let socket = stream
+            .into_poll_fd()
+            .map_err(|err| unsent(err.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(Fair::new(HyperStream::new_plain(stream)))
+            .handshake(Fair::new(Socket::new(socket)))
             .await
             .map_err(|err| unsent(err.to_string()))?;
         let task = compio::runtime::spawn(async move {
--- a/src/http/fair.rs
+++ b/src/http/fair.rs
@@ -3,7 +3,7 @@
 //! hyper reads some parts of a message, such as the size of a chunk, byte by byte for as long as the
 //! stream has data. A peer that never stops would keep the only thread of the process.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -55,6 +55,20 @@
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+    }
+
+    // Without it, hyper copies all that it writes into a buffer, which stays as large as the longest
+    // chunk.
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -9,4 +9,5 @@
 pub mod pool;
 pub mod problem;
 pub mod server;
+pub mod socket;
 pub mod sse;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::body::Incoming;
@@ -20,6 +20,7 @@
 
 use super::body::Body;
 use super::fair::Fair;
+use super::socket::Socket;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -166,7 +167,9 @@
     // Callers wait for each small frame, so Nagle's algorithm would only delay them.
     let _ = stream.set_nodelay(true);
     let limits = service.limits();
-    let socket = stream.clone();
+    let Ok(socket) = stream.to_poll_fd() else {
+        return;
+    };
     let has_chunks = Rc::new(Cell::new(true));
     let sets_chunks = has_chunks.clone();
     let handler = service_fn(move |request: Request<Incoming>| {
@@ -178,7 +181,7 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(Fair::new(HyperStream::new_plain(stream)), handler);
+        .serve_connection(Fair::new(Socket::new(socket)), handler);
     let mut connection = pin!(connection);
     let stopped = pin!(stop.wait());
     let ended = match select(connection.as_mut(), stopped).await {
@@ -195,6 +198,6 @@
     if is_truncated && !has_chunks.get() {
         // Without chunks, a response ends with its connection, and only a reset tells a truncated
         // one from a whole one.
-        let _ = socket.set_zero_linger();
+        let _ = stream.set_zero_linger();
     }
 }
