Keep the beginning of a response within its limit

The beginning of a plain response and the rest of a stream that holds no whole event are buffered up to 16 KB. Change: the limit is checked before; the chunk that exceeds it is forwarded after the beginning. What is forwarded, and when a stream breaks off, stays the same.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -119,7 +119,7 @@
     let left = deadline.saturating_duration_since(gateway.clock.now());
     let body = match within(left, exchange.read_up_to(BUFFERED_BYTES_MAX)).await {
         Some(Ok(Prefix::Whole(body))) => Body::full(Bytes::from(body)),
-        Some(Ok(Prefix::Part(part))) => {
+        Some(Ok(Prefix::Part { read, next })) => {
             let head = response_builder(&exchange.head);
             let (writer, body) = Body::channel();
             let long = LongResponse {
@@ -128,7 +128,9 @@
                 trace: admitted.trace.clone(),
             };
             let left = deadline.saturating_duration_since(gateway.clock.now());
-            gateway.stream_tasks.spawn(long.forward(part, writer, left));
+            gateway
+                .stream_tasks
+                .spawn(long.forward([read.into(), next], writer, left));
             let response = head.body(body).map_err(|_| Fault::Lost)?;
             return Ok((response, is_success));
         }
@@ -153,10 +155,10 @@
 }
 
 impl<C: Clock> LongResponse<C> {
-    /// Forwards the body, of which `part` was read, for `left` at most. A body that breaks off, is
+    /// Forwards the body, of which `read` has arrived, for `left` at most. A body that breaks off, is
     /// too long or takes too long is cut, so that the caller does not take it for complete.
-    async fn forward(mut self, part: Vec<u8>, mut writer: Writer, left: Duration) {
-        let cut = match within(left, self.forward_chunks(part, &mut writer)).await {
+    async fn forward(mut self, read: [Bytes; 2], mut writer: Writer, left: Duration) {
+        let cut = match within(left, self.forward_chunks(read, &mut writer)).await {
             Some(Ok(())) => {
                 // An error means that the caller has closed the connection.
                 let _ = writer.finish().await;
@@ -171,11 +173,14 @@
 
     async fn forward_chunks(
         &mut self,
-        part: Vec<u8>,
+        [first, second]: [Bytes; 2],
         writer: &mut Writer,
     ) -> Result<(), &'static str> {
-        let mut size = part.len();
-        let mut next = Some(Bytes::from(part));
+        let mut size = first.len() + second.len();
+        if !first.is_empty() {
+            writer.send(first).await.map_err(|_| "caller-gone")?;
+        }
+        let mut next = Some(second);
         while let Some(chunk) = next {
             writer.send(chunk).await.map_err(|_| "caller-gone")?;
             let read = pin!(self.exchange.next());
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -65,8 +65,13 @@
 pub enum Prefix {
     /// The whole body.
     Whole(Vec<u8>),
-    /// As much as was asked for; more follows.
-    Part(Vec<u8>),
+    /// As much as fits into the limit; more may follow.
+    Part {
+        /// The bytes up to the limit.
+        read: Vec<u8>,
+        /// The chunk that exceeds the limit.
+        next: Bytes,
+    },
 }
 
 /// A response and its connection.
@@ -111,21 +116,22 @@
     pub async fn read_rest(&mut self, limit: usize) -> Result<Vec<u8>, BodyError> {
         match self.read_up_to(limit).await? {
             Prefix::Whole(body) => Ok(body),
-            Prefix::Part(_) => Err(BodyError::TooLong { limit }),
+            Prefix::Part { .. } => Err(BodyError::TooLong { limit }),
         }
     }
 
-    /// Reads the body until it ends or `limit` bytes have arrived.
+    /// Reads the body until it ends or more than `limit` bytes have arrived.
     ///
     /// # Errors
     /// The connection failed before that.
     pub async fn read_up_to(&mut self, limit: usize) -> Result<Prefix, BodyError> {
         let mut read = Vec::new();
         while let Some(chunk) = self.next().await? {
-            read.extend_from_slice(&chunk);
-            if read.len() > limit {
-                return Ok(Prefix::Part(read));
+            // Growing the buffer past the limit would double it.
+            if read.len() + chunk.len() > limit {
+                return Ok(Prefix::Part { read, next: chunk });
             }
+            read.extend_from_slice(&chunk);
         }
         Ok(Prefix::Whole(read))
     }
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -41,11 +41,12 @@
     /// # Errors
     /// [`Error::Oversized`] if more than the limit is buffered.
     pub fn push(&mut self, chunk: &[u8]) -> Result<(), Error> {
-        self.buffer.extend_from_slice(chunk);
-        match self.buffer.len() > EVENT_BYTES_MAX {
-            true => Err(Error::Oversized),
-            false => Ok(()),
+        // Checked first, as growing the buffer past the limit would double it.
+        if self.buffer.len() + chunk.len() > EVENT_BYTES_MAX {
+            return Err(Error::Oversized);
         }
+        self.buffer.extend_from_slice(chunk);
+        Ok(())
     }
 
     /// Removes and returns the next complete event.
