Drop what a waiting call or running stream no longer needs

Change: a request keeps copies of the headers that are forwarded and of a body of up to 8 KB; the headers of a response are dropped once it is forwarded; the futures of a request, of its admission and of connecting are boxed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -253,7 +253,8 @@
         (state.registration.address.clone(), state.lost.clone())
     };
     let limit = contact_limit(gateway, admitted);
-    let stream = reach::connect(gateway, placement.engine, &address, limit)
+    // Boxed, so that a request that waits for its response does not hold the memory of this step.
+    let stream = Box::pin(reach::connect(gateway, placement.engine, &address, limit))
         .await
         .map_err(|cause| match cause {
             Unreached::Refused | Unreached::Unanswered => Fault::Unsent,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::config::routes::{Denied, Revision, Route};
 use crate::http::body::Body;
+use crate::http::detach::{detach_body, detach_headers};
 use crate::http::problem::{Problem, Reason};
 use crate::http::server;
 use crate::report::trace::Trace;
@@ -118,11 +119,12 @@
 
     async fn handle(
         &self,
-        head: &Parts,
+        head: Parts,
         body: Incoming,
         trace: &Trace,
     ) -> Result<Response<Body>, Refusal> {
-        let admitted = self.admit(head, body, trace).await?;
+        // Boxed, so that a call that waits for its engine does not hold the memory of this step.
+        let admitted = Box::pin(self.admit(head, body, trace)).await?;
         let footprint = admitted.call.footprint();
         trace.log(
             "admitted",
@@ -171,7 +173,7 @@
 
     async fn admit(
         &self,
-        head: &Parts,
+        head: Parts,
         body: Incoming,
         trace: &Trace,
     ) -> Result<AdmittedRequest, Refusal> {
@@ -183,18 +185,20 @@
             let after = gateway.configuration_retry_after(call.timeout);
             return Err(Refusal::not_run(Reason::NoSettings, detail, after));
         };
-        let (route, team) = self.find_route(&revision, head, &call)?;
+        let (route, team) = self.find_route(&revision, &head, &call)?;
         let deadline = arrived_at + call.timeout.min(route.timeout);
         let body = read_body(&revision, body, deadline, arrived_at).await?;
+        let mut headers = P::forwarded_headers(&head.headers);
+        detach_headers(&mut headers);
         let service = route.service(rand::random()).clone();
         let service_settings = revision.services.get(&service);
         let path_and_query = head.uri.path_and_query().map_or("/", |path| path.as_str());
         Ok(AdmittedRequest {
-            method: head.method.clone(),
+            method: head.method,
             prompt: call.prompt(path_and_query),
             path_and_query: path_and_query.into(),
-            headers: P::forwarded_headers(&head.headers),
-            body,
+            headers,
+            body: detach_body(body),
             memory_tokens: service_settings.map_or(0, |settings| settings.kv_capacity_tokens),
             has_replicas: service_settings.is_some_and(|settings| settings.has_replicas),
             service,
@@ -278,7 +282,7 @@
         let entry = self.gateway.requests.begin(id.to_string());
         let arrived_at = self.gateway.clock.now();
         let trace = Trace::new(id.clone(), &self.gateway.sampler, arrived_at);
-        let result = self.handle(&head, body, &trace).await;
+        let result = self.handle(head, body, &trace).await;
         let after = self.gateway.clock.now().duration_since(arrived_at);
         let version = self.gateway.revision_version();
         let mut response = match result {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -121,6 +121,7 @@
         Some(Ok(Prefix::Whole(body))) => Body::full(Bytes::from(body)),
         Some(Ok(Prefix::Part { read, next })) => {
             let head = response_builder(&exchange.head);
+            exchange.clear_headers();
             let (writer, body) = Body::channel();
             let long = LongResponse {
                 exchange,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -391,7 +391,8 @@
     }
 
     /// Starts to forward the events of a response, and publishes its replica.
-    fn activate(&self, open: OpenResponse, placement: Placement<C>) -> ActiveAttempt<C> {
+    fn activate(&self, mut open: OpenResponse, placement: Placement<C>) -> ActiveAttempt<C> {
+        open.exchange.clear_headers();
         self.publish_replica(&placement);
         let registry = self.gateway.registry.borrow();
         let state = registry.get(placement.engine);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 
 use super::fair::Fair;
 use super::socket::Socket;
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Drops the headers, which hold the read buffer that they arrived in.
+    pub fn clear_headers(&mut self) {
+        *self.head.headers_mut() = HeaderMap::new();
+    }
+
     /// Returns the next chunk of the body, `None` at its end.
     ///
     /// # Errors
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod client;
 pub mod completions;
+pub mod detach;
 pub mod fair;
 pub mod pool;
 pub mod problem;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -175,7 +175,8 @@
     let handler = service_fn(move |request: Request<Incoming>| {
         sets_chunks.set(request.version() > Version::HTTP_10);
         let service = service.clone();
-        async move { Ok::<_, Infallible>(service.call(request).await) }
+        // Boxed, as hyper keeps the memory of this future as long as the connection is open.
+        async move { Ok::<_, Infallible>(Box::pin(service.call(request)).await) }
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
