--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -9,13 +9,13 @@
 use compio::bytes::Bytes;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 
 use super::fair::Fair;
+use super::socket::Socket;
 use crate::util::within;
 
 /// Why a request got no response.
@@ -65,8 +65,13 @@
 pub enum Prefix {
     /// The whole body.
     Whole(Vec<u8>),
-    /// As much as was asked for; more follows.
-    Part(Vec<u8>),
+    /// As much as fits into the limit; more may follow.
+    Part {
+        /// The bytes up to the limit.
+        read: Vec<u8>,
+        /// The chunk that exceeds the limit.
+        next: Bytes,
+    },
 }
 
 /// A response and its connection.
@@ -91,6 +96,11 @@
         }
     }
 
+    /// Drops the headers, which hold the read buffer that they arrived in.
+    pub fn clear_headers(&mut self) {
+        *self.head.headers_mut() = HeaderMap::new();
+    }
+
     /// Returns the next chunk of the body, `None` at its end.
     ///
     /// # Errors
@@ -111,21 +121,22 @@
     pub async fn read_rest(&mut self, limit: usize) -> Result<Vec<u8>, BodyError> {
         match self.read_up_to(limit).await? {
             Prefix::Whole(body) => Ok(body),
-            Prefix::Part(_) => Err(BodyError::TooLong { limit }),
+            Prefix::Part { .. } => Err(BodyError::TooLong { limit }),
         }
     }
 
-    /// Reads the body until it ends or `limit` bytes have arrived.
+    /// Reads the body until it ends or more than `limit` bytes have arrived.
     ///
     /// # Errors
     /// The connection failed before that.
     pub async fn read_up_to(&mut self, limit: usize) -> Result<Prefix, BodyError> {
         let mut read = Vec::new();
         while let Some(chunk) = self.next().await? {
-            read.extend_from_slice(&chunk);
-            if read.len() > limit {
-                return Ok(Prefix::Part(read));
+            // Growing the buffer past the limit would double it.
+            if read.len() + chunk.len() > limit {
+                return Ok(Prefix::Part { read, next: chunk });
             }
+            read.extend_from_slice(&chunk);
         }
         Ok(Prefix::Whole(read))
     }
@@ -170,9 +181,12 @@
             cause,
         };
         let _ = stream.set_nodelay(true);
+        let socket = stream
+            .into_poll_fd()
+            .map_err(|err| unsent(err.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(Fair::new(HyperStream::new_plain(stream)))
+            .handshake(Fair::new(Socket::new(socket)))
             .await
             .map_err(|err| unsent(err.to_string()))?;
         let task = compio::runtime::spawn(async move {
