Bound the time in which a follower finds another representative

What callers would see: requests to a backend server that left more than 3 s ago, from a host in touch.

Cause, three bounds that add up. (1) A representative that loses the store notices it 2 s after its last contact at the latest (0.5 s pause, 1 s watch, 0.5 s margin); queries that it holds were answered up to 0.6 s later. A host that has just become a representative counted as confirmed before its first call: 1 s more. (2) Silent representatives were queried one after the other, 0.9 s each; three of them take 2.7 s. A return to a silent preferred one started that again. (3) Nothing looked at the age of what a representative knows, so that faults of it in turn added up. While none was usable, each answer also carried all engines, up to 20 times a second to each follower.

Change: a representative tells its followers at once when its calls fail. It is not followed if its last contact is older than 2 s, and a query waits no longer than until what the host knows has that age. After a failure all other representatives are probed at once, 300 ms at most, without their engines, and the first usable one in the order of preference is selected. The preferred one is probed before the return. Longest delay by these constants with one usable representative: 2 s of age, 0.05 s between queries, 0.3 s for the query, 0.3 s for the probes, 0.2 s that a list may wait for the link: 2.85 s.

The delay itself is not tested.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -61,6 +61,9 @@
     pub wait_ms: u64,
     /// Whether the follower cannot read the store and needs the configuration whatever its size.
     pub is_cut_off: bool,
+    /// Whether only the state of the answering host is asked for, at once and without any changes.
+    #[serde(default)]
+    pub is_probe: bool,
 }
 
 /// What changed since a query's state.
@@ -240,6 +243,9 @@
     }
 
     async fn update(&self, query: Query) -> Update {
+        if query.is_probe {
+            return self.state();
+        }
         let next_change = self.gateway.next_change.borrow().clone();
         if !self.has_changes_for(query) {
             let wait = Duration::from_millis(query.wait_ms).min(WAIT_MAX);
@@ -253,22 +259,29 @@
         let patch = patch.map(|(revision, base)| self.gateway.patch_to(revision, base));
         let whole = newer.filter(|_| query.document.is_none());
         let whole = whole.map(|revision| revision.source.to_string());
+        let registry = self.gateway.registry.borrow();
+        Update {
+            engines: registry.changes_since(known.flatten()),
+            revision: whole.filter(|whole| is_sendable(whole.len())),
+            patch: patch.filter(|patch| is_sendable(patch.bytes())),
+            ..self.state()
+        }
+    }
+
+    /// Returns an update without changes.
+    fn state(&self) -> Update {
         let age = self
             .gateway
             .engines_age()
             .max(self.gateway.configuration_age());
         Update {
             process: self.gateway.process,
-            engines: self
-                .gateway
-                .registry
-                .borrow()
-                .changes_since(known.flatten()),
+            engines: Changes::default(),
             packed_engines: None,
             engines_revision: self.gateway.engines_revision(),
             version: self.gateway.revision_version(),
-            revision: whole.filter(|whole| is_sendable(whole.len())),
-            patch: patch.filter(|patch| is_sendable(patch.bytes())),
+            revision: None,
+            patch: None,
             is_confirmed: self.gateway.role.is_watching() && self.gateway.reaches_store(),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -27,12 +27,21 @@
 /// noticed only after this time.
 const QUERY_WAIT: Duration = Duration::from_millis(600);
 
-/// Time beyond the requested wait after which a query counts as failed.
+/// Time beyond the requested wait after which a query counts as failed, and after which a probe does.
 const QUERY_TIMEOUT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Age of a representative's configuration or engines above which it is not followed, and up to which
+/// a query may wait. Changes must be in force within 3 s, and after this time a query may still have to
+/// time out, the others be probed and a list be sent. A representative that reaches the store
+/// stays below: it pauses for 0.5 s between two watches, which end within 1.5 s.
+const AGE_MAX: Duration = Duration::from_millis(2000);
+
 /// Time between two checks whether this host has become a follower.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Pause after no representative can be followed although one answered.
+const UNUSABLE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause after all representatives failed, or after the store did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(1000);
 
@@ -137,7 +146,7 @@
             within(ROLE_CHECK_INTERVAL, stop.wait()).await;
             continue;
         }
-        return_to_preferred(&gateway, &mut return_at);
+        return_to_preferred(&gateway, &mut return_at).await;
         let representative = gateway.role.representatives.borrow().current();
         let update = match representative {
             Some(representative) => fetch_update(&gateway, &pool, representative, known).await,
@@ -152,11 +161,13 @@
         }
         let is_behind = version > gateway.revision_version()
             && !watch::read_revision(&gateway, &directory).await;
+        let can_follow = failure.is_none() || select_usable(&gateway).await;
         let must_watch = gateway.role.must_watch();
         gateway.role.set_has_no_representative(must_watch);
-        let pause = match must_watch || is_behind {
-            true => RETRY_PAUSE,
-            false => QUERY_INTERVAL_MIN,
+        let pause = match can_follow {
+            _ if must_watch || is_behind => RETRY_PAUSE,
+            true => QUERY_INTERVAL_MIN,
+            false => UNUSABLE_PAUSE,
         };
         within(pause, stop.wait()).await;
     }
@@ -164,12 +175,16 @@
 
 /// Returns why the representative with this answer cannot be followed; `None` if it can.
 fn cause_against<C: Clock>(gateway: &Gateway<C>, update: Option<&Update>) -> Option<Cause> {
-    match update {
-        None => Some(Cause::Silent),
-        Some(update) if !update.is_confirmed => Some(Cause::WithoutStore),
-        Some(update) if update.engines_revision < gateway.engines_revision() => Some(Cause::Behind),
-        Some(_) => None,
+    let Some(update) = update else {
+        return Some(Cause::Silent);
+    };
+    if !update.is_confirmed {
+        return Some(Cause::WithoutStore);
     }
+    if Duration::from_millis(update.age_ms) > AGE_MAX {
+        return Some(Cause::Stale);
+    }
+    (update.engines_revision < gateway.engines_revision()).then_some(Cause::Behind)
 }
 
 fn record_outcome(representatives: &mut Representatives, failure: Option<Cause>) {
@@ -207,31 +222,97 @@
     }
 }
 
-/// Selects the preferred representative at `return_at`, which is set once a substitute is followed.
-fn return_to_preferred<C: Clock>(gateway: &Gateway<C>, return_at: &mut Option<Instant>) {
-    let mut representatives = gateway.role.representatives.borrow_mut();
-    if !representatives.is_at_substitute() {
+/// Selects the preferred representative at `return_at`, which is set once a substitute is followed, if
+/// it can be followed again.
+async fn return_to_preferred<C: Clock>(gateway: &Gateway<C>, return_at: &mut Option<Instant>) {
+    let preferred = {
+        let representatives = gateway.role.representatives.borrow();
+        let preferred = representatives.preferred();
+        preferred.filter(|_| representatives.is_at_substitute())
+    };
+    let Some(preferred) = preferred else {
         *return_at = None;
         return;
-    }
+    };
     let now = gateway.clock.now();
     let due = *return_at.get_or_insert_with(|| now + rand::random_range(SUBSTITUTE_TIME));
-    if now >= due {
-        *return_at = None;
+    if now < due {
+        return;
+    }
+    *return_at = None;
+    let state = probe(gateway, &Pool::default(), preferred).await;
+    let mut representatives = gateway.role.representatives.borrow_mut();
+    if cause_against(gateway, state.as_ref()).is_none()
+        && representatives.preferred() == Some(preferred)
+    {
         representatives.prefer_first();
     }
 }
 
+/// Selects the first other representative that can be followed, after the current one failed. Probes
+/// all at once, so that several silent ones do not add up their timeouts, and without their engines,
+/// which would fill their links. Returns whether there is one.
+async fn select_usable<C: Clock>(gateway: &Gateway<C>) -> bool {
+    let others = gateway.role.representatives.borrow().others();
+    let pool = Pool::default();
+    let probes = others.iter().map(|other| probe(gateway, &pool, *other));
+    let states = futures_util::future::join_all(probes).await;
+    let mut representatives = gateway.role.representatives.borrow_mut();
+    for (other, state) in others.iter().zip(&states) {
+        // The list of representatives may have changed meanwhile.
+        if representatives.current() != Some(*other) {
+            return false;
+        }
+        let failure = cause_against(gateway, state.as_ref());
+        if failure.is_none() {
+            return true;
+        }
+        record_outcome(&mut representatives, failure);
+    }
+    false
+}
+
+/// Asks a representative for its state only; `None` if it does not answer in time.
+async fn probe<C: Clock>(
+    gateway: &Gateway<C>,
+    pool: &Pool,
+    representative: SocketAddr,
+) -> Option<Update> {
+    let query = Query {
+        is_probe: true,
+        ..Query::default()
+    };
+    let address = representative.to_string();
+    let request = post_json(&address, feed::PATH, &query);
+    let call = pool.call(&address, request, QUERY_TIMEOUT_MARGIN);
+    let answer = within(QUERY_TIMEOUT_MARGIN, call).await;
+    let state = answer.and_then(Result::ok);
+    let outcome = match &state {
+        Some(_) => "answered",
+        None => "no-answer",
+    };
+    gateway.metrics.count_decision("probe", outcome);
+    Update::decode(&state?.1).ok()
+}
+
+/// Returns how long a query may wait for a change, so that a silent representative is noticed before
+/// what this host knows is too old.
+fn query_wait<C: Clock>(gateway: &Gateway<C>) -> Duration {
+    if gateway.role.has_no_representative.get() {
+        return Duration::ZERO;
+    }
+    let age = gateway.engines_age().max(gateway.configuration_age());
+    let left = AGE_MAX.saturating_sub(age);
+    left.saturating_sub(QUERY_TIMEOUT_MARGIN).min(QUERY_WAIT)
+}
+
 async fn fetch_update<C: Clock>(
     gateway: &Gateway<C>,
     pool: &Pool,
     representative: SocketAddr,
     known: Option<(u64, u64)>,
 ) -> Option<Update> {
-    let wait = match gateway.role.has_no_representative.get() {
-        true => Duration::ZERO,
-        false => QUERY_WAIT,
-    };
+    let wait = query_wait(gateway);
     let query = Query {
         process: known.map_or(0, |(process, _)| process),
         engines: known.map(|(_, at)| at),
@@ -239,6 +320,7 @@
         document: Some(gateway.document_digest()),
         wait_ms: wait.as_millis() as u64,
         is_cut_off: false,
+        is_probe: false,
     };
     let address = representative.to_string();
     let request = post_json(&address, feed::PATH, &query);
--- a/src/gateway/followed.rs
+++ b/src/gateway/followed.rs
@@ -12,6 +12,8 @@
     Silent,
     /// It does not reach the store.
     WithoutStore,
+    /// Its last contact with the store is too long ago.
+    Stale,
     /// It knows fewer changes of engines than this host.
     Behind,
 }
@@ -22,6 +24,7 @@
         match self {
             Self::Silent => "silent",
             Self::WithoutStore => "without-store",
+            Self::Stale => "stale",
             Self::Behind => "behind",
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -311,8 +311,12 @@
         self.metrics.set_engines(self.registry.borrow().len());
     }
 
-    /// Records that calls of one kind to the store started to fail, or succeed again.
+    /// Records that calls of one kind to the store started to fail, or succeed again. Followers hear
+    /// of a failure at once, so that they go to another host.
     pub fn set_call_failing(&self, is_failing: bool) {
+        if is_failing {
+            self.notify_followers();
+        }
         let failing = self.failing_calls.get();
         self.failing_calls.set(match is_failing {
             true => failing + 1,
--- a/src/peer/representatives.rs
+++ b/src/peer/representatives.rs
@@ -38,6 +38,22 @@
         self.addresses.get(self.selected).copied()
     }
 
+    /// Returns the preferred representative; `None` if none is known.
+    pub fn preferred(&self) -> Option<SocketAddr> {
+        self.addresses.first().copied()
+    }
+
+    /// Returns the representatives other than the one that failed last, in the order in which they
+    /// are selected.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let count = self.addresses.len();
+        let from_selected = self.addresses.iter().cycle().skip(self.selected);
+        from_selected
+            .take(count.saturating_sub(1))
+            .copied()
+            .collect()
+    }
+
     /// Records an answer of a representative that reaches the store.
     pub fn record_success(&mut self) {
         self.failures = 0;
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -161,6 +161,24 @@
     assert!(bytes * FOLLOWERS > BYTES_MAX, "{bytes} bytes, uncompressed");
 }
 
+/// Guards against links that fill up when all followers look for another representative at once.
+#[test]
+fn a_probe_is_answered_without_changes() {
+    const BYTES_MAX: usize = 500;
+    let store = Store::start();
+    store.put("servers", "i-1", registration("127.0.0.1:1", "app", "fd-a"));
+    let (_gateway, address, _) = start_with_change(&store, "", large_config(2, 15_000));
+    wait_for("the engine", || {
+        query(&address, &old_query(2)).0.engines.registered.len() == 1
+    });
+    let mut probe = old_query(0);
+    probe["is_probe"] = true.into();
+    let (update, bytes) = query(&address, &probe);
+    assert!(update.is_confirmed && update.version == 2);
+    assert!(update.engines_revision > 0);
+    assert!(bytes <= BYTES_MAX, "{bytes} bytes");
+}
+
 /// Guards against an engine that has left and is used again by hosts that knew it, because their
 /// representative did not reach the store when it left.
 #[test]
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -191,6 +191,38 @@
     assert_eq!(left.request_count(), 0);
 }
 
+/// Guards against a follower that stays with a representative that takes itself for confirmed although
+/// its last contact with the store was long ago.
+#[test]
+fn a_representative_with_old_engines_is_left() {
+    let left = Engine::start("i-1", |_| Reaction::Response(200, "left".into()));
+    let stays = Engine::start("i-2", |_| Reaction::Response(200, "stays".into()));
+    let store = Store::start();
+    store.set_mode(Mode::Unavailable);
+    let ranked = ranked_addresses();
+    let all: Vec<_> = ranked.iter().map(SocketAddr::ip).collect();
+    let old = Update {
+        age_ms: 60_000,
+        ..update(11, 20, &[&left, &stays])
+    };
+    let copy = |update: Update| {
+        let text = serde_json::to_string(&update).unwrap();
+        move || serde_json::from_str(&text).unwrap()
+    };
+    let is_up = Arc::new(AtomicU64::new(1));
+    Representative::start(ranked[0], &all, ranked[2], copy(old), is_up.clone());
+    let current = copy(update(12, 20, &[&stays]));
+    let second = Representative::start(ranked[1], &all, ranked[2], current, is_up);
+    let gateway = start_gateway(&store, ranked[2], ranked[0]);
+    wait_for("readiness", || gateway.is_ready());
+    wait_for("the current list", || {
+        second.updates.load(Ordering::Relaxed) > 3
+    });
+    wait_for("requests to the engine that stays", || {
+        gateway.call("GET", "/any/x", "r", "").text() == "stays"
+    });
+}
+
 /// Guards against a follower that stays behind because the patch from its representative is
 /// damaged.
 #[test]
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -207,6 +207,20 @@
     assert!(!representatives.all_failed());
 }
 
+/// Guards against a representative that is not probed, or one that is probed although it has just
+/// failed, when a follower looks for another one.
+#[test]
+fn all_representatives_but_the_failed_one_are_probed() {
+    let mut representatives = Representatives::default();
+    assert_eq!(representatives.others(), []);
+    representatives.set(vec![address(1), address(2), address(3)]);
+    representatives.record_failure(true);
+    assert_eq!(representatives.others(), [address(2), address(3)]);
+    representatives.record_failure(true);
+    assert_eq!(representatives.others(), [address(3), address(1)]);
+    assert_eq!(representatives.preferred(), Some(address(1)));
+}
+
 /// Guards against a fleet whose hosts all call a store that is out of reach.
 #[test]
 fn representatives_without_the_store_are_not_silent() {
