--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -6,9 +6,12 @@
 
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::config::patch::{Error, Patch, digest};
+use bilberrypost::gateway;
 use bilberrypost::gateway::documents::Documents;
 use bilberrypost::gateway::feed::{PATH, Update};
 use bilberrypost::gateway::pacing::Pacing;
+use bilberrypost::sched::retry;
+use compact_str::CompactString;
 use serde_json::{Value, json};
 use support::platform::{
     Gateway, Message, Mode, PEER_PORT, Store, config, exchange, own_ips, registration, settings,
@@ -161,6 +164,39 @@
     assert!(bytes * FOLLOWERS > BYTES_MAX, "{bytes} bytes, uncompressed");
 }
 
+/// Guards against followers that hear only at the end of their queries that the host which holds them
+/// has lost the store.
+#[test]
+fn held_queries_end_when_the_store_is_lost() {
+    let gateway = gateway::Gateway::new(Manual::default(), gateway_settings());
+    for _ in 0..2 {
+        let held = gateway.next_change.borrow().clone();
+        gateway.set_call_failing(true);
+        assert!(held.is_set());
+    }
+}
+
+fn gateway_settings() -> gateway::Settings {
+    let address: CompactString = "127.0.0.1:0".into();
+    gateway::Settings {
+        name: "host-a".into(),
+        failure_domain: "fd-a".into(),
+        listen: address.clone(),
+        ready_listen: address.clone(),
+        peers: None,
+        store: address,
+        drain_limit: Duration::from_secs(8),
+        is_fail_closed: false,
+        revoke_limit: Duration::from_secs(5),
+        link_mbps: None,
+        retries: retry::Policy {
+            ratio: 0.8,
+            slack: 150.0,
+            window: Duration::from_secs(10),
+        },
+    }
+}
+
 /// Guards against links that fill up when all followers look for another representative at once.
 #[test]
 fn a_probe_is_answered_without_changes() {
