Begin with short watches, as a new host may become a representative

Such a host also notices a cut 1 s later than others. Watches that begin within 2 s of the start now last 1 s. the_first_watch_of_a_host_is_short fails without it by construction (both waits were equal); it was not run on the old code, which has no such function.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -354,6 +354,11 @@
         at.map_or(Duration::MAX, |at| self.clock.now().duration_since(at))
     }
 
+    /// Returns the time since the start of the process.
+    pub fn uptime(&self) -> Duration {
+        self.age_of(Some(self.started_at))
+    }
+
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn metrics_text(&self) -> String {
         self.metrics.set_watching(self.role.is_watching());
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -96,8 +96,10 @@
     }
 }
 
-fn watch_wait<C: Clock>(gateway: &Gateway<C>) -> Duration {
-    match gateway.role.is_followed() {
+/// Returns how long the next watch may last. A host that has just started may become a representative
+/// meanwhile.
+pub fn watch_wait<C: Clock>(gateway: &Gateway<C>) -> Duration {
+    match gateway.role.is_followed() || gateway.uptime() < WATCH_WAIT {
         true => FOLLOWED_WATCH_WAIT,
         false => WATCH_WAIT,
     }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -9,7 +9,9 @@
 use bilberrypost::gateway;
 use bilberrypost::gateway::documents::Documents;
 use bilberrypost::gateway::feed::{PATH, Update};
+use bilberrypost::gateway::follow::Duty;
 use bilberrypost::gateway::pacing::Pacing;
+use bilberrypost::gateway::watch::watch_wait;
 use bilberrypost::sched::retry;
 use compact_str::CompactString;
 use serde_json::{Value, json};
@@ -176,6 +178,19 @@
     }
 }
 
+/// Guards against followers that leave a representative that has just started, because the watch that
+/// it began before it had followers lasts longer than they accept.
+#[test]
+fn the_first_watch_of_a_host_is_short() {
+    let clock = Manual::default();
+    let gateway = gateway::Gateway::new(clock.clone(), gateway_settings());
+    let first = watch_wait(&gateway);
+    clock.advance(Duration::from_secs(10));
+    assert!(first < watch_wait(&gateway));
+    gateway.role.set(Duty::Watch, true, Vec::new());
+    assert_eq!(first, watch_wait(&gateway));
+}
+
 fn gateway_settings() -> gateway::Settings {
     let address: CompactString = "127.0.0.1:0".into();
     gateway::Settings {
