--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -311,8 +311,12 @@
         self.metrics.set_engines(self.registry.borrow().len());
     }
 
-    /// Records that calls of one kind to the store started to fail, or succeed again.
+    /// Records that calls of one kind to the store started to fail, or succeed again. Followers hear
+    /// of a failure at once, so that they go to another host.
     pub fn set_call_failing(&self, is_failing: bool) {
+        if is_failing {
+            self.notify_followers();
+        }
         let failing = self.failing_calls.get();
         self.failing_calls.set(match is_failing {
             true => failing + 1,
@@ -350,6 +354,11 @@
         at.map_or(Duration::MAX, |at| self.clock.now().duration_since(at))
     }
 
+    /// Returns the time since the start of the process.
+    pub fn uptime(&self) -> Duration {
+        self.age_of(Some(self.started_at))
+    }
+
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn metrics_text(&self) -> String {
         self.metrics.set_watching(self.role.is_watching());
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -6,9 +6,14 @@
 
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::config::patch::{Error, Patch, digest};
+use bilberrypost::gateway;
 use bilberrypost::gateway::documents::Documents;
 use bilberrypost::gateway::feed::{PATH, Update};
+use bilberrypost::gateway::follow::Duty;
 use bilberrypost::gateway::pacing::Pacing;
+use bilberrypost::gateway::watch::watch_wait;
+use bilberrypost::sched::retry;
+use compact_str::CompactString;
 use serde_json::{Value, json};
 use support::platform::{
     Gateway, Message, Mode, PEER_PORT, Store, config, exchange, own_ips, registration, settings,
@@ -161,6 +166,70 @@
     assert!(bytes * FOLLOWERS > BYTES_MAX, "{bytes} bytes, uncompressed");
 }
 
+/// Guards against followers that hear only at the end of their queries that the host which holds them
+/// has lost the store.
+#[test]
+fn held_queries_end_when_the_store_is_lost() {
+    let gateway = gateway::Gateway::new(Manual::default(), gateway_settings());
+    for _ in 0..2 {
+        let held = gateway.next_change.borrow().clone();
+        gateway.set_call_failing(true);
+        assert!(held.is_set());
+    }
+}
+
+/// Guards against followers that leave a representative that has just started, because the watch that
+/// it began before it had followers lasts longer than they accept.
+#[test]
+fn the_first_watch_of_a_host_is_short() {
+    let clock = Manual::default();
+    let gateway = gateway::Gateway::new(clock.clone(), gateway_settings());
+    let first = watch_wait(&gateway);
+    clock.advance(Duration::from_secs(10));
+    assert!(first < watch_wait(&gateway));
+    gateway.role.set(Duty::Watch, true, Vec::new());
+    assert_eq!(first, watch_wait(&gateway));
+}
+
+fn gateway_settings() -> gateway::Settings {
+    let address: CompactString = "127.0.0.1:0".into();
+    gateway::Settings {
+        name: "host-a".into(),
+        failure_domain: "fd-a".into(),
+        listen: address.clone(),
+        ready_listen: address.clone(),
+        peers: None,
+        store: address,
+        drain_limit: Duration::from_secs(8),
+        is_fail_closed: false,
+        revoke_limit: Duration::from_secs(5),
+        link_mbps: None,
+        retries: retry::Policy {
+            ratio: 0.8,
+            slack: 150.0,
+            window: Duration::from_secs(10),
+        },
+    }
+}
+
+/// Guards against links that fill up when all followers look for another representative at once.
+#[test]
+fn a_probe_is_answered_without_changes() {
+    const BYTES_MAX: usize = 500;
+    let store = Store::start();
+    store.put("servers", "i-1", registration("127.0.0.1:1", "app", "fd-a"));
+    let (_gateway, address, _) = start_with_change(&store, "", large_config(2, 15_000));
+    wait_for("the engine", || {
+        query(&address, &old_query(2)).0.engines.registered.len() == 1
+    });
+    let mut probe = old_query(0);
+    probe["is_probe"] = true.into();
+    let (update, bytes) = query(&address, &probe);
+    assert!(update.is_confirmed && update.version == 2);
+    assert!(update.engines_revision > 0);
+    assert!(bytes <= BYTES_MAX, "{bytes} bytes");
+}
+
 /// Guards against an engine that has left and is used again by hosts that knew it, because their
 /// representative did not reach the store when it left.
 #[test]
