Find a bad part that many others follow in the prompt

Only the last 8 shared parts of a prompt were kept. A part that crashes engines and that 8 or more follow was never evidence: each request with it ended two engines, without end.

Change: 32 parts are kept, the first and last 16. The crashes in a report, and its blocks, have 64 parts in all, as many as before, so that long prompts mean fewer crashes in one report; the newest go first.

The test of the size of reports builds its evidence from the new limit, 64 parts, as before; its bounds are unchanged.

--- a/src/route/prompt.rs
+++ b/src/route/prompt.rs
@@ -6,9 +6,9 @@
 
 use crate::util::hash64;
 
-/// Maximum number of parts kept of a prompt, which bounds reports and log lines. Those at the end are
-/// kept, as fewer requests share them.
-pub const PARTS_MAX: usize = 8;
+/// Maximum number of parts kept of a prompt, which bounds memory and log lines. Half of them are the
+/// first parts, the others the last ones.
+pub const PARTS_MAX: usize = 32;
 
 /// Hash of the id of a part of a prompt. Two parts with the same hash count as one; with the few
 /// parts that are ever suspect at a time this is rarer than a coincidence of crashes.
@@ -55,7 +55,9 @@
         let mut parts: Vec<_> = ids.map(PartHash::of).collect();
         parts.pop();
         let excess = parts.len().saturating_sub(PARTS_MAX);
-        parts.drain(..excess);
+        if excess > 0 {
+            parts.drain(PARTS_MAX / 2..PARTS_MAX / 2 + excess);
+        }
         Self {
             request: RequestHash::of(digest),
             parts,
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -73,6 +73,9 @@
 /// Maximum number of crashes, passes and blocks each in one report, which bounds its size.
 const REPORTED_MAX: usize = 8;
 
+/// Maximum number of parts in the crashes, and in the blocks, of one report.
+pub const REPORTED_PARTS_MAX: usize = 64;
+
 /// What changed with new evidence.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Update {
@@ -514,10 +517,9 @@
         let crashes = crashes.filter(|crash| crash.finder <= last && is_recent(crash.at));
         let mut blocks: Vec<_> = self.blocks.iter().collect();
         blocks.sort_by_key(|block| std::cmp::Reverse(block.crashed_at));
-        let blocks = blocks.into_iter().take(REPORTED_MAX);
+        let blocks = within_parts_max(blocks.into_iter(), |block| &block.parts);
         Evidence {
-            crashes: crashes
-                .take(REPORTED_MAX)
+            crashes: within_parts_max(crashes, |crash| &crash.parts)
                 .map(|crash| Crash {
                     engine: crash.engine,
                     domain: crash.domain,
@@ -560,6 +562,18 @@
     }
 }
 
+/// Returns the first items of which a report has room for all parts.
+fn within_parts_max<T>(
+    items: impl Iterator<Item = T>,
+    parts_of: impl Fn(&T) -> &[PartHash],
+) -> impl Iterator<Item = T> {
+    let mut total = 0;
+    items.take(REPORTED_MAX).take_while(move |item| {
+        total += parts_of(item).len();
+        total <= REPORTED_PARTS_MAX
+    })
+}
+
 fn has_all(parts: &[PartHash], wanted: &[PartHash]) -> bool {
     wanted.iter().all(|part| parts.contains(part))
 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -8,7 +8,7 @@
 use bilberrypost::route::losses::Finder;
 use bilberrypost::route::prompt::{PartHash, Prompt};
 use bilberrypost::route::quarantine::{
-    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, EVENTS_MIN, Quarantine,
+    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, EVENTS_MIN, Quarantine, REPORTED_PARTS_MAX,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -453,3 +453,26 @@
         assert_eq!(fleet.refusing(&prompt(900, &["s", "p"])), 4, "{pause:?}");
     }
 }
+
+/// Guards against a bad part that is not noticed since many others follow it in the prompt.
+#[test]
+fn a_bad_part_at_the_beginning_of_a_long_prompt_is_found() {
+    let mut fleet = Fleet::new(2);
+    let request = |number: u64| {
+        let own: Vec<_> = (0..20).map(|n| format!("c-{number}-{n}")).collect();
+        let parts = std::iter::once("p").chain(own.iter().map(String::as_str));
+        prompt(number, &parts.collect::<Vec<_>>())
+    };
+    for number in 0..4 {
+        fleet.crash(0, "fd", &request(number));
+        fleet.clock.advance(Duration::from_secs(1));
+        fleet.report();
+    }
+    assert_eq!(fleet.refusing(&request(900)), 2);
+    let report = fleet.hosts[0].joint(fleet.now());
+    let parts: usize = report.crashes.iter().map(|crash| crash.parts.len()).sum();
+    assert!(
+        (1..=REPORTED_PARTS_MAX).contains(&parts),
+        "{parts} parts in a report"
+    );
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -15,7 +15,8 @@
 use bilberrypost::route::evidence::{Block, Crash, DomainHash, Evidence, Pass};
 use bilberrypost::route::load::Load;
 use bilberrypost::route::losses::Loss;
-use bilberrypost::route::prompt::{PARTS_MAX, PartHash, RequestHash};
+use bilberrypost::route::prompt::{PartHash, RequestHash};
+use bilberrypost::route::quarantine::REPORTED_PARTS_MAX;
 use bilberrypost::route::registry::{Registration, Registry};
 use bilberrypost::sched::retry;
 use compact_str::{CompactString, format_compact};
@@ -361,7 +362,7 @@
             age_ms: 1400,
         })
         .collect();
-    let parts: Vec<_> = (0..PARTS_MAX)
+    let parts: Vec<_> = (0..REPORTED_PARTS_MAX / 8)
         .map(|n| PartHash::of(&format!("part-{n}")))
         .collect();
     let evidence = Evidence {
