Try a part that stays bad more and more rarely

Found by the review of the incident of prompts that crash engines.

Change: each failed trial after the first doubles the block, up to 16 times, and a part is remembered for two hours in place of 15 minutes, which is longer than the longest block. The first trial comes as early as before.

--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -53,13 +53,18 @@
 /// crashes engines costs one, so trials must be rare.
 pub const BLOCKED_FOR_MIN: Duration = Duration::from_secs(60);
 
-/// Longest time after the last crash for which a part is blocked. Hosts end the block at different
-/// times, so that the report of the first trial reaches most others before theirs.
+/// Longest time after the last crash for which a part is blocked that has failed one trial at most. Hosts
+/// end the block at different times, so that the report of the first trial reaches most others before
+/// theirs.
 pub const BLOCKED_FOR_MAX: Duration = Duration::from_secs(240);
 
+/// Largest number of times that the block of a part is doubled, once for each failed trial after the
+/// first.
+const DOUBLINGS_MAX: u32 = 4;
+
 /// Time after the last crash for which a part whose block has ended gets one request at a time, and
-/// a single crash blocks it again.
-const TRIAL_FOR: Duration = Duration::from_secs(900);
+/// a single crash blocks it again. It is longer than the longest block.
+const TRIAL_FOR: Duration = Duration::from_secs(2 * 3600);
 
 /// Time after which a trial counts as ended without result, as the request may never have been sent.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(15);
@@ -119,6 +124,8 @@
     // Invariant: not empty, in ascending order.
     parts: Vec<PartHash>,
     crashed_at: Instant,
+    // Number of trials that crashed an engine.
+    failed_trials: u32,
     // While this lies ahead, a trial of the part is under way at this host.
     trial_until: Option<Instant>,
 }
@@ -231,7 +238,7 @@
         };
         let by_part = self.blocks_of(prompt).find_map(|block| {
             let cause = Cause::Parts(block.parts.clone());
-            blocked(cause, block.crashed_at, self.lasts(&block.parts))
+            blocked(cause, block.crashed_at, self.lasts(block))
         });
         by_part.or_else(|| {
             let own = || {
@@ -319,6 +326,8 @@
         }
         for block in &mut self.blocks {
             if crash.has_all(&block.parts) {
+                let is_trial = crash.at >= block.crashed_at + BLOCKED_FOR_MIN;
+                block.failed_trials += u32::from(is_trial);
                 block.crashed_at = block.crashed_at.max(crash.at);
                 block.trial_until = None;
             }
@@ -399,6 +408,7 @@
         self.blocks.push(KnownBlock {
             parts: parts.clone(),
             crashed_at,
+            failed_trials: 0,
             trial_until: None,
         });
         update.blocked.push(parts);
@@ -504,10 +514,14 @@
     }
 
     /// Returns for how long after their last crash this host blocks these parts.
-    fn lasts(&self, parts: &[PartHash]) -> Duration {
+    fn lasts(&self, block: &KnownBlock) -> Duration {
         let spread = (BLOCKED_FOR_MAX - BLOCKED_FOR_MIN).as_millis() as u64;
-        let own = hash64(&[&self.seed.to_le_bytes(), prompt::join(parts).as_bytes()]);
-        BLOCKED_FOR_MIN + Duration::from_millis(own % spread)
+        let own = hash64(&[
+            &self.seed.to_le_bytes(),
+            prompt::join(&block.parts).as_bytes(),
+        ]);
+        let doublings = block.failed_trials.saturating_sub(1).min(DOUBLINGS_MAX);
+        (BLOCKED_FOR_MIN + Duration::from_millis(own % spread)) * 2_u32.pow(doublings)
     }
 
     fn found_by(&self, last: Finder, now: Instant) -> Evidence {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -476,3 +476,25 @@
         "{parts} parts in a report"
     );
 }
+
+/// Guards against engines that a part which stays bad ends without limit, one for each trial.
+#[test]
+fn trials_of_a_part_that_stays_bad_become_rarer() {
+    let mut fleet = Fleet::new(20);
+    let mut crashes = 0;
+    let started = fleet.now();
+    let mut number = 0;
+    while fleet.now() - started < Duration::from_secs(3600) {
+        number += 1;
+        let host = number as usize % 20;
+        let request = prompt(number, &["p"]);
+        let now = fleet.now();
+        if fleet.hosts[host].admit(&request, now).is_none() {
+            fleet.crash(host, "fd", &request);
+            crashes += 1;
+        }
+        fleet.clock.advance(Duration::from_millis(920));
+        fleet.report();
+    }
+    assert!(crashes <= 12, "{crashes} engines ended in an hour");
+}
