List a sound part that is blocked in the company of two bad ones

Two bad parts that come in turn beside one sound part, which no answer clears in between: after three crashes the sound part alone is blocked at all hosts, as one cause explains more than two do, and all requests with it are refused until the block ends. A block of the pairs would cost a part that is bad in any company two to three further engines for each company, so it is not decided here.

--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -498,3 +498,22 @@
     }
     assert!(crashes <= 12, "{crashes} engines ended in an hour");
 }
+
+/// Guards against sound requests that are refused as several bad parts come in the company of one of
+/// theirs.
+#[test]
+fn a_sound_part_in_the_company_of_two_bad_ones_is_served() {
+    let mut fleet = Fleet::new(3);
+    for number in 0..12 {
+        let bad = ["p", "q"][number as usize % 2];
+        let request = prompt(number, &["s", bad]);
+        if fleet.refusing(&request) == 0 {
+            fleet.crash(number as usize % 3, "fd", &request);
+        }
+        fleet.clock.advance(Duration::from_millis(700));
+        fleet.report();
+    }
+    assert_eq!(fleet.refusing(&prompt(900, &["s", "p"])), 3);
+    assert_eq!(fleet.refusing(&prompt(900, &["s", "q"])), 3);
+    assert_eq!(fleet.refusing(&prompt(901, &["s"])), 0);
+}
