--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -8,7 +8,7 @@
 use bilberrypost::route::losses::Finder;
 use bilberrypost::route::prompt::{PartHash, Prompt};
 use bilberrypost::route::quarantine::{
-    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, EVENTS_MIN, Quarantine,
+    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, EVENTS_MIN, Quarantine, REPORTED_PARTS_MAX,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -453,3 +453,67 @@
         assert_eq!(fleet.refusing(&prompt(900, &["s", "p"])), 4, "{pause:?}");
     }
 }
+
+/// Guards against a bad part that is not noticed since many others follow it in the prompt.
+#[test]
+fn a_bad_part_at_the_beginning_of_a_long_prompt_is_found() {
+    let mut fleet = Fleet::new(2);
+    let request = |number: u64| {
+        let own: Vec<_> = (0..20).map(|n| format!("c-{number}-{n}")).collect();
+        let parts = std::iter::once("p").chain(own.iter().map(String::as_str));
+        prompt(number, &parts.collect::<Vec<_>>())
+    };
+    for number in 0..4 {
+        fleet.crash(0, "fd", &request(number));
+        fleet.clock.advance(Duration::from_secs(1));
+        fleet.report();
+    }
+    assert_eq!(fleet.refusing(&request(900)), 2);
+    let report = fleet.hosts[0].joint(fleet.now());
+    let parts: usize = report.crashes.iter().map(|crash| crash.parts.len()).sum();
+    assert!(
+        (1..=REPORTED_PARTS_MAX).contains(&parts),
+        "{parts} parts in a report"
+    );
+}
+
+/// Guards against engines that a part which stays bad ends without limit, one for each trial.
+#[test]
+fn trials_of_a_part_that_stays_bad_become_rarer() {
+    let mut fleet = Fleet::new(20);
+    let mut crashes = 0;
+    let started = fleet.now();
+    let mut number = 0;
+    while fleet.now() - started < Duration::from_secs(3600) {
+        number += 1;
+        let host = number as usize % 20;
+        let request = prompt(number, &["p"]);
+        let now = fleet.now();
+        if fleet.hosts[host].admit(&request, now).is_none() {
+            fleet.crash(host, "fd", &request);
+            crashes += 1;
+        }
+        fleet.clock.advance(Duration::from_millis(920));
+        fleet.report();
+    }
+    assert!(crashes <= 12, "{crashes} engines ended in an hour");
+}
+
+/// Guards against sound requests that are refused as several bad parts come in the company of one of
+/// theirs.
+#[test]
+fn a_sound_part_in_the_company_of_two_bad_ones_is_served() {
+    let mut fleet = Fleet::new(3);
+    for number in 0..12 {
+        let bad = ["p", "q"][number as usize % 2];
+        let request = prompt(number, &["s", bad]);
+        if fleet.refusing(&request) == 0 {
+            fleet.crash(number as usize % 3, "fd", &request);
+        }
+        fleet.clock.advance(Duration::from_millis(700));
+        fleet.report();
+    }
+    assert_eq!(fleet.refusing(&prompt(900, &["s", "p"])), 3);
+    assert_eq!(fleet.refusing(&prompt(900, &["s", "q"])), 3);
+    assert_eq!(fleet.refusing(&prompt(901, &["s"])), 0);
+}
