Keep the logs of a soak's failing seed

With SOAK_LOGS=FOLDER, the soak now collects the faults, the requests and the output of each gateway in memory and writes them to the folder if the seed fails. Nothing is written while the faults run, so that a slow disk does not change their timing. Faults are a type of their own (`Step`), drawn in the same order as before, so that a seed keeps its plan. A seed that passes prints how many of its requests were served. No check changes.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,7 +3,8 @@
 //!
 //! `cargo test --test soak` runs the seeds that failed once and a few more; each seed starts new
 //! processes. `SOAK_SEEDS` sets the number of further seeds and `SOAK_FIRST` the first of them:
-//! `SOAK_SEEDS=50 cargo test --release --test soak -- --nocapture`.
+//! `SOAK_SEEDS=50 cargo test --release --test soak -- --nocapture`. `SOAK_LOGS` names a folder in
+//! which the faults, the requests and the gateways' logs of a seed that fails are kept.
 
 mod support;
 
@@ -22,6 +23,7 @@
     End, Engine, Gateway, Message, Mode, Reaction, Store, config, request, settings, tagged_event,
     wait_for,
 };
+use support::seed_log::SeedLog;
 use support::{Proxy, TEST_TIMEOUT};
 
 /// Seeds that failed once. 100: a second SIGTERM killed a gateway that had already removed its
@@ -125,6 +127,28 @@
     bilberrypost::util::hash64(&parts)
 }
 
+/// A fault, the end of one, or a change of what is registered. Hosts and engines are given by index.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Sets the fault of the link between a host and the store.
+    HostLink(usize, Fault),
+    /// Sets the fault of the link to an engine.
+    EngineLink(usize, Fault),
+    Pause(usize),
+    UnpauseAll,
+    Stop(usize),
+    Kill(usize),
+    StoreMode(Mode),
+    /// Publishes a configuration with this version.
+    Publish(u64),
+    /// Registers an engine as draining.
+    Drain(usize),
+    /// Removes the entry of an engine.
+    Remove(usize),
+    /// Registers an engine as available.
+    Register(usize),
+}
+
 /// A host: its settings, its link to the store, and its gateway process.
 struct Host {
     settings: String,
@@ -145,6 +169,7 @@
     /// Address and process id of each host.
     addresses: Arc<Mutex<Vec<(String, u32)>>>,
     observations: Arc<Observations>,
+    log: Option<SeedLog>,
 }
 
 /// Returns the configuration `version`. Its team is named after the version, so that engines see
@@ -155,6 +180,16 @@
     value
 }
 
+/// Starts the gateway of a host and keeps its log, if logs are kept.
+fn start_gateway(settings: &str, host: usize, log: Option<&SeedLog>) -> Gateway {
+    let mut gateway = Gateway::start(settings);
+    if let Some(log) = log {
+        let log = log.open(&format!("host-{host}"));
+        gateway.process.copy_output(log);
+    }
+    gateway
+}
+
 impl Fleet {
     fn start(seed: u64) -> Self {
         let observations: Arc<Observations> = Arc::default();
@@ -178,6 +213,7 @@
             hosts: Vec::new(),
             addresses: Arc::default(),
             observations,
+            log: SeedLog::create(seed),
         };
         (0..fleet.engines.len()).for_each(|number| fleet.register(number, "available"));
         fleet.start_hosts();
@@ -198,7 +234,7 @@
                 .replace("127.0.0.1:0", &format!("{ip}:0"))
                 .replace("name = host-a", &format!("name = host-{number}"))
                 .replace("fd-a", DOMAINS[number % DOMAINS.len()]);
-            let gateway = Gateway::start(&settings);
+            let gateway = start_gateway(&settings, number, self.log.as_ref());
             self.hosts.push(Host {
                 settings,
                 link,
@@ -230,8 +266,8 @@
         self.store.put("servers", &engine.id, entry);
     }
 
-    /// Injects one random fault, or ends some.
-    fn inject_fault(&mut self) {
+    /// Draws a random step.
+    fn draw_step(&mut self) -> Step {
         let host = self.rng.random_range(0..self.hosts.len());
         let engine = self.rng.random_range(0..self.engines.len());
         let faults = [
@@ -246,35 +282,51 @@
             Fault::BlockToClient,
         ];
         let fault = faults[self.rng.random_range(0..faults.len())];
+        let modes = [
+            Mode::Normal,
+            Mode::Normal,
+            Mode::Unavailable,
+            Mode::HistoryGone,
+            Mode::Stale,
+        ];
         match self.rng.random_range(0..15) {
-            0 | 1 => self.hosts[host].link.set(fault),
-            2..5 => self.engines[engine].1.set(fault),
-            5 => self.hosts[host].gateway.process.pause(),
-            6 => self
-                .hosts
-                .iter()
-                .for_each(|host| host.gateway.process.unpause()),
-            7 => self.kill_or_stop(host, false),
-            8 => self.kill_or_stop(host, true),
-            9 | 14 => {
-                let moods = [
-                    Mode::Normal,
-                    Mode::Normal,
-                    Mode::Unavailable,
-                    Mode::HistoryGone,
-                    Mode::Stale,
-                ];
-                self.store
-                    .set_mode(moods[self.rng.random_range(0..moods.len())]);
+            0 | 1 => Step::HostLink(host, fault),
+            2..5 => Step::EngineLink(engine, fault),
+            5 => Step::Pause(host),
+            6 => Step::UnpauseAll,
+            7 => Step::Stop(host),
+            8 => Step::Kill(host),
+            9 | 14 => Step::StoreMode(modes[self.rng.random_range(0..modes.len())]),
+            10 => Step::Publish(self.version + self.rng.random_range(1..4)),
+            11 => Step::Drain(engine),
+            12 => Step::Remove(engine),
+            _ => Step::Register(engine),
+        }
+    }
+
+    fn inject(&mut self, step: Step) {
+        if let Some(log) = &self.log {
+            let event = format_args!("event=step step={step:?}");
+            log.open("steps").write_at(Instant::now(), event);
+        }
+        match step {
+            Step::HostLink(host, fault) => self.hosts[host].link.set(fault),
+            Step::EngineLink(engine, fault) => self.engines[engine].1.set(fault),
+            Step::Pause(host) => self.hosts[host].gateway.process.pause(),
+            Step::UnpauseAll => {
+                let hosts = self.hosts.iter();
+                hosts.for_each(|host| host.gateway.process.unpause());
             }
-            10 => {
-                self.version += self.rng.random_range(1..4);
-                self.store
-                    .put("config", "main", configuration(self.version));
+            Step::Stop(host) => self.kill_or_stop(host, false),
+            Step::Kill(host) => self.kill_or_stop(host, true),
+            Step::StoreMode(mode) => self.store.set_mode(mode),
+            Step::Publish(version) => {
+                self.version = version;
+                self.store.put("config", "main", configuration(version));
             }
-            11 => self.register(engine, "draining"),
-            12 => self.store.remove("servers", &self.engines[engine].0.id),
-            _ => self.register(engine, "available"),
+            Step::Drain(engine) => self.register(engine, "draining"),
+            Step::Remove(engine) => self.store.remove("servers", &self.engines[engine].0.id),
+            Step::Register(engine) => self.register(engine, "available"),
         }
     }
 
@@ -287,14 +339,14 @@
             return host.gateway.process.terminate();
         }
         host.gateway.process.kill();
-        host.gateway = Gateway::start(&host.settings);
+        host.gateway = start_gateway(&host.settings, number, self.log.as_ref());
         host.is_stopping = false;
         self.publish_addresses();
     }
 
     /// Restarts the hosts that have stopped on request; fails if a host stopped by itself.
     fn restart_stopped(&mut self) {
-        for host in &mut self.hosts {
+        for (number, host) in self.hosts.iter_mut().enumerate() {
             if host.gateway.process.is_running() {
                 continue;
             }
@@ -304,7 +356,7 @@
                 "a host that was not asked to stop exited with {code:?}"
             );
             assert_eq!(code, Some(0), "a stopped host exits with 0");
-            host.gateway = Gateway::start(&host.settings);
+            host.gateway = start_gateway(&host.settings, number, self.log.as_ref());
             host.is_stopping = false;
         }
         self.publish_addresses();
@@ -406,8 +458,8 @@
     }
 }
 
-/// Checks the guarantees for each request.
-fn check(seed: u64, observations: &Observations) {
+/// Checks the guarantees for each request; returns the number of requests that were served.
+fn check(seed: u64, observations: &Observations) -> usize {
     let executions = observations.executions.lock().unwrap();
     let calls = observations.calls.lock().unwrap();
     assert_eq!(
@@ -462,6 +514,7 @@
         calls.len()
     );
     check_versions(seed, &executions, &calls);
+    served
 }
 
 /// Checks that no process returns to an older configuration.
@@ -500,6 +553,28 @@
     }
 }
 
+/// Writes a line for each request.
+fn write_calls(log: &SeedLog, observations: &Observations) {
+    let mut log = log.open("calls");
+    let executions = observations.executions.lock().unwrap();
+    for call in observations.calls.lock().unwrap().iter() {
+        let runs = executions.get(&call.id).map_or(0, |entry| entry.runs);
+        let answer = call.answer.as_ref();
+        let text = answer.map(Message::text).unwrap_or_default();
+        let took_ms = (call.ended - call.began).as_millis();
+        let status = answer.map(Message::status);
+        let text = text.get(..300).unwrap_or(&text);
+        log.write_at(
+            call.ended,
+            format_args!(
+                "event=call request={} path={} process={} took_ms={took_ms} status={status:?} \
+                 runs={runs} text={text:?}",
+                call.id, call.path, call.process,
+            ),
+        );
+    }
+}
+
 /// Runs callers and faults for one seed and checks what was observed.
 fn run_seed(seed: u64) {
     let mut fleet = Fleet::start(seed);
@@ -517,7 +592,8 @@
     let until = Instant::now() + FAULT_DURATION;
     while Instant::now() < until {
         fleet.restart_stopped();
-        fleet.inject_fault();
+        let step = fleet.draw_step();
+        fleet.inject(step);
         let pause = fleet.rng.random_range(0..200);
         std::thread::sleep(Duration::from_millis(pause));
     }
@@ -526,9 +602,12 @@
     for caller in callers {
         caller.join().expect("a caller thread panicked");
     }
-    check(seed, &fleet.observations);
+    if let Some(log) = &fleet.log {
+        write_calls(log, &fleet.observations);
+    }
+    let served = check(seed, &fleet.observations);
     println!(
-        "seed {seed}: {} requests",
+        "seed {seed}: {served} of {} requests served",
         fleet.observations.calls.lock().unwrap().len()
     );
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,10 +3,12 @@
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
 pub mod platform;
+pub mod seed_log;
 
 use std::future::Future;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::process::{Child, ChildStdout, Command, Stdio};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use bilberrypost::config::split::key_digest;
@@ -36,7 +38,9 @@
 /// A process of the program. Dropping it kills the process.
 pub struct Process {
     child: Child,
-    output: BufReader<ChildStdout>,
+    // `None` once the output is copied elsewhere.
+    output: Option<BufReader<ChildStdout>>,
+    copying: Option<JoinHandle<()>>,
     pub address: String,
     /// The last `ready` line that was read, whole.
     pub ready: String,
@@ -59,7 +63,8 @@
         let output = BufReader::new(child.stdout.take().unwrap());
         let mut process = Self {
             child,
-            output,
+            output: Some(output),
+            copying: None,
             address: String::new(),
             ready: String::new(),
         };
@@ -70,7 +75,8 @@
     /// Waits for the next `ready` line and returns its field `address`.
     pub fn ready_line(&mut self) -> String {
         let mut line = String::new();
-        while self.output.read_line(&mut line).unwrap() > 0 {
+        let output = self.output.as_mut().unwrap();
+        while output.read_line(&mut line).unwrap() > 0 {
             if line.starts_with("ready ") {
                 self.ready = line.trim().to_owned();
                 return self.field("address").unwrap();
@@ -83,11 +89,20 @@
     /// Waits until the process exits and returns its standard output after the `ready` line.
     pub fn rest_of_output(&mut self) -> String {
         let mut output = String::new();
-        std::io::Read::read_to_string(&mut self.output, &mut output).unwrap();
+        let rest = self.output.as_mut().unwrap();
+        std::io::Read::read_to_string(rest, &mut output).unwrap();
         self.wait();
         output
     }
 
+    /// Copies the further standard output until the process exits.
+    pub fn copy_output(&mut self, mut target: impl Write + Send + 'static) {
+        let mut output = self.output.take().expect("output that is not yet copied");
+        self.copying = Some(std::thread::spawn(move || {
+            let _ = std::io::copy(&mut output, &mut target);
+        }));
+    }
+
     /// Returns the value of a field of the last `ready` line.
     pub fn field(&self, name: &str) -> Option<String> {
         let fields = self
@@ -149,6 +164,9 @@
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
+        if let Some(copying) = self.copying.take() {
+            let _ = copying.join();
+        }
     }
 }
 
