Restart the soak's gateways without touching the disk

Each restart of a gateway wrote a new settings file into a new folder, removed the old folder, and only then published the address.

A gateway is now restarted with the settings file that it has; folders are removed at the end. No fault, check or bound changes. There is no test of it, as it takes a slow disk.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -149,9 +149,8 @@
     Register(usize),
 }
 
-/// A host: its settings, its link to the store, and its gateway process.
+/// A host: its link to the store and its gateway process.
 struct Host {
-    settings: String,
     link: Proxy,
     gateway: Gateway,
     is_stopping: bool,
@@ -180,14 +179,20 @@
     value
 }
 
-/// Starts the gateway of a host and keeps its log, if logs are kept.
-fn start_gateway(settings: &str, host: usize, log: Option<&SeedLog>) -> Gateway {
-    let mut gateway = Gateway::start(settings);
-    if let Some(log) = log {
-        let log = log.open(&format!("host-{host}"));
-        gateway.process.copy_output(log);
+impl Host {
+    /// Copies the output of the gateway's process to the log of this host, if logs are kept.
+    fn keep_log(&mut self, number: usize, log: Option<&SeedLog>) {
+        if let Some(log) = log {
+            let log = log.open(&format!("host-{number}"));
+            self.gateway.process.copy_output(log);
+        }
+    }
+
+    fn restart(&mut self, number: usize, log: Option<&SeedLog>) {
+        self.gateway.restart();
+        self.is_stopping = false;
+        self.keep_log(number, log);
     }
-    gateway
 }
 
 impl Fleet {
@@ -234,13 +239,13 @@
                 .replace("127.0.0.1:0", &format!("{ip}:0"))
                 .replace("name = host-a", &format!("name = host-{number}"))
                 .replace("fd-a", DOMAINS[number % DOMAINS.len()]);
-            let gateway = start_gateway(&settings, number, self.log.as_ref());
-            self.hosts.push(Host {
-                settings,
+            let mut host = Host {
                 link,
-                gateway,
+                gateway: Gateway::start(&settings),
                 is_stopping: false,
-            });
+            };
+            host.keep_log(number, self.log.as_ref());
+            self.hosts.push(host);
         }
         self.publish_addresses();
         for host in &self.hosts {
@@ -338,9 +343,7 @@
             host.is_stopping = true;
             return host.gateway.process.terminate();
         }
-        host.gateway.process.kill();
-        host.gateway = start_gateway(&host.settings, number, self.log.as_ref());
-        host.is_stopping = false;
+        host.restart(number, self.log.as_ref());
         self.publish_addresses();
     }
 
@@ -356,8 +359,7 @@
                 "a host that was not asked to stop exited with {code:?}"
             );
             assert_eq!(code, Some(0), "a stopped host exits with 0");
-            host.gateway = start_gateway(&host.settings, number, self.log.as_ref());
-            host.is_stopping = false;
+            host.restart(number, self.log.as_ref());
         }
         self.publish_addresses();
     }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -644,22 +644,35 @@
     )
 }
 
+fn settings_path(folder: &tempfile::TempDir) -> std::path::PathBuf {
+    folder.path().join("host.ini")
+}
+
+fn start_process(folder: &tempfile::TempDir) -> Process {
+    let path = settings_path(folder);
+    Process::start(&["serve", "-c", path.to_str().unwrap()])
+}
+
 /// A gateway process and its settings file.
 pub struct Gateway {
     pub process: Process,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 impl Gateway {
     /// Starts a gateway without waiting until it is ready.
     pub fn start(settings: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let path = folder.path().join("host.ini");
-        std::fs::write(&path, settings).unwrap();
-        Self {
-            process: Process::start(&["serve", "-c", path.to_str().unwrap()]),
-            _folder: folder,
-        }
+        std::fs::write(settings_path(&folder), settings).unwrap();
+        let process = start_process(&folder);
+        Self { process, folder }
+    }
+
+    /// Kills the process if it still runs, and starts it again with the same settings file. Nothing
+    /// is written, as a busy disk would delay it.
+    pub fn restart(&mut self) {
+        self.process.kill();
+        self.process = start_process(&self.folder);
     }
 
     /// Returns whether the gateway's readiness check succeeds.
