Keep an engine of each service available in the soak's plan

The step that would take the last available engine of a service away is now preceded by the registration of another one of that service. All such steps stay, any engine may be the one that leaves, and cuts, resets and silence still hit the link to the one that is left.

--- /dev/null
+++ b/tests/support/fault_plan.rs
@@ -0,0 +1,136 @@
+//! Random plan of the faults of the soak test.
+
+use std::time::Duration;
+
+use bilberrypost::emulate::proxy::Fault;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::platform::Mode;
+
+/// Number of hosts.
+pub const HOSTS: usize = 4;
+
+/// Service of each engine.
+pub const SERVICES: [&str; 7] = ["app", "app", "app", "model", "model", "model", "model"];
+
+/// A fault, the end of one, or a change in the store. Hosts and engines are given by index.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    /// Sets the fault of the link between a host and the store.
+    HostLink(usize, Fault),
+    /// Sets the fault of the link to an engine.
+    EngineLink(usize, Fault),
+    Pause(usize),
+    UnpauseAll,
+    Stop(usize),
+    Kill(usize),
+    StoreMode(Mode),
+    /// Publishes a configuration whose version is higher by this number.
+    Publish(u64),
+    /// Registers an engine as draining.
+    Drain(usize),
+    /// Removes the entry of an engine.
+    Remove(usize),
+    /// Registers an engine as available.
+    Register(usize),
+}
+
+/// Draws steps from a seed.
+///
+/// Invariant: after each step, at least one engine of each service is available. An operator who
+/// replaces or removes engines keeps one too; without any, each refusal is right, and the number of
+/// requests that are served says nothing about the gateways. Any engine may leave, and faults may
+/// hit the one that is left.
+pub struct Plan {
+    rng: StdRng,
+    // Whether each engine is registered as available.
+    available: [bool; SERVICES.len()],
+}
+
+impl Plan {
+    /// Creates a plan that begins with all engines available.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            available: [true; SERVICES.len()],
+        }
+    }
+
+    /// Draws the next step. One that takes the last available engine of a service away comes after
+    /// another that registers its replacement.
+    pub fn next_steps(&mut self) -> Vec<Step> {
+        let step = self.draw_step();
+        let replacement = match step {
+            Step::Drain(engine) | Step::Remove(engine) => self.replacement(engine),
+            _ => None,
+        };
+        let steps: Vec<_> = replacement
+            .map(Step::Register)
+            .into_iter()
+            .chain([step])
+            .collect();
+        steps.iter().for_each(|step| self.record(*step));
+        steps
+    }
+
+    /// Draws the time until the next step.
+    pub fn next_pause(&mut self) -> Duration {
+        Duration::from_millis(self.rng.random_range(0..200))
+    }
+
+    fn draw_step(&mut self) -> Step {
+        let host = self.rng.random_range(0..HOSTS);
+        let engine = self.rng.random_range(0..SERVICES.len());
+        let faults = [
+            Fault::Pass,
+            Fault::Delay {
+                ms: self.rng.random_range(5..300),
+            },
+            Fault::Cut,
+            Fault::Reset,
+            Fault::Silence,
+            Fault::BlockToUpstream,
+            Fault::BlockToClient,
+        ];
+        let fault = faults[self.rng.random_range(0..faults.len())];
+        let modes = [
+            Mode::Normal,
+            Mode::Normal,
+            Mode::Unavailable,
+            Mode::HistoryGone,
+            Mode::Stale,
+        ];
+        match self.rng.random_range(0..15) {
+            0 | 1 => Step::HostLink(host, fault),
+            2..5 => Step::EngineLink(engine, fault),
+            5 => Step::Pause(host),
+            6 => Step::UnpauseAll,
+            7 => Step::Stop(host),
+            8 => Step::Kill(host),
+            9 | 14 => Step::StoreMode(modes[self.rng.random_range(0..modes.len())]),
+            10 => Step::Publish(self.rng.random_range(1..4)),
+            11 => Step::Drain(engine),
+            12 => Step::Remove(engine),
+            _ => Step::Register(engine),
+        }
+    }
+
+    /// Returns the engine to register before `leaving` leaves, if its service has no other.
+    fn replacement(&self, leaving: usize) -> Option<usize> {
+        let others = (1..SERVICES.len()).map(|offset| (leaving + offset) % SERVICES.len());
+        let others: Vec<_> = others
+            .filter(|other| SERVICES[*other] == SERVICES[leaving])
+            .collect();
+        let is_last = others.iter().all(|other| !self.available[*other]);
+        others.first().copied().filter(|_| is_last)
+    }
+
+    fn record(&mut self, step: Step) {
+        match step {
+            Step::Drain(engine) | Step::Remove(engine) => self.available[engine] = false,
+            Step::Register(engine) => self.available[engine] = true,
+            _ => {}
+        }
+    }
+}
