--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,11 +3,12 @@
 //!
 //! `cargo test --test soak` runs the seeds that failed once and a few more; each seed starts new
 //! processes. `SOAK_SEEDS` sets the number of further seeds and `SOAK_FIRST` the first of them:
-//! `SOAK_SEEDS=50 cargo test --release --test soak -- --nocapture`.
+//! `SOAK_SEEDS=50 cargo test --release --test soak -- --nocapture`. `SOAK_LOGS` names a folder in
+//! which the faults, the requests and the gateways' logs of a seed that fails are kept.
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -18,10 +19,12 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
+use support::fault_plan::{HOSTS, Plan, SERVICES, Step};
 use support::platform::{
     End, Engine, Gateway, Message, Mode, Reaction, Store, config, request, settings, tagged_event,
     wait_for,
 };
+use support::seed_log::SeedLog;
 use support::{Proxy, TEST_TIMEOUT};
 
 /// Seeds that failed once. 100: a second SIGTERM killed a gateway that had already removed its
@@ -32,7 +35,6 @@
 /// Number of seeds without `SOAK_SEEDS`, besides the regressions.
 const SEEDS: u64 = 3;
 
-const HOSTS: usize = 4;
 const CALLERS: usize = 10;
 const DOMAINS: [&str; 3] = ["fd-a", "fd-b", "fd-c"];
 
@@ -125,9 +127,8 @@
     bilberrypost::util::hash64(&parts)
 }
 
-/// A host: its settings, its link to the store, and its gateway process.
+/// A host: its link to the store and its gateway process.
 struct Host {
-    settings: String,
     link: Proxy,
     gateway: Gateway,
     is_stopping: bool,
@@ -136,7 +137,7 @@
 /// Store, engines and hosts under test.
 struct Fleet {
     seed: u64,
-    rng: StdRng,
+    plan: Plan,
     store: Store,
     version: u64,
     /// Engines with their link, service and failure domain.
@@ -145,6 +146,7 @@
     /// Address and process id of each host.
     addresses: Arc<Mutex<Vec<(String, u32)>>>,
     observations: Arc<Observations>,
+    log: Option<SeedLog>,
 }
 
 /// Returns the configuration `version`. Its team is named after the version, so that engines see
@@ -155,13 +157,28 @@
     value
 }
 
+impl Host {
+    /// Copies the output of the gateway's process to the log of this host, if logs are kept.
+    fn keep_log(&mut self, number: usize, log: Option<&SeedLog>) {
+        if let Some(log) = log {
+            let log = log.open(&format!("host-{number}"));
+            self.gateway.process.copy_output(log);
+        }
+    }
+
+    fn restart(&mut self, number: usize, log: Option<&SeedLog>) {
+        self.gateway.restart();
+        self.is_stopping = false;
+        self.keep_log(number, log);
+    }
+}
+
 impl Fleet {
     fn start(seed: u64) -> Self {
         let observations: Arc<Observations> = Arc::default();
         let store = Store::start();
         store.put("config", "main", configuration(1));
-        let services = ["app", "app", "app", "model", "model", "model", "model"];
-        let engines = services.iter().enumerate().map(|(number, service)| {
+        let engines = SERVICES.iter().enumerate().map(|(number, service)| {
             let observations = observations.clone();
             let run = move |request: &Message| observations.run(request, seed, number as u64);
             let engine = Engine::start(&format!("i-{number}"), run);
@@ -171,13 +188,14 @@
         let engines: Vec<_> = engines.collect();
         let mut fleet = Self {
             seed,
-            rng: StdRng::seed_from_u64(seed),
+            plan: Plan::new(seed),
             store,
             version: 1,
             engines,
             hosts: Vec::new(),
             addresses: Arc::default(),
             observations,
+            log: SeedLog::create(seed),
         };
         (0..fleet.engines.len()).for_each(|number| fleet.register(number, "available"));
         fleet.start_hosts();
@@ -198,13 +216,13 @@
                 .replace("127.0.0.1:0", &format!("{ip}:0"))
                 .replace("name = host-a", &format!("name = host-{number}"))
                 .replace("fd-a", DOMAINS[number % DOMAINS.len()]);
-            let gateway = Gateway::start(&settings);
-            self.hosts.push(Host {
-                settings,
+            let mut host = Host {
                 link,
-                gateway,
+                gateway: Gateway::start(&settings),
                 is_stopping: false,
-            });
+            };
+            host.keep_log(number, self.log.as_ref());
+            self.hosts.push(host);
         }
         self.publish_addresses();
         for host in &self.hosts {
@@ -230,51 +248,30 @@
         self.store.put("servers", &engine.id, entry);
     }
 
-    /// Injects one random fault, or ends some.
-    fn inject_fault(&mut self) {
-        let host = self.rng.random_range(0..self.hosts.len());
-        let engine = self.rng.random_range(0..self.engines.len());
-        let faults = [
-            Fault::Pass,
-            Fault::Delay {
-                ms: self.rng.random_range(5..300),
-            },
-            Fault::Cut,
-            Fault::Reset,
-            Fault::Silence,
-            Fault::BlockToUpstream,
-            Fault::BlockToClient,
-        ];
-        let fault = faults[self.rng.random_range(0..faults.len())];
-        match self.rng.random_range(0..15) {
-            0 | 1 => self.hosts[host].link.set(fault),
-            2..5 => self.engines[engine].1.set(fault),
-            5 => self.hosts[host].gateway.process.pause(),
-            6 => self
-                .hosts
-                .iter()
-                .for_each(|host| host.gateway.process.unpause()),
-            7 => self.kill_or_stop(host, false),
-            8 => self.kill_or_stop(host, true),
-            9 | 14 => {
-                let moods = [
-                    Mode::Normal,
-                    Mode::Normal,
-                    Mode::Unavailable,
-                    Mode::HistoryGone,
-                    Mode::Stale,
-                ];
-                self.store
-                    .set_mode(moods[self.rng.random_range(0..moods.len())]);
+    fn inject(&mut self, step: Step) {
+        if let Some(log) = &self.log {
+            let event = format_args!("event=step step={step:?}");
+            log.open("steps").write_at(Instant::now(), event);
+        }
+        match step {
+            Step::HostLink(host, fault) => self.hosts[host].link.set(fault),
+            Step::EngineLink(engine, fault) => self.engines[engine].1.set(fault),
+            Step::Pause(host) => self.hosts[host].gateway.process.pause(),
+            Step::UnpauseAll => {
+                let hosts = self.hosts.iter();
+                hosts.for_each(|host| host.gateway.process.unpause());
             }
-            10 => {
-                self.version += self.rng.random_range(1..4);
+            Step::Stop(host) => self.kill_or_stop(host, false),
+            Step::Kill(host) => self.kill_or_stop(host, true),
+            Step::StoreMode(mode) => self.store.set_mode(mode),
+            Step::Publish(increment) => {
+                self.version += increment;
                 self.store
                     .put("config", "main", configuration(self.version));
             }
-            11 => self.register(engine, "draining"),
-            12 => self.store.remove("servers", &self.engines[engine].0.id),
-            _ => self.register(engine, "available"),
+            Step::Drain(engine) => self.register(engine, "draining"),
+            Step::Remove(engine) => self.store.remove("servers", &self.engines[engine].0.id),
+            Step::Register(engine) => self.register(engine, "available"),
         }
     }
 
@@ -286,15 +283,13 @@
             host.is_stopping = true;
             return host.gateway.process.terminate();
         }
-        host.gateway.process.kill();
-        host.gateway = Gateway::start(&host.settings);
-        host.is_stopping = false;
+        host.restart(number, self.log.as_ref());
         self.publish_addresses();
     }
 
     /// Restarts the hosts that have stopped on request; fails if a host stopped by itself.
     fn restart_stopped(&mut self) {
-        for host in &mut self.hosts {
+        for (number, host) in self.hosts.iter_mut().enumerate() {
             if host.gateway.process.is_running() {
                 continue;
             }
@@ -304,8 +299,7 @@
                 "a host that was not asked to stop exited with {code:?}"
             );
             assert_eq!(code, Some(0), "a stopped host exits with 0");
-            host.gateway = Gateway::start(&host.settings);
-            host.is_stopping = false;
+            host.restart(number, self.log.as_ref());
         }
         self.publish_addresses();
     }
@@ -406,8 +400,8 @@
     }
 }
 
-/// Checks the guarantees for each request.
-fn check(seed: u64, observations: &Observations) {
+/// Checks the guarantees for each request; returns the number of requests that were served.
+fn check(seed: u64, observations: &Observations) -> usize {
     let executions = observations.executions.lock().unwrap();
     let calls = observations.calls.lock().unwrap();
     assert_eq!(
@@ -462,6 +456,7 @@
         calls.len()
     );
     check_versions(seed, &executions, &calls);
+    served
 }
 
 /// Checks that no process returns to an older configuration.
@@ -500,6 +495,28 @@
     }
 }
 
+/// Writes a line for each request.
+fn write_calls(log: &SeedLog, observations: &Observations) {
+    let mut log = log.open("calls");
+    let executions = observations.executions.lock().unwrap();
+    for call in observations.calls.lock().unwrap().iter() {
+        let runs = executions.get(&call.id).map_or(0, |entry| entry.runs);
+        let answer = call.answer.as_ref();
+        let text = answer.map(Message::text).unwrap_or_default();
+        let took_ms = (call.ended - call.began).as_millis();
+        let status = answer.map(Message::status);
+        let text = text.get(..300).unwrap_or(&text);
+        log.write_at(
+            call.ended,
+            format_args!(
+                "event=call request={} path={} process={} took_ms={took_ms} status={status:?} \
+                 runs={runs} text={text:?}",
+                call.id, call.path, call.process,
+            ),
+        );
+    }
+}
+
 /// Runs callers and faults for one seed and checks what was observed.
 fn run_seed(seed: u64) {
     let mut fleet = Fleet::start(seed);
@@ -517,18 +534,21 @@
     let until = Instant::now() + FAULT_DURATION;
     while Instant::now() < until {
         fleet.restart_stopped();
-        fleet.inject_fault();
-        let pause = fleet.rng.random_range(0..200);
-        std::thread::sleep(Duration::from_millis(pause));
+        let steps = fleet.plan.next_steps();
+        steps.into_iter().for_each(|step| fleet.inject(step));
+        std::thread::sleep(fleet.plan.next_pause());
     }
     fleet.end_faults();
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.join().expect("a caller thread panicked");
     }
-    check(seed, &fleet.observations);
+    if let Some(log) = &fleet.log {
+        write_calls(log, &fleet.observations);
+    }
+    let served = check(seed, &fleet.observations);
     println!(
-        "seed {seed}: {} requests",
+        "seed {seed}: {served} of {} requests served",
         fleet.observations.calls.lock().unwrap().len()
     );
 }
@@ -548,3 +568,32 @@
     let count = env_number("SOAK_SEEDS").unwrap_or(SEEDS);
     (first..first + count).for_each(run_seed);
 }
+
+/// Guards against a plan that leaves a service without any available engine, in which case right
+/// refusals count against the gateways (seeds 3005 and 3020 drained or removed all of a service).
+/// Guards also against one that spares an engine or never draws a kind of step.
+#[test]
+fn plan_keeps_an_engine_of_each_service() {
+    let mut kinds = BTreeSet::new();
+    let mut left = BTreeSet::new();
+    for seed in (0..200).chain([3005, 3020]) {
+        let mut plan = Plan::new(seed);
+        let mut available = BTreeSet::from_iter(0..SERVICES.len());
+        for step in (0..100).flat_map(|_| plan.next_steps()) {
+            let text = format!("{step:?}");
+            kinds.insert(text.split('(').next().unwrap().to_owned());
+            match step {
+                Step::Drain(engine) | Step::Remove(engine) => {
+                    available.remove(&engine);
+                    left.insert(engine);
+                }
+                Step::Register(engine) => drop(available.insert(engine)),
+                _ => {}
+            }
+            let services: BTreeSet<_> = available.iter().map(|number| SERVICES[*number]).collect();
+            assert_eq!(services, BTreeSet::from(SERVICES), "seed {seed}: {step:?}");
+        }
+    }
+    assert_eq!(left.len(), SERVICES.len(), "each engine leaves: {left:?}");
+    assert_eq!(kinds.len(), 11, "each kind of step is drawn: {kinds:?}");
+}
