Look up a claimant only while its outcome is awaited

'Do not take membership as proof that a claimant has ended' looked up the claimant at each repeat, also when its outcome is known, and so probed a dead router for each repeat of a call that it had finished. a_claimant_is_not_looked_up_once_its_outcome_is_known fails before and passes now.

--- a/src/claim/range.rs
+++ b/src/claim/range.rs
@@ -170,12 +170,13 @@
         Ok(())
     }
 
-    /// Updates what is known about the claimants of the keys with pending claims.
-    /// `liveness` returns the liveness of the host with this name.
+    /// Updates what is known about the claimants whose outcomes pending claims wait for. `liveness`
+    /// returns the liveness of the host with this name.
     pub fn update_claimants(&mut self, liveness: impl Fn(&str) -> Liveness) {
         let now = self.clock.now();
         for pending in &self.pending_claims {
-            let Some(entry) = self.entries.get_mut(&pending.claim.key) else {
+            let entry = self.entries.get_mut(&pending.claim.key);
+            let Some(entry) = entry.filter(|entry| entry.outcome.is_none()) else {
                 continue;
             };
             let liveness = match entry.claim.nonce == pending.claim.nonce {
--- a/tests/claim_range.rs
+++ b/tests/claim_range.rs
@@ -229,3 +229,15 @@
     let repeat = fixture.ask(&mut owner, fixture.claim("other", 3));
     assert_eq!(repeat, Some(Answer::Recorded(Outcome::Unknown)));
 }
+
+/// Guards against a probe of the claimant at each repeat of a call whose outcome is known.
+#[test]
+fn a_claimant_is_not_looked_up_once_its_outcome_is_known() {
+    let fixture = Fixture::new();
+    let (mut owner, claim) = fixture.owner_after_takeover();
+    assert_eq!(fixture.report(&mut owner, &claim), Some(Answer::Noted));
+    owner.claim(fixture.claim("other", 2), 2, fixture.clock.now());
+    owner.update_claimants(|name| panic!("{name} was looked up"));
+    let repeat = fixture.answer(&mut owner, 2);
+    assert_eq!(repeat, Some(Answer::Recorded(answered())));
+}
