--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -374,7 +374,12 @@
             .append(true)
             .open(self.log_path(index))
             .unwrap();
-        let router = Process::start_logging(&["serve", "-v", "-c", &host], log.into());
+        let mut args = vec!["serve", "-c", &host];
+        // Benches, which also use this module, measure routers at the default level.
+        if cfg!(test) {
+            args.push("-v");
+        }
+        let router = Process::start_logging(&args, log.into());
         self.list_member(&Member {
             name: format!("router-{index}").into(),
             kind: Kind::Router,
