Test long responses to slow callers; print the memory of the endless test

The test of endless responses prints its two figures also when it passes; its bound and checks are unchanged.

--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -11,8 +11,8 @@
 
 use serde_json::json;
 use support::platform::{
-    API_KEY, Engine, Gateway, UNFRAMED, config, event, events, exchange, ok, registration, request,
-    start_gateway, wait_for,
+    API_KEY, Engine, Gateway, Message, Reaction, UNFRAMED, config, event, events, exchange, ok,
+    registration, request, start_gateway, wait_for,
 };
 
 /// Bytes that an endless sender writes at most; the test fails before that.
@@ -204,6 +204,7 @@
         0 => "/once/x",
         _ => "/stream/x",
     });
+    println!("{ordinary} bytes with ordinary responses, {endless} with endless ones");
     assert!(
         endless < ordinary + 2 * 1024 * 1024,
         "{ordinary} bytes with ordinary responses, {endless} with endless ones"
@@ -227,6 +228,27 @@
     peak
 }
 
+/// Guards against bytes that are lost, repeated or reordered where a caller reads more slowly than its
+/// engine sends, so that each socket on the way is full again and again.
+#[test]
+fn a_slow_caller_gets_all_of_a_long_response() {
+    let text: String = (0..400_000).map(|number| format!("{number:07}-")).collect();
+    let body = text.clone();
+    let app = Engine::start("i-1", move |_| Reaction::Response(200, body.clone()));
+    let (_store, gateway) = start_gateway(config(3), &[("i-1", app.registration("app", "fd-a"))]);
+    let mut caller = gateway.open("GET", "/any/x", &headers("r1", 20_000), "");
+    let mut received = Vec::new();
+    let mut block = [0; 64 * 1024];
+    while !received.ends_with(b"0\r\n\r\n") {
+        std::thread::sleep(Duration::from_millis(5));
+        let read = caller.read(&mut block).unwrap();
+        assert!(read > 0, "cut after {} bytes", received.len());
+        received.extend_from_slice(&block[..read]);
+    }
+    let message = Message::read(&mut BufReader::new(received.as_slice())).unwrap();
+    assert!(message.text() == text, "{} bytes", message.text().len());
+}
+
 /// Guards against a caller that sends bytes without end in a head, a chunk header or a body, and so
 /// keeps a connection and memory of the host.
 #[test]
