Compare endless responses with as many ordinary ones of the same kinds

Traced: of the difference 0.8 to 1.1 MB is anonymous memory, of which 0.8 MB are the buffers that the limits allow; the rest are pages of the program's code. The test compared 25 endless streams and 25 endless calls with 50 ordinary calls, so what any stream costs, its code included, counted as the effect of endless bytes.

Now the ordinary responses are 25 streams and 25 calls as well. Measure (resident memory), bound (2 MB), number of requests and the endless half are unchanged: endless bytes that are kept still count in full.

--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -11,8 +11,8 @@
 
 use serde_json::json;
 use support::platform::{
-    API_KEY, Engine, Gateway, Message, Reaction, UNFRAMED, config, event, events, exchange, ok,
-    registration, request, start_gateway, wait_for,
+    API_KEY, End, Engine, Gateway, Message, Reaction, UNFRAMED, config, event, events, exchange,
+    ok, registration, request, start_gateway, wait_for,
 };
 
 /// Bytes that an endless sender writes at most; the test fails before that.
@@ -180,8 +180,8 @@
     kib * 1024
 }
 
-/// Guards against a host whose memory grows with what engines send without end. Each of 50 engines
-/// has a stream whose event has no end and a call whose body has none.
+/// Guards against a host whose memory grows with what engines send without end: 25 streams whose event
+/// has no end and 25 calls whose body has none take about as much as as many ordinary ones.
 #[test]
 fn endless_bytes_do_not_fill_the_memory() {
     let stream = EndlessEngine::start(CHUNKED, b"4\r\nabcd\r\n");
@@ -193,17 +193,28 @@
             ("i-2", call.registration("app", "fd-a")),
         ],
     );
-    let sound = Engine::start("i-9", |_| {
+    let sound_stream = Engine::start("i-8", |_| {
+        Reaction::TaggedEvents(10, End::Complete, Duration::from_millis(100))
+    });
+    let sound_call = Engine::start("i-9", |_| {
         std::thread::sleep(Duration::from_millis(1000));
         ok()
     });
-    let (_sound_store, sound_gateway) =
-        start_gateway(config(3), &[("i-9", sound.registration("app", "fd-a"))]);
-    let ordinary = peak_memory(&sound_gateway, |_| "/any/x");
-    let endless = peak_memory(&gateway, |number| match number % 2 {
+    let mut stream_entry = sound_stream.registration("model", "fd-a");
+    stream_entry["batch-slots"] = json!(100);
+    let (_sound_store, sound_gateway) = start_gateway(
+        config(3),
+        &[
+            ("i-8", stream_entry),
+            ("i-9", sound_call.registration("app", "fd-a")),
+        ],
+    );
+    let path = |number| match number % 2 {
         0 => "/once/x",
         _ => "/stream/x",
-    });
+    };
+    let ordinary = peak_memory(&sound_gateway, path);
+    let endless = peak_memory(&gateway, path);
     println!("{ordinary} bytes with ordinary responses, {endless} with endless ones");
     assert!(
         endless < ordinary + 2 * 1024 * 1024,
