Fetch a revision from the last peer that reported it

A host that had no configuration and did not reach the store fetched the newest revision from the peer that had reported it first, also after that one had ended, although another still reported it.

a_revision_is_fetched_from_the_last_peer_to_report_it failed before (peer 1 in place of peer 2).

--- a/src/peer/newer.rs
+++ b/src/peer/newer.rs
@@ -22,7 +22,8 @@
 }
 
 impl Newer {
-    /// Records a reported revision that this host needs.
+    /// Records a reported revision that this host needs. Of the peers that have the newest one, the
+    /// last to report it is fetched from, as an earlier one may have ended.
     pub fn record(&mut self, peer: SocketAddr, revision: u64, own: u64, now: Instant) {
         let reported = self.0.get_or_insert(Reported {
             peer,
@@ -30,7 +31,7 @@
             own,
             since: now,
         });
-        if revision > reported.revision {
+        if revision >= reported.revision {
             (reported.peer, reported.revision) = (peer, revision);
         }
     }
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -259,6 +259,19 @@
     assert_eq!(newer.due(at(9000)), None);
 }
 
+/// Guards against a host that fetches from a peer which has ended, while another one that still
+/// reports has the same revision.
+#[test]
+fn a_revision_is_fetched_from_the_last_peer_to_report_it() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut newer = Newer::default();
+    newer.record(address(1), 2, 1, at(0));
+    newer.record(address(2), 2, 1, at(100));
+    newer.record(address(3), 1, 1, at(200));
+    assert_eq!(newer.due(at(300)), Some(address(2)));
+}
+
 /// Guards against hosts that all follow one representative of the fleet or of another failure
 /// domain first, and against one that follows itself.
 #[test]
