--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -153,6 +153,12 @@
     (start_gateway(store, ranked[2], ranked[0]), first)
 }
 
+/// Returns a function that returns copies of an update.
+fn copies_of(update: Update) -> impl Fn() -> Update {
+    let text = serde_json::to_string(&update).unwrap();
+    move || serde_json::from_str(&text).unwrap()
+}
+
 /// Guards against an engine that has left and is used again because the host changes to a
 /// representative whose list is older.
 #[test]
@@ -168,12 +174,14 @@
     let (first_up, second_up) = (Arc::new(AtomicU64::new(1)), Arc::new(AtomicU64::new(1)));
     let current = update(11, 20, &[&stays]);
     let older = update(12, 10, &[&left, &stays]);
-    let copy = |update: Update| {
-        let text = serde_json::to_string(&update).unwrap();
-        move || serde_json::from_str(&text).unwrap()
-    };
-    let first = Representative::start(ranked[0], &all, follower, copy(current), first_up.clone());
-    let second = Representative::start(ranked[1], &all, follower, copy(older), second_up);
+    let first = Representative::start(
+        ranked[0],
+        &all,
+        follower,
+        copies_of(current),
+        first_up.clone(),
+    );
+    let second = Representative::start(ranked[1], &all, follower, copies_of(older), second_up);
     let gateway = start_gateway(&store, follower, ranked[0]);
     wait_for("readiness", || gateway.is_ready());
     wait_for("the current list", || {
@@ -205,13 +213,9 @@
         age_ms: 60_000,
         ..update(11, 20, &[&left, &stays])
     };
-    let copy = |update: Update| {
-        let text = serde_json::to_string(&update).unwrap();
-        move || serde_json::from_str(&text).unwrap()
-    };
     let is_up = Arc::new(AtomicU64::new(1));
-    Representative::start(ranked[0], &all, ranked[2], copy(old), is_up.clone());
-    let current = copy(update(12, 20, &[&stays]));
+    Representative::start(ranked[0], &all, ranked[2], copies_of(old), is_up.clone());
+    let current = copies_of(update(12, 20, &[&stays]));
     let second = Representative::start(ranked[1], &all, ranked[2], current, is_up);
     let gateway = start_gateway(&store, ranked[2], ranked[0]);
     wait_for("readiness", || gateway.is_ready());
