Split the scheduler by job: queue of a model, choice of the next job

No line of logic changes: items moved, visibility and imports follow. Unit tests and tests/sched.rs pass as before.

--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler/mod.rs
@@ -7,51 +7,23 @@
 use compact_str::CompactString;
 use slotmap::SlotMap;
 
-use super::job::{Job, Refusal, Scope, Start, Ticket};
-use super::lease::{Class, ClassDemand, Demand, Grant};
-use super::tree::{CallerGroup, Node, Path, Position, Tree};
 use crate::clock::Clock;
 use crate::config::host::{Preemption, QueueOrder};
 use crate::config::split::SharedSettings;
 use crate::http::problem::Reason;
-use crate::route::fleet::{self, Engine, Fleet, Need, SlotLimit};
+use crate::route::fleet::{self, Engine, Fleet, Need};
+use crate::sched::job::{Job, Refusal, Start, Ticket};
+use crate::sched::lease::{Class, ClassDemand, Demand, Grant};
+use crate::sched::tree::{Node, Path, Position};
 use crate::wire::Rank;
+use queue::{ModelQueue, QUEUE_LIMIT};
 
-/// Number of jobs of a rank that may wait on one host.
-///
-/// Each partner may use an equal part, a team half of its partner's part, and a caller a quarter of
-/// its team's part while other callers wait too.
-const QUEUE_LIMIT: usize = 4096;
+mod choice;
+mod queue;
 
 /// Work to prefill an uncached prompt token, in output tokens.
 const PREFILL_WORK: f64 = 0.1;
 
-/// Largest number of resuming jobs of a model for which one decision looks for an engine.
-const RESUMES_TRIED_MAX: usize = 8;
-
-/// Largest number of callers that one decision searches for one below its share; bounds its time.
-const CALLERS_TRIED_MAX: usize = 32;
-
-/// Number of urgent jobs that may wait in an engine's own queue, where they run before routine ones.
-const URGENT_QUEUE_MAX: u32 = 4;
-
-/// Time between two measurements of the rate of work.
-const RATE_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Weight of the newest measurement in the moving average of a rate.
-const RATE_WEIGHT: f64 = 0.25;
-
-/// Time for which jobs must have been waiting before the measured rate counts as the capacity of the
-/// engines.
-const RATE_SETTLE_TIME: Duration = Duration::from_secs(3);
-
-/// Time after its last request for which a caller counts as active, so that others leave slots free
-/// for it.
-const ACTIVE_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Seconds of earlier routine work that count towards its floor when urgent work arrives.
-const FLOOR_CREDIT_S: f64 = 0.5;
-
 /// Weight of the newest request in the moving average of the used fraction of `max_tokens`.
 const USED_FRACTION_WEIGHT: f64 = 0.1;
 
@@ -107,29 +79,6 @@
     is_pausing: bool,
 }
 
-/// Measurement of the rate of work on a model.
-#[derive(Debug)]
-struct Meter {
-    measured_at: Instant,
-    /// Work since the last measurement by rank, in tokens.
-    work: [f64; 2],
-    /// Moving average by rank, in tokens per second.
-    rate: [f64; 2],
-    /// Since when jobs have been waiting at every measurement.
-    backlogged_since: Option<Instant>,
-}
-
-/// Jobs for one model, which compete for the same engines.
-#[derive(Debug)]
-struct ModelQueue {
-    tree: Tree<Ticket>,
-    // Jobs that have run and wait for another engine, in the order in which they are tried.
-    resuming: BTreeMap<u64, Ticket>,
-    meter: Meter,
-    // Active callers with the time of their last request.
-    active_callers: BTreeMap<Node, Instant>,
-}
-
 /// Scheduler of one host.
 #[derive(Debug)]
 pub struct Scheduler<C: Clock> {
@@ -420,175 +369,6 @@
         entry.done += PREFILL_WORK * (f64::from(entry.job.prompt_tokens) - cached);
     }
 
-    fn next_resumed(&mut self, fleet: &Fleet<C>) -> Option<Start> {
-        for queue in self.queues.values_mut() {
-            let candidates = queue.resuming.iter().take(RESUMES_TRIED_MAX);
-            let candidates: Vec<_> = candidates
-                .map(|(number, ticket)| (*number, *ticket))
-                .collect();
-            for (number, ticket) in candidates {
-                let need = &self.entries[ticket].job.need;
-                let free = fleet.choose(need);
-                if let Some(engine) = free
-                    .or_else(|| fleet.choose_with(need, SlotLimit::AllAndQueue(URGENT_QUEUE_MAX)))
-                {
-                    return Some(Start {
-                        ticket,
-                        engine,
-                        priority: Rank::Urgent,
-                    });
-                }
-                // Move it behind the others, which may need other versions or exclude other engines.
-                self.last_resume_number += 1;
-                queue.resuming.remove(&number);
-                queue.resuming.insert(self.last_resume_number, ticket);
-                self.entries[ticket].stage = Stage::Resuming(self.last_resume_number);
-            }
-        }
-        None
-    }
-
-    fn next_new(&self, fleet: &Fleet<C>) -> Option<Start> {
-        self.queues.values().find_map(|queue| {
-            let ticket = self.next_ticket(queue)?;
-            let must_leave_slots_free = self.must_leave_slots_free(queue, ticket);
-            self.choose_engine(queue, ticket, must_leave_slots_free, fleet)
-                .or_else(|| {
-                    // The slots that it must leave free are for callers below their share.
-                    let ticket = must_leave_slots_free.then(|| self.next_below_share(queue))??;
-                    self.choose_engine(queue, ticket, false, fleet)
-                })
-        })
-    }
-
-    /// Returns whether a job must leave some slots free for others, which would otherwise wait for
-    /// the end of a generation. This holds for callers above their share, and for routine work while
-    /// urgent callers are active.
-    ///
-    /// Within granted slots only the callers of the same partner are compared, because the grant
-    /// already divides the slots between partners.
-    fn must_leave_slots_free(&self, queue: &ModelQueue, ticket: Ticket) -> bool {
-        let entry = &self.entries[ticket];
-        let class = class(&entry.job);
-        if self.order != QueueOrder::Fair || queue.priority(class.rank) != class.rank {
-            return false;
-        }
-        let group = match self.grant.is_some() && self.has_granted_slot(&class) {
-            true => CallerGroup::Partner,
-            false => CallerGroup::All,
-        };
-        queue.tree.is_over_share(entry.caller, group)
-            || class.rank == Rank::Routine && queue.tree.is_urgent_active(entry.caller, group)
-    }
-
-    /// Returns the first job that may run without leaving slots free for others.
-    fn next_below_share(&self, queue: &ModelQueue) -> Option<Ticket> {
-        let mut candidates = queue.tree.first_requests().take(CALLERS_TRIED_MAX);
-        let found = candidates.find(|(rank, partner, _, ticket)| {
-            let class = Class {
-                partner: (*partner).clone(),
-                rank: *rank,
-            };
-            let may_run =
-                self.has_granted_slot(&class) || self.is_below_granted_total(SlotLimit::All);
-            may_run && !self.must_leave_slots_free(queue, *ticket)
-        });
-        found.map(|(_, _, _, ticket)| ticket)
-    }
-
-    /// Chooses an engine for a job; `None` if no engine may take it now.
-    fn choose_engine(
-        &self,
-        queue: &ModelQueue,
-        ticket: Ticket,
-        must_leave_slots_free: bool,
-        fleet: &Fleet<C>,
-    ) -> Option<Start> {
-        let job = &self.entries[ticket].job;
-        let priority = queue.priority(job.rank);
-        if must_leave_slots_free && !self.is_below_granted_total(SlotLimit::KeepSpare) {
-            return None;
-        }
-        // Engines' own queues ignore shares, so jobs beyond their partner's slots must not wait there.
-        let class = class(job);
-        let may_queue = priority == Rank::Urgent
-            && !must_leave_slots_free
-            && (self.has_granted_slot(&class) || self.has_urgent_precedence(&class))
-            && self.order == QueueOrder::Fair
-            && self.preemption != Preemption::Wait;
-        let free = match must_leave_slots_free {
-            true => fleet.choose_with(&job.need, SlotLimit::KeepSpare),
-            false => fleet.choose(&job.need),
-        };
-        let room = SlotLimit::AllAndQueue(URGENT_QUEUE_MAX);
-        let queued = || may_queue.then(|| fleet.choose_with(&job.need, room))?;
-        Some(Start {
-            ticket,
-            engine: free.or_else(queued)?,
-            priority,
-        })
-    }
-
-    /// Returns the job that is next by rank, granted slots and share.
-    fn next_ticket(&self, queue: &ModelQueue) -> Option<Ticket> {
-        let may_go_first = !queue.tree.is_routine_below_floor();
-        let first = |class: &Class| class.rank == Rank::Urgent && self.has_urgent_precedence(class);
-        let urgent = may_go_first
-            .then(|| self.first_allowed(queue, first))
-            .flatten();
-        urgent
-            .or_else(|| self.first_allowed(queue, |class| self.has_granted_slot(class)))
-            .or_else(|| self.first_allowed(queue, |_| self.is_below_granted_total(SlotLimit::All)))
-    }
-
-    /// Returns whether urgent work of a class goes before work of other partners within their
-    /// granted slots.
-    ///
-    /// It may use all slots of its own partner, and at least [`URGENT_QUEUE_MAX`], because it cannot
-    /// wait for the next grant. Without this limit a flood of it would take the slots of others.
-    fn has_urgent_precedence(&self, class: &Class) -> bool {
-        let Some(grant) = &self.grant else {
-            return true;
-        };
-        let is_own = |other: &Class| other.partner == class.partner;
-        let slots = grant.slots.iter().filter(|(other, _)| is_own(other));
-        let slots: u32 = slots.map(|(_, slots)| *slots).sum();
-        let in_use = self.classes.iter().filter(|(other, _)| is_own(other));
-        let in_use: u32 = in_use.map(|(_, demand)| demand.in_use).sum();
-        in_use < slots.max(URGENT_QUEUE_MAX)
-    }
-
-    /// Returns the first job of the classes that `may_run` accepts.
-    fn first_allowed(
-        &self,
-        queue: &ModelQueue,
-        may_run: impl Fn(&Class) -> bool,
-    ) -> Option<Ticket> {
-        let next = queue.tree.next(|rank, partner| {
-            let partner = partner.clone();
-            may_run(&Class { partner, rank })
-        });
-        next.map(|(_, ticket)| ticket)
-    }
-
-    /// Returns whether a class uses fewer slots than granted to it.
-    fn has_granted_slot(&self, class: &Class) -> bool {
-        let Some(grant) = &self.grant else {
-            return true;
-        };
-        let slots = grant.slots.get(class).copied().unwrap_or(0);
-        let in_use = self.classes.get(class).map_or(0, |demand| demand.in_use);
-        in_use < slots
-    }
-
-    /// Returns whether the host runs fewer jobs than `room` allows of all granted slots.
-    fn is_below_granted_total(&self, room: SlotLimit) -> bool {
-        let total = |grant: &Grant| grant.slots.values().sum::<u32>();
-        self.grant
-            .as_ref()
-            .is_none_or(|grant| self.running < room.apply(total(grant)) as usize)
-    }
-
     /// Removes jobs whose deadline has passed from the queue and returns them. Also measures the
     /// rate of work.
     ///
@@ -745,121 +525,6 @@
     }
 }
 
-impl ModelQueue {
-    fn new(now: Instant, floor_percent: u32) -> Self {
-        Self {
-            tree: Tree::new(floor_percent),
-            resuming: BTreeMap::new(),
-            active_callers: BTreeMap::new(),
-            meter: Meter {
-                measured_at: now,
-                work: [0.0; 2],
-                rate: [0.0; 2],
-                backlogged_since: None,
-            },
-        }
-    }
-
-    /// Returns the priority of work in the engines' own queues.
-    ///
-    /// Routine work below its floor gets the priority of urgent work. Otherwise the urgent jobs that
-    /// wait at the engines would never leave it a free slot.
-    fn priority(&self, rank: Rank) -> Rank {
-        match rank {
-            Rank::Routine if self.tree.is_routine_below_floor() => Rank::Urgent,
-            rank => rank,
-        }
-    }
-
-    /// Checks the bounds of the queues that a new job of a caller would join.
-    fn check_queues(&self, caller: Node, partners: usize) -> Result<(), Refusal> {
-        let caller_limit = QUEUE_LIMIT / partners.max(1) / 8;
-        let [caller, team, partner] = self.tree.waiting_by_level(caller);
-        let is_contended = self.tree.waiting() > caller;
-        let full = if partner >= 8 * caller_limit {
-            Scope::Partner
-        } else if team >= 4 * caller_limit {
-            Scope::Team
-        } else if is_contended && caller >= caller_limit {
-            Scope::Caller
-        } else {
-            return Ok(());
-        };
-        Err(Refusal {
-            reason: Reason::QueueFull,
-            scope: Some(full),
-            retry_after: Duration::from_secs(1),
-        })
-    }
-
-    /// Checks that a new job of a caller is expected to start within `limit`.
-    fn check_wait(
-        &self,
-        caller: Node,
-        rank: Rank,
-        limit: Duration,
-        now: Instant,
-    ) -> Result<(), Refusal> {
-        match self.wait(caller, rank, now) {
-            Some(wait) if wait > limit => Err(Refusal::new(
-                Reason::DeadlineUnreachable,
-                (wait - limit).max(Duration::from_secs(1)),
-            )),
-            _ => Ok(()),
-        }
-    }
-
-    /// Returns the expected wait of a new job; `None` until the rate is known.
-    fn wait(&self, caller: Node, rank: Rank, now: Instant) -> Option<Duration> {
-        let since = self.meter.backlogged_since?;
-        if now.duration_since(since) < RATE_SETTLE_TIME {
-            return None;
-        }
-        let total: f64 = self.meter.rate.iter().sum();
-        let floor = self.tree.floor();
-        let other = match rank {
-            Rank::Urgent => self.meter.rate[1].min(floor * total),
-            Rank::Routine => self.meter.rate[0].min((1.0 - floor) * total),
-        };
-        let rate = total - other;
-        if rate <= 0.0 {
-            return None;
-        }
-        let seconds = self.tree.expected_wait(caller, rate);
-        Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
-    }
-
-    /// Updates the rate of work, the active callers, and the credit for routine work.
-    fn measure(&mut self, now: Instant) {
-        let meter = &mut self.meter;
-        if self.tree.waiting() == 0 {
-            meter.backlogged_since = None;
-        } else if meter.backlogged_since.is_none() {
-            meter.backlogged_since = Some(now);
-        }
-        let elapsed = now.duration_since(meter.measured_at);
-        if elapsed < RATE_INTERVAL {
-            return;
-        }
-        for (rate, work) in meter.rate.iter_mut().zip(&mut meter.work) {
-            let newest = *work / elapsed.as_secs_f64();
-            *rate += RATE_WEIGHT * (newest - *rate);
-            *work = 0.0;
-        }
-        meter.measured_at = now;
-        let tree = &mut self.tree;
-        self.active_callers.retain(|caller, at| {
-            let is_active = tree.has_requests(*caller) || now.duration_since(*at) < ACTIVE_TIMEOUT;
-            if !is_active {
-                tree.set_active(*caller, false);
-            }
-            is_active
-        });
-        self.tree
-            .set_credit(FLOOR_CREDIT_S * meter.rate.iter().sum::<f64>());
-    }
-}
-
 fn remove_running(
     of: &mut BTreeMap<Engine, BTreeSet<(Instant, Ticket)>>,
     engine: Engine,
