Keep a stream that can go on nowhere else at an engine that accepts no connection

Callers saw a stream end without its last events and without an error, although its engine was sound and went on a second later.

Cause: a check that gets no connection to a silent engine declares it lost, which ended every stream on it. The limit on silence made an exception for streams that cannot go on at another engine, because their route does not allow it or their attempts are used up; the signal of the check did not.

Evidence: a_stream_that_can_go_on_nowhere_else_outlasts_a_silent_engine, before: stream_broken reason=engine-lost last_event=3 silent_ms=435, stream_ended reason=not-resumable assertion `left == right` failed: not resumable, is_accepting=false The engine was the only one that could end the stream, and it did so 1.5 s after its last event. The limit on silence is ruled out: the cases in which the engine accepts connections passed before.

Such a stream now waits for its engine until its deadline, its caller or its connection ends it. Nothing is lost by that: the stream could not be resumed by this host in either case.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -473,7 +473,7 @@
             if !self.has_passed && matches!(reason, "reset" | "half-event") {
                 crash::record_reset(&self.gateway, &self.admitted, broken).await;
             }
-            if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
+            if !self.can_resume() {
                 return self.record_incomplete("not-resumable");
             }
             self.attempts.excluded = vec![broken];
@@ -557,9 +557,9 @@
             let left = self.admitted.deadline.saturating_duration_since(now);
             let chunk = {
                 let silence = pin!(self.silence(active));
+                let lost = pin!(self.wait_until_lost(active));
                 let next = pin!(within(left, active.exchange.next()));
                 let gone = pin!(writer.closed());
-                let lost = pin!(active.lost.wait());
                 match select(next, select(silence, select(gone, lost))).await {
                     Either::Left((chunk, _)) => chunk,
                     Either::Right((Either::Left(_), _)) => return End::Broken("silent"),
@@ -589,6 +589,23 @@
         }
     }
 
+    /// Returns whether the stream can go on at another engine.
+    fn can_resume(&self) -> bool {
+        self.admitted.route.kind.is_retryable() && self.has_attempts_left()
+    }
+
+    /// Waits until the engine is declared lost. Never returns for a stream that cannot go on elsewhere,
+    /// as the engine may be sound and go on.
+    fn wait_until_lost(&self, active: &ActiveAttempt<C>) -> impl Future<Output = ()> + use<C> {
+        let lost = self.can_resume().then(|| active.lost.clone());
+        async move {
+            match lost {
+                Some(lost) => lost.wait().await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Waits until the engine counts as silent: its next event is late, and this host has since
     /// reached another address. The silence of a host that was paused or whose link was full is not
     /// held against the engine.
@@ -607,7 +624,7 @@
     /// Returns until when to wait for the next event before the engine counts as silent. A stream that
     /// cannot go on elsewhere is not given up before its deadline.
     fn silence_deadline(&self, active: &ActiveAttempt<C>) -> Instant {
-        if !self.admitted.route.kind.is_retryable() || !self.has_attempts_left() {
+        if !self.can_resume() {
             return self.admitted.deadline;
         }
         let registry = self.gateway.registry.borrow();
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -5,8 +5,10 @@
 use std::io::{BufRead, BufReader};
 use std::time::{Duration, Instant};
 
+use serde_json::{Value, json};
 use support::platform::{
-    End, Reaction, exchange, headers, ok, request, start, stream_headers, two_engines, wait_for,
+    End, Engine, Gateway, Message, Reaction, Store, config, events, exchange, headers, ok,
+    registrations, request, settings, start, stream_headers, two_engines, wait_for,
 };
 
 /// Time for which an engine or a host is silent.
@@ -81,3 +83,97 @@
     );
     assert_eq!(one.request_count() + two.request_count(), 1);
 }
+
+/// Time for which a sound engine is silent: long enough for a check of its address to end.
+const ENGINE_SILENCE: Duration = Duration::from_millis(1500);
+
+/// Number of events of a stream, of which [`EVENTS_BEFORE`] precede the silence of its engine.
+const EVENTS: u64 = 9;
+
+const EVENTS_BEFORE: u64 = 3;
+
+/// Two engines for streams, and a gateway.
+struct Fleet {
+    engines: [Engine; 2],
+    gateway: Gateway,
+    _store: Store,
+}
+
+impl Fleet {
+    /// Engines that are silent in the middle of each stream.
+    fn start(config: Value, retries: u32) -> Self {
+        Self::with_script(config, retries, |_| {
+            Reaction::Events(EVENTS_BEFORE, End::Pause(ENGINE_SILENCE, EVENTS))
+        })
+    }
+
+    fn with_script(
+        config: Value,
+        retries: u32,
+        script: impl Fn(&Message) -> Reaction + Clone + Send + 'static,
+    ) -> Self {
+        let engines = two_engines(script);
+        let registered = [
+            (&engines[0], "model", "fd-a"),
+            (&engines[1], "model", "fd-b"),
+        ];
+        let store = Store::with(config, &registrations(&registered));
+        let settings = settings(&store.address, "")
+            .replace("retry_ratio = 0.8", "retry_ratio = 0")
+            .replace("retry_slack = 150", &format!("retry_slack = {retries}"));
+        let gateway = Gateway::start(&settings);
+        wait_for("readiness", || gateway.is_ready());
+        Self {
+            engines,
+            gateway,
+            _store: store,
+        }
+    }
+
+    fn requests(&self) -> usize {
+        self.engines.iter().map(Engine::request_count).sum()
+    }
+
+    /// Returns the response to a stream during which its engine accepts connections or does not.
+    fn stream(&self, is_accepting: bool) -> Message {
+        let address = self.gateway.process.address.clone();
+        let text = request("POST", "/stream/x", &stream_headers("s1"), "p");
+        let response = std::thread::spawn(move || exchange(&address, &text).unwrap());
+        wait_for("the stream", || self.requests() == 1);
+        let runs = |engine: &&Engine| engine.request_count() == 1;
+        if !is_accepting {
+            self.engines.iter().find(runs).unwrap().block_connections();
+        }
+        response.join().unwrap()
+    }
+}
+
+/// Returns [`config`] with one value of the route `/stream/` replaced.
+fn config_with(field: &str, value: Value) -> Value {
+    let mut config = config(3);
+    config["routes"][3][field] = value;
+    config
+}
+
+fn assert_whole(response: &Message, case: &str) {
+    assert_eq!(response.text(), events(1, EVENTS), "{case}");
+    assert_eq!(response.header("broken"), None, "{case}");
+}
+
+/// Guards against a stream that can go on nowhere else and is cut because its sound engine accepts no
+/// connection for a while.
+#[test]
+fn a_stream_that_can_go_on_nowhere_else_outlasts_a_silent_engine() {
+    let configs = [
+        ("not resumable", config_with("stream-resume", json!(false))),
+        ("no attempts left", config_with("max-attempts", json!(1))),
+    ];
+    for (case, config) in configs {
+        for is_accepting in [true, false] {
+            let fleet = Fleet::start(config.clone(), 150);
+            let case = format!("{case}, is_accepting={is_accepting}");
+            assert_whole(&fleet.stream(is_accepting), &case);
+            assert_eq!(fleet.requests(), 1, "{case}");
+        }
+    }
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -317,6 +317,8 @@
     HalfEvent,
     /// An event follows every 20 ms until the caller closes the connection.
     Endless,
+    /// Nothing follows for a while; then the events up to this number and the end.
+    Pause(Duration, u64),
     /// Nothing follows, and the engine accepts no more connections.
     Unresponsive,
     /// The engine's process ends: its connection closes, and its address refuses further ones.
@@ -557,6 +559,12 @@
                     End::Complete => {
                         let _ = stream.write_all(b"0\r\n\r\n");
                     }
+                    End::Pause(pause, last_after) => {
+                        std::thread::sleep(pause);
+                        let rest: String = (last + 1..=last_after).map(text_of).collect();
+                        let end = format!("{:x}\r\n{rest}\r\n0\r\n\r\n", rest.len());
+                        let _ = stream.write_all(end.as_bytes());
+                    }
                     End::HalfEvent => {
                         let _ = stream.write_all(b"8\r\nid: 9999\r\n");
                         return;
