Leave a silent engine only once another attempt is possible

Callers saw a stream break off in its middle although its engine was sound, was silent for a second, and no other engine broke off anything.

Cause: the connection to a silent engine was closed first. Only then the retry budget, which all hosts share, was asked for another attempt. If it had none within 2 s the stream was ended, and the engine that would have gone on had been told to stop. Class: a resource is given up before its replacement is held.

Evidence: a_stream_without_a_retry_outlasts_a_silent_engine, before: stream_broken reason=silent silent_ms=350, retry_denied left=0.0, stream_ended reason=no-engine after_ms=2363 assertion `left == right` failed: is_accepting=true (events 1 to 3 of 9) The engine sent event 4 at 1.5 s, to nobody. The limit on silence itself is not the cause: with a retry left the stream goes on elsewhere.

Now (gateway/failover.rs) an unresponsive engine is left when time, an engine and a retry for another attempt are there; the retry is taken before the connection is closed, and the connection is closed before the next engine gets the request. Until then the response is awaited, also from an engine that was declared lost and is heard again. A stream that left an engine which may have been sound waits for further retries until its deadline; after a break by the engine it ends after 2 s as before, as its caller can go on at another host.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -32,6 +32,8 @@
     earlier_not_run: u32,
     // Whether a retry was taken out of the budget and not yet used.
     has_retry: bool,
+    // The same for the attempt after the one that is running.
+    has_next_retry: bool,
 }
 
 impl<C: Clock> Attempts<C> {
@@ -46,21 +48,35 @@
             unsent: 0,
             earlier_not_run: 0,
             has_retry: false,
+            has_next_retry: false,
         }
     }
 
     /// Returns whether the next attempt is allowed; takes a retry out of the budget if it needs one.
     pub fn may_send(&mut self) -> bool {
         let is_first = self.possible_runs + self.rejected == 0;
+        self.has_retry |= std::mem::take(&mut self.has_next_retry);
         if is_first || self.has_retry {
             return true;
         }
+        self.has_retry = self.try_spend();
+        self.has_retry
+    }
+
+    /// Returns whether another attempt is allowed while one is running; takes its retry out of the
+    /// budget.
+    pub fn may_send_another(&mut self) -> bool {
+        self.has_next_retry = self.has_next_retry || self.try_spend();
+        self.has_next_retry
+    }
+
+    fn try_spend(&self) -> bool {
         let now = self.gateway.clock.now();
         let mut budget = self.gateway.budget.borrow_mut();
-        self.has_retry = budget.try_spend(&self.service, now);
-        let outcome = if self.has_retry { "granted" } else { "denied" };
+        let is_granted = budget.try_spend(&self.service, now);
+        let outcome = if is_granted { "granted" } else { "denied" };
         self.gateway.metrics.count_decision("retry", outcome);
-        self.has_retry
+        is_granted
     }
 
     /// Records an attempt that the engine answered, also with a failure.
@@ -105,8 +121,9 @@
 
 impl<C: Clock> Drop for Attempts<C> {
     fn drop(&mut self) {
-        if self.has_retry {
-            let now = self.gateway.clock.now();
+        let now = self.gateway.clock.now();
+        let unused = [self.has_retry, self.has_next_retry];
+        for _ in unused.into_iter().filter(|has| *has) {
             let mut budget = self.gateway.budget.borrow_mut();
             budget.refund(&self.service, now);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod crash;
 pub mod delivery;
 pub mod documents;
+pub mod failover;
 pub mod feed;
 pub mod follow;
 pub mod followed;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
+use super::failover::{Cause, Failover};
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use super::{Gateway, check, crash, reach};
@@ -26,7 +27,6 @@
 use crate::relay::handover;
 use crate::relay::silence::{self, Progress};
 use crate::route::registry::{Engine, Need};
-use crate::supervisor::Signal;
 use crate::util::within;
 
 /// A request is refused after it was rejected by this many engines.
@@ -41,8 +41,8 @@
 /// A stream is not retried when less time than this is left until its deadline.
 const RETRY_TIME_LEFT_MIN: Duration = Duration::from_millis(300);
 
-/// Longest wait for a retry while the budget is used up. Callers accept longer waits for the first
-/// event, and a late event is better than a stream that breaks off.
+/// Longest wait for a retry while the budget is used up, unless the engine might have gone on. Callers
+/// accept longer waits for the first event, and a late event is better than a stream that breaks off.
 const RETRY_WAIT_MAX: Duration = Duration::from_secs(2);
 
 /// Time between two tries to take a retry out of the budget.
@@ -55,9 +55,6 @@
 /// Timeout for the body of a failure that an engine reports.
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Reason of a broken stream whose engine a check found lost.
-const ENGINE_LOST: &str = "engine-lost";
-
 /// A stream to a caller, across all its attempts.
 struct Stream<C: Clock> {
     gateway: Rc<Gateway<C>>,
@@ -69,6 +66,8 @@
     has_passed: bool,
     /// The engine that holds a replica to resume from, and the id of the replicated run.
     resume_replica: Option<(Engine, CompactString)>,
+    /// Longest wait for a retry; `None` if only the deadline ends it.
+    retry_wait: Option<Duration>,
     /// Digest of the request, which is the same when the caller retries at another host.
     digest: u64,
 }
@@ -77,8 +76,6 @@
 struct ActiveAttempt<C: Clock> {
     exchange: Exchange,
     placement: Placement<C>,
-    /// Set when the engine is declared lost.
-    lost: Signal,
     splitter: Splitter,
     progress: Progress,
     /// Number of events that this engine has sent.
@@ -89,9 +86,11 @@
 enum End {
     /// The engine completed the stream.
     Complete,
-    /// The connection broke, the engine was silent for too long, or it sent an invalid event; holds
-    /// the reason for logs and metrics.
+    /// The connection broke, or the engine sent an invalid event; holds the reason for logs and
+    /// metrics.
     Broken(&'static str),
+    /// The engine does not respond, and another attempt is possible.
+    Unresponsive(Cause),
     /// The deadline of the request has passed.
     TimedOut,
     /// The caller closed the connection.
@@ -115,6 +114,7 @@
         gateway: gateway.clone(),
         attempts: Attempts::new(gateway, admitted.service.clone()),
         has_passed: false,
+        retry_wait: Some(RETRY_WAIT_MAX),
         admitted,
         resume_replica,
     };
@@ -283,13 +283,15 @@
 
     /// Waits until the retry budget allows the next attempt; returns `false` if it does not in time.
     async fn wait_until_allowed(&mut self) -> bool {
-        let waits_until = self.gateway.clock.now() + RETRY_WAIT_MAX;
+        let began = self.gateway.clock.now();
+        let waits_until = self.retry_wait.map(|wait| began + wait);
         let mut is_logged = false;
         while !self.attempts.may_send() {
             if !std::mem::replace(&mut is_logged, true) {
                 self.log_retry_denied();
             }
-            if !self.has_retry_time() || self.gateway.clock.now() >= waits_until {
+            let now = self.gateway.clock.now();
+            if !self.has_retry_time() || waits_until.is_some_and(|until| now >= until) {
                 return false;
             }
             compio::time::sleep(RETRY_POLL_INTERVAL).await;
@@ -394,10 +396,7 @@
     fn activate(&self, mut open: OpenResponse, placement: Placement<C>) -> ActiveAttempt<C> {
         open.exchange.clear_headers();
         self.publish_replica(&placement);
-        let registry = self.gateway.registry.borrow();
-        let state = registry.get(placement.engine);
         ActiveAttempt {
-            lost: state.map(|state| state.lost.clone()).unwrap_or_default(),
             exchange: open.exchange,
             placement,
             splitter: Splitter::default(),
@@ -449,7 +448,15 @@
                 }
                 End::CallerGone => return self.record_incomplete("caller-gone"),
                 End::TimedOut => return self.record_incomplete("deadline"),
-                End::Broken(reason) => reason,
+                End::Broken(reason) => {
+                    self.retry_wait = Some(RETRY_WAIT_MAX);
+                    reason
+                }
+                End::Unresponsive(cause) => {
+                    // The engine may have been sound, so the stream ends for nothing but its deadline.
+                    self.retry_wait = None;
+                    cause.as_str()
+                }
             };
             let broken = active.placement.engine;
             let last_at = active.progress.last_at();
@@ -465,7 +472,7 @@
                 ),
             );
             self.gateway.metrics.count_decision("stream_broken", reason);
-            if reason != ENGINE_LOST {
+            if reason != Cause::Lost.as_str() {
                 self.gateway.registry.borrow_mut().set_suspect(broken);
                 check::start_if_due(&self.gateway, broken);
             }
@@ -556,19 +563,25 @@
             }
             let left = self.admitted.deadline.saturating_duration_since(now);
             let chunk = {
-                let silence = pin!(self.silence(active));
-                let lost = pin!(self.wait_until_lost(active));
+                let silence = self.silence(active);
+                let failover = Failover {
+                    gateway: &self.gateway,
+                    admitted: &self.admitted,
+                    runs: self.attempts.possible_runs,
+                    attempts: &mut self.attempts,
+                    engine: active.placement.engine,
+                    time_left_min: RETRY_TIME_LEFT_MIN,
+                    may_return: true,
+                };
+                let unresponsive = pin!(failover.wait(silence));
                 let next = pin!(within(left, active.exchange.next()));
                 let gone = pin!(writer.closed());
-                match select(next, select(silence, select(gone, lost))).await {
+                match select(next, select(unresponsive, gone)).await {
                     Either::Left((chunk, _)) => chunk,
-                    Either::Right((Either::Left(_), _)) => return End::Broken("silent"),
-                    Either::Right((Either::Right((Either::Left(_), _)), _)) => {
-                        return End::CallerGone;
-                    }
-                    Either::Right((Either::Right((Either::Right(_), _)), _)) => {
-                        return End::Broken(ENGINE_LOST);
+                    Either::Right((Either::Left((cause, _)), _)) => {
+                        return End::Unresponsive(cause);
                     }
+                    Either::Right((Either::Right(_), _)) => return End::CallerGone,
                 }
             };
             match chunk {
@@ -594,18 +607,6 @@
         self.admitted.route.kind.is_retryable() && self.has_attempts_left()
     }
 
-    /// Waits until the engine is declared lost. Never returns for a stream that cannot go on elsewhere,
-    /// as the engine may be sound and go on.
-    fn wait_until_lost(&self, active: &ActiveAttempt<C>) -> impl Future<Output = ()> + use<C> {
-        let lost = self.can_resume().then(|| active.lost.clone());
-        async move {
-            match lost {
-                Some(lost) => lost.wait().await,
-                None => std::future::pending().await,
-            }
-        }
-    }
-
     /// Waits until the engine counts as silent: its next event is late, and this host has since
     /// reached another address. The silence of a host that was paused or whose link was full is not
     /// held against the engine.
@@ -621,12 +622,8 @@
         }
     }
 
-    /// Returns until when to wait for the next event before the engine counts as silent. A stream that
-    /// cannot go on elsewhere is not given up before its deadline.
+    /// Returns until when to wait for the next event before the engine counts as silent.
     fn silence_deadline(&self, active: &ActiveAttempt<C>) -> Instant {
-        if !self.can_resume() {
-            return self.admitted.deadline;
-        }
         let registry = self.gateway.registry.borrow();
         let load = registry
             .get(active.placement.engine)
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -177,3 +177,15 @@
         }
     }
 }
+
+/// Guards against a stream that is taken off a sound engine and then cut because the retry budget is
+/// used up.
+#[test]
+fn a_stream_without_a_retry_outlasts_a_silent_engine() {
+    for is_accepting in [true, false] {
+        let fleet = Fleet::start(config(3), 0);
+        let case = format!("is_accepting={is_accepting}");
+        assert_whole(&fleet.stream(is_accepting), &case);
+        assert_eq!(fleet.requests(), 1, "{case}");
+    }
+}
