Await the answer of a silent engine while no other attempt is possible

Callers of idempotent routes got 502 after 0.4 s of silence, in place of the answer that their sound engine gave a second later. Streams that had not begun, or went on at another engine, ended the same way.

Cause: before the head of an answer, the loss of an engine ended the attempt at once, and for streams a limit on silence of 5 s did, also if the attempts were used up, the budget had no retry, or no engine was left.

Evidence: a_call_without_a_retry_outlasts_a_silent_engine, before: engine_lost cause=unanswered, attempt_failed fault=engine-lost after_ms=433, refused status=502 assertion `left == right` failed: 3 0 (left: 502, right: 200) A refusal by the engine or a broken connection is ruled out: the engine writes 200 after 1.5 s.

Both waits now use gateway/failover.rs, so that an attempt is given up only with the retry for the next one in hand. The attempt that is the last one allowed waits until the deadline. The tests of gateway, endless, contact, reach, waiting, crashes and silent pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compact_str::CompactString;
 use futures_util::future::{Either, select};
@@ -10,6 +10,7 @@
 use hyper::{Request, Response};
 
 use super::call::{Attempt, Outcome};
+use super::failover::Cause;
 use super::front::AdmittedRequest;
 use super::protocol::Protocol;
 use super::reach::{self, Unreached};
@@ -18,7 +19,6 @@
 use crate::http::client::{Connection, Error, Exchange};
 use crate::route::load::Footprint;
 use crate::route::registry::Engine;
-use crate::supervisor::Signal;
 use crate::util::within;
 
 /// Shortest and longest time for which a request waits while this host reaches nothing. Between
@@ -145,8 +145,9 @@
     pub is_success: bool,
 }
 
-/// Sends a request to the engine of `placement` and waits until `head_deadline` for the head of the
-/// response. Records in the registry what the result says about the engine.
+/// Sends a request to the engine of `placement` and waits for the head of the response until the
+/// deadline, or until `failover` gives the engine up. Records in the registry what the result says about
+/// the engine.
 ///
 /// # Errors
 /// [`Fault`] if there is no response that belongs to this request.
@@ -155,11 +156,11 @@
     admitted: &AdmittedRequest,
     placement: &Placement<C>,
     resume_point: &ResumePoint,
-    head_deadline: Instant,
+    failover: impl Future<Output = Cause>,
 ) -> Result<OpenResponse, Fault> {
     log_placement(gateway, admitted, placement, resume_point);
     let started = gateway.clock.now();
-    let result = send::<C, P>(gateway, admitted, placement, resume_point, head_deadline).await;
+    let result = send::<C, P>(gateway, admitted, placement, resume_point, failover).await;
     let engine = placement.engine;
     let mut registry = gateway.registry.borrow_mut();
     let id = registry
@@ -245,12 +246,12 @@
     admitted: &AdmittedRequest,
     placement: &Placement<C>,
     resume_point: &ResumePoint,
-    head_deadline: Instant,
+    failover: impl Future<Output = Cause>,
 ) -> Result<OpenResponse, Fault> {
-    let (address, lost) = {
+    let address = {
         let registry = gateway.registry.borrow();
         let state = registry.get(placement.engine).ok_or(Fault::Unsent)?;
-        (state.registration.address.clone(), state.lost.clone())
+        state.registration.address.clone()
     };
     let limit = contact_limit(gateway, admitted);
     // Boxed, so that a request that waits for its response does not hold the memory of this step.
@@ -277,16 +278,21 @@
         build_request::<C, P>(gateway, admitted, placement, resume_point, left, &address)
             .ok_or(Fault::Unsent)?
     };
-    let left = head_deadline.saturating_duration_since(gateway.clock.now());
+    let left = admitted
+        .deadline
+        .saturating_duration_since(gateway.clock.now());
     gateway.registry.borrow_mut().set_heard(placement.engine);
-    let is_retryable = admitted.route.kind.is_retryable();
-    let answer = within(left, connection.send(request));
-    let response = match until_lost(&lost, is_retryable, answer).await {
-        Some(Some(Ok(response))) => response,
-        Some(Some(Err(Error::Connect { .. }))) => return Err(Fault::Unsent),
-        Some(Some(Err(Error::Response { .. }))) => return Err(Fault::Lost),
-        Some(None) => return Err(Fault::Silent),
-        None => return Err(Fault::EngineLost),
+    let response = {
+        let answer = pin!(within(left, connection.send(request)));
+        match select(answer, pin!(failover)).await {
+            Either::Left((Some(Ok(response)), _)) => response,
+            Either::Left((Some(Err(Error::Connect { .. })), _)) => return Err(Fault::Unsent),
+            Either::Left((Some(Err(Error::Response { .. })), _)) => return Err(Fault::Lost),
+            Either::Left((None, _)) | Either::Right((Cause::Silent, _)) => {
+                return Err(Fault::Silent);
+            }
+            Either::Right((Cause::Lost, _)) => return Err(Fault::EngineLost),
+        }
     };
     gateway.registry.borrow_mut().set_heard(placement.engine);
     let exchange = Exchange::new(response, connection);
@@ -314,18 +320,6 @@
     wait.clamp(CONTACT_WAIT.0, CONTACT_WAIT.1).min(left)
 }
 
-/// Waits for `future`. If the request may be retried, gives up when the engine is lost. A request
-/// that must not run twice cannot be sent elsewhere, and its response may still arrive.
-async fn until_lost<F: Future>(lost: &Signal, is_retryable: bool, future: F) -> Option<F::Output> {
-    if !is_retryable {
-        return Some(future.await);
-    }
-    match select(pin!(future), pin!(lost.wait())).await {
-        Either::Left((output, _)) => Some(output),
-        Either::Right(_) => None,
-    }
-}
-
 fn build_request<C: Clock, P: Protocol>(
     gateway: &Rc<Gateway<C>>,
     admitted: &AdmittedRequest,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -13,6 +13,7 @@
 use super::Gateway;
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
+use super::failover::Failover;
 use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
@@ -54,7 +55,7 @@
             return give_up(&attempts, failure);
         }
         let placement = Placement::new(gateway, engine, None, admitted.call.footprint());
-        match send_once::<C, P>(gateway, admitted, placement).await {
+        match send_once::<C, P>(gateway, admitted, &mut attempts, placement).await {
             Ok((response, true)) => return Ok(response),
             Ok((response, false)) => {
                 attempts.record_answer();
@@ -102,6 +103,7 @@
 async fn send_once<C: Clock, P: Protocol>(
     gateway: &Rc<Gateway<C>>,
     admitted: &AdmittedRequest,
+    attempts: &mut Attempts<C>,
     mut placement: Placement<C>,
 ) -> Result<(Response<Body>, bool), Fault> {
     let resume_point = ResumePoint {
@@ -109,8 +111,19 @@
         replica_run: None,
     };
     let deadline = admitted.deadline;
+    let failover = Failover {
+        gateway,
+        admitted,
+        runs: attempts.possible_runs + 1,
+        attempts,
+        engine: placement.engine,
+        time_left_min: RETRY_TIME_LEFT_MIN,
+        may_return: false,
+    };
+    // A short response may take until the deadline; only its engine's loss is a reason to give it up.
+    let failover = failover.wait(std::future::pending());
     let open =
-        attempt::open::<C, P>(gateway, admitted, &placement, &resume_point, deadline).await?;
+        attempt::open::<C, P>(gateway, admitted, &placement, &resume_point, failover).await?;
     placement.record_output();
     let OpenResponse {
         mut exchange,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -251,14 +251,24 @@
             last_event: self.position.last(),
             replica_run: run,
         };
-        let head_deadline = self.head_deadline_of(engine);
+        let head_limit = self.head_limit_of(engine);
+        let failover = Failover {
+            gateway: &self.gateway,
+            admitted: &self.admitted,
+            runs: self.attempts.possible_runs + 1,
+            attempts: &mut self.attempts,
+            engine,
+            time_left_min: RETRY_TIME_LEFT_MIN,
+            may_return: true,
+        };
+        let failover = failover.wait(compio::time::sleep(head_limit));
         let result = {
             let open = pin!(attempt::open::<C, P>(
                 &self.gateway,
                 &self.admitted,
                 &placement,
                 &resume_point,
-                head_deadline,
+                failover,
             ));
             let blocked = pin!(crash::wait_until_blocked(&self.gateway, &self.admitted));
             match select(open, blocked).await {
@@ -349,15 +359,14 @@
             .flatten()
     }
 
-    /// Returns until when to wait for the head of a response from `engine`, which depends on the
-    /// prompt tokens that it has to prefill first.
-    fn head_deadline_of(&self, engine: Engine) -> Instant {
+    /// Returns how long to wait for the head of a response from `engine` before it counts as silent,
+    /// which depends on the prompt tokens that it has to prefill first.
+    fn head_limit_of(&self, engine: Engine) -> Duration {
         let registry = self.gateway.registry.borrow();
         let reading = registry
             .get(engine)
             .map_or(0, |state| state.own_load.reading);
-        let now = self.gateway.clock.now();
-        (now + silence::first_event_limit(reading)).min(self.admitted.deadline)
+        silence::first_event_limit(reading)
     }
 
     /// Returns the refusal of a request that has become known to crash engines.
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -3,6 +3,8 @@
 mod support;
 
 use std::io::{BufRead, BufReader};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -189,3 +191,39 @@
         assert_eq!(fleet.requests(), 1, "{case}");
     }
 }
+
+/// Guards against a call that is refused although its silent engine would have answered, as no other
+/// attempt may be made.
+#[test]
+fn a_call_without_a_retry_outlasts_a_silent_engine() {
+    for (attempts, retries) in [(3, 0), (1, 150)] {
+        // The stand-in counts a request once it knows the reaction, which is after its silence.
+        let running = ["i-1", "i-2"].map(|_| Arc::new(AtomicUsize::new(0)));
+        let engines = [0, 1].map(|index| {
+            let running = running[index].clone();
+            Engine::start(&format!("i-{}", index + 1), move |_| {
+                running.fetch_add(1, Ordering::Relaxed);
+                std::thread::sleep(ENGINE_SILENCE);
+                ok()
+            })
+        });
+        let mut config = config(3);
+        config["routes"][1]["max-attempts"] = json!(attempts);
+        let registered = [(&engines[0], "app", "fd-a"), (&engines[1], "app", "fd-b")];
+        let store = Store::with(config, &registrations(&registered));
+        let settings = settings(&store.address, "")
+            .replace("retry_ratio = 0.8", "retry_ratio = 0")
+            .replace("retry_slack = 150", &format!("retry_slack = {retries}"));
+        let gateway = Gateway::start(&settings);
+        wait_for("readiness", || gateway.is_ready());
+        let address = gateway.process.address.clone();
+        let text = request("POST", "/any/x", &headers("r1"), "b");
+        let call = std::thread::spawn(move || exchange(&address, &text).unwrap());
+        let is_running = |index: &usize| running[*index].load(Ordering::Relaxed) == 1;
+        wait_for("the call", || [0, 1].iter().any(is_running));
+        let silent = [0, 1].into_iter().find(is_running).unwrap();
+        engines[silent].block_connections();
+        let response = call.join().unwrap();
+        assert_eq!(response.status(), 200, "{attempts} {retries}");
+    }
+}
