Read the rest of a request that is refused before its body has arrived

Callers whose requests were refused early (404 for a route that a revision had removed, 401 for a key, 503 of a host without a configuration) and whose bodies were still under way got a reset connection in place of the refusal: neither an answer nor a refusal, beside a change of the configuration.

Cause: the refusal was sent without reading the body. The connection was then closed with unread bytes, or got more after the close, which makes the system reset it; the reset discards what the caller has not yet read. Class: a connection is closed while its peer still sends.

Evidence: tests/refusals.rs, before (body of 90 KB, its second half sent over 0.6 s): a_refusal_before_the_end_of_the_body_reaches_the_caller: left: None, right: Some(404) a_host_without_a_configuration_refuses_a_slow_body_whole: left: None, right: Some(503) A request whose body has arrived is not affected, and the gateway logs the refusal as sent in both cases.

The connection stays usable for the next request. The tests of refusals, gateway, endless and unframed pass.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use compio::bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
@@ -18,9 +18,10 @@
 use super::protocol::Protocol;
 use super::{crash, plain, stream};
 use crate::clock::Clock;
-use crate::config::routes::{Denied, Revision, Route};
+use crate::config::routes::{Denied, Limits, Revision, Route};
 use crate::http::body::Body;
 use crate::http::detach::{detach_body, detach_headers};
+use crate::http::linger;
 use crate::http::problem::{Problem, Reason};
 use crate::http::server;
 use crate::report::trace::Trace;
@@ -120,7 +121,7 @@
     async fn handle(
         &self,
         head: Parts,
-        body: Incoming,
+        body: &mut Incoming,
         trace: &Trace,
     ) -> Result<Response<Body>, Refusal> {
         // Boxed, so that a call that waits for its engine does not hold the memory of this step.
@@ -174,7 +175,7 @@
     async fn admit(
         &self,
         head: Parts,
-        body: Incoming,
+        body: &mut Incoming,
         trace: &Trace,
     ) -> Result<AdmittedRequest, Refusal> {
         let gateway = &self.gateway;
@@ -212,6 +213,21 @@
         })
     }
 
+    /// Reads the rest of the body of a request that was refused before it had arrived.
+    fn discard_rest(&self, body: Incoming) {
+        if body.is_end_stream() {
+            return;
+        }
+        let limits = self.limits_in_force();
+        let reading = linger::discard_rest(body, limits.max_body_bytes);
+        self.gateway.stream_tasks.spawn(reading);
+    }
+
+    fn limits_in_force(&self) -> Limits {
+        let revision = self.gateway.revision();
+        revision.map(|revision| revision.limits).unwrap_or_default()
+    }
+
     fn find_route<'a>(
         &self,
         revision: &'a Revision,
@@ -249,7 +265,7 @@
 
 async fn read_body(
     revision: &Revision,
-    body: Incoming,
+    body: &mut Incoming,
     deadline: Instant,
     now: Instant,
 ) -> Result<Bytes, Refusal> {
@@ -275,14 +291,14 @@
 
 impl<C: Clock, P: Protocol> server::Service for Endpoint<C, P> {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
-        let (head, body) = request.into_parts();
+        let (head, mut body) = request.into_parts();
         let id = P::decode_request(&head.headers)
             .map(|call| call.id)
             .unwrap_or_default();
         let entry = self.gateway.requests.begin(id.to_string());
         let arrived_at = self.gateway.clock.now();
         let trace = Trace::new(id.clone(), &self.gateway.sampler, arrived_at);
-        let result = self.handle(head, body, &trace).await;
+        let result = self.handle(head, &mut body, &trace).await;
         let after = self.gateway.clock.now().duration_since(arrived_at);
         let version = self.gateway.revision_version();
         let mut response = match result {
@@ -317,6 +333,7 @@
                 response
             }
         };
+        self.discard_rest(body);
         if self.gateway.leaving.is_set() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -325,8 +342,7 @@
     }
 
     fn limits(&self) -> server::Limits {
-        let revision = self.gateway.revision();
-        let limits = revision.map(|revision| revision.limits).unwrap_or_default();
+        let limits = self.limits_in_force();
         server::Limits {
             // The time for a head also covers the idle time before it.
             head_timeout: limits.idle_timeout,
