Read the era of the store and log its changes

The logs could not tell whether the watch of the configuration waited in a history that is gone, or whether the store left the change out: they named no era, and no revision for the configuration's calls.

The client of the store reads the header that tells the era, and begins a list again if the era changes between two pages. Lists and changes carry their position, era and revision; event=store_era names both eras and revisions when an answer is of another era, and dependency_back the position. The check that an answer is not older than its request moves from the adapter to the gateway unchanged.

The emulated store of the tests comes back from copies, with eras in all answers and 410 for revisions that it does not have.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod pacing;
 pub mod peers;
 pub mod plain;
+pub mod position;
 pub mod protocol;
 pub mod reach;
 pub mod ready;
@@ -52,6 +53,7 @@
 use crate::util::within;
 use documents::Documents;
 use follow::Role;
+use position::Position;
 use protocol::{Directory, Protocol};
 
 /// Time after the request to stop in which the load balancer still sends new connections to this
@@ -143,6 +145,8 @@
     // When the revision in force was last known to be the newest one.
     revision_confirmed_at: Cell<Option<Instant>>,
     started_at: Instant,
+    // The latest position in the store's history that an answer told, `None` before the first one.
+    store_position: Cell<Option<Position>>,
     // Whether the engines were read at least once.
     has_engine_list: Cell<bool>,
     // Number of kinds of calls to the store whose last call failed.
@@ -185,6 +189,7 @@
             documents: RefCell::default(),
             revision_confirmed_at: Cell::default(),
             started_at: clock.now(),
+            store_position: Cell::default(),
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
             engines_revision: Cell::default(),
@@ -288,6 +293,20 @@
             .set(self.revision_confirmed_at.get().max(at));
     }
 
+    /// Records the position that an answer of the store told. `name` is the kind of the call, for the
+    /// log line if the store came back from an older copy.
+    pub fn record_position(&self, name: &str, position: Position) {
+        let known = self.store_position.get();
+        self.store_position.set(known.max(Some(position)));
+        let Some(known) = known.filter(|known| known.era != position.era) else {
+            return;
+        };
+        info!(
+            "event=store_era name={name} era={} revision={} known_era={} known_revision={}",
+            position.era, position.revision, known.era, known.revision
+        );
+    }
+
     /// Returns the revision of the store up to which the changes of engines are known, 0 if none is.
     pub fn engines_revision(&self) -> u64 {
         self.engines_revision.get()
@@ -362,6 +381,8 @@
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn metrics_text(&self) -> String {
         self.metrics.set_watching(self.role.is_watching());
+        let position = self.store_position.get().unwrap_or_default();
+        self.metrics.set_store_era(position.era);
         self.metrics
             .set_ages(self.configuration_age(), self.engines_age());
         self.metrics.text()
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -7,6 +7,7 @@
 use hyper::header::HeaderMap;
 
 use super::call::{Attempt, Call, InvalidHead, Outcome};
+use super::position::Position;
 use crate::config::routes::Revision;
 use crate::route::registry::Registration;
 
@@ -34,15 +35,15 @@
     fn add_gateway_headers(headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
 }
 
-/// Items read from the directory, and the store revision to watch from.
+/// Items read from the directory, and the position to watch from.
 #[derive(Clone, Debug)]
 pub struct Listing<T> {
     /// The decoded items.
     pub items: Vec<T>,
     /// Number of entries that could not be decoded.
     pub unreadable: usize,
-    /// Revision of the store that the items were read at.
-    pub store_revision: u64,
+    /// Position in the history of the store that the items were read at.
+    pub position: Position,
 }
 
 /// A change of an engine's registration.
@@ -73,14 +74,14 @@
     /// See [`Unavailable`].
     fn read_revision(&self) -> impl Future<Output = Result<Listing<Revision>, Unavailable>>;
 
-    /// Waits up to `wait` for configurations stored after the store revision `since`; the last item
-    /// is the current one.
+    /// Waits up to `wait` for configurations stored after the position `since`; the last item is the
+    /// current one.
     ///
     /// # Errors
     /// See [`Unavailable`].
     fn watch_revision(
         &self,
-        since: u64,
+        since: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Listing<Revision>, Unavailable>>;
 
@@ -93,13 +94,14 @@
     /// See [`Unavailable`].
     fn list_engines(&self) -> impl Future<Output = Result<Listing<Registration>, Unavailable>>;
 
-    /// Waits up to `wait` for changes of registrations after the store revision `since`.
+    /// Waits up to `wait` for changes of registrations after the position `since`. The answer may be
+    /// of another era, in which the changes do not follow on those before `since`.
     ///
     /// # Errors
     /// See [`Unavailable`].
     fn watch_engines(
         &self,
-        since: u64,
+        since: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Listing<Change>, Unavailable>>;
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,7 +6,8 @@
 use log::{info, warn};
 
 use super::Gateway;
-use super::protocol::{Change, Directory, Unavailable};
+use super::position::Position;
+use super::protocol::{Change, Directory, Listing, Unavailable};
 use crate::clock::Clock;
 use crate::supervisor::Signal;
 use crate::util::within;
@@ -79,14 +80,18 @@
         warn!("event=dependency_lost name={} error={err:?}", self.name);
     }
 
-    fn record_success<C: Clock>(&mut self, gateway: &Gateway<C>) {
+    fn record_success<C: Clock>(&mut self, gateway: &Gateway<C>, position: Position) {
         self.failures = 0;
         if !self.is_lost {
             return;
         }
         self.is_lost = false;
         gateway.set_call_failing(false);
-        info!("event=dependency_back name={}", self.name);
+        let Position { era, revision } = position;
+        info!(
+            "event=dependency_back name={} era={era} revision={revision}",
+            self.name
+        );
     }
 
     async fn pause<C: Clock>(&self, gateway: &Gateway<C>, stop: &Signal) {
@@ -121,15 +126,19 @@
         }
         let result = match since {
             None => directory.read_revision().await,
-            Some(since) => directory.watch_revision(since, watch_wait(&gateway)).await,
+            Some(since) => {
+                let watch = directory.watch_revision(since, watch_wait(&gateway));
+                watch.await.and_then(|answer| check_order(since, answer))
+            }
         };
         count_call(&gateway, "configuration_call", result.as_ref().err());
         match result {
             Ok(listing) => {
-                dependency.record_success(&gateway);
+                dependency.record_success(&gateway, listing.position);
                 gateway.confirm_revision(Duration::ZERO);
                 warn_unreadable("configuration", listing.unreadable);
-                since = since.max(Some(listing.store_revision));
+                gateway.record_position("configuration", listing.position);
+                since = Some(listing.position);
                 for revision in listing.items {
                     gateway.set_revision(revision, "store");
                 }
@@ -150,6 +159,7 @@
     let Ok(listing) = result else {
         return false;
     };
+    gateway.record_position("configuration", listing.position);
     for revision in listing.items {
         gateway.set_revision(revision, "store");
     }
@@ -175,9 +185,9 @@
         count_call(&gateway, "engines_call", result.as_ref().err());
         match result {
             Ok(next) => {
-                dependency.record_success(&gateway);
+                dependency.record_success(&gateway, next);
                 since = Some(next);
-                gateway.set_engines_revision(next);
+                gateway.set_engines_revision(next.revision);
                 gateway.confirm_engines(Duration::ZERO);
                 if gateway.registry.borrow().last_change() != before {
                     gateway.notify_followers();
@@ -203,23 +213,29 @@
     gateway: &Gateway<C>,
     directory: &D,
     was_lost: bool,
-) -> Result<u64, Unavailable> {
+) -> Result<Position, Unavailable> {
     let listing = directory.list_engines().await?;
+    gateway.record_position("engines", listing.position);
     warn_unreadable("engines", listing.unreadable);
-    let (engines, revision) = (listing.items.len(), listing.store_revision);
+    let (engines, position) = (listing.items.len(), listing.position);
+    let (era, revision) = (position.era, position.revision);
     let mut registry = gateway.registry.borrow_mut();
     registry.replace(listing.items, was_lost);
     let lapsing = registry.lapsing();
-    info!("event=engines_listed engines={engines} lapsing={lapsing} engines_revision={revision}");
-    Ok(revision)
+    info!(
+        "event=engines_listed engines={engines} lapsing={lapsing} era={era} engines_revision={revision}"
+    );
+    Ok(position)
 }
 
 async fn watch_engines<C: Clock, D: Directory>(
     gateway: &Gateway<C>,
     directory: &D,
-    since: u64,
-) -> Result<u64, Unavailable> {
+    since: Position,
+) -> Result<Position, Unavailable> {
     let listing = directory.watch_engines(since, watch_wait(gateway)).await?;
+    gateway.record_position("engines", listing.position);
+    let listing = check_order(since, listing)?;
     warn_unreadable("engines", listing.unreadable);
     let mut registry = gateway.registry.borrow_mut();
     for change in listing.items {
@@ -237,7 +253,17 @@
             }
         }
     }
-    Ok(listing.store_revision.max(since))
+    Ok(listing.position)
+}
+
+/// Refuses an answer to a watch from `since` that is older than that.
+fn check_order<T>(since: Position, answer: Listing<T>) -> Result<Listing<T>, Unavailable> {
+    match answer.position.revision < since.revision {
+        true => Err(Unavailable::NoAnswer(
+            "the response is older than the request".to_owned(),
+        )),
+        false => Ok(answer),
+    }
 }
 
 /// Counts a call to the directory and its outcome in the metrics.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::config::routes::Revision;
 use crate::gateway::call::{Attempt, Call, InvalidHead, Outcome};
+use crate::gateway::position::Position;
 use crate::gateway::protocol::{self, Change, Listing, Protocol, Unavailable};
 use crate::route::registry::Registration;
 
@@ -62,7 +63,10 @@
     let mut listing = Listing {
         items: Vec::new(),
         unreadable: batch.unreadable,
-        store_revision: batch.store_revision,
+        position: Position {
+            era: batch.era,
+            revision: batch.store_revision,
+        },
     };
     for item in batch.items {
         match decode(item) {
@@ -119,10 +123,10 @@
 
     async fn watch_revision(
         &self,
-        since: u64,
+        since: Position,
         wait: Duration,
     ) -> Result<Listing<Revision>, Unavailable> {
-        let batch = self.watch(store::CONFIG, since, wait).await?;
+        let batch = self.watch(store::CONFIG, since.revision, wait).await?;
         Ok(decode_batch(batch, |change| match change.removed {
             true => Decoded::Ignored,
             false => decode_config(&change.object),
@@ -141,10 +145,10 @@
 
     async fn watch_engines(
         &self,
-        since: u64,
+        since: Position,
         wait: Duration,
     ) -> Result<Listing<Change>, Unavailable> {
-        let batch = self.watch(store::ENGINES, since, wait).await?;
+        let batch = self.watch(store::ENGINES, since.revision, wait).await?;
         Ok(decode_batch(batch, decode_change))
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use compio::bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
@@ -74,6 +75,9 @@
     at: u64,
 }
 
+/// Header of all answers that tells how often the store came back from an older copy.
+const ERA_HEADER: &str = "store-era";
+
 /// All objects of a kind, or the changes since a revision.
 #[derive(Debug)]
 pub struct Batch<T> {
@@ -83,6 +87,8 @@
     pub unreadable: usize,
     /// Store revision to watch from.
     pub store_revision: u64,
+    /// Era that `store_revision` belongs to, 0 if the store does not tell.
+    pub era: u64,
 }
 
 /// Why a call to the store failed.
@@ -114,19 +120,34 @@
         }
     }
 
-    /// Lists all objects of a kind, page by page.
+    /// Lists all objects of a kind, page by page. Begins again if the era changes between two pages.
     ///
     /// # Errors
     /// [`Error::Unavailable`] if a page cannot be read.
     pub async fn list(&self, kind: &str) -> Result<Batch<Object>, Error> {
+        loop {
+            if let Some(batch) = self.list_within_era(kind).await? {
+                return Ok(batch);
+            }
+        }
+    }
+
+    /// Lists all objects of a kind; `None` if the era changed between two pages.
+    async fn list_within_era(&self, kind: &str) -> Result<Option<Batch<Object>>, Error> {
         let mut batch = Batch {
             items: Vec::new(),
             unreadable: 0,
             store_revision: u64::MAX,
+            era: 0,
         };
         let mut path = format!("/bilberrypost/objects/{kind}");
         loop {
-            let page: Page = self.get(kind, &path, CALL_TIMEOUT).await?;
+            let (page, era): (Page, u64) = self.get(kind, &path, CALL_TIMEOUT).await?;
+            let is_first = batch.store_revision == u64::MAX;
+            if !is_first && era != batch.era {
+                return Ok(None);
+            }
+            batch.era = era;
             let last = page
                 .entries
                 .last()
@@ -139,7 +160,7 @@
                 Some(last) if page.has_more => {
                     path = format!("/bilberrypost/objects/{kind}?after={last}");
                 }
-                _ => return Ok(batch),
+                _ => return Ok(Some(batch)),
             }
         }
     }
@@ -158,26 +179,25 @@
             "/bilberrypost/objects/{kind}?watch-revision={since}&wait-ms={}",
             wait.as_millis()
         );
-        let changes: Changes = self.get(kind, &path, wait + WATCH_TIMEOUT_MARGIN).await?;
-        if changes.at < since {
-            let cause = "the response is older than the request".to_owned();
-            return Err(Error::Unavailable(cause));
-        }
+        let timeout = wait + WATCH_TIMEOUT_MARGIN;
+        let (changes, era): (Changes, u64) = self.get(kind, &path, timeout).await?;
         let mut batch = Batch {
             items: Vec::new(),
             unreadable: 0,
             store_revision: changes.at,
+            era,
         };
         decode_into(&mut batch, changes.events);
         Ok(batch)
     }
 
+    /// Returns the decoded body of the answer and the era that it tells.
     async fn get<T: for<'a> Deserialize<'a>>(
         &self,
         kind: &str,
         path: &str,
         timeout: Duration,
-    ) -> Result<T, Error> {
+    ) -> Result<(T, u64), Error> {
         let unavailable = |cause: String| Error::Unavailable(cause);
         let request = Request::get(path)
             .header(hyper::header::HOST, &*self.address)
@@ -198,10 +218,21 @@
             StatusCode::GONE => return Err(Error::HistoryGone),
             status => return Err(unavailable(status.to_string())),
         }
-        serde_json::from_slice(&body).map_err(|err| unavailable(err.to_string()))
+        let era = decode_era(&head.headers)?;
+        let body = serde_json::from_slice(&body).map_err(|err| unavailable(err.to_string()))?;
+        Ok((body, era))
     }
 }
 
+/// Decodes the era of an answer; 0 if the store does not tell it.
+fn decode_era(headers: &HeaderMap) -> Result<u64, Error> {
+    let Some(era) = headers.get(ERA_HEADER) else {
+        return Ok(0);
+    };
+    let decoded = era.to_str().ok().and_then(|era| era.parse().ok());
+    decoded.ok_or_else(|| Error::Unavailable(format!("malformed era {era:?}")))
+}
+
 fn decode_into<T: for<'a> Deserialize<'a>>(batch: &mut Batch<T>, entries: Vec<Value>) {
     for entry in entries {
         match serde_json::from_value(entry) {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -68,6 +68,7 @@
     decisions: Family<Decision, Counter>,
     durations: Family<Step, Histogram, fn() -> Histogram>,
     revision_version: Gauge,
+    store_era: Gauge,
     engines: Gauge,
     hosts: Gauge,
     watches_store: Gauge,
@@ -100,6 +101,9 @@
         let revision_version = Gauge::default();
         let text = "Version of the configuration in force";
         registry.register("revision_version", text, revision_version.clone());
+        let store_era = Gauge::default();
+        let text = "Number of times that the store came back from an older copy";
+        registry.register("store_era", text, store_era.clone());
         let engines = Gauge::default();
         registry.register("engines", "Registered engines", engines.clone());
         let hosts = Gauge::default();
@@ -119,6 +123,7 @@
             decisions,
             durations,
             revision_version,
+            store_era,
             engines,
             hosts,
             watches_store,
@@ -180,6 +185,11 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the era of the store.
+    pub fn set_store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of registered engines.
     pub fn set_engines(&self, engines: usize) {
         self.engines.set(i64::try_from(engines).unwrap_or(i64::MAX));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::io::{BufReader, Write};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 use bilberrypost::gateway::call::{Attempt, Outcome};
+use bilberrypost::gateway::position::Position;
 use bilberrypost::gateway::protocol::{Change, Directory, Protocol};
 use bilberrypost::platform::Platform;
 use bilberrypost::platform::store::Store as Client;
@@ -14,7 +17,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use support::block_on;
-use support::platform::{Store, config};
+use support::platform::{Message, Store, config, registration};
 
 fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
     let pairs = pairs.iter().map(|(name, value)| {
@@ -270,10 +273,43 @@
     assert_eq!(listing.unreadable, changes.len() + 1);
     assert!(listing.items[0].is_draining);
     assert_eq!(listing.items[0].started_ms, 7);
-    let seen = block_on(client.watch_engines(0, Duration::ZERO)).unwrap();
+    let seen = block_on(client.watch_engines(Position::default(), Duration::ZERO)).unwrap();
     let gone = seen
         .items
         .iter()
         .filter(|change| matches!(change, Change::Removed(_)));
     assert_eq!(gone.count(), changes.len() + 1);
 }
+
+/// Guards against a list that joins entries of two histories of the store.
+#[test]
+fn a_list_is_begun_again_if_the_era_changes() {
+    let pages = [("a", true, 9, 4), ("b", false, 3, 5), ("c", false, 7, 5)];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = Client::new(&listener.local_addr().unwrap().to_string());
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        for (id, has_more, at, era) in pages {
+            Message::read(&mut reader).unwrap();
+            let spec = registration("10.0.0.1:80", "app", "fd-a");
+            let entry = json!({"metadata": {"name": id}, "spec": spec});
+            let page = json!({"entries": [entry], "has-more": has_more, "at": at}).to_string();
+            let length = page.len();
+            let head = format!("HTTP/1.1 200 x\r\nstore-era: {era}\r\ncontent-length: {length}");
+            stream
+                .write_all(format!("{head}\r\n\r\n{page}").as_bytes())
+                .unwrap();
+        }
+    });
+    let listing = block_on(client.list_engines()).unwrap();
+    let ids = listing.items.iter().map(|entry| entry.id.as_str());
+    assert_eq!(ids.collect::<Vec<_>>(), ["c"]);
+    assert_eq!(
+        listing.position,
+        Position {
+            era: 5,
+            revision: 7
+        }
+    );
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -115,12 +115,20 @@
     Stale,
 }
 
-#[derive(Debug, Default)]
-struct Objects {
-    mode: Mode,
+/// Copy of all that a store held at a revision.
+#[derive(Clone, Debug, Default)]
+pub struct Copy {
     revision: u64,
     // Objects by kind and name, with the revision of their last change; `None` if removed.
     objects: BTreeMap<(String, String), (u64, Option<Value>)>,
+}
+
+#[derive(Debug, Default)]
+struct Objects {
+    mode: Mode,
+    current: Copy,
+    // Number of times that the store came back from an older copy.
+    era: u64,
     // The previous value of each object that was changed.
     previous: BTreeMap<(String, String), Value>,
     calls: u64,
@@ -173,6 +181,19 @@
         self.objects.1.notify_all();
     }
 
+    /// Returns a copy of all that the store holds.
+    pub fn copy(&self) -> Copy {
+        self.objects.0.lock().unwrap().current.clone()
+    }
+
+    /// Comes back from an older copy: later writes are gone, and their revisions are given out again.
+    /// Waiting watches stay open and are not told.
+    pub fn restore(&self, copy: &Copy) {
+        let mut objects = self.objects.0.lock().unwrap();
+        objects.current = copy.clone();
+        objects.era += 1;
+    }
+
     /// Returns the number of calls that the store received.
     pub fn calls(&self) -> u64 {
         self.objects.0.lock().unwrap().calls
@@ -180,10 +201,13 @@
 
     fn change(&self, kind: &str, name: &str, spec: Option<Value>) {
         let mut objects = self.objects.0.lock().unwrap();
-        objects.revision += 1;
-        let revision = objects.revision;
+        objects.current.revision += 1;
+        let revision = objects.current.revision;
         let key = (kind.to_owned(), name.to_owned());
-        let old = objects.objects.insert(key.clone(), (revision, spec));
+        let old = objects
+            .current
+            .objects
+            .insert(key.clone(), (revision, spec));
         if let Some((_, Some(old))) = old {
             objects.previous.insert(key, old);
         }
@@ -195,10 +219,11 @@
         let mut stream = stream;
         while let Some(request) = Message::read(&mut reader) {
             let path = request.first_line.split(' ').nth(1).unwrap().to_owned();
-            let (status, body) = self.respond(&path);
+            let (status, body, era) = self.respond(&path);
             let body = body.to_string();
             let head = format!(
-                "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\nstore-era: {era}\r\n\
+                 content-length: {}\r\n\r\n",
                 body.len()
             );
             if stream.write_all((head + &body).as_bytes()).is_err() {
@@ -207,8 +232,8 @@
         }
     }
 
-    /// Returns the status and body of the response to a list or watch.
-    fn respond(&self, path: &str) -> (u16, Value) {
+    /// Returns the status and body of the response to a list or watch, and its era.
+    fn respond(&self, path: &str) -> (u16, Value, u64) {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let kind = path.strip_prefix("/bilberrypost/objects/").unwrap();
         let query: BTreeMap<_, _> = query
@@ -218,7 +243,7 @@
         let mut objects = self.objects.0.lock().unwrap();
         objects.calls += 1;
         if objects.mode == Mode::Unavailable {
-            return (503, json!({}));
+            return (503, json!({}), objects.era);
         }
         let Some(from) = query.get("watch-revision") else {
             // Small, so that tests cover lists of several pages.
@@ -238,23 +263,26 @@
             let has_more = entries.len() > PAGE_SIZE;
             entries.truncate(PAGE_SIZE);
             let entries: Vec<_> = entries.iter().map(object_json).collect();
-            return (
-                200,
-                json!({"entries": entries, "has-more": has_more, "at": objects.revision}),
-            );
+            let at = objects.current.revision;
+            let page = json!({"entries": entries, "has-more": has_more, "at": at});
+            return (200, page, objects.era);
         };
         let from: u64 = from.parse().unwrap();
         let wait = Duration::from_millis(query["wait-ms"].parse().unwrap());
         let deadline = Instant::now() + wait;
+        if from > objects.current.revision {
+            return (410, json!({}), objects.era);
+        }
         loop {
             if objects.mode == Mode::HistoryGone {
                 objects.mode = Mode::Normal;
-                return (410, json!({}));
+                return (410, json!({}), objects.era);
             }
             if objects.mode == Mode::Stale {
+                let era = objects.era;
                 drop(objects);
                 std::thread::sleep(Duration::from_millis(50));
-                return (410, json!({}));
+                return (410, json!({}), era);
             }
             let changed = objects.of_kind(kind, from);
             let remaining = deadline.saturating_duration_since(Instant::now());
@@ -265,7 +293,8 @@
                         |entry| json!({"removed": entry.2.is_none(), "object": object_json(entry)}),
                     )
                     .collect();
-                return (200, json!({"events": events, "at": objects.revision}));
+                let at = objects.current.revision;
+                return (200, json!({"events": events, "at": at}), objects.era);
             }
             objects = self.objects.1.wait_timeout(objects, remaining).unwrap().0;
         }
@@ -282,7 +311,7 @@
 impl Objects {
     /// Returns the objects of a kind that changed after revision `from`.
     fn of_kind(&self, kind: &str, from: u64) -> Vec<Entry> {
-        let entries = self.objects.iter();
+        let entries = self.current.objects.iter();
         entries
             .filter(|((of, _), (revision, _))| of == kind && *revision > from)
             .map(|((_, name), (revision, spec))| (name.clone(), *revision, spec.clone()))
