List the configuration again after a failed call to the store

Callers got 404 for routes that an acknowledged version had added, up to the next change, after the store had come back from an older copy.

Cause: the watch of the configuration kept its revision over the loss of the store and cleared it on status 410 alone. Once the engines had registered again, the store had passed that revision in its new history, so no 410 came, and a change stored at or below it was never reported. Evidence: all hosts watched from revision 43 of era 1, version 12 was stored up to revision 43 of era 2, and the watch ended without a change. Ruled out: a change that the store left out, and one that was refused as older.

After any failure the configuration is listed, and a position counts with its era: an answer of a later era than the watch makes the host list again, one that is older than what the host knows is not applied. A version still only replaces an older one.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,7 +54,7 @@
 use documents::Documents;
 use follow::Role;
 use position::Position;
-use protocol::{Directory, Protocol};
+use protocol::{Directory, Protocol, Unavailable};
 
 /// Time after the request to stop in which the load balancer still sends new connections to this
 /// host. The listener for callers stays open that long.
@@ -293,9 +293,8 @@
             .set(self.revision_confirmed_at.get().max(at));
     }
 
-    /// Records the position that an answer of the store told. `name` is the kind of the call, for the
-    /// log line if the store came back from an older copy.
-    pub fn record_position(&self, name: &str, position: Position) {
+    /// Records the position that an answer of the store told. `name` is the kind of the call, for the log.
+    fn record_position(&self, name: &str, position: Position) {
         let known = self.store_position.get();
         self.store_position.set(known.max(Some(position)));
         let Some(known) = known.filter(|known| known.era != position.era) else {
@@ -307,6 +306,31 @@
         );
     }
 
+    /// Checks the answer of the store to a watch from `since`, or to a listing without `since`. `name`
+    /// is the kind of the call, `known` the last position of that kind.
+    ///
+    /// # Errors
+    /// [`Unavailable::HistoryGone`] if the answer is of a later era than `since`, and
+    /// [`Unavailable::NoAnswer`] if it is older than what this host knows.
+    pub fn check_position(
+        &self,
+        name: &str,
+        since: Option<Position>,
+        known: Position,
+        answer: Position,
+    ) -> Result<(), Unavailable> {
+        self.record_position(name, answer);
+        let era = self.store_position.get().map_or(0, |latest| latest.era);
+        if answer < known.max(Position { era, revision: 0 }) {
+            let cause = "the answer is older than what this host knows".to_owned();
+            return Err(Unavailable::NoAnswer(cause));
+        }
+        match since.is_some_and(|since| since.era < answer.era) {
+            true => Err(Unavailable::HistoryGone),
+            false => Ok(()),
+        }
+    }
+
     /// Returns the revision of the store up to which the changes of engines are known, 0 if none is.
     pub fn engines_revision(&self) -> u64 {
         self.engines_revision.get()
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -9,6 +9,7 @@
 use super::position::Position;
 use super::protocol::{Change, Directory, Listing, Unavailable};
 use crate::clock::Clock;
+use crate::config::routes::Revision;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -118,27 +119,22 @@
 ) {
     let mut dependency = Dependency::new("configuration");
     let mut since = None;
+    let mut known = Position::default();
     while !stop.is_set() {
         if !gateway.role.is_watching() {
             since = None;
             within(ROLE_CHECK_INTERVAL, stop.wait()).await;
             continue;
         }
-        let result = match since {
-            None => directory.read_revision().await,
-            Some(since) => {
-                let watch = directory.watch_revision(since, watch_wait(&gateway));
-                watch.await.and_then(|answer| check_order(since, answer))
-            }
-        };
-        count_call(&gateway, "configuration_call", result.as_ref().err());
+        let result = call_revisions(&gateway, &directory, since, known).await;
+        count_call(&gateway, "configuration_call", &result);
         match result {
             Ok(listing) => {
                 dependency.record_success(&gateway, listing.position);
                 gateway.confirm_revision(Duration::ZERO);
                 warn_unreadable("configuration", listing.unreadable);
-                gateway.record_position("configuration", listing.position);
-                since = Some(listing.position);
+                known = listing.position;
+                since = Some(known);
                 for revision in listing.items {
                     gateway.set_revision(revision, "store");
                 }
@@ -146,20 +142,36 @@
             Err(Unavailable::HistoryGone) => since = None,
             Err(err) => {
                 dependency.record_failure(&gateway, &err);
+                // The store may have come back from an older copy, in which changes after `since` are
+                // not the ones that follow.
+                since = None;
                 dependency.pause(&gateway, &stop).await;
             }
         }
     }
 }
 
+async fn call_revisions<C: Clock, D: Directory>(
+    gateway: &Gateway<C>,
+    directory: &D,
+    since: Option<Position>,
+    known: Position,
+) -> Result<Listing<Revision>, Unavailable> {
+    let listing = match since {
+        None => directory.read_revision().await?,
+        Some(since) => directory.watch_revision(since, watch_wait(gateway)).await?,
+    };
+    gateway.check_position("configuration", since, known, listing.position)?;
+    Ok(listing)
+}
+
 /// Reads the configuration once; returns whether the store answered.
 pub async fn read_revision<C: Clock, D: Directory>(gateway: &Gateway<C>, directory: &D) -> bool {
-    let result = directory.read_revision().await;
-    count_call(gateway, "configuration_read", result.as_ref().err());
+    let result = call_revisions(gateway, directory, None, Position::default()).await;
+    count_call(gateway, "configuration_read", &result);
     let Ok(listing) = result else {
         return false;
     };
-    gateway.record_position("configuration", listing.position);
     for revision in listing.items {
         gateway.set_revision(revision, "store");
     }
@@ -182,7 +194,7 @@
             None => list_engines(&gateway, &directory, was_lost).await,
             Some(since) => watch_engines(&gateway, &directory, since).await,
         };
-        count_call(&gateway, "engines_call", result.as_ref().err());
+        count_call(&gateway, "engines_call", &result);
         match result {
             Ok(next) => {
                 dependency.record_success(&gateway, next);
@@ -267,11 +279,15 @@
 }
 
 /// Counts a call to the directory and its outcome in the metrics.
-fn count_call<C: Clock>(gateway: &Gateway<C>, call: &'static str, err: Option<&Unavailable>) {
-    let outcome = match err {
-        None => "answered",
-        Some(Unavailable::HistoryGone) => "history-gone",
-        Some(Unavailable::NoAnswer(_)) => "no-answer",
+fn count_call<C: Clock, T>(
+    gateway: &Gateway<C>,
+    call: &'static str,
+    result: &Result<T, Unavailable>,
+) {
+    let outcome = match result {
+        Ok(_) => "answered",
+        Err(Unavailable::HistoryGone) => "history-gone",
+        Err(Unavailable::NoAnswer(_)) => "no-answer",
     };
     gateway.metrics.count_decision(call, outcome);
 }
