--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod pacing;
 pub mod peers;
 pub mod plain;
+pub mod position;
 pub mod protocol;
 pub mod reach;
 pub mod ready;
@@ -53,7 +54,8 @@
 use crate::util::within;
 use documents::Documents;
 use follow::Role;
-use protocol::{Directory, Protocol};
+use position::Position;
+use protocol::{Directory, Protocol, Unavailable};
 
 /// Time after the request to stop in which the load balancer still sends new connections to this
 /// host. The listener for callers stays open that long.
@@ -144,6 +146,8 @@
     // When the revision in force was last known to be the newest one.
     revision_confirmed_at: Cell<Option<Instant>>,
     started_at: Instant,
+    // The latest position in the store's history that an answer told, `None` before the first one.
+    store_position: Cell<Option<Position>>,
     // Whether the engines were read at least once.
     has_engine_list: Cell<bool>,
     // Number of kinds of calls to the store whose last call failed.
@@ -186,6 +190,7 @@
             documents: RefCell::default(),
             revision_confirmed_at: Cell::default(),
             started_at: clock.now(),
+            store_position: Cell::default(),
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
             engines_revision: Cell::default(),
@@ -289,6 +294,44 @@
             .set(self.revision_confirmed_at.get().max(at));
     }
 
+    /// Records the position that an answer of the store told. `name` is the kind of the call, for the log.
+    fn record_position(&self, name: &str, position: Position) {
+        let known = self.store_position.get();
+        self.store_position.set(known.max(Some(position)));
+        let Some(known) = known.filter(|known| known.era != position.era) else {
+            return;
+        };
+        info!(
+            "event=store_era name={name} era={} revision={} known_era={} known_revision={}",
+            position.era, position.revision, known.era, known.revision
+        );
+    }
+
+    /// Checks the answer of the store to a watch from `since`, or to a listing without `since`. `name`
+    /// is the kind of the call, `known` the last position of that kind.
+    ///
+    /// # Errors
+    /// [`Unavailable::HistoryGone`] if the answer is of a later era than `since`, and
+    /// [`Unavailable::NoAnswer`] if it is older than what this host knows.
+    pub fn check_position(
+        &self,
+        name: &str,
+        since: Option<Position>,
+        known: Position,
+        answer: Position,
+    ) -> Result<(), Unavailable> {
+        self.record_position(name, answer);
+        let era = self.store_position.get().map_or(0, |latest| latest.era);
+        if answer < known.max(Position { era, revision: 0 }) {
+            let cause = "the answer is older than what this host knows".to_owned();
+            return Err(Unavailable::NoAnswer(cause));
+        }
+        match since.is_some_and(|since| since.era < answer.era) {
+            true => Err(Unavailable::HistoryGone),
+            false => Ok(()),
+        }
+    }
+
     /// Returns the revision of the store up to which the changes of engines are known, 0 if none is.
     pub fn engines_revision(&self) -> u64 {
         self.engines_revision.get()
@@ -363,6 +406,8 @@
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn metrics_text(&self) -> String {
         self.metrics.set_watching(self.role.is_watching());
+        let position = self.store_position.get().unwrap_or_default();
+        self.metrics.set_store_era(position.era);
         self.metrics
             .set_ages(self.configuration_age(), self.engines_age());
         self.metrics.text()
