Send nothing to an engine that says it leaves

An engine that leaves says so in all its answers, while the store may list it as available. The gateway did not read that and went on to send requests, retries, resumed streams and replicas there.

Cause: whether an engine takes requests came from its registration alone.

The decoded answer now has `is_leaving`. The registry remembers the incarnation (id and start time) apart from the entries, so that a listing, a changed or returning entry, a list from another host or an outage of the store does not undo it, and another start time under the id, or another id at the address, is used. One place decides whether an engine accepts requests, for requests, replicas and resumed streams. A request that waits for its connection meanwhile is not sent (`fault=declined`) and goes to another engine. Running streams continue. A 421 comes from another engine and says nothing about this one. Other hosts are not told: each hears it with its first answer, and what one host heard must not be taken for the word of the store.

Ruled out by reading: checks of silent engines and comparisons open connections and send no request, so they stay.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use super::front::AdmittedRequest;
 use super::protocol::Protocol;
 use super::reach::{self, Unreached};
-use super::{Gateway, check};
+use super::{Gateway, check, notice};
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
 use crate::route::load::Footprint;
@@ -98,6 +98,8 @@
     Unsent,
     /// The engine runs, but accepted no connection, so no byte reached it.
     Busy,
+    /// The engine said meanwhile that it takes no further request, so no byte was sent.
+    Declined,
     /// This host reached neither the engine nor anything else, so no byte was sent.
     NoContact,
     /// The engine reports that it did not run the request.
@@ -117,7 +119,12 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Unsent | Self::Busy | Self::NoContact | Self::NotRun | Self::OtherEngine
+            Self::Unsent
+                | Self::Busy
+                | Self::Declined
+                | Self::NoContact
+                | Self::NotRun
+                | Self::OtherEngine
         )
     }
 
@@ -126,6 +133,7 @@
         match self {
             Self::Unsent => "unsent",
             Self::Busy => "busy",
+            Self::Declined => "declined",
             Self::NoContact => "no-contact",
             Self::NotRun => "not-run",
             Self::OtherEngine => "other-engine",
@@ -173,7 +181,7 @@
         Err(Fault::Silent) => registry.set_suspect(engine),
         Err(Fault::OtherEngine) => registry.set_replaced(engine),
         Err(Fault::Lost | Fault::Busy) => registry.set_failed(engine),
-        Err(Fault::NotRun | Fault::NoContact | Fault::EngineLost) => {}
+        Err(Fault::Declined | Fault::NotRun | Fault::NoContact | Fault::EngineLost) => {}
     }
     drop(registry);
     check::start_if_due(gateway, engine);
@@ -268,6 +276,9 @@
         .registry
         .borrow_mut()
         .set_connected(placement.engine);
+    if gateway.registry.borrow().is_leaving(placement.engine) {
+        return Err(Fault::Declined);
+    }
     let request = {
         let now = gateway.clock.now();
         let left = admitted.deadline.saturating_duration_since(now);
@@ -290,7 +301,9 @@
     };
     gateway.registry.borrow_mut().set_heard(placement.engine);
     let exchange = Exchange::new(response, connection);
-    match P::decode_response(&exchange.head, &admitted.call.id) {
+    let answer = P::decode_response(&exchange.head, &admitted.call.id);
+    notice::record(gateway, placement.engine, &answer);
+    match answer.outcome {
         Outcome::Success => Ok(OpenResponse {
             exchange,
             is_success: true,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -72,7 +72,7 @@
     /// Records an attempt without a usable response. The next attempt chooses another engine.
     pub fn record_fault(&mut self, engine: Engine, fault: Fault) {
         self.excluded.push(engine);
-        if matches!(fault, Fault::Unsent | Fault::Busy) {
+        if matches!(fault, Fault::Unsent | Fault::Busy | Fault::Declined) {
             self.unsent += 1;
             return;
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -107,6 +107,15 @@
     pub last_event: Option<u64>,
 }
 
+/// What the head of an engine's response says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// What it says about the request.
+    pub outcome: Outcome,
+    /// Whether the engine says that it leaves, and so takes no further request.
+    pub is_leaving: bool,
+}
+
 /// What the head of an engine's response says about the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod followed;
 pub mod front;
 pub mod lateness;
+pub mod notice;
 pub mod pacing;
 pub mod peers;
 pub mod plain;
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -6,7 +6,7 @@
 use hyper::Response;
 use hyper::header::HeaderMap;
 
-use super::call::{Attempt, Call, InvalidHead, Outcome};
+use super::call::{Answer, Attempt, Call, InvalidHead};
 use crate::config::routes::Revision;
 use crate::route::registry::Registration;
 
@@ -27,8 +27,8 @@
     /// Adds the headers that are specific to one attempt.
     fn add_attempt_headers(headers: &mut HeaderMap, attempt: &Attempt<'_>);
 
-    /// Decodes what the head of an engine's response says about the request `id`.
-    fn decode_response(head: &Response<()>, id: &str) -> Outcome;
+    /// Decodes the head of an engine's response to the request `id`.
+    fn decode_response(head: &Response<()>, id: &str) -> Answer;
 
     /// Adds the protocol's headers to a response that the gateway itself gives to the request `id`.
     fn add_gateway_headers(headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,7 +6,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 
-use crate::gateway::call::{Attempt, Call, InvalidHead, Outcome, PromptPart, TokenCount};
+use crate::gateway::call::{Answer, Attempt, Call, InvalidHead, Outcome, PromptPart, TokenCount};
 
 /// Id of the request. A caller sends each retry with a new id, so the platform calls it an attempt
 /// id.
@@ -20,6 +20,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("x-bilberrypost-not-executed");
 /// Present on a successful response that the engine itself produced.
 const SEAL: HeaderName = HeaderName::from_static("x-bilberrypost-response-seal");
+/// `1` in each response of an engine that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// `PROMPT,OUTPUT_MAX` in tokens.
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-bilberrypost-token-count");
 /// `ID:TOKENS` of each part of the prompt, separated by commas.
@@ -184,8 +186,15 @@
     }
 }
 
-/// Decodes what the head of an engine's response says about the request `id`.
-pub(super) fn decode_response(head: &Response<()>, id: &str) -> Outcome {
+/// Decodes the head of an engine's response to the request `id`.
+pub(super) fn decode_response(head: &Response<()>, id: &str) -> Answer {
+    Answer {
+        outcome: decode_outcome(head, id),
+        is_leaving: header_text(head.headers(), &LEAVING).is_some_and(|text| text.trim() == "1"),
+    }
+}
+
+fn decode_outcome(head: &Response<()>, id: &str) -> Outcome {
     let headers = head.headers();
     let status = head.status();
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,7 +13,7 @@
 use hyper::header::HeaderMap;
 
 use crate::config::routes::Revision;
-use crate::gateway::call::{Attempt, Call, InvalidHead, Outcome};
+use crate::gateway::call::{Answer, Attempt, Call, InvalidHead};
 use crate::gateway::protocol::{self, Change, Listing, Protocol, Unavailable};
 use crate::route::registry::Registration;
 
@@ -39,7 +39,7 @@
         headers::add_attempt_headers(headers, attempt);
     }
 
-    fn decode_response(head: &Response<()>, id: &str) -> Outcome {
+    fn decode_response(head: &Response<()>, id: &str) -> Answer {
         headers::decode_response(head, id)
     }
 
--- a/src/route/registry/choice.rs
+++ b/src/route/registry/choice.rs
@@ -107,9 +107,7 @@
         registered.filter(move |(key, state)| {
             let registration = &state.registration;
             registration.service == need.service
-                && !registration.is_draining
-                && !state.is_lost(now)
-                && state.expires_at.is_none_or(|at| at > now)
+                && self.accepts_requests(state, now)
                 && !need.excluded.contains(key)
         })
     }
@@ -149,8 +147,12 @@
         let Some(state) = self.engines.get(engine) else {
             return false;
         };
-        self.by_id.get(&state.registration.id) == Some(&engine)
-            && !state.registration.is_draining
+        self.by_id.get(&state.registration.id) == Some(&engine) && self.accepts_requests(state, now)
+    }
+
+    fn accepts_requests(&self, state: &State, now: Instant) -> bool {
+        !state.registration.is_draining
+            && !self.leaving.contains(state.incarnation)
             && !state.is_lost(now)
             && state.expires_at.is_none_or(|at| at > now)
     }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -21,9 +21,11 @@
 
 mod choice;
 mod health;
+mod leaving;
 mod usage;
 
 pub use choice::Need;
+use leaving::Leaving;
 
 /// Time after an outage of the store for which entries that it no longer lists stay in use. Entries
 /// that lapsed during the outage are renewed in this time.
@@ -60,11 +62,29 @@
     pub started_ms: u64,
 }
 
+/// One start of an engine. Stays the same when its entry is removed and comes back.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Incarnation {
+    id_hash: u64,
+    started_ms: u64,
+}
+
+impl Incarnation {
+    fn of(registration: &Registration) -> Self {
+        Self {
+            id_hash: hash64(&[registration.id.as_bytes()]),
+            started_ms: registration.started_ms,
+        }
+    }
+}
+
 /// State of one engine, as this host knows it.
 #[derive(Clone, Debug)]
 pub struct State {
     /// The engine's registration.
     pub registration: Registration,
+    // Invariant: that of the registration.
+    incarnation: Incarnation,
     /// Load that this host causes.
     pub own_load: Load,
     // Load that the other hosts cause, by their last reports.
@@ -113,6 +133,7 @@
     // Recently lost engines, with their failure domains.
     domain_losses: Vec<(Instant, Engine, CompactString)>,
     losses: Losses,
+    leaving: Leaving,
     // Invariant: the `peer_load` of each engine in `by_hash` is the sum of its usages in these
     // reports.
     reports: Reports,
@@ -133,6 +154,7 @@
             confirmed_at: None,
             domain_losses: Vec::new(),
             losses: Losses::default(),
+            leaving: Leaving::default(),
             reports: Reports::default(),
             own_load_version: 0,
         }
@@ -198,6 +220,7 @@
         let key = self.engines.insert(State {
             tie_break: hash64(&[self.host.as_bytes(), id.as_bytes()]),
             peer_load: self.reports.load(EngineHash::of(&id)),
+            incarnation: Incarnation::of(&registration),
             registration,
             own_load: Load::default(),
             expires_at: None,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -137,13 +137,33 @@
         *head.status_mut() = status.try_into().unwrap();
         *head.headers_mut() = headers(pairs);
         assert_eq!(
-            Platform::decode_response(&head, "r1"),
+            Platform::decode_response(&head, "r1").outcome,
             expected,
             "{status} {pairs:?}"
         );
     }
 }
 
+/// Guards against an answer whose word that the engine leaves is overlooked or made up.
+#[test]
+fn answers_of_leaving_engines_are_recognized() {
+    for (status, value, expected) in [
+        (200, Some("1"), true),
+        (500, Some(" 1 "), true),
+        (503, Some("1"), true),
+        (200, Some("0"), false),
+        (200, Some(""), false),
+        (200, None, false),
+    ] {
+        let mut head = Response::new(());
+        *head.status_mut() = status.try_into().unwrap();
+        let pairs = value.map(|value| ("server-leaving", value));
+        *head.headers_mut() = headers(pairs.as_slice());
+        let answer = Platform::decode_response(&head, "r1");
+        assert_eq!(answer.is_leaving, expected, "{status} {value:?}");
+    }
+}
+
 /// Guards against panics on malformed heads, with 20,000 random ones.
 #[test]
 fn random_heads_are_decoded_or_refused() {
