Leave an engine alone for the time that it asks for

An engine that turns a request away with 503 may add `Retry-After`, and wants nothing from that host for so long. The gateway did not read that: the engine stayed the first choice where its load was low, and got retries, resumed streams and replicas. The refusals of the gateway named 0.3 s, however long all engines of the service were to be left alone.

Cause: a rejected request changed nothing about the engine, only about the request.

The decoded answer now has `retry_after`, read from any 503, also from one that is not trusted as an answer to the request. The registry holds the incarnation until the latest end that it named; choice, replicas, resumed streams and the look before a request is sent heed it. After it the engine is tried with one request at a time while others take the rest, until it answers without asking again. A time that is no positive number of seconds is ignored, and one above an hour is cut to it. If all engines of a service are held, a request that none may have run is refused at once, with the time until the first hold ends and up to a quarter more, drawn at random; `Retry-After` is rounded up to hundredths, as a rounding down sent callers up to 5 ms too early. The gateway logs engine_held and engine_released and counts both.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -98,7 +98,7 @@
     Unsent,
     /// The engine runs, but accepted no connection, so no byte reached it.
     Busy,
-    /// The engine said meanwhile that it takes no further request, so no byte was sent.
+    /// The engine asked meanwhile for no further request, so no byte was sent.
     Declined,
     /// This host reached neither the engine nor anything else, so no byte was sent.
     NoContact,
@@ -276,7 +276,7 @@
         .registry
         .borrow_mut()
         .set_connected(placement.engine);
-    if gateway.registry.borrow().is_leaving(placement.engine) {
+    if gateway.registry.borrow().is_declining(placement.engine) {
         return Err(Fault::Declined);
     }
     let request = {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -6,13 +6,18 @@
 
 use super::Gateway;
 use super::attempt::Fault;
+use super::front::{RETRY_AFTER_SHORT, Refusal};
 use crate::clock::Clock;
+use crate::http::problem::Reason;
 use crate::route::registry::Engine;
 
 /// Attempts that reached no engine after which a request is refused. They cost the engines nothing,
 /// but a host that reaches none must not hold the request.
 const UNSENT_ATTEMPTS_MAX: u32 = 24;
 
+/// Part of the time for which all engines are held over which `Retry-After` is spread.
+const HELD_SPREAD: f64 = 0.25;
+
 /// The attempts of one request so far.
 ///
 /// The first attempt that reaches an engine is free, each later one is a retry. The retry is taken
@@ -97,6 +102,16 @@
         self.rejected >= rejected_max || self.unsent >= UNSENT_ATTEMPTS_MAX
     }
 
+    /// Returns the refusal of a request that no engine takes. `Retry-After` is not before an engine
+    /// takes requests again, as far as is known, and differs so that callers do not come at once.
+    pub fn no_engine(&self) -> Refusal {
+        let held_for = self.gateway.registry.borrow().held_for(&self.service);
+        let spread = held_for.mul_f64(rand::random_range(0.0..HELD_SPREAD));
+        let retry_after = RETRY_AFTER_SHORT.max(held_for) + spread;
+        let detail = "no engine takes the request at present; retry";
+        Refusal::not_run(Reason::NoEngine, detail, retry_after)
+    }
+
     /// Returns the number of attempts that certainly did not run.
     pub fn not_run(&self) -> u32 {
         self.earlier_not_run + self.rejected + self.unsent
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -114,6 +114,8 @@
     pub outcome: Outcome,
     /// Whether the engine says that it leaves, and so takes no further request.
     pub is_leaving: bool,
+    /// Time for which the engine wants no further request of this host, if it asks to be left alone.
+    pub retry_after: Option<Duration>,
 }
 
 /// What the head of an engine's response says about the request.
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -13,7 +13,7 @@
 use super::Gateway;
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
-use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
+use super::front::{AdmittedRequest, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
@@ -210,12 +210,7 @@
         let detail = "the engine's answer was lost; check the effect before sending again";
         return Err(Refusal::unknown(Reason::AnswerLost, detail));
     }
-    let detail = "no engine takes the request at present; retry";
-    Err(Refusal::not_run(
-        Reason::NoEngine,
-        detail,
-        RETRY_AFTER_SHORT,
-    ))
+    Err(attempts.no_engine())
 }
 
 fn timed_out() -> Refusal {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,7 +14,7 @@
 
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
-use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
+use super::front::{AdmittedRequest, Refusal};
 use super::protocol::Protocol;
 use super::{Gateway, check, crash, reach};
 use crate::clock::Clock;
@@ -370,8 +370,7 @@
         if self.attempts.possible_runs > 0 {
             return answer_lost();
         }
-        let detail = "no engine takes the request at present; retry";
-        Refusal::not_run(Reason::NoEngine, detail, RETRY_AFTER_SHORT)
+        self.attempts.no_engine()
     }
 
     /// Forwards the response of an engine that reports failure.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -191,9 +191,22 @@
     Answer {
         outcome: decode_outcome(head, id),
         is_leaving: header_text(head.headers(), &LEAVING).is_some_and(|text| text.trim() == "1"),
+        retry_after: decode_retry_after(head),
     }
 }
 
+/// Returns the `Retry-After` of a response with status 503. One that is not a number of seconds, such
+/// as a date, is ignored.
+fn decode_retry_after(head: &Response<()>) -> Option<Duration> {
+    if head.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds = header_text(head.headers(), &hyper::header::RETRY_AFTER)?;
+    let seconds: f64 = seconds.trim().parse().ok()?;
+    let is_valid = seconds > 0.0;
+    is_valid.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 fn decode_outcome(head: &Response<()>, id: &str) -> Outcome {
     let headers = head.headers();
     let status = head.status();
@@ -218,7 +231,8 @@
     }
 }
 
-/// Adds the id of the request and `Retry-After` to a response that the gateway itself gives.
+/// Adds the id of the request and `Retry-After`, rounded up, to a response that the gateway itself
+/// gives.
 pub(super) fn add_gateway_headers(
     headers: &mut HeaderMap,
     id: &str,
@@ -226,7 +240,8 @@
 ) {
     set_header(headers, REQUEST_ID, id);
     if let Some(after) = retry_after {
-        let seconds = format!("{:.2}", after.as_secs_f64());
+        let hundredths = after.as_micros().div_ceil(10_000);
+        let seconds = format!("{}.{:02}", hundredths / 100, hundredths % 100);
         set_header(headers, hyper::header::RETRY_AFTER, &seconds);
     }
 }
--- a/src/route/registry/choice.rs
+++ b/src/route/registry/choice.rs
@@ -119,6 +119,7 @@
             || is_ahead(state.doubted_until)
             || state.needs_check
             || state.lost.is_set()
+            || self.holds.is_on_trial(state.incarnation, now)
             || self.is_probably_replaced(state)
     }
 
@@ -153,6 +154,7 @@
     fn accepts_requests(&self, state: &State, now: Instant) -> bool {
         !state.registration.is_draining
             && !self.leaving.contains(state.incarnation)
+            && self.holds.left(state.incarnation, now).is_zero()
             && !state.is_lost(now)
             && state.expires_at.is_none_or(|at| at > now)
     }
--- a/src/route/registry/leaving.rs
+++ b/src/route/registry/leaving.rs
@@ -47,18 +47,9 @@
         let now = self.clock.now();
         let is_new = self.leaving.insert(state.incarnation, now);
         if is_new {
-            let registered = self
-                .by_id
-                .values()
-                .map(|key| self.engines[*key].incarnation);
-            self.leaving.expire(&registered.collect(), now);
+            let registered = self.incarnations();
+            self.leaving.expire(&registered, now);
         }
         is_new
     }
-
-    /// Returns whether an engine said that it leaves.
-    pub fn is_leaving(&self, engine: Engine) -> bool {
-        let state = self.engines.get(engine);
-        state.is_some_and(|state| self.leaving.contains(state.incarnation))
-    }
 }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -21,10 +21,12 @@
 
 mod choice;
 mod health;
+mod hold;
 mod leaving;
 mod usage;
 
 pub use choice::Need;
+use hold::Holds;
 use leaving::Leaving;
 
 /// Time after an outage of the store for which entries that it no longer lists stay in use. Entries
@@ -134,6 +136,7 @@
     domain_losses: Vec<(Instant, Engine, CompactString)>,
     losses: Losses,
     leaving: Leaving,
+    holds: Holds,
     // Invariant: the `peer_load` of each engine in `by_hash` is the sum of its usages in these
     // reports.
     reports: Reports,
@@ -155,6 +158,7 @@
             domain_losses: Vec::new(),
             losses: Losses::default(),
             leaving: Leaving::default(),
+            holds: Holds::default(),
             reports: Reports::default(),
             own_load_version: 0,
         }
@@ -364,6 +368,11 @@
         self.by_id.get(id).copied()
     }
 
+    fn incarnations(&self) -> BTreeSet<Incarnation> {
+        let states = self.by_id.values().map(|key| &self.engines[*key]);
+        states.map(|state| state.incarnation).collect()
+    }
+
     /// Returns the number of registered engines.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/src/route/registry/usage.rs
+++ b/src/route/registry/usage.rs
@@ -80,6 +80,7 @@
             if state.lost.is_set() {
                 state.lost = Signal::default();
             }
+            self.holds.record_request(state.incarnation, now);
             self.own_load_version += 1;
             state.own_load.running += 1;
             state.own_load.reading += u64::from(footprint.prompt);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -164,6 +164,31 @@
     }
 }
 
+/// Guards against a time that an engine names and that is overlooked, misread or made up.
+#[test]
+fn the_time_for_which_an_engine_wants_nothing_is_read() {
+    let seconds = |seconds| Some(Duration::from_secs_f64(seconds));
+    for (status, value, expected) in [
+        (503, "2", seconds(2.0)),
+        (503, " 0.25 ", seconds(0.25)),
+        (503, "1e300", Some(Duration::MAX)),
+        (503, "0", None),
+        (503, "-3", None),
+        (503, "NaN", None),
+        (503, "", None),
+        (503, "Wed, 21 Oct 2026 07:28:00 GMT", None),
+        (429, "2", None),
+        (500, "2", None),
+        (200, "2", None),
+    ] {
+        let mut head = Response::new(());
+        *head.status_mut() = status.try_into().unwrap();
+        *head.headers_mut() = headers(&[("retry-after", value)]);
+        let answer = Platform::decode_response(&head, "r1");
+        assert_eq!(answer.retry_after, expected, "{status} {value:?}");
+    }
+}
+
 /// Guards against panics on malformed heads, with 20,000 random ones.
 #[test]
 fn random_heads_are_decoded_or_refused() {
