--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -14,7 +14,7 @@
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::failover::Failover;
-use super::front::{AdmittedRequest, RETRY_AFTER_SHORT, Refusal};
+use super::front::{AdmittedRequest, Refusal};
 use super::protocol::Protocol;
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
@@ -223,12 +223,7 @@
         let detail = "the engine's answer was lost; check the effect before sending again";
         return Err(Refusal::unknown(Reason::AnswerLost, detail));
     }
-    let detail = "no engine takes the request at present; retry";
-    Err(Refusal::not_run(
-        Reason::NoEngine,
-        detail,
-        RETRY_AFTER_SHORT,
-    ))
+    Err(attempts.no_engine())
 }
 
 fn timed_out() -> Refusal {
