Read each entry of the store by itself

Cause: the client of the store parsed a whole page, and all changes of a watch, as one JSON document. What the parser cannot hold in one entry refuses the document. Class: one unreadable part costs the whole that it came with.

Ruled out: an end of the process. The parser stops at 128 levels and no deeper value is ever built, so neither parsing, walking nor dropping one overflows the stack; 200,000 levels only fail.

Fix: a page is split into the texts of its entries, which are parsed one by one. The name is read apart from the content, so that a change still removes its engine and a list still continues. The splitter is our own: the parser's raw values skip deep nesting and large numbers, but refuse a page for bytes that are not UTF-8, control characters and words that are no JSON. It counts brackets and does not recurse. An entry whose own quotes or brackets are not closed still makes its page unreadable; a store that encodes JSON cannot send one.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 mod document;
 mod headers;
 pub mod settings;
+mod split;
 pub mod store;
 
 use std::time::Duration;
@@ -88,20 +89,25 @@
 }
 
 fn decode_config(object: &store::Object) -> Decoded<Revision> {
-    if object.metadata.name != store::CONFIG_NAME {
+    if object.name != store::CONFIG_NAME {
         return Decoded::Ignored;
     }
-    document::decode_revision(&object.spec).map_or(Decoded::Unreadable(None), Decoded::Item)
+    let revision = object.spec.as_ref().map(document::decode_revision);
+    match revision {
+        Some(Ok(revision)) => Decoded::Item(revision),
+        Some(Err(_)) | None => Decoded::Unreadable(None),
+    }
 }
 
 fn decode_engine(object: &store::Object) -> Decoded<Registration> {
-    let registration = document::decode_registration(&object.metadata.name, &object.spec);
+    let spec = object.spec.as_ref();
+    let registration = spec.and_then(|spec| document::decode_registration(&object.name, spec));
     registration.map_or(Decoded::Unreadable(None), Decoded::Item)
 }
 
 /// Decodes a change of an engine. A malformed entry removes the engine.
 fn decode_change(change: store::Change) -> Decoded<Change> {
-    let name = change.object.metadata.name.clone();
+    let name = change.object.name.clone();
     if change.removed {
         return Decoded::Item(Change::Removed(name));
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,9 +9,10 @@
 use compio::bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use super::split;
 use crate::http::pool::Pool;
 
 /// Kind of the objects that register engines.
@@ -30,56 +31,29 @@
 pub const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
 /// An object of the store.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
 pub struct Object {
-    /// Name and revision.
-    pub metadata: Metadata,
-    /// Content that the writer of the object defines.
-    #[serde(default)]
-    pub spec: Value,
-}
-
-/// Properties of an object that the store maintains.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Metadata {
     /// Name, unique within the kind.
     pub name: CompactString,
-    /// Store revision of the last change.
-    #[serde(default)]
-    pub revision: u64,
+    /// Content that the writer of the object defines; `None` if it cannot be read.
+    pub spec: Option<Value>,
 }
 
 /// A change of an object.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
 pub struct Change {
     /// The object after the change, or before its removal.
     pub object: Object,
     /// Whether the change removed the object.
-    #[serde(default)]
     pub removed: bool,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Page {
-    entries: Vec<Value>,
-    #[serde(default)]
-    has_more: bool,
-    at: u64,
-}
-
-#[derive(Deserialize)]
-struct Changes {
-    events: Vec<Value>,
-    at: u64,
-}
-
 /// All objects of a kind, or the changes since a revision.
 #[derive(Debug)]
 pub struct Batch<T> {
     /// The decoded entries.
     pub items: Vec<T>,
-    /// Number of entries that could not be decoded.
+    /// Number of entries whose name cannot be read.
     pub unreadable: usize,
     /// Store revision to watch from.
     pub store_revision: u64,
@@ -126,21 +100,21 @@
         };
         let mut path = format!("/bilberrypost/objects/{kind}");
         loop {
-            let page: Page = self.get(kind, &path, CALL_TIMEOUT).await?;
-            let last = page
-                .entries
-                .last()
-                .and_then(|entry| entry["metadata"]["name"].as_str());
-            let last = last.map(str::to_owned);
-            decode_into(&mut batch, page.entries);
+            let body = self.get(kind, &path, CALL_TIMEOUT).await?;
+            let start = batch.items.len();
             // A watch from the revision of the first page also reports changes between two pages.
-            batch.store_revision = batch.store_revision.min(page.at);
-            match last {
-                Some(last) if page.has_more => {
-                    path = format!("/bilberrypost/objects/{kind}?after={last}");
-                }
-                _ => return Ok(batch),
+            let at = decode_member(&body, "at")?;
+            batch.store_revision = batch.store_revision.min(at);
+            batch.decode(&body, "entries", decode_object)?;
+            let has_more: Option<bool> = decode_optional(&body, "has-more")?;
+            if !has_more.unwrap_or(false) {
+                return Ok(batch);
             }
+            let last = batch.items[start..].last().map(|item| item.name.clone());
+            let Some(last) = last else {
+                return Ok(batch);
+            };
+            path = format!("/bilberrypost/objects/{kind}?after={last}");
         }
     }
 
@@ -158,26 +132,22 @@
             "/bilberrypost/objects/{kind}?watch-revision={since}&wait-ms={}",
             wait.as_millis()
         );
-        let changes: Changes = self.get(kind, &path, wait + WATCH_TIMEOUT_MARGIN).await?;
-        if changes.at < since {
+        let body = self.get(kind, &path, wait + WATCH_TIMEOUT_MARGIN).await?;
+        let at = decode_member(&body, "at")?;
+        if at < since {
             let cause = "the response is older than the request".to_owned();
             return Err(Error::Unavailable(cause));
         }
         let mut batch = Batch {
             items: Vec::new(),
             unreadable: 0,
-            store_revision: changes.at,
+            store_revision: at,
         };
-        decode_into(&mut batch, changes.events);
+        batch.decode(&body, "events", decode_change)?;
         Ok(batch)
     }
 
-    async fn get<T: for<'a> Deserialize<'a>>(
-        &self,
-        kind: &str,
-        path: &str,
-        timeout: Duration,
-    ) -> Result<T, Error> {
+    async fn get(&self, kind: &str, path: &str, timeout: Duration) -> Result<Bytes, Error> {
         let unavailable = |cause: String| Error::Unavailable(cause);
         let request = Request::get(path)
             .header(hyper::header::HOST, &*self.address)
@@ -194,19 +164,61 @@
             .await
             .map_err(|err| unavailable(err.to_string()))?;
         match head.status {
-            StatusCode::OK => {}
-            StatusCode::GONE => return Err(Error::HistoryGone),
-            status => return Err(unavailable(status.to_string())),
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(Error::HistoryGone),
+            status => Err(unavailable(status.to_string())),
         }
-        serde_json::from_slice(&body).map_err(|err| unavailable(err.to_string()))
     }
 }
 
-fn decode_into<T: for<'a> Deserialize<'a>>(batch: &mut Batch<T>, entries: Vec<Value>) {
-    for entry in entries {
-        match serde_json::from_value(entry) {
-            Ok(item) => batch.items.push(item),
-            Err(_) => batch.unreadable += 1,
+impl<T> Batch<T> {
+    /// Adds the elements of the array `name` in `body`, and counts those that cannot be read.
+    fn decode(
+        &mut self,
+        body: &[u8],
+        name: &str,
+        decode: impl Fn(&[u8]) -> Option<T>,
+    ) -> Result<(), Error> {
+        let array = split::member(body, name).and_then(split::elements);
+        for element in array.ok_or_else(|| malformed(name))? {
+            match decode(element) {
+                Some(item) => self.items.push(item),
+                None => self.unreadable += 1,
+            }
         }
+        Ok(())
     }
 }
+
+fn malformed(name: &str) -> Error {
+    Error::Unavailable(format!("the field {name} is missing or malformed"))
+}
+
+/// Decodes a member of a response; `None` if it is missing.
+fn decode_optional<T: DeserializeOwned>(body: &[u8], name: &str) -> Result<Option<T>, Error> {
+    split::member(body, name)
+        .map(|value| serde_json::from_slice(value).map_err(|_| malformed(name)))
+        .transpose()
+}
+
+fn decode_member<T: DeserializeOwned>(body: &[u8], name: &str) -> Result<T, Error> {
+    decode_optional(body, name)?.ok_or_else(|| malformed(name))
+}
+
+/// Decodes an object, which another writer may have damaged; `None` if its name cannot be read.
+fn decode_object(text: &[u8]) -> Option<Object> {
+    let name = split::member(split::member(text, "metadata")?, "name")?;
+    let spec = split::member(text, "spec");
+    Some(Object {
+        name: serde_json::from_slice(name).ok()?,
+        spec: spec.and_then(|spec| serde_json::from_slice(spec).ok()),
+    })
+}
+
+fn decode_change(text: &[u8]) -> Option<Change> {
+    let removed = decode_optional(text, "removed").ok()?;
+    Some(Change {
+        object: decode_object(split::member(text, "object")?)?,
+        removed: removed.unwrap_or(false),
+    })
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -123,6 +123,8 @@
     objects: BTreeMap<(String, String), (u64, Option<Value>)>,
     // The previous value of each object that was changed.
     previous: BTreeMap<(String, String), Value>,
+    // Values that are not valid JSON. In `objects`, the text `raw-NUMBER-` stands for each.
+    raw: Vec<Vec<u8>>,
     calls: u64,
 }
 
@@ -164,6 +166,15 @@
         self.change(kind, name, Some(spec));
     }
 
+    /// Stores a value that may be no valid JSON.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: &[u8]) {
+        let mut objects = self.objects.0.lock().unwrap();
+        let text = format!("raw-{}-", objects.raw.len());
+        objects.raw.push(spec.into());
+        drop(objects);
+        self.change(kind, name, Some(json!(text)));
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         self.change(kind, name, None);
     }
@@ -196,17 +207,36 @@
         while let Some(request) = Message::read(&mut reader) {
             let path = request.first_line.split(' ').nth(1).unwrap().to_owned();
             let (status, body) = self.respond(&path);
-            let body = body.to_string();
+            let body = self.encode(&body);
             let head = format!(
                 "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 body.len()
             );
-            if stream.write_all((head + &body).as_bytes()).is_err() {
+            if stream
+                .write_all(&[head.as_bytes(), &body].concat())
+                .is_err()
+            {
                 return;
             }
         }
     }
 
+    /// Returns the text of a body, with the values that are not valid JSON in their places.
+    fn encode(&self, body: &Value) -> Vec<u8> {
+        let text = body.to_string();
+        let objects = self.objects.0.lock().unwrap();
+        let mut encoded = Vec::new();
+        let mut rest = text.as_str();
+        while let Some((before, after)) = rest.split_once("\"raw-") {
+            let (number, after) = after.split_once("-\"").unwrap();
+            encoded.extend_from_slice(before.as_bytes());
+            encoded.extend_from_slice(&objects.raw[number.parse::<usize>().unwrap()]);
+            rest = after;
+        }
+        encoded.extend_from_slice(rest.as_bytes());
+        encoded
+    }
+
     /// Returns the status and body of the response to a list or watch.
     fn respond(&self, path: &str) -> (u16, Value) {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
