Continue a list of the store after any name

A page without any readable name that says that more follows was taken for the end of the list, so that all engines after it were gone, and one that repeats its last name was read without end.

Cause: the name that the next page begins after went into the path as it is, and the list ended where there was none.

Fix: the name is percent-encoded; ordinary names are sent as before. HTTP libraries in use here encode no query values, hence the few lines of our own.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -99,6 +99,7 @@
             store_revision: u64::MAX,
         };
         let mut path = format!("/bilberrypost/objects/{kind}");
+        let mut after = None;
         loop {
             let body = self.get(kind, &path, CALL_TIMEOUT).await?;
             let start = batch.items.len();
@@ -111,10 +112,13 @@
                 return Ok(batch);
             }
             let last = batch.items[start..].last().map(|item| item.name.clone());
-            let Some(last) = last else {
-                return Ok(batch);
-            };
-            path = format!("/bilberrypost/objects/{kind}?after={last}");
+            if last.is_none() || last == after {
+                let cause = "no name tells where the next page begins".to_owned();
+                return Err(Error::Unavailable(cause));
+            }
+            let name = encode_query(last.as_deref().unwrap_or_default());
+            path = format!("/bilberrypost/objects/{kind}?after={name}");
+            after = last;
         }
     }
 
@@ -222,3 +226,16 @@
         removed: removed.unwrap_or(false),
     })
 }
+
+/// Encodes text as a value in the query of a path.
+fn encode_query(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'-' | b'.' | b'_' | b'~' => encoded.push(char::from(byte)),
+            _ if byte.is_ascii_alphanumeric() => encoded.push(char::from(byte)),
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -6,7 +6,7 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
-use bilberrypost::gateway::protocol::{Change, Directory};
+use bilberrypost::gateway::protocol::{Change, Directory, Unavailable};
 use bilberrypost::platform::store::Store as Client;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -225,6 +225,44 @@
     }
 }
 
+/// Guards against a list that is read without end, or taken for whole, when no name says where its
+/// next page begins.
+#[test]
+fn a_list_that_cannot_be_continued_fails() {
+    let pages = [vec![], vec![b"{}".to_vec()], vec![sound("a")]];
+    for entries in pages {
+        let client = client(move |_, _| page(&entries, true));
+        let result = block_on(client.list_engines());
+        assert!(
+            matches!(result, Err(Unavailable::NoAnswer(_))),
+            "{result:?}"
+        );
+    }
+}
+
+/// Guards against a list that ends or cannot be sent for a name at the end of a page that is no plain
+/// text of a path.
+#[test]
+fn a_list_continues_after_any_name() {
+    let names = [
+        ("a b", "a%20b"),
+        ("n\u{e9}", "n%C3%A9"),
+        ("a\nb", "a%0Ab"),
+        ("a&after=c#/?%", "a%26after%3Dc%23%2F%3F%25"),
+    ];
+    for (name, encoded) in names {
+        let client = client(move |_, path| match path.split_once("?after=") {
+            None => page(&[sound("a"), sound(name)], true),
+            Some((_, after)) => {
+                assert_eq!(after, encoded);
+                page(&[sound("z")], false)
+            }
+        });
+        let listing = block_on(client.list_engines()).expect(name);
+        assert_eq!(listing.items.last().unwrap().id, "z");
+    }
+}
+
 /// Guards against an odd object beside the configuration that hides it, and against an odd
 /// configuration that is taken.
 #[test]
