Use no engine whose address or id cannot be used

Ports above 65535 were refused before. An entry whose name cannot be a header, such as one with a space or none at all, was used without the header that lets any other engine refuse the request, as a value that is no header is left out.

Cause: an address was checked for its form only, and a name not at all.

Evidence, on the code before: three tests of tests/odd_entries.rs failed at the entry with `"address":"10.0.0.1:0"`, which was registered.

Fix: such entries are malformed: they register no engine, and a change removes the one of the name. Numbers at their limits (batch-slots of 2^32 - 1, born of 2^64 - 1) are only compared, by reading, and need no check.

--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -2,6 +2,7 @@
 //! registrations.
 
 use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -238,10 +239,24 @@
     Draining,
 }
 
+/// Returns whether a process other than this one can listen at an address.
+fn is_engine_address(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
+/// Returns whether an id can be sent in a header, by which an engine refuses requests for another one.
+pub(super) fn is_engine_id(id: &str) -> bool {
+    !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// Decodes the registration of the engine `id`; `None` if it is malformed.
 pub(super) fn decode_registration(id: &str, spec: &serde_json::Value) -> Option<Registration> {
     let document = RegistrationDocument::deserialize(spec).ok()?;
-    document.address.parse::<std::net::SocketAddr>().ok()?;
+    if !is_engine_address(document.address.parse().ok()?) || !is_engine_id(id) {
+        return None;
+    }
     Some(Registration {
         id: id.into(),
         service: document.service,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -108,6 +108,9 @@
 /// Decodes a change of an engine. A malformed entry removes the engine.
 fn decode_change(change: store::Change) -> Decoded<Change> {
     let name = change.object.name.clone();
+    if !document::is_engine_id(&name) {
+        return Decoded::Unreadable(None);
+    }
     if change.removed {
         return Decoded::Item(Change::Removed(name));
     }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -94,6 +94,24 @@
     }
     // A time may exceed 32 bits.
     specs.retain(|spec| *spec != spec_with("born", b"4294967296"));
+    let addresses = [
+        "10.0.0.1:0",
+        "10.0.0.1:65536",
+        "10.0.0.1:99999999999999999999",
+        "10.0.0.1:-1",
+        "10.0.0.1",
+        "10.0.0.1:",
+        ":80",
+        "0.0.0.0:80",
+        "[::]:80",
+        "224.0.0.1:80",
+        "255.255.255.255:80",
+        "host.example:80",
+        "10.0.0.1:80/",
+        "[::1:80",
+        "",
+    ];
+    specs.extend(addresses.map(|text| spec_with("address", json!(text).to_string().as_bytes())));
     specs.extend(["null", "7", "\"x\"", "[]", "{}", "nonsense", ""].map(Into::into));
     specs
 }
@@ -121,12 +139,22 @@
     entries
 }
 
+/// Names that cannot be sent to an engine, with an otherwise sound spec.
+fn odd_names() -> Vec<Vec<u8>> {
+    let names = ["", "a b", "n\u{e9}", "a\nb"];
+    names
+        .map(|name| json!(name).to_string().into_bytes())
+        .into()
+}
+
 /// All odd entries, each with the name that can be read of it.
 fn odd_entries() -> Vec<(Vec<u8>, Option<String>)> {
     let of_spec = |spec: Vec<u8>| (object(b"\"odd\"", &spec), Some("odd".to_owned()));
     let specs = odd_specs().into_iter().map(of_spec);
+    let names = odd_names().into_iter();
+    let names = names.map(|name| (object(&name, spec().to_string().as_bytes()), None));
     let nameless = nameless_entries().into_iter().map(|entry| (entry, None));
-    specs.chain(nameless).collect()
+    specs.chain(nameless).chain(names).collect()
 }
 
 fn sound(name: &str) -> Vec<u8> {
@@ -208,13 +236,16 @@
     }
 }
 
-/// Guards against an odd entry at the end of a page that ends the list.
+/// Guards against an odd entry at the end of a page that ends the list, repeats it without end, or
+/// makes a path that cannot be sent.
 #[test]
 fn a_list_continues_after_an_odd_last_entry() {
     let mut odd_pages = odd_entries().into_iter();
     let client = client(move |_, path| match path.split_once("after=") {
         None => page(&[sound("a"), odd_pages.next().unwrap().0], true),
-        Some((_, "a" | "odd")) => page(&[sound("x"), sound("z")], false),
+        Some((_, "a" | "odd" | "a%20b" | "n%C3%A9" | "a%0Ab" | "")) => {
+            page(&[sound("x"), sound("z")], false)
+        }
         Some((_, after)) => panic!("unexpected {after}"),
     });
     for (odd, _) in odd_entries() {
