Bound the size of responses between processes

What callers would see: a host that ends, or is ended, for its memory, as the store or another host sends a response without end.

Cause: the pool for calls to the store and to other hosts read a response of any length until its timeout.

Fix: a response above 32 MB fails the call like one that breaks off, and the connection is closed. The members' list is read by another client and is not bounded yet.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use compio::bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request};
@@ -19,6 +19,10 @@
 /// Maximum number of idle connections kept for one address.
 const IDLE_PER_ADDRESS_MAX: usize = 8;
 
+/// Maximum size of a response body in bytes. A response of the store holds up to 1 MB, or a few changes
+/// of a configuration of that size.
+const RESPONSE_BYTES_MAX: usize = 32 * 1024 * 1024;
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -45,7 +49,7 @@
     ///
     /// # Errors
     /// [`Error::Connect`] if no byte was sent; [`Error::Response`] if the request may have reached the
-    /// server.
+    /// server, also if the response is longer than [`RESPONSE_BYTES_MAX`].
     pub async fn call(
         &self,
         address: &str,
@@ -61,7 +65,8 @@
         };
         let exchange = async {
             let (head, body) = connection.send(request).await?.into_parts();
-            let body = body.collect().await.map_err(|err| Error::Response {
+            let body = Limited::new(body, RESPONSE_BYTES_MAX).collect();
+            let body = body.await.map_err(|err| Error::Response {
                 address: address.into(),
                 cause: err.to_string(),
             })?;
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -106,3 +106,29 @@
         }
     }
 }
+
+/// Guards against a response without end that fills the memory of the process that called.
+#[test]
+fn an_endless_response_ends_the_call() {
+    const TIMEOUT: Duration = Duration::from_secs(60);
+    for framing in ["", "transfer-encoding: chunked\r\n"] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let request = BufReader::new(stream.try_clone().unwrap());
+            assert!(request.lines().any(|line| line.unwrap().is_empty()));
+            let head = format!("HTTP/1.1 200 x\r\n{framing}\r\n");
+            stream.write_all(head.as_bytes()).unwrap();
+            let chunk = format!("10000\r\n{}\r\n", "x".repeat(65_536));
+            while stream.write_all(chunk.as_bytes()).is_ok() {}
+        });
+        let result = compio::runtime::Runtime::new().unwrap().block_on(async {
+            let request = post_json(&address, "/first", &1);
+            Pool::default().call(&address, request, TIMEOUT).await
+        });
+        let cause = result.unwrap_err().to_string();
+        assert!(cause.contains("length limit exceeded"), "{cause}");
+        server.join().unwrap();
+    }
+}
