Take no refusal that names another request

Cause: status 421 was taken as "another engine, not run" before the id in the response was compared, and of several ids only the first was. An engine whose 421 named another request was also taken for replaced.

Fix: a response with any id but that of the request belongs to another one, whatever its status: no promise follows from it. Calls to backend servers of our own protocol compare all ids too (by reading, without a test of its own).

--- a/src/http/backend.rs
+++ b/src/http/backend.rs
@@ -296,10 +296,8 @@
         }
     };
     let headers = exchange.head.headers();
-    if headers
-        .get(REQUEST_ID)
-        .is_some_and(|id| id != call.id.as_str())
-    {
+    let mut ids = headers.get_all(REQUEST_ID).iter();
+    if ids.any(|id| id != call.id.as_str()) {
         let cause = "the answer belongs to another request".into();
         return (End::Failed, Attempt::Unknown(cause));
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -188,12 +188,13 @@
 pub(super) fn decode_response(head: &Response<()>, id: &str) -> Outcome {
     let headers = head.headers();
     let status = head.status();
+    let mut echoes = headers.get_all(&REQUEST_ID).iter();
+    if echoes.any(|echo| echo != id) {
+        return Outcome::Foreign;
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::OtherEngine;
     }
-    if header_text(headers, &REQUEST_ID).is_some_and(|echo| echo != id) {
-        return Outcome::Foreign;
-    }
     if headers.contains_key(NOT_RUN) {
         return Outcome::NotRun;
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -84,7 +84,7 @@
 #[test]
 fn responses_are_classified() {
     type Case = (u16, &'static [(&'static str, &'static str)], Outcome);
-    let cases: [Case; 8] = [
+    let cases: [Case; 11] = [
         (
             200,
             &[
@@ -131,6 +131,25 @@
             Outcome::NotRun,
         ),
         (421, &[], Outcome::OtherEngine),
+        (
+            421,
+            &[("x-bilberrypost-attempt-id", "r1")],
+            Outcome::OtherEngine,
+        ),
+        (
+            421,
+            &[("x-bilberrypost-attempt-id", "r2")],
+            Outcome::Foreign,
+        ),
+        (
+            503,
+            &[
+                ("x-bilberrypost-attempt-id", "r1"),
+                ("x-bilberrypost-attempt-id", "r2"),
+                ("x-bilberrypost-not-executed", "1"),
+            ],
+            Outcome::Foreign,
+        ),
     ];
     for (status, pairs, expected) in cases {
         let mut head = Response::new(());
