--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -210,12 +210,13 @@
 fn decode_outcome(head: &Response<()>, id: &str) -> Outcome {
     let headers = head.headers();
     let status = head.status();
+    let mut echoes = headers.get_all(&REQUEST_ID).iter();
+    if echoes.any(|echo| echo != id) {
+        return Outcome::Foreign;
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::OtherEngine;
     }
-    if header_text(headers, &REQUEST_ID).is_some_and(|echo| echo != id) {
-        return Outcome::Foreign;
-    }
     if headers.contains_key(NOT_RUN) {
         return Outcome::NotRun;
     }
