Let the emulated object stores come back from an older copy

The emulated store and the store in memory take a copy of their content and return to it: what was written since is gone, and versions are given out again. The emulated store tells its era, which grows by 1 with each return, in Store-Era of every response, also of errors.

PUT /v1/emulation/copy takes a copy, PUT /v1/emulation/restore returns to it.

--- a/src/emulate/store.rs
+++ b/src/emulate/store.rs
@@ -3,6 +3,9 @@
 //! The version of an object is its `ETag`. `GET /v1/objects/{key}?wait=SECONDS` is a watch: it
 //! responds as soon as the version differs from that in `If-None-Match`, or with 304 at the end of
 //! the wait.
+//!
+//! Every response tells in `Store-Era` how often the store has come back from an older copy. Each
+//! return discards what was written since the copy, and allocates the versions since then again.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -13,6 +16,7 @@
 use compio::net::TcpListener;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +30,10 @@
 /// Maximum size of a value in bytes.
 pub const VALUE_LIMIT: usize = 1024 * 1024;
 
+/// Header of every response: the era of the store, from 1. It grows by 1 each time that the store
+/// comes back from an older copy.
+pub const STORE_ERA: &str = "store-era";
+
 /// Injected faults and rate limits, set by `PUT /v1/emulation/faults`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
@@ -91,6 +99,7 @@
     pub value: String,
 }
 
+#[derive(Clone)]
 struct Object {
     version: u64,
     body: Bytes,
@@ -98,6 +107,13 @@
     previous: Option<(u64, Bytes)>,
 }
 
+/// Content of the store at one moment.
+#[derive(Clone, Default)]
+struct Copy {
+    objects: BTreeMap<String, Object>,
+    last_version: u64,
+}
+
 /// A token bucket that holds the calls of one second.
 struct Bucket {
     tokens: Cell<f64>,
@@ -135,6 +151,9 @@
     objects: RefCell<BTreeMap<String, Object>>,
     // Version of the last write of any object.
     last_version: Cell<u64>,
+    era: Cell<u64>,
+    // Empty until one is taken.
+    copy: RefCell<Copy>,
     // Set on each write, then replaced by a new signal.
     changed: RefCell<Signal>,
     faults: RefCell<Faults>,
@@ -153,6 +172,8 @@
     let store = Store {
         objects: RefCell::default(),
         last_version: Cell::new(0),
+        era: Cell::new(1),
+        copy: RefCell::default(),
         changed: RefCell::default(),
         faults: RefCell::new(faults),
         calls: Cell::default(),
@@ -210,6 +231,23 @@
         self.last_version.get()
     }
 
+    fn take_copy(&self) {
+        let copy = Copy {
+            objects: self.objects.borrow().clone(),
+            last_version: self.last_version.get(),
+        };
+        self.copy.replace(copy);
+    }
+
+    /// Returns to the last copy, begins the next era and wakes the watches.
+    fn restore_copy(&self) {
+        let copy = self.copy.borrow().clone();
+        self.objects.replace(copy.objects);
+        self.last_version.set(copy.last_version);
+        self.era.set(self.era.get() + 1);
+        self.changed.take().set();
+    }
+
     /// Returns an object, or `None` if it does not exist or still has the version `known`.
     fn read(&self, key: &str, known: Option<u64>) -> Option<Response<Body>> {
         let objects = self.objects.borrow();
@@ -349,6 +387,14 @@
                 }
                 Err(err) => text_response(StatusCode::BAD_REQUEST, err.to_string()),
             },
+            (&Method::PUT, "copy") => {
+                self.take_copy();
+                text_response(StatusCode::OK, "")
+            }
+            (&Method::PUT, "restore") => {
+                self.restore_copy();
+                text_response(StatusCode::OK, "")
+            }
             _ => text_response(StatusCode::NOT_FOUND, "no such path"),
         }
     }
@@ -392,8 +438,8 @@
     }
 }
 
-impl server::Service for Store {
-    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+impl Store {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
             return text_response(StatusCode::BAD_REQUEST, "the request body is incomplete");
@@ -416,3 +462,12 @@
         text_response(StatusCode::NOT_FOUND, "no such path")
     }
 }
+
+impl server::Service for Store {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let mut response = self.respond(request).await;
+        let era = HeaderValue::from(self.era.get());
+        response.headers_mut().insert(STORE_ERA, era);
+        response
+    }
+}
--- a/src/store/fake.rs
+++ b/src/store/fake.rs
@@ -32,6 +32,13 @@
     condition: Condition,
 }
 
+/// Content of the store at one moment.
+#[derive(Clone, Debug, Default)]
+struct Copy {
+    objects: BTreeMap<String, Object>,
+    last_version: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     objects: RefCell<BTreeMap<String, Object>>,
@@ -44,6 +51,8 @@
     is_down: Cell<bool>,
     is_yielding: Cell<bool>,
     write_calls: Cell<u64>,
+    // Empty until one is taken.
+    copy: RefCell<Copy>,
 }
 
 /// In-memory store; its clones share the objects and faults.
@@ -92,6 +101,24 @@
         self.0.stale_reads.borrow_mut().extend(is_stale);
     }
 
+    /// Takes a copy of the content.
+    pub fn take_copy(&self) {
+        let copy = Copy {
+            objects: self.0.objects.borrow().clone(),
+            last_version: self.0.last_version.get(),
+        };
+        self.0.copy.replace(copy);
+    }
+
+    /// Returns to the last copy, or to the empty store without one, and allocates the versions
+    /// since then again. Delayed writes stay queued.
+    pub fn restore_copy(&self) {
+        let copy = self.0.copy.borrow().clone();
+        self.0.objects.replace(copy.objects);
+        self.0.last_version.set(copy.last_version);
+        self.0.previous.borrow_mut().clear();
+    }
+
     /// Executes the oldest delayed write, if there is one.
     pub fn deliver_delayed_write(&self) {
         let write = self.0.delayed_writes.borrow_mut().pop_front();
