Give out no fencing number of a lost lease again

What callers saw (in a test): two holders of the lease on orders had the same fencing number, so that engines accepted the orders of both. The first one's record was lost when the store came back from an older copy.

Cause: the fencing number is the stored one plus 1, and the stored one can go back. Class: a number derived from a position in a history, used beside one of another history.

Evidence, on: a_holder_does_not_go_on_by_its_record_in_an_older_copy, assertion failed: old.fencing().unwrap() > lost.

Why this works: the numbers of an era begin above all of earlier ones, 10^9 for each. In the first era they are as before. Orders of the new holder are not refused as outdated by engines that have seen the lost number, and those of the lost holder are, once an engine has seen a new one.

Ruled out: ordering versions by era makes candidates wait, but leaves the numbers.

--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -36,7 +36,8 @@
     pub holder: CompactString,
     /// Random id of the holder's process, so that a restarted process is not taken for the old one.
     pub writer: CompactString,
-    /// Fencing number: grows by one each time that the lease is acquired.
+    /// Fencing number: grows each time that the lease is acquired, see
+    /// [`Era::next_number`](super::objects::Era::next_number).
     pub fencing: u64,
     /// Sequence number of this write among those of its writer.
     pub renewal: u64,
@@ -303,8 +304,9 @@
     /// clock.
     async fn try_acquire(&self) -> Result<(), Error> {
         let Some((version, found)) = self.read().await? else {
-            let condition = Condition::Absent(self.store.era());
-            return self.write(1, condition).await;
+            let era = self.store.era();
+            let fencing = era.next_number(0);
+            return self.write(fencing, Condition::Absent(era)).await;
         };
         let observed = self.observe(version);
         let waited = self.clock.now().duration_since(observed.since);
@@ -312,9 +314,8 @@
         if version == observed.version && (is_expired || found.released) {
             self.note.replace(found.note.clone());
             self.inherited_note.replace(found.note);
-            return self
-                .write(found.fencing + 1, Condition::Matches(version))
-                .await;
+            let fencing = version.era.next_number(found.fencing);
+            return self.write(fencing, Condition::Matches(version)).await;
         }
         Ok(())
     }
--- a/src/store/lease/tests.rs
+++ b/src/store/lease/tests.rs
@@ -149,3 +149,26 @@
         assert_eq!(old.fencing(), None);
     });
 }
+
+/// Guards against a lost fencing number that is given out again, and against a host that goes on as
+/// the holder because the copy has a record of its own.
+#[test]
+fn a_holder_does_not_go_on_by_its_record_in_an_older_copy() {
+    block_on(async {
+        let (store, clock) = (Fake::default(), Manual::default());
+        let (old, new) = (lease(&store, &clock, "old"), lease(&store, &clock, "new"));
+        old.renew_or_acquire().await.unwrap();
+        store.take_copy();
+        old.release().await;
+        new.renew_or_acquire().await.unwrap();
+        let lost = new.fencing().unwrap();
+        store.restore_copy();
+        for _ in 0..6 {
+            old.renew_or_acquire().await.unwrap();
+            assert_eq!(old.fencing(), None);
+            clock.advance(Duration::from_secs(1));
+        }
+        old.renew_or_acquire().await.unwrap();
+        assert!(old.fencing().unwrap() > lost);
+    });
+}
--- a/src/store/objects.rs
+++ b/src/store/objects.rs
@@ -27,9 +27,19 @@
 #[serde(transparent)]
 pub struct Era(pub u64);
 
+/// Maximum count of the numbers that one era gives out, see [`Era::next_number`].
+const NUMBERS_PER_ERA: u64 = 1_000_000_000;
+
 impl Era {
     /// The era of a store that never came back from an older copy.
     pub const FIRST: Self = Self(1);
+
+    /// Returns the number that follows the stored number `last` (0 for none) in this era. It is
+    /// higher than all that were given out in earlier eras, also those that are gone.
+    pub fn next_number(self, last: u64) -> u64 {
+        let first = (self.0 - Self::FIRST.0) * NUMBERS_PER_ERA + 1;
+        first.max(last + 1)
+    }
 }
 
 impl Default for Era {
