Wait for the holder of a lease whose record a restored store may lack

What callers saw (in a test): after the store came back from an older copy, a candidate acquired the lease on orders at once, while the holder of before still acted on it for up to 4 s.

Cause: no record, or one that was released, counted as proof that nobody holds the lease. The copy can be older than the holder's record. Class: absence in a shortened history taken for proof that something never happened.

Evidence, on: a_holder_whose_record_was_lost_does_not_act_beside_another, assertion failed: after 0 s, left: Some, right: None.

Why this works: the record has the era in which it was written. Only a record that was released in the present era, or no record in the first one, frees the lease; otherwise the candidate waits for TTL and clock bound from its first read in the era. The holder's last renewal was sent before the return, so it has stopped by then. Orders pause for 6 s after a return.

Ruled out: a lower fencing number alone stops the former holder only at engines that check it.

--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -6,6 +6,9 @@
 //! read that first showed the current version, and waits for the TTL plus one clock bound. Both use
 //! only their own monotonic clock, so two hosts act at the same time only if their clocks drift apart
 //! by more than the clock bound during a lease.
+//!
+//! When the store comes back from an older copy, the record of the present holder may be gone. A
+//! candidate then waits as long as for a lease that is held, whatever the store shows.
 
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
@@ -15,7 +18,7 @@
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 
-use super::objects::{Condition, Error, Objects, Version};
+use super::objects::{Condition, Era, Error, Objects, Version};
 use crate::clock::Clock;
 use crate::util::unix_ms;
 
@@ -39,6 +42,9 @@
     /// Fencing number: grows each time that the lease is acquired, see
     /// [`Era::next_number`](super::objects::Era::next_number).
     pub fencing: u64,
+    /// Era of the store in which the record was written.
+    #[serde(default)]
+    pub era: Era,
     /// Sequence number of this write among those of its writer.
     pub renewal: u64,
     /// Expiry by the holder's wall clock in milliseconds since the Unix epoch, for operators only.
@@ -63,6 +69,7 @@
 /// The newest version of another host's lease that this host has read.
 #[derive(Clone, Copy, Debug)]
 struct Observation {
+    // The number is 0 if there was no lease.
     version: Version,
     // Invariant: measured after the read that first showed the version.
     since: Instant,
@@ -169,7 +176,7 @@
         };
         let record = Record {
             released: true,
-            ..self.new_record(held.fencing)
+            ..self.new_record(held.fencing, held.version.era)
         };
         let condition = Condition::Matches(held.version);
         let put = self.store.put(self.key, encode(&record), condition).await;
@@ -199,12 +206,13 @@
         self.clock.now().duration_since(held.since) >= self.timing.ttl / 4
     }
 
-    fn new_record(&self, fencing: u64) -> Record {
+    fn new_record(&self, fencing: u64, era: Era) -> Record {
         self.last_renewal.set(self.last_renewal.get() + 1);
         Record {
             holder: self.host.clone(),
             writer: self.writer.clone(),
             fencing,
+            era,
             renewal: self.last_renewal.get(),
             expires_at_ms: unix_ms(self.clock.wall() + self.timing.ttl),
             note: self.note.borrow().clone(),
@@ -220,7 +228,8 @@
     /// Writes the lease. After an inconclusive response it reads the lease back.
     async fn write(&self, fencing: u64, condition: Condition) -> Result<(), Error> {
         let since = self.clock.now();
-        let record = self.new_record(fencing);
+        let era = condition.era().unwrap_or(self.store.era());
+        let record = self.new_record(fencing, era);
         let put = self.store.put(self.key, encode(&record), condition).await;
         let version = match put {
             Ok(version) => version,
@@ -303,21 +312,27 @@
     /// Acquires the lease if there is none, if it was released, or if it has expired by this host's
     /// clock.
     async fn try_acquire(&self) -> Result<(), Error> {
-        let Some((version, found)) = self.read().await? else {
-            let era = self.store.era();
-            let fencing = era.next_number(0);
-            return self.write(fencing, Condition::Absent(era)).await;
-        };
+        let read = self.read().await?;
+        let era = self.store.era();
+        let version = read
+            .as_ref()
+            .map_or(Version { era, number: 0 }, |(version, _)| *version);
+        let found = read.map(|(_, found)| found);
         let observed = self.observe(version);
         let waited = self.clock.now().duration_since(observed.since);
         let is_expired = waited >= self.timing.ttl + self.timing.clock_bound;
-        if version == observed.version && (is_expired || found.released) {
-            self.note.replace(found.note.clone());
-            self.inherited_note.replace(found.note);
-            let fencing = version.era.next_number(found.fencing);
-            return self.write(fencing, Condition::Matches(version)).await;
+        let is_current = version == observed.version;
+        if !is_current || !(is_expired || is_free(version.era, found.as_ref())) {
+            return Ok(());
         }
-        Ok(())
+        let Some(found) = found else {
+            let fencing = era.next_number(0);
+            return self.write(fencing, Condition::Absent(era)).await;
+        };
+        self.note.replace(found.note.clone());
+        self.inherited_note.replace(found.note);
+        let fencing = version.era.next_number(found.fencing);
+        self.write(fencing, Condition::Matches(version)).await
     }
 
     async fn read(&self) -> Result<Option<(Version, Record)>, Error> {
@@ -331,6 +346,15 @@
     }
 }
 
+/// Returns whether the store shows in `era` that no host holds the lease. What an earlier era shows is
+/// no proof: a later record may be gone.
+fn is_free(era: Era, found: Option<&Record>) -> bool {
+    match found {
+        Some(record) => record.released && record.era == era,
+        None => era == Era::FIRST,
+    }
+}
+
 fn encode(record: &Record) -> Bytes {
     serde_json::to_vec(record)
         .expect("a record serializes")
--- a/src/store/lease/tests.rs
+++ b/src/store/lease/tests.rs
@@ -150,6 +150,37 @@
     });
 }
 
+/// Guards against a holder that acts beside a new one because the store came back without the
+/// record of its lease.
+#[test]
+fn a_holder_whose_record_was_lost_does_not_act_beside_another() {
+    for has_record in [false, true] {
+        block_on(async {
+            let (store, clock) = (Fake::default(), Manual::default());
+            let (old, new) = (lease(&store, &clock, "old"), lease(&store, &clock, "new"));
+            let first = lease(&store, &clock, "first");
+            if has_record {
+                first.renew_or_acquire().await.unwrap();
+                first.release().await;
+            }
+            store.take_copy();
+            old.renew_or_acquire().await.unwrap();
+            let lost = old.fencing().unwrap();
+            store.restore_copy();
+            for second in 0..6 {
+                new.renew_or_acquire().await.unwrap();
+                assert_eq!(new.fencing(), None, "after {second} s");
+                assert_eq!(old.fencing().is_some(), second < 4, "after {second} s");
+                clock.advance(Duration::from_secs(1));
+            }
+            new.renew_or_acquire().await.unwrap();
+            assert!(new.fencing().unwrap() > lost);
+            old.renew_or_acquire().await.unwrap();
+            assert_eq!((old.fencing(), old.is_held()), (None, false));
+        });
+    }
+}
+
 /// Guards against a lost fencing number that is given out again, and against a host that goes on as
 /// the holder because the copy has a record of its own.
 #[test]
