--- a/src/emulate/store.rs
+++ b/src/emulate/store.rs
@@ -3,6 +3,10 @@
 //! The version of an object is its `ETag`. `GET /v1/objects/{key}?wait=SECONDS` is a watch: it
 //! responds as soon as the version differs from that in `If-None-Match`, or with 304 at the end of
 //! the wait.
+//!
+//! Every response tells in `Store-Era` how often the store has come back from an older copy. Each
+//! return discards what was written since the copy, and allocates the versions since then again.
+//! A write with another `Store-Era` is refused with 412; a watch with another one responds at once.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -13,6 +17,7 @@
 use compio::net::TcpListener;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +25,7 @@
 use crate::http::body::Body;
 use crate::http::problem::{json_response, text_response};
 use crate::http::server;
+use crate::store::objects::STORE_ERA;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -91,6 +97,7 @@
     pub value: String,
 }
 
+#[derive(Clone)]
 struct Object {
     version: u64,
     body: Bytes,
@@ -98,6 +105,13 @@
     previous: Option<(u64, Bytes)>,
 }
 
+/// Content of the store at one moment.
+#[derive(Clone, Default)]
+struct Copy {
+    objects: BTreeMap<String, Object>,
+    last_version: u64,
+}
+
 /// A token bucket that holds the calls of one second.
 struct Bucket {
     tokens: Cell<f64>,
@@ -135,6 +149,9 @@
     objects: RefCell<BTreeMap<String, Object>>,
     // Version of the last write of any object.
     last_version: Cell<u64>,
+    era: Cell<u64>,
+    // Empty until one is taken.
+    copy: RefCell<Copy>,
     // Set on each write, then replaced by a new signal.
     changed: RefCell<Signal>,
     faults: RefCell<Faults>,
@@ -153,6 +170,8 @@
     let store = Store {
         objects: RefCell::default(),
         last_version: Cell::new(0),
+        era: Cell::new(1),
+        copy: RefCell::default(),
         changed: RefCell::default(),
         faults: RefCell::new(faults),
         calls: Cell::default(),
@@ -165,6 +184,12 @@
     server::serve(listener, Rc::new(store), stop).await;
 }
 
+/// Returns the era in which a request may be executed; `None` for any.
+fn era_in(request: &hyper::http::request::Parts) -> Option<u64> {
+    let value = request.headers.get(STORE_ERA)?.to_str().ok()?;
+    value.parse().ok()
+}
+
 /// Returns the version in a header that holds an `ETag`.
 fn version_in(request: &hyper::http::request::Parts, name: &str) -> Option<u64> {
     let value = request.headers.get(name)?.to_str().ok()?;
@@ -210,6 +235,23 @@
         self.last_version.get()
     }
 
+    fn take_copy(&self) {
+        let copy = Copy {
+            objects: self.objects.borrow().clone(),
+            last_version: self.last_version.get(),
+        };
+        self.copy.replace(copy);
+    }
+
+    /// Returns to the last copy, begins the next era and wakes the watches.
+    fn restore_copy(&self) {
+        let copy = self.copy.borrow().clone();
+        self.objects.replace(copy.objects);
+        self.last_version.set(copy.last_version);
+        self.era.set(self.era.get() + 1);
+        self.changed.take().set();
+    }
+
     /// Returns an object, or `None` if it does not exist or still has the version `known`.
     fn read(&self, key: &str, known: Option<u64>) -> Option<Response<Body>> {
         let objects = self.objects.borrow();
@@ -230,13 +272,21 @@
         Some(response)
     }
 
-    /// Waits at most `limit` until an object has another version than `known`.
-    async fn watch(&self, key: &str, known: Option<u64>, limit: Duration) -> Response<Body> {
+    /// Waits at most `limit` until an object has another version than `known`, or the store is in
+    /// another era than `era`.
+    async fn watch(
+        &self,
+        key: &str,
+        known: Option<u64>,
+        era: u64,
+        limit: Duration,
+    ) -> Response<Body> {
         let deadline = Instant::now() + limit;
         loop {
             if self.faults.borrow().outage {
                 return text_response(StatusCode::SERVICE_UNAVAILABLE, "outage");
             }
+            let known = known.filter(|_| self.era.get() == era);
             if let Some(response) = self.read(key, known) {
                 return response;
             }
@@ -269,8 +319,12 @@
         json_response(&entries)
     }
 
-    /// Returns whether the object meets `If-None-Match` and `If-Match` of a write.
+    /// Returns whether the store and the object meet `Store-Era`, `If-None-Match` and `If-Match` of
+    /// a write.
     fn meets_condition(&self, head: &hyper::http::request::Parts, key: &str) -> bool {
+        if era_in(head).is_some_and(|era| era != self.era.get()) {
+            return false;
+        }
         let objects = self.objects.borrow();
         let version = objects.get(key).map(|object| object.version);
         if head.headers.contains_key(hyper::header::IF_NONE_MATCH) && version.is_some() {
@@ -349,6 +403,14 @@
                 }
                 Err(err) => text_response(StatusCode::BAD_REQUEST, err.to_string()),
             },
+            (&Method::PUT, "copy") => {
+                self.take_copy();
+                text_response(StatusCode::OK, "")
+            }
+            (&Method::PUT, "restore") => {
+                self.restore_copy();
+                text_response(StatusCode::OK, "")
+            }
             _ => text_response(StatusCode::NOT_FOUND, "no such path"),
         }
     }
@@ -361,6 +423,7 @@
     ) -> Response<Body> {
         let is_write = head.method != Method::GET;
         let write_number = self.calls.get().writes;
+        let era = era_in(head).unwrap_or(self.era.get());
         if is_write {
             let value = String::from_utf8_lossy(&body).into_owned();
             let key = key.to_owned();
@@ -382,7 +445,8 @@
         match (&head.method, wait.and_then(|wait| wait.parse().ok())) {
             (&Method::GET, Some(seconds)) => {
                 let known = version_in(head, "if-none-match");
-                self.watch(key, known, Duration::from_secs(seconds)).await
+                let limit = Duration::from_secs(seconds);
+                self.watch(key, known, era, limit).await
             }
             (&Method::GET, None) => self.get(key),
             (&Method::PUT, _) => self.put(head, key, body).await,
@@ -392,8 +456,8 @@
     }
 }
 
-impl server::Service for Store {
-    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+impl Store {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
             return text_response(StatusCode::BAD_REQUEST, "the request body is incomplete");
@@ -416,3 +480,12 @@
         text_response(StatusCode::NOT_FOUND, "no such path")
     }
 }
+
+impl server::Service for Store {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let mut response = self.respond(request).await;
+        let era = HeaderValue::from(self.era.get());
+        response.headers_mut().insert(STORE_ERA, era);
+        response
+    }
+}
