Close idle connections by the limit in force, not by that of their start

Callers that kept a connection across a revision with a longer limit for idle connections found it closed by the earlier, shorter one, at a moment at which they might just send their next request.

Cause: the limit was read once, when the connection was opened. Class: a value of one revision is kept beyond that revision.

A request that has arrived when the limit passes is taken first. The tests of idle, gateway, unframed, refusals, stop and signal pass.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -8,6 +8,7 @@
 use futures_util::{SinkExt, Stream};
 use hyper::body::{Frame, SizeHint};
 
+use super::idle::Running;
 use super::server::RequestGuard;
 
 /// Number of chunks buffered for a slow reader; when it is reached, the writer waits.
@@ -28,7 +29,28 @@
         is_truncated: bool,
     },
     /// A body whose request counts as running until the body is dropped.
-    Guarded(Box<Self>, RequestGuard),
+    Guarded(Box<Self>, Guard),
+}
+
+/// What counts a request as running.
+#[derive(Debug)]
+pub enum Guard {
+    /// Among the requests of the host.
+    Host(RequestGuard),
+    /// On its connection.
+    Connection(Running),
+}
+
+impl From<RequestGuard> for Guard {
+    fn from(guard: RequestGuard) -> Self {
+        Self::Host(guard)
+    }
+}
+
+impl From<Running> for Guard {
+    fn from(running: Running) -> Self {
+        Self::Connection(running)
+    }
 }
 
 /// Writes the chunks of a body.
@@ -59,8 +81,8 @@
 
     /// Keeps `guard` until the body is dropped, after it was sent or cancelled.
     #[must_use]
-    pub fn with_guard(self, guard: RequestGuard) -> Self {
-        Self::Guarded(Box::new(self), guard)
+    pub fn with_guard(self, guard: impl Into<Guard>) -> Self {
+        Self::Guarded(Box::new(self), guard.into())
     }
 
     /// Creates a body and the writer of its chunks.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 pub mod completions;
 pub mod detach;
 pub mod fair;
+pub mod idle;
 pub mod linger;
 pub mod pool;
 pub mod problem;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -20,6 +20,7 @@
 
 use super::body::Body;
 use super::fair::Fair;
+use super::idle::Idle;
 use super::socket::Socket;
 use crate::supervisor::Signal;
 use crate::util::within;
@@ -27,7 +28,8 @@
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Timeout for reading the head of a request, counted from the end of the previous response.
+    /// Timeout for reading the head of a request, counted from the end of the previous response. A
+    /// change also holds for open connections.
     pub head_timeout: Duration,
     /// Maximum size of a request head in bytes.
     pub max_head_bytes: usize,
@@ -60,7 +62,7 @@
     /// Answers one request.
     fn call(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
 
-    /// Returns the limits for a new connection.
+    /// Returns the limits in force.
     fn limits(&self) -> Limits {
         Limits::default()
     }
@@ -172,28 +174,44 @@
     };
     let has_chunks = Rc::new(Cell::new(true));
     let sets_chunks = has_chunks.clone();
+    let idle = Idle::new();
+    let expired = pin!(idle.wait(|| service.limits().head_timeout));
+    let requests = idle.clone();
+    let handled = service.clone();
     let handler = service_fn(move |request: Request<Incoming>| {
         sets_chunks.set(request.version() > Version::HTTP_10);
-        let service = service.clone();
+        let service = handled.clone();
         // Boxed, as hyper keeps the memory of this future as long as the connection is open.
-        async move { Ok::<_, Infallible>(Box::pin(service.call(request)).await) }
+        let running = requests.begin();
+        async move {
+            let response = Box::pin(service.call(request)).await;
+            Ok::<_, Infallible>(response.map(|body| body.with_guard(running)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(limits.head_timeout)
+        // Its limit would be that of the time at which the connection was opened.
+        .header_read_timeout(None)
         .max_buf_size(limits.max_head_bytes.max(HEAD_BYTES_MIN))
         .serve_connection(Fair::new(Socket::new(socket)), handler);
-    let mut connection = pin!(connection);
-    let stopped = pin!(stop.wait());
-    let ended = match select(connection.as_mut(), stopped).await {
+    let served = pin!(async move {
+        let mut connection = pin!(connection);
+        let stopped = pin!(stop.wait());
+        match select(connection.as_mut(), stopped).await {
+            Either::Left((ended, _)) => ended,
+            Either::Right(_) => match within(IDLE_GRACE, connection.as_mut()).await {
+                Some(ended) => ended,
+                None => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.as_mut().await
+                }
+            },
+        }
+    });
+    // The connection is polled first, so that a request that has arrived is taken.
+    let ended = match select(served, expired).await {
         Either::Left((ended, _)) => ended,
-        Either::Right(_) => match within(IDLE_GRACE, connection.as_mut()).await {
-            Some(ended) => ended,
-            None => {
-                connection.as_mut().graceful_shutdown();
-                connection.as_mut().await
-            }
-        },
+        Either::Right(_) => Ok(()),
     };
     let is_truncated = ended.is_err_and(|err| err.is_user());
     if is_truncated && !has_chunks.get() {
