End the configuration's wait when the store tells a new era

The configuration and the engines are watched by two calls. When the store came back from an older copy without a failed call, or one of them was told first, the other waited on in a history that is gone, up to 2 s, before the host listed again.

The first answer of a later era now sets a signal: a call that waits in an earlier era, or a pause after a failure, ends, and the configuration is listed at once.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -147,6 +147,8 @@
     started_at: Instant,
     // The latest position in the store's history that an answer told, `None` before the first one.
     store_position: Cell<Option<Position>>,
+    // Set when an answer tells a new era of the store, and replaced by a new signal.
+    next_era: RefCell<Signal>,
     // Whether the engines were read at least once.
     has_engine_list: Cell<bool>,
     // Number of kinds of calls to the store whose last call failed.
@@ -190,6 +192,7 @@
             revision_confirmed_at: Cell::default(),
             started_at: clock.now(),
             store_position: Cell::default(),
+            next_era: RefCell::default(),
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
             engines_revision: Cell::default(),
@@ -293,7 +296,19 @@
             .set(self.revision_confirmed_at.get().max(at));
     }
 
-    /// Records the position that an answer of the store told. `name` is the kind of the call, for the log.
+    /// Returns the signal that is set when an answer of the store tells a new era.
+    pub fn next_era(&self) -> Signal {
+        self.next_era.borrow().clone()
+    }
+
+    /// Returns whether no answer has told a later era than that of `position`.
+    pub fn is_current_era(&self, position: Position) -> bool {
+        let latest = self.store_position.get();
+        latest.is_none_or(|latest| latest.era <= position.era)
+    }
+
+    /// Records the position that an answer of the store told. In a new era the calls that still wait
+    /// are begun again. `name` is the kind of the call, for the log.
     fn record_position(&self, name: &str, position: Position) {
         let known = self.store_position.get();
         self.store_position.set(known.max(Some(position)));
@@ -304,6 +319,9 @@
             "event=store_era name={name} era={} revision={} known_era={} known_revision={}",
             position.era, position.revision, known.era, known.revision
         );
+        if position.era > known.era {
+            self.next_era.take().set();
+        }
     }
 
     /// Checks the answer of the store to a watch from `since`, or to a listing without `since`. `name`
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,8 +1,10 @@
 //! Tasks that keep the configuration and the engines up to date by watching the store.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use log::{info, warn};
 
 use super::Gateway;
@@ -95,10 +97,12 @@
         );
     }
 
-    async fn pause<C: Clock>(&self, gateway: &Gateway<C>, stop: &Signal) {
+    /// Waits before the next call, until the store is found to be in a new era.
+    async fn pause<C: Clock>(&self, gateway: &Gateway<C>, next_era: &Signal, stop: &Signal) {
         let pause = retry_pause(self.failures, gateway.role.is_representative());
         // Random jitter, so that hosts that failed together do not retry together.
-        within(pause.mul_f64(rand::random_range(0.7..1.0)), stop.wait()).await;
+        let pause = pause.mul_f64(rand::random_range(0.7..1.0));
+        within(pause, select(next_era.wait(), stop.wait())).await;
     }
 }
 
@@ -126,7 +130,10 @@
             within(ROLE_CHECK_INTERVAL, stop.wait()).await;
             continue;
         }
-        let result = call_revisions(&gateway, &directory, since, known).await;
+        let next_era = gateway.next_era();
+        since = since.filter(|since| gateway.is_current_era(*since));
+        let call = call_revisions(&gateway, &directory, since, known);
+        let result = unless_set(&next_era, call).await;
         count_call(&gateway, "configuration_call", &result);
         match result {
             Ok(listing) => {
@@ -145,7 +152,7 @@
                 // The store may have come back from an older copy, in which changes after `since` are
                 // not the ones that follow.
                 since = None;
-                dependency.pause(&gateway, &stop).await;
+                dependency.pause(&gateway, &next_era, &stop).await;
             }
         }
     }
@@ -178,6 +185,18 @@
     true
 }
 
+/// Returns the result of a call to the store; [`Unavailable::HistoryGone`] if the store was found to
+/// be in a new era meanwhile.
+async fn unless_set<T>(
+    next_era: &Signal,
+    call: impl Future<Output = Result<T, Unavailable>>,
+) -> Result<T, Unavailable> {
+    match select(pin!(call), next_era.wait()).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(Unavailable::HistoryGone),
+    }
+}
+
 /// Keeps the engines up to date until `stop` is set, while this host watches the store.
 pub async fn engines<C: Clock, D: Directory>(gateway: Rc<Gateway<C>>, directory: D, stop: Signal) {
     let mut dependency = Dependency::new("engines");
@@ -189,6 +208,7 @@
             continue;
         }
         let was_lost = dependency.is_lost;
+        let next_era = gateway.next_era();
         let before = gateway.registry.borrow().last_change();
         let result = match since {
             None => list_engines(&gateway, &directory, was_lost).await,
@@ -215,7 +235,7 @@
                 dependency.record_failure(&gateway, &err);
                 // Entries may have expired in the meantime, so all are listed again.
                 since = None;
-                dependency.pause(&gateway, &stop).await;
+                dependency.pause(&gateway, &next_era, &stop).await;
             }
         }
     }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -12,12 +12,10 @@
 use bilberrypost::gateway::follow::Duty;
 use bilberrypost::gateway::pacing::Pacing;
 use bilberrypost::gateway::watch::watch_wait;
-use bilberrypost::sched::retry;
-use compact_str::CompactString;
 use serde_json::{Value, json};
 use support::platform::{
-    Gateway, Message, Mode, PEER_PORT, Store, config, exchange, own_ips, registration, settings,
-    wait_for,
+    Gateway, Message, Mode, PEER_PORT, Store, config, exchange, gateway_settings, own_ips,
+    registration, settings, wait_for,
 };
 
 /// Hosts that follow one representative on large fleets.
@@ -191,27 +189,6 @@
     assert_eq!(first, watch_wait(&gateway));
 }
 
-fn gateway_settings() -> gateway::Settings {
-    let address: CompactString = "127.0.0.1:0".into();
-    gateway::Settings {
-        name: "host-a".into(),
-        failure_domain: "fd-a".into(),
-        listen: address.clone(),
-        ready_listen: address.clone(),
-        peers: None,
-        store: address,
-        drain_limit: Duration::from_secs(8),
-        is_fail_closed: false,
-        revoke_limit: Duration::from_secs(5),
-        link_mbps: None,
-        retries: retry::Policy {
-            ratio: 0.8,
-            slack: 150.0,
-            window: Duration::from_secs(10),
-        },
-    }
-}
-
 /// Guards against links that fill up when all followers look for another representative at once.
 #[test]
 fn a_probe_is_answered_without_changes() {
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -2,8 +2,25 @@
 
 mod support;
 
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bilberrypost::clock::Manual;
+use bilberrypost::config::routes::Revision;
+use bilberrypost::gateway;
+use bilberrypost::gateway::position::Position;
+use bilberrypost::gateway::protocol::{Change, Directory, Listing, Unavailable};
+use bilberrypost::gateway::watch;
+use bilberrypost::platform::store::Store as Client;
+use bilberrypost::route::registry::Registration;
+use bilberrypost::supervisor::Signal;
+use bilberrypost::util::within;
 use serde_json::json;
-use support::platform::{Engine, Gateway, Mode, Store, config, ok, start, wait_for};
+use support::platform::{
+    Engine, Gateway, Mode, Store, config, gateway_settings, ok, start, wait_for,
+};
+use support::{TEST_TIMEOUT, block_on};
 
 const VERSION: &str = "bilberrypost_revision_version ";
 
@@ -36,3 +53,117 @@
     });
     wait_for_metric(&gateway, VERSION, 5.0);
 }
+
+/// A store whose answers the test decides.
+#[derive(Clone, Default)]
+struct Played(Rc<Answers>);
+
+#[derive(Default)]
+struct Answers {
+    position: Cell<Position>,
+    version: Cell<u64>,
+    engines: RefCell<Vec<Registration>>,
+}
+
+impl Played {
+    fn new(version: u64, engines: &[&str]) -> Self {
+        let played = Self::default();
+        played.set(0, version, engines);
+        played
+    }
+
+    fn set(&self, era: u64, version: u64, engines: &[&str]) {
+        self.0.position.set(Position { era, revision: 20 });
+        self.0.version.set(version);
+        *self.0.engines.borrow_mut() = engines.iter().map(|id| registration(id)).collect();
+    }
+
+    fn answer<T>(&self, items: Vec<T>) -> Listing<T> {
+        Listing {
+            items,
+            unreadable: 0,
+            position: self.0.position.get(),
+        }
+    }
+}
+
+impl Directory for Played {
+    async fn read_revision(&self) -> Result<Listing<Revision>, Unavailable> {
+        let document = config(self.0.version.get()).to_string();
+        let revision = self.decode_revision(&document).unwrap();
+        Ok(self.answer(vec![revision]))
+    }
+
+    async fn watch_revision(
+        &self,
+        _: Position,
+        _: Duration,
+    ) -> Result<Listing<Revision>, Unavailable> {
+        std::future::pending().await
+    }
+
+    fn decode_revision(&self, source: &str) -> Option<Revision> {
+        Client::new("127.0.0.1:1").decode_revision(source)
+    }
+
+    async fn list_engines(&self) -> Result<Listing<Registration>, Unavailable> {
+        Ok(self.answer(self.0.engines.borrow().clone()))
+    }
+
+    async fn watch_engines(
+        &self,
+        _: Position,
+        _: Duration,
+    ) -> Result<Listing<Change>, Unavailable> {
+        Ok(self.answer(Vec::new()))
+    }
+}
+
+fn registration(id: &str) -> Registration {
+    Registration {
+        id: id.into(),
+        service: "app".into(),
+        address: "127.0.0.1:1".into(),
+        failure_domain: "fd-a".into(),
+        slots: 4,
+        is_draining: false,
+        started_ms: 1,
+    }
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let waiting = async {
+        while !condition() {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    within(TEST_TIMEOUT, waiting).await.expect(what);
+}
+
+/// Runs the watches of a gateway until `test` ends.
+fn with_watches(store: &Played, test: impl AsyncFnOnce(&gateway::Gateway<Manual>)) {
+    block_on(async {
+        let gateway = gateway::Gateway::new(Manual::default(), gateway_settings());
+        let (gateway, stop) = (Rc::new(gateway), Signal::default());
+        let revisions = watch::revisions(gateway.clone(), store.clone(), stop.clone());
+        let engines = watch::engines(gateway.clone(), store.clone(), stop);
+        let tasks = (
+            compio::runtime::spawn(revisions),
+            compio::runtime::spawn(engines),
+        );
+        until("the first answers", || gateway.reaches_store()).await;
+        test(&gateway).await;
+        drop(tasks);
+    });
+}
+
+/// Guards against a configuration that arrives late, as its watch still waits in a history that is
+/// gone while that of the engines has been told so.
+#[test]
+fn a_new_era_ends_the_wait_of_the_other_watch() {
+    let store = Played::new(3, &["a"]);
+    with_watches(&store, async |gateway| {
+        store.set(1, 4, &["a"]);
+        until("the configuration", || gateway.revision_version() == 4).await;
+    });
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -8,6 +8,9 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use bilberrypost::gateway;
+use bilberrypost::sched::retry;
+use compact_str::CompactString;
 use serde_json::{Value, json};
 
 use super::{Process, TEST_TIMEOUT};
@@ -673,6 +676,28 @@
     )
 }
 
+/// Returns settings of a gateway that runs inside the test.
+pub fn gateway_settings() -> gateway::Settings {
+    let address: CompactString = "127.0.0.1:0".into();
+    gateway::Settings {
+        name: "host-a".into(),
+        failure_domain: "fd-a".into(),
+        listen: address.clone(),
+        ready_listen: address.clone(),
+        peers: None,
+        store: address,
+        drain_limit: Duration::from_secs(8),
+        is_fail_closed: false,
+        revoke_limit: Duration::from_secs(5),
+        link_mbps: None,
+        retries: retry::Policy {
+            ratio: 0.8,
+            slack: 150.0,
+            window: Duration::from_secs(10),
+        },
+    }
+}
+
 fn settings_path(folder: &tempfile::TempDir) -> std::path::PathBuf {
     folder.path().join("host.ini")
 }
