List the engines again when the store is in a new era

A host did not know an engine that had registered after the store came back from an older copy, if the store had passed the host's revision again and no call failed: changes at or below that revision are no events of the watch.

The position up to which the engines are known carries the era, is raised in the order of eras, and an answer of another era ends the watch with a list, as for the configuration; also a wait that the other call has shown to be void. A list that is older than what the host knows is not applied.

engines_are_listed_again_in_a_new_era failed before: 'the engine' within 60 s.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -278,7 +278,7 @@
             process: self.gateway.process,
             engines: Changes::default(),
             packed_engines: None,
-            engines_revision: self.gateway.engines_revision(),
+            engines_revision: self.gateway.engines_position().revision,
             version: self.gateway.revision_version(),
             revision: None,
             patch: None,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,6 +14,7 @@
 use super::Gateway;
 use super::feed::{self, Query, Update};
 use super::followed::{Cause, Followed};
+use super::position::Position;
 use super::protocol::Directory;
 use super::watch;
 use crate::clock::Clock;
@@ -184,7 +185,7 @@
     if Duration::from_millis(update.age_ms) > AGE_MAX {
         return Some(Cause::Stale);
     }
-    (update.engines_revision < gateway.engines_revision()).then_some(Cause::Behind)
+    (update.engines_revision < gateway.engines_position().revision).then_some(Cause::Behind)
 }
 
 fn record_outcome(representatives: &mut Representatives, failure: Option<Cause>) {
@@ -202,7 +203,7 @@
     failure: Option<Cause>,
 ) {
     let age = gateway.engines_age().as_millis();
-    let revision = gateway.engines_revision();
+    let revision = gateway.engines_position().revision;
     match failure {
         None => {
             if let Some(peer) = queried.filter(|peer| followed.record_success(*peer)) {
@@ -355,7 +356,7 @@
     // knows.
     let is_less_reliable = !update.is_confirmed && !gateway.registry.borrow().is_empty();
     // One that lags behind the last one still lists engines that have left.
-    let is_older = update.engines_revision < gateway.engines_revision();
+    let is_older = update.engines_revision < gateway.engines_position().revision;
     if is_older
         || is_less_reliable
         || (!update.is_confirmed && update.engines.registered.is_empty())
@@ -371,7 +372,10 @@
         info!("event=engines_followed {content}");
         gateway.notify_followers();
     }
-    gateway.set_engines_revision(update.engines_revision);
+    gateway.set_engines_position(Position {
+        revision: update.engines_revision,
+        ..gateway.engines_position()
+    });
     if gateway.revision_version() >= update.version {
         gateway.confirm_revision(age);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -155,8 +155,8 @@
     failing_calls: Cell<usize>,
     // When the registry was last known to match the directory.
     engines_confirmed_at: Cell<Option<Instant>>,
-    // Revision of the store up to which the changes of engines are known.
-    engines_revision: Cell<u64>,
+    // Position in the store's history up to which the changes of engines are known.
+    engines_position: Cell<Position>,
     // When running work is cut; set when draining begins.
     drain_ends_at: Cell<Option<Instant>>,
 }
@@ -195,7 +195,7 @@
             next_era: RefCell::default(),
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
-            engines_revision: Cell::default(),
+            engines_position: Cell::default(),
             drain_ends_at: Cell::default(),
             clock,
             settings,
@@ -349,15 +349,15 @@
         }
     }
 
-    /// Returns the revision of the store up to which the changes of engines are known, 0 if none is.
-    pub fn engines_revision(&self) -> u64 {
-        self.engines_revision.get()
+    /// Returns the position in the store's history up to which the changes of engines are known.
+    pub fn engines_position(&self) -> Position {
+        self.engines_position.get()
     }
 
-    /// Records that the changes of engines are known up to `revision` of the store.
-    pub fn set_engines_revision(&self, revision: u64) {
-        let known = self.engines_revision.get();
-        self.engines_revision.set(known.max(revision));
+    /// Records that the changes of engines are known up to `position` of the store's history.
+    pub fn set_engines_position(&self, position: Position) {
+        let known = self.engines_position.get();
+        self.engines_position.set(known.max(position));
     }
 
     /// Records that the registry matched the directory `age` ago.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -12,6 +12,7 @@
 use super::protocol::{Change, Directory, Listing, Unavailable};
 use crate::clock::Clock;
 use crate::config::routes::Revision;
+use crate::route::registry::Registration;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -209,17 +210,16 @@
         }
         let was_lost = dependency.is_lost;
         let next_era = gateway.next_era();
+        since = since.filter(|since| gateway.is_current_era(*since));
         let before = gateway.registry.borrow().last_change();
-        let result = match since {
-            None => list_engines(&gateway, &directory, was_lost).await,
-            Some(since) => watch_engines(&gateway, &directory, since).await,
-        };
+        let call = call_engines(&gateway, &directory, since, was_lost);
+        let result = unless_set(&next_era, call).await;
         count_call(&gateway, "engines_call", &result);
         match result {
             Ok(next) => {
                 dependency.record_success(&gateway, next);
                 since = Some(next);
-                gateway.set_engines_revision(next.revision);
+                gateway.set_engines_position(next);
                 gateway.confirm_engines(Duration::ZERO);
                 if gateway.registry.borrow().last_change() != before {
                     gateway.notify_followers();
@@ -241,13 +241,34 @@
     }
 }
 
-async fn list_engines<C: Clock, D: Directory>(
+/// Lists the engines, or waits for changes after `since`. Returns the position to watch from.
+async fn call_engines<C: Clock, D: Directory>(
     gateway: &Gateway<C>,
     directory: &D,
+    since: Option<Position>,
     was_lost: bool,
 ) -> Result<Position, Unavailable> {
-    let listing = directory.list_engines().await?;
-    gateway.record_position("engines", listing.position);
+    let known = gateway.engines_position();
+    match since {
+        None => {
+            let listing = directory.list_engines().await?;
+            gateway.check_position("engines", None, known, listing.position)?;
+            Ok(apply_listing(gateway, listing, was_lost))
+        }
+        Some(since) => {
+            let wait = watch_wait(gateway);
+            let listing = directory.watch_engines(since, wait).await?;
+            gateway.check_position("engines", Some(since), known, listing.position)?;
+            Ok(apply_changes(gateway, listing))
+        }
+    }
+}
+
+fn apply_listing<C: Clock>(
+    gateway: &Gateway<C>,
+    listing: Listing<Registration>,
+    was_lost: bool,
+) -> Position {
     warn_unreadable("engines", listing.unreadable);
     let (engines, position) = (listing.items.len(), listing.position);
     let (era, revision) = (position.era, position.revision);
@@ -257,17 +278,10 @@
     info!(
         "event=engines_listed engines={engines} lapsing={lapsing} era={era} engines_revision={revision}"
     );
-    Ok(position)
+    position
 }
 
-async fn watch_engines<C: Clock, D: Directory>(
-    gateway: &Gateway<C>,
-    directory: &D,
-    since: Position,
-) -> Result<Position, Unavailable> {
-    let listing = directory.watch_engines(since, watch_wait(gateway)).await?;
-    gateway.record_position("engines", listing.position);
-    let listing = check_order(since, listing)?;
+fn apply_changes<C: Clock>(gateway: &Gateway<C>, listing: Listing<Change>) -> Position {
     warn_unreadable("engines", listing.unreadable);
     let mut registry = gateway.registry.borrow_mut();
     for change in listing.items {
@@ -285,17 +299,7 @@
             }
         }
     }
-    Ok(listing.position)
-}
-
-/// Refuses an answer to a watch from `since` that is older than that.
-fn check_order<T>(since: Position, answer: Listing<T>) -> Result<Listing<T>, Unavailable> {
-    match answer.position.revision < since.revision {
-        true => Err(Unavailable::NoAnswer(
-            "the response is older than the request".to_owned(),
-        )),
-        false => Ok(answer),
-    }
+    listing.position
 }
 
 /// Counts a call to the directory and its outcome in the metrics.
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -167,3 +167,17 @@
         until("the configuration", || gateway.revision_version() == 4).await;
     });
 }
+
+/// Guards against engines that are never known, as they registered at a revision that was given out
+/// before, while no call failed.
+#[test]
+fn engines_are_listed_again_in_a_new_era() {
+    let store = Played::new(3, &["a"]);
+    with_watches(&store, async |gateway| {
+        store.set(1, 3, &["a", "b"]);
+        until("the engine", || {
+            gateway.registry.borrow().by_id("b").is_some()
+        })
+        .await;
+    });
+}
