Keep engines that an older copy of the store lacks for two seconds

Engines that had registered in the lost part of the history were dropped at once, although they run and write their entries again within two seconds: a list after status 410, or without a failed call, counted as complete. Requests then found fewer engines, or none of their service.

A list of a later era than the last one counts like the first list after an outage: missing entries stay in use for LAPSE_GRACE, draining ones are removed.

an_engine_of_the_lost_history_stays_in_use_for_a_while failed before: 'assertion failed: registry.borrow().by_id("b").is_some()'.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -272,8 +272,10 @@
     warn_unreadable("engines", listing.unreadable);
     let (engines, position) = (listing.items.len(), listing.position);
     let (era, revision) = (position.era, position.revision);
+    // What engines wrote in the lost part of the history is written again.
+    let is_new_era = era > gateway.engines_position().era;
     let mut registry = gateway.registry.borrow_mut();
-    registry.replace(listing.items, was_lost);
+    registry.replace(listing.items, was_lost || is_new_era);
     let lapsing = registry.lapsing();
     info!(
         "event=engines_listed engines={engines} lapsing={lapsing} era={era} engines_revision={revision}"
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -63,6 +63,9 @@
     position: Cell<Position>,
     version: Cell<u64>,
     engines: RefCell<Vec<Registration>>,
+    // Whether a watch from an earlier era gets status 410. Otherwise its revision was given out again,
+    // and nothing has changed since.
+    is_history_gone: Cell<bool>,
 }
 
 impl Played {
@@ -112,10 +115,14 @@
 
     async fn watch_engines(
         &self,
-        _: Position,
+        since: Position,
         _: Duration,
     ) -> Result<Listing<Change>, Unavailable> {
-        Ok(self.answer(Vec::new()))
+        let is_same_era = since.era == self.0.position.get().era;
+        match self.0.is_history_gone.get() && !is_same_era {
+            true => Err(Unavailable::HistoryGone),
+            false => Ok(self.answer(Vec::new())),
+        }
     }
 }
 
@@ -181,3 +188,20 @@
         .await;
     });
 }
+
+/// Guards against engines that are dropped because an older copy of the store lacks their entries,
+/// although they write them again.
+#[test]
+fn an_engine_of_the_lost_history_stays_in_use_for_a_while() {
+    let store = Played::new(3, &["a", "b"]);
+    store.0.is_history_gone.set(true);
+    with_watches(&store, async |gateway| {
+        store.set(1, 3, &["a"]);
+        let registry = &gateway.registry;
+        until("the list", || {
+            registry.borrow().lapsing() == 1 || registry.borrow().by_id("b").is_none()
+        })
+        .await;
+        assert!(registry.borrow().by_id("b").is_some());
+    });
+}
