Compare what hosts know of engines by era first

A follower took a representative whose list is of the era before for a newer one, as its revision was greater, and used engines that are gone; one in the later era, with a lower revision, was 'behind' and not followed until the store had passed the old revision. So a host that had been cut off returned with the numbers of a history that is gone and was believed.

An update tells the era beside the revision, and both are compared as one position, also where a host without engines fetches them from a peer. A host of an earlier release, which tells no era, counts as being in the reader's, and ignores the new field.

the_list_of_the_later_era_is_used failed before: left 'earlier', right 'later'.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -14,6 +14,7 @@
 use super::Gateway;
 use super::delivery::{Delivery, Summary};
 use super::pacing::Pacing;
+use super::position::Position;
 use crate::clock::Clock;
 use crate::config::patch::{self, Patch};
 use crate::http::body::Body;
@@ -79,6 +80,9 @@
     pub packed_engines: Option<Patch>,
     /// Revision of the store up to which the answering host knows these changes.
     pub engines_revision: u64,
+    /// Era of the store that `engines_revision` belongs to; `None` from releases before eras were known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engines_era: Option<u64>,
     /// Version of the configuration in force, 0 if there is none.
     pub version: u64,
     /// The configuration document as stored, if the follower has an older one, cannot apply patches,
@@ -118,6 +122,15 @@
         Ok(update)
     }
 
+    /// Returns the position in the store's history up to which the answering host knows its engines. One
+    /// that does not tell its era counts as being in that of `known`.
+    pub fn engines_position(&self, known: Position) -> Position {
+        Position {
+            era: self.engines_era.unwrap_or(known.era),
+            revision: self.engines_revision,
+        }
+    }
+
     /// Compresses the list of engines. A follower that changes to this host gets all of them.
     fn pack_engines(&mut self) {
         let registered = std::mem::take(&mut self.engines.registered);
@@ -274,11 +287,13 @@
             .gateway
             .engines_age()
             .max(self.gateway.configuration_age());
+        let position = self.gateway.engines_position();
         Update {
             process: self.gateway.process,
             engines: Changes::default(),
             packed_engines: None,
-            engines_revision: self.gateway.engines_position().revision,
+            engines_revision: position.revision,
+            engines_era: Some(position.era),
             version: self.gateway.revision_version(),
             revision: None,
             patch: None,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -185,7 +185,8 @@
     if Duration::from_millis(update.age_ms) > AGE_MAX {
         return Some(Cause::Stale);
     }
-    (update.engines_revision < gateway.engines_position().revision).then_some(Cause::Behind)
+    let known = gateway.engines_position();
+    (update.engines_position(known) < known).then_some(Cause::Behind)
 }
 
 fn record_outcome(representatives: &mut Representatives, failure: Option<Cause>) {
@@ -203,19 +204,19 @@
     failure: Option<Cause>,
 ) {
     let age = gateway.engines_age().as_millis();
-    let revision = gateway.engines_position().revision;
+    let Position { era, revision } = gateway.engines_position();
     match failure {
         None => {
             if let Some(peer) = queried.filter(|peer| followed.record_success(*peer)) {
                 info!(
-                    "event=followed peer={peer} engines_revision={revision} engines_age_ms={age}"
+                    "event=followed peer={peer} era={era} engines_revision={revision} engines_age_ms={age}"
                 );
             }
         }
         Some(cause) => {
             if let Some(peer) = followed.record_failure() {
                 info!(
-                    "event=followed_lost peer={peer} cause={} engines_revision={revision} engines_age_ms={age}",
+                    "event=followed_lost peer={peer} cause={} era={era} engines_revision={revision} engines_age_ms={age}",
                     cause.as_str()
                 );
             }
@@ -356,7 +357,9 @@
     // knows.
     let is_less_reliable = !update.is_confirmed && !gateway.registry.borrow().is_empty();
     // One that lags behind the last one still lists engines that have left.
-    let is_older = update.engines_revision < gateway.engines_position().revision;
+    let known_position = gateway.engines_position();
+    let position = update.engines_position(known_position);
+    let is_older = position < known_position;
     if is_older
         || is_less_reliable
         || (!update.is_confirmed && update.engines.registered.is_empty())
@@ -366,16 +369,13 @@
     let known = (update.process, update.engines.at);
     let age = Duration::from_millis(update.age_ms);
     let before = gateway.registry.borrow().last_change();
-    let content = engines_content(&update);
+    let content = engines_content(&update, position);
     gateway.registry.borrow_mut().apply_changes(update.engines);
     if gateway.registry.borrow().last_change() != before {
         info!("event=engines_followed {content}");
         gateway.notify_followers();
     }
-    gateway.set_engines_position(Position {
-        revision: update.engines_revision,
-        ..gateway.engines_position()
-    });
+    gateway.set_engines_position(position);
     if gateway.revision_version() >= update.version {
         gateway.confirm_revision(age);
     }
@@ -384,10 +384,11 @@
 }
 
 /// Returns the keys of the log line for engines that another host sent.
-fn engines_content(update: &Update) -> String {
+fn engines_content(update: &Update, position: Position) -> String {
     format!(
-        "engines_revision={} whole={} registered={} lapsing={} gone={} age_ms={}",
-        update.engines_revision,
+        "era={} engines_revision={} whole={} registered={} lapsing={} gone={} age_ms={}",
+        position.era,
+        position.revision,
         update.engines.is_whole,
         update.engines.registered.len(),
         update.engines.lapsing.len(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,7 +19,6 @@
 use super::crash;
 use super::feed::{self, Query, Update};
 use super::follow::Duty;
-use super::position::Position;
 use super::protocol::Directory;
 use super::watch;
 use crate::clock::Clock;
@@ -525,19 +524,15 @@
     };
     gateway.apply_revision(directory, &update, "peer");
     let engines = update.engines.registered.len();
+    let known = gateway.engines_position();
+    let position = update.engines_position(known);
     let mut registry = gateway.registry.borrow_mut();
-    if registry.is_empty()
-        && engines > 0
-        && update.engines_revision >= gateway.engines_position().revision
-    {
+    if registry.is_empty() && engines > 0 && position >= known {
         info!("event=engines_from_peer engines={engines}");
         registry.apply_changes(update.engines);
         drop(registry);
         gateway.notify_followers();
-        gateway.set_engines_position(Position {
-            revision: update.engines_revision,
-            ..gateway.engines_position()
-        });
+        gateway.set_engines_position(position);
         gateway.confirm_engines(Duration::from_millis(update.age_ms));
     }
 }
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -107,6 +107,7 @@
         },
         packed_engines: None,
         engines_revision,
+        engines_era: None,
         version: 3,
         revision: Some(config(3).to_string()),
         patch: None,
@@ -304,3 +305,51 @@
         gateway.metric(name).is_some_and(|bytes| bytes > 0.0)
     });
 }
+
+fn update_in_era(process: u64, era: u64, engines_revision: u64, engines: &[&Engine]) -> Update {
+    Update {
+        engines_era: Some(era),
+        ..update(process, engines_revision, engines)
+    }
+}
+
+/// Guards against a representative in an earlier era of the store that is preferred to one in the
+/// current era, because it knows a greater revision.
+#[test]
+fn the_list_of_the_later_era_is_used() {
+    let earlier = Engine::start("i-1", |_| Reaction::Response(200, "earlier".into()));
+    let later = Engine::start("i-2", |_| Reaction::Response(200, "later".into()));
+    for is_first_later in [false, true] {
+        let store = Store::start();
+        store.set_mode(Mode::Unavailable);
+        let ranked = ranked_addresses();
+        let all: Vec<_> = ranked.iter().map(SocketAddr::ip).collect();
+        let follower = ranked[2];
+        let ups = [1, 1].map(|is_up| Arc::new(AtomicU64::new(is_up)));
+        let mut lists = [
+            update_in_era(11, 1, 20, &[&earlier]),
+            update_in_era(12, 2, 10, &[&later]),
+        ];
+        if is_first_later {
+            lists.reverse();
+        }
+        let [first, second] = lists;
+        let up = ups[0].clone();
+        let first = Representative::start(ranked[0], &all, follower, copies_of(first), up);
+        let up = ups[1].clone();
+        let second = Representative::start(ranked[1], &all, follower, copies_of(second), up);
+        let gateway = start_gateway(&store, follower, ranked[0]);
+        wait_for("the first list", || {
+            gateway.is_ready() && first.updates.load(Ordering::Relaxed) > 2
+        });
+        ups[0].store(0, Ordering::Relaxed);
+        let before = second.updates.load(Ordering::Relaxed);
+        wait_for("the second list", || {
+            second.updates.load(Ordering::Relaxed) > before + 3
+        });
+        for number in 0..10 {
+            let answer = gateway.call("GET", "/any/x", &format!("r{number}"), "");
+            assert_eq!(answer.text(), "later", "first later: {is_first_later}");
+        }
+    }
+}
