Keep engines on followers that an older copy of the store lacks

A follower that went to a representative of a later era, which had started meanwhile and read the older copy, dropped the engines that the copy lacks at once, although they write their entries again.

Engines that a whole list of a later era lacks stay in use for LAPSE_GRACE, as on a host that lists the store itself.

followers_keep_what_an_older_copy_lacks guards it; the parameter is new, so the test does not compile on the code before.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -370,7 +370,11 @@
     let age = Duration::from_millis(update.age_ms);
     let before = gateway.registry.borrow().last_change();
     let content = engines_content(&update, position);
-    gateway.registry.borrow_mut().apply_changes(update.engines);
+    // What engines wrote in the lost part of the history is written again.
+    let is_new_era = position.era > known_position.era;
+    let mut registry = gateway.registry.borrow_mut();
+    registry.apply_changes(update.engines, is_new_era);
+    drop(registry);
     if gateway.registry.borrow().last_change() != before {
         info!("event=engines_followed {content}");
         gateway.notify_followers();
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -141,19 +141,26 @@
     /// Applies a listing of all registrations. Engines that it does not list are removed, after an
     /// outage of the store only once `LAPSE_GRACE` has passed. One that was draining has left.
     pub fn replace(&mut self, listed: Vec<Registration>, is_after_outage: bool) {
-        let expires_at = self.clock.now() + LAPSE_GRACE;
-        for id in self.ids_missing_in(&listed) {
-            let is_draining = self.engines[self.by_id[&id]].registration.is_draining;
-            match is_after_outage && !is_draining {
-                true => self.begin_lapse(&id, expires_at),
-                false => self.remove(&id),
-            }
-        }
+        let missing = self.ids_missing_in(&listed);
+        self.drop_missing(&missing, is_after_outage);
         for registration in listed {
             self.insert(registration);
         }
     }
 
+    /// Removes engines that are no longer listed, those that may be listed again only once
+    /// `LAPSE_GRACE` has passed.
+    fn drop_missing(&mut self, missing: &[CompactString], may_return: bool) {
+        let expires_at = self.clock.now() + LAPSE_GRACE;
+        for id in missing {
+            let is_draining = self.engines[self.by_id[id]].registration.is_draining;
+            match may_return && !is_draining {
+                true => self.begin_lapse(id, expires_at),
+                false => self.remove(id),
+            }
+        }
+    }
+
     fn ids_missing_in(&self, listed: &[Registration]) -> Vec<CompactString> {
         let listed: BTreeSet<_> = listed.iter().map(|registration| &registration.id).collect();
         let missing = self.by_id.keys().filter(|id| !listed.contains(id));
@@ -266,8 +273,9 @@
         lapses.collect()
     }
 
-    /// Applies changes that were read from another host.
-    pub fn apply_changes(&mut self, changes: Changes) {
+    /// Applies changes that were read from another host. Engines that a whole list lacks are removed,
+    /// in a new era of the store only once `LAPSE_GRACE` has passed.
+    pub fn apply_changes(&mut self, changes: Changes, is_new_era: bool) {
         let now = self.clock.now();
         for lapse in &changes.lapsing {
             let left = Duration::from_millis(lapse.left_ms).min(LAPSE_GRACE);
@@ -276,7 +284,7 @@
         if changes.is_whole {
             let mut missing = self.ids_missing_in(&changes.registered);
             missing.retain(|id| !changes.lapsing.iter().any(|lapse| lapse.id == *id));
-            missing.iter().for_each(|id| self.remove(id));
+            self.drop_missing(&missing, is_new_era);
         }
         changes.gone.iter().for_each(|id| self.remove(id));
         for registration in changes.registered {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -267,11 +267,11 @@
     returned.replace(vec![registration("a", "fd-a")], true);
     assert!(returned.is_usable(returned.by_id("b").unwrap()));
     for from in [None, Some(0), Some(before)] {
-        follower.apply_changes(returned.changes_since(from));
+        follower.apply_changes(returned.changes_since(from), false);
         assert_eq!(follower.by_id("b"), None, "{from:?}");
     }
     returned.insert(registration("b", "fd-b"));
-    follower.apply_changes(returned.changes_since(Some(before)));
+    follower.apply_changes(returned.changes_since(Some(before)), false);
     assert!(follower.is_usable(follower.by_id("b").unwrap()));
 }
 
@@ -285,7 +285,7 @@
         let mut follower = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
         watcher.replace(vec![registration("a", "fd-a")], true);
         clock.advance(Duration::from_millis(500));
-        follower.apply_changes(watcher.changes_since(position));
+        follower.apply_changes(watcher.changes_since(position), false);
         let b = follower.by_id("b").unwrap();
         assert!(follower.is_usable(b));
         clock.advance(Duration::from_millis(1400));
@@ -293,7 +293,7 @@
         clock.advance(Duration::from_millis(200));
         assert!(!follower.is_usable(b));
         watcher.insert(registration("b", "fd-b"));
-        follower.apply_changes(watcher.changes_since(position));
+        follower.apply_changes(watcher.changes_since(position), false);
         assert!(follower.is_usable(follower.by_id("b").unwrap()));
     }
 }
@@ -352,3 +352,16 @@
         assert_eq!(registry.own_usages().len(), 0, "seed {seed}");
     }
 }
+
+/// Guards against followers that drop engines whose entries are missing in an older copy of the store.
+#[test]
+fn followers_keep_what_an_older_copy_lacks() {
+    let clock = Manual::default();
+    let mut follower = registry(&clock, &[("a", "fd-a"), ("c", "fd-a")]);
+    let watcher = registry(&clock, &[("a", "fd-a")]);
+    follower.apply_changes(watcher.changes_since(None), true);
+    let c = follower.by_id("c").unwrap();
+    assert!(follower.is_usable(c));
+    clock.advance(Duration::from_millis(2100));
+    assert!(!follower.is_usable(c));
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -351,7 +351,7 @@
                 _ => {
                     let changes = watcher.changes_since(position);
                     position = Some(changes.at);
-                    follower.apply_changes(changes);
+                    follower.apply_changes(changes, false);
                     let known = follower.registrations();
                     assert_eq!(known, watcher.registrations(), "seed {seed} step {step}");
                     for id in (0..8).map(|n| format!("e{n}")) {
