Withhold engines that an older copy of the store lists again

An engine that had left, or an earlier start of one, was used again when the store came back from a copy in which its entry still stands.

The registry keeps the incarnations that it removed (id, start time and address) for a minute. When a later era begins, a list that shows one of them again does not put it into use: not before its entry is written in that era, and for 10 s at most, as the store drops the entry of an engine that left after three heartbeats, and one that only lapsed runs. Hosts that follow apply the same to whole lists; a change that their representative passes on counts as written.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -373,6 +373,9 @@
     // What engines wrote in the lost part of the history is written again.
     let is_new_era = position.era > known_position.era;
     let mut registry = gateway.registry.borrow_mut();
+    if is_new_era {
+        registry.begin_era();
+    }
     registry.apply_changes(update.engines, is_new_era);
     drop(registry);
     if gateway.registry.borrow().last_change() != before {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -529,7 +529,11 @@
     let mut registry = gateway.registry.borrow_mut();
     if registry.is_empty() && engines > 0 && position >= known {
         info!("event=engines_from_peer engines={engines}");
-        registry.apply_changes(update.engines, position.era > known.era);
+        let is_new_era = position.era > known.era;
+        if is_new_era {
+            registry.begin_era();
+        }
+        registry.apply_changes(update.engines, is_new_era);
         drop(registry);
         gateway.notify_followers();
         gateway.set_engines_position(position);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -220,6 +220,7 @@
                 dependency.record_success(&gateway, next);
                 since = Some(next);
                 gateway.set_engines_position(next);
+                gateway.registry.borrow_mut().expire_lapsed();
                 gateway.confirm_engines(Duration::ZERO);
                 if gateway.registry.borrow().last_change() != before {
                     gateway.notify_followers();
@@ -275,6 +276,9 @@
     // What engines wrote in the lost part of the history is written again.
     let is_new_era = era > gateway.engines_position().era;
     let mut registry = gateway.registry.borrow_mut();
+    if is_new_era {
+        registry.begin_era();
+    }
     registry.replace(listing.items, was_lost || is_new_era);
     let lapsing = registry.lapsing();
     info!(
@@ -293,7 +297,7 @@
                     "event=engine_registered engine={} draining={}",
                     registration.id, registration.is_draining
                 );
-                registry.insert(registration);
+                registry.insert_written(registration);
             }
             Change::Removed(id) => {
                 info!("event=engine_gone engine={id}");
--- /dev/null
+++ b/src/route/departed.rs
@@ -0,0 +1,94 @@
+//! Engines that were removed, and that an older copy of the store may list again.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+
+use super::registry::Registration;
+
+/// Time for which a removal is kept. The store comes back from a copy that is some seconds old.
+const REMOVAL_TTL: Duration = Duration::from_secs(60);
+
+/// Time for which a listed engine is withheld at most. The store drops the entry of an engine that
+/// left after three heartbeats of silence; one that is still listed then runs.
+const WITHHELD_MAX: Duration = Duration::from_secs(10);
+
+/// Removed engines, by the era of the store in which they were removed, and those of them that are
+/// listed again.
+#[derive(Debug, Default)]
+pub struct Departed {
+    // The last removal under each id in the current era, and in earlier ones.
+    current: BTreeMap<CompactString, Removal>,
+    earlier: BTreeMap<CompactString, Removal>,
+    // Registrations that were listed again, and when they are used again.
+    withheld: BTreeMap<CompactString, (Registration, Instant)>,
+}
+
+/// Removal of an incarnation of an engine.
+#[derive(Clone, Debug)]
+struct Removal {
+    started_ms: u64,
+    address: CompactString,
+    at: Instant,
+}
+
+impl Departed {
+    /// Records that an engine was removed in the current era.
+    pub fn record(&mut self, removed: &Registration, now: Instant) {
+        let removal = Removal {
+            started_ms: removed.started_ms,
+            address: removed.address.clone(),
+            at: now,
+        };
+        self.current.insert(removed.id.clone(), removal);
+    }
+
+    /// Records that the store no longer lists an engine.
+    pub fn withdraw(&mut self, id: &str) {
+        self.withheld.remove(id);
+    }
+
+    /// Begins a new era: all removals so far may be missing in the store.
+    pub fn begin_era(&mut self, now: Instant) {
+        self.earlier.append(&mut self.current);
+        self.earlier
+            .retain(|_, removal| now.duration_since(removal.at) < REMOVAL_TTL);
+    }
+
+    /// Returns whether a listed engine is to be left out, as this incarnation was removed in an earlier
+    /// era.
+    pub fn withhold(&mut self, listed: &Registration, now: Instant) -> bool {
+        let Some(removal) = self.earlier.get(&listed.id) else {
+            return false;
+        };
+        if removal.started_ms != listed.started_ms || removal.address != listed.address {
+            return false;
+        }
+        let known = self.withheld.remove(&listed.id);
+        let until = known.map_or(now + WITHHELD_MAX, |(_, until)| until);
+        self.withheld
+            .insert(listed.id.clone(), (listed.clone(), until));
+        true
+    }
+
+    /// Records that the entry of an engine was written in the current era, so that it is used again.
+    pub fn readmit(&mut self, id: &str) {
+        self.earlier.remove(id);
+        self.withheld.remove(id);
+    }
+
+    /// Keeps only those withheld engines that `is_listed`.
+    pub fn retain_listed(&mut self, is_listed: impl Fn(&CompactString) -> bool) {
+        self.withheld.retain(|id, _| is_listed(id));
+    }
+
+    /// Returns the engines that were withheld for the longest time, which are used again.
+    pub fn take_due(&mut self, now: Instant) -> Vec<Registration> {
+        let due = self.withheld.values().filter(|(_, until)| *until <= now);
+        let due: Vec<_> = due.map(|(registration, _)| registration.clone()).collect();
+        due.iter()
+            .for_each(|registration| self.readmit(&registration.id));
+        due
+    }
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod cache;
 pub mod contact;
+pub mod departed;
 pub mod evidence;
 pub mod fleet;
 pub mod history;
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use super::departed::Departed;
 use super::history::{Changes, History, Lapse};
 use super::load::Load;
 use super::losses::Losses;
@@ -108,6 +109,7 @@
     by_hash: BTreeMap<EngineHash, Engine>,
     // Changes of `by_id` and of the registrations in it.
     history: History,
+    departed: Departed,
     // Time up to which all changes in the store are known.
     confirmed_at: Option<Instant>,
     // Recently lost engines, with their failure domains.
@@ -130,6 +132,7 @@
             by_id: BTreeMap::new(),
             by_hash: BTreeMap::new(),
             history: History::default(),
+            departed: Departed::default(),
             confirmed_at: None,
             domain_losses: Vec::new(),
             losses: Losses::default(),
@@ -138,9 +141,16 @@
         }
     }
 
+    /// Begins a new era of the store, which came back from an older copy: engines that were removed so far
+    /// may be listed again.
+    pub fn begin_era(&mut self) {
+        self.departed.begin_era(self.clock.now());
+    }
+
     /// Applies a listing of all registrations. Engines that it does not list are removed, after an
     /// outage of the store only once `LAPSE_GRACE` has passed. One that was draining has left.
     pub fn replace(&mut self, listed: Vec<Registration>, is_after_outage: bool) {
+        let listed = self.without_departed(listed);
         let missing = self.ids_missing_in(&listed);
         self.drop_missing(&missing, is_after_outage);
         for registration in listed {
@@ -148,6 +158,15 @@
         }
     }
 
+    /// Returns the listed engines without those that were removed in an earlier era.
+    fn without_departed(&mut self, mut listed: Vec<Registration>) -> Vec<Registration> {
+        let now = self.clock.now();
+        let ids: BTreeSet<_> = listed.iter().map(|listed| listed.id.clone()).collect();
+        self.departed.retain_listed(|id| ids.contains(id));
+        listed.retain(|registration| !self.departed.withhold(registration, now));
+        listed
+    }
+
     /// Removes engines that are no longer listed, those that may be listed again only once
     /// `LAPSE_GRACE` has passed.
     fn drop_missing(&mut self, missing: &[CompactString], may_return: bool) {
@@ -275,27 +294,42 @@
 
     /// Applies changes that were read from another host. Engines that a whole list lacks are removed,
     /// in a new era of the store only once `LAPSE_GRACE` has passed.
-    pub fn apply_changes(&mut self, changes: Changes, is_new_era: bool) {
+    pub fn apply_changes(&mut self, mut changes: Changes, is_new_era: bool) {
         let now = self.clock.now();
         for lapse in &changes.lapsing {
             let left = Duration::from_millis(lapse.left_ms).min(LAPSE_GRACE);
             self.begin_lapse(&lapse.id, now + left);
         }
         if changes.is_whole {
+            changes.registered = self.without_departed(changes.registered);
             let mut missing = self.ids_missing_in(&changes.registered);
             missing.retain(|id| !changes.lapsing.iter().any(|lapse| lapse.id == *id));
             self.drop_missing(&missing, is_new_era);
         }
         changes.gone.iter().for_each(|id| self.remove(id));
         for registration in changes.registered {
-            self.insert(registration);
+            match changes.is_whole {
+                true => self.insert(registration),
+                false => self.insert_written(registration),
+            }
         }
     }
 
+    /// Adds or updates a registration that its engine has written in the current era.
+    pub fn insert_written(&mut self, registration: Registration) {
+        self.departed.readmit(&registration.id);
+        self.insert(registration);
+    }
+
     /// Removes engines whose entries lapsed during an outage of the store and were not renewed in
-    /// time.
+    /// time, and uses those again that an older copy of the store has listed for long enough.
     pub fn expire_lapsed(&mut self) {
         let now = self.clock.now();
+        for registration in self.departed.take_due(now) {
+            if !self.by_id.contains_key(&registration.id) {
+                self.insert(registration);
+            }
+        }
         let is_expired = |key: &Engine| self.engines[*key].expires_at.is_some_and(|at| at <= now);
         let expired = self.by_id.iter().filter(|(_, key)| is_expired(key));
         let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
@@ -321,9 +355,12 @@
 
     /// Removes an engine. The requests that run on it continue.
     pub fn remove(&mut self, id: &str) {
+        self.departed.withdraw(id);
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
+        let now = self.clock.now();
+        self.departed.record(&self.engines[key].registration, now);
         let hash = EngineHash::of(id);
         if self.by_hash.get(&hash) == Some(&key) {
             self.by_hash.remove(&hash);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -353,13 +353,89 @@
     }
 }
 
-/// Guards against followers that drop engines whose entries are missing in an older copy of the store.
+/// Returns what an older copy of the store lists: engines `a` and `b`, as they first registered.
+fn older_copy() -> Vec<Registration> {
+    vec![registration("a", "fd-a"), registration("b", "fd-b")]
+}
+
+/// Guards against an engine that has left and is used again, as an older copy of the store lists it, and
+/// against one that runs and is left out for good.
+#[test]
+fn an_engine_that_an_older_copy_lists_again_is_withheld() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    registry.remove("b");
+    registry.begin_era();
+    for _ in 0..3 {
+        registry.replace(older_copy(), true);
+        assert_eq!(registry.by_id("b"), None);
+        clock.advance(Duration::from_secs(3));
+        registry.expire_lapsed();
+        assert_eq!(registry.by_id("b"), None);
+    }
+    clock.advance(Duration::from_secs(2));
+    registry.expire_lapsed();
+    assert!(registry.is_usable(registry.by_id("b").unwrap()));
+}
+
+/// Guards against an engine that is left out although it has written its entry again.
+#[test]
+fn a_withheld_engine_is_used_once_it_writes_its_entry() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    registry.remove("b");
+    registry.begin_era();
+    registry.replace(older_copy(), true);
+    registry.insert_written(registration("b", "fd-b"));
+    registry.replace(older_copy(), true);
+    assert!(registry.is_usable(registry.by_id("b").unwrap()));
+}
+
+/// Guards against an engine that is used after the store dropped its entry in the new era.
+#[test]
+fn a_withheld_engine_that_is_no_longer_listed_is_not_used() {
+    let clock = Manual::default();
+    for is_event in [false, true] {
+        let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+        registry.remove("b");
+        registry.begin_era();
+        registry.replace(older_copy(), true);
+        match is_event {
+            true => registry.remove("b"),
+            false => registry.replace(vec![registration("a", "fd-a")], false),
+        }
+        clock.advance(Duration::from_secs(20));
+        registry.expire_lapsed();
+        assert_eq!(registry.by_id("b"), None);
+    }
+}
+
+/// Guards against a restarted engine whose entry is replaced by that of its earlier start.
+#[test]
+fn an_older_copy_does_not_replace_a_restarted_engine() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    registry.insert(Registration {
+        started_ms: 2,
+        ..registration("b", "fd-b")
+    });
+    registry.begin_era();
+    registry.replace(older_copy(), true);
+    let b = registry.by_id("b").unwrap();
+    assert_eq!(registry.get(b).unwrap().registration.started_ms, 2);
+}
+
+/// Guards against followers that drop engines whose entries are missing in an older copy of the store,
+/// or that use engines which left.
 #[test]
 fn followers_keep_what_an_older_copy_lacks() {
     let clock = Manual::default();
-    let mut follower = registry(&clock, &[("a", "fd-a"), ("c", "fd-a")]);
-    let watcher = registry(&clock, &[("a", "fd-a")]);
+    let mut follower = registry(&clock, &[("a", "fd-a"), ("b", "fd-b"), ("c", "fd-a")]);
+    follower.remove("b");
+    follower.begin_era();
+    let watcher = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
     follower.apply_changes(watcher.changes_since(None), true);
+    assert_eq!(follower.by_id("b"), None);
     let c = follower.by_id("c").unwrap();
     assert!(follower.is_usable(c));
     clock.advance(Duration::from_millis(2100));
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -18,11 +18,12 @@
 use bilberrypost::util::within;
 use serde_json::json;
 use support::platform::{
-    Engine, Gateway, Mode, Store, config, gateway_settings, ok, start, wait_for,
+    Engine, Gateway, Mode, Store, config, gateway_settings, ok, start, two_engines, wait_for,
 };
 use support::{TEST_TIMEOUT, block_on};
 
 const VERSION: &str = "bilberrypost_revision_version ";
+const ENGINES: &str = "bilberrypost_engines ";
 
 fn wait_for_metric(gateway: &Gateway, name: &str, value: f64) {
     wait_for(name, || gateway.metric(name) == Some(value));
@@ -54,6 +55,30 @@
     wait_for_metric(&gateway, VERSION, 5.0);
 }
 
+/// Guards against an engine that has left and is used again, because an older copy of the store still
+/// lists it.
+#[test]
+fn an_engine_that_left_is_not_used_again() {
+    let [left, stays] = two_engines(|_| ok());
+    let (store, gateway) = start(&[(&left, "app", "fd-a"), (&stays, "app", "fd-a")]);
+    let copy = store.copy();
+    wait_for_metric(&gateway, ENGINES, 2.0);
+    store.remove("servers", &left.id);
+    wait_for_metric(&gateway, ENGINES, 1.0);
+    restore(&store, &copy, || {
+        store.put("servers", "i-3", stays.registration("other", "fd-a"));
+    });
+    wait_for("the list", || gateway.metric(ENGINES) > Some(1.0));
+    assert_eq!(gateway.metric(ENGINES), Some(2.0));
+    for number in 0..20 {
+        assert_eq!(
+            gateway.status("GET", "/any/x", &format!("r{number}"), ""),
+            200
+        );
+    }
+    assert_eq!(left.request_count(), 0);
+}
+
 /// A store whose answers the test decides.
 #[derive(Clone, Default)]
 struct Played(Rc<Answers>);
