Keep an engine draining when an older copy shows it available

An engine that drains got new work again when the store came back from a copy in which its entry was still available, until it wrote it again.

Draining is final for an incarnation: an entry with the same id, start time and address no longer makes an engine available that has drained.

an_engine_that_drains_stays_draining failed before: 'assertion failed: registry.get(b).unwrap().registration.is_draining'.

--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -203,13 +203,15 @@
     }
 
     /// Adds or updates one registration. That of a restarted engine replaces the earlier one.
-    pub fn insert(&mut self, registration: Registration) {
+    pub fn insert(&mut self, mut registration: Registration) {
         if let Some(key) = self.by_id.get(&registration.id) {
             let known = &mut self.engines[*key];
             let is_same = known.registration.started_ms == registration.started_ms
                 && known.registration.address == registration.address;
             if is_same {
                 let was_lapsing = known.expires_at.take().is_some();
+                // Draining is final. An older copy of the store may show the entry as it was before.
+                registration.is_draining |= known.registration.is_draining;
                 if was_lapsing || known.registration != registration {
                     known.registration = registration.clone();
                     self.history.push(registration.id);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -410,6 +410,29 @@
     }
 }
 
+/// Guards against an engine that takes new work while it drains, as an older copy of the store shows
+/// it as it was before.
+#[test]
+fn an_engine_that_drains_stays_draining() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    let draining = Registration {
+        is_draining: true,
+        ..registration("b", "fd-b")
+    };
+    registry.insert(draining);
+    registry.begin_era();
+    registry.replace(older_copy(), true);
+    let b = registry.by_id("b").unwrap();
+    assert!(registry.get(b).unwrap().registration.is_draining);
+    registry.insert(Registration {
+        started_ms: 2,
+        ..registration("b", "fd-b")
+    });
+    let b = registry.by_id("b").unwrap();
+    assert!(!registry.get(b).unwrap().registration.is_draining);
+}
+
 /// Guards against a restarted engine whose entry is replaced by that of its earlier start.
 #[test]
 fn an_older_copy_does_not_replace_a_restarted_engine() {
