--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -149,14 +149,16 @@
     started_at: Instant,
     // The latest position in the store's history that an answer told, `None` before the first one.
     store_position: Cell<Option<Position>>,
+    // Set when an answer tells a new era of the store, and replaced by a new signal.
+    next_era: RefCell<Signal>,
     // Whether the engines were read at least once.
     has_engine_list: Cell<bool>,
     // Number of kinds of calls to the store whose last call failed.
     failing_calls: Cell<usize>,
     // When the registry was last known to match the directory.
     engines_confirmed_at: Cell<Option<Instant>>,
-    // Revision of the store up to which the changes of engines are known.
-    engines_revision: Cell<u64>,
+    // Position in the store's history up to which the changes of engines are known.
+    engines_position: Cell<Position>,
     // When running work is cut; set when draining begins.
     drain_ends_at: Cell<Option<Instant>>,
 }
@@ -192,9 +194,10 @@
             revision_confirmed_at: Cell::default(),
             started_at: clock.now(),
             store_position: Cell::default(),
+            next_era: RefCell::default(),
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
-            engines_revision: Cell::default(),
+            engines_position: Cell::default(),
             drain_ends_at: Cell::default(),
             clock,
             settings,
@@ -295,7 +298,19 @@
             .set(self.revision_confirmed_at.get().max(at));
     }
 
-    /// Records the position that an answer of the store told. `name` is the kind of the call, for the log.
+    /// Returns the signal that is set when an answer of the store tells a new era.
+    pub fn next_era(&self) -> Signal {
+        self.next_era.borrow().clone()
+    }
+
+    /// Returns whether no answer has told a later era than that of `position`.
+    pub fn is_current_era(&self, position: Position) -> bool {
+        let latest = self.store_position.get();
+        latest.is_none_or(|latest| latest.era <= position.era)
+    }
+
+    /// Records the position that an answer of the store told. In a new era the calls that still wait
+    /// are begun again. `name` is the kind of the call, for the log.
     fn record_position(&self, name: &str, position: Position) {
         let known = self.store_position.get();
         self.store_position.set(known.max(Some(position)));
@@ -306,6 +321,9 @@
             "event=store_era name={name} era={} revision={} known_era={} known_revision={}",
             position.era, position.revision, known.era, known.revision
         );
+        if position.era > known.era {
+            self.next_era.take().set();
+        }
     }
 
     /// Checks the answer of the store to a watch from `since`, or to a listing without `since`. `name`
@@ -333,15 +351,15 @@
         }
     }
 
-    /// Returns the revision of the store up to which the changes of engines are known, 0 if none is.
-    pub fn engines_revision(&self) -> u64 {
-        self.engines_revision.get()
+    /// Returns the position in the store's history up to which the changes of engines are known.
+    pub fn engines_position(&self) -> Position {
+        self.engines_position.get()
     }
 
-    /// Records that the changes of engines are known up to `revision` of the store.
-    pub fn set_engines_revision(&self, revision: u64) {
-        let known = self.engines_revision.get();
-        self.engines_revision.set(known.max(revision));
+    /// Records that the changes of engines are known up to `position` of the store's history.
+    pub fn set_engines_position(&self, position: Position) {
+        let known = self.engines_position.get();
+        self.engines_position.set(known.max(position));
     }
 
     /// Records that the registry matched the directory `age` ago.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -524,13 +524,19 @@
     };
     gateway.apply_revision(directory, &update, "peer");
     let engines = update.engines.registered.len();
+    let known = gateway.engines_position();
+    let position = update.engines_position(known);
     let mut registry = gateway.registry.borrow_mut();
-    if registry.is_empty() && engines > 0 && update.engines_revision >= gateway.engines_revision() {
+    if registry.is_empty() && engines > 0 && position >= known {
         info!("event=engines_from_peer engines={engines}");
-        registry.apply_changes(update.engines);
+        let is_new_era = position.era > known.era;
+        if is_new_era {
+            registry.begin_era();
+        }
+        registry.apply_changes(update.engines, is_new_era);
         drop(registry);
         gateway.notify_followers();
-        gateway.set_engines_revision(update.engines_revision);
+        gateway.set_engines_position(position);
         gateway.confirm_engines(Duration::from_millis(update.age_ms));
     }
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,8 +1,10 @@
 //! Tasks that keep the configuration and the engines up to date by watching the store.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use log::{info, warn};
 
 use super::Gateway;
@@ -10,6 +12,7 @@
 use super::protocol::{Change, Directory, Listing, Unavailable};
 use crate::clock::Clock;
 use crate::config::routes::Revision;
+use crate::route::registry::Registration;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -95,10 +98,12 @@
         );
     }
 
-    async fn pause<C: Clock>(&self, gateway: &Gateway<C>, stop: &Signal) {
+    /// Waits before the next call, until the store is found to be in a new era.
+    async fn pause<C: Clock>(&self, gateway: &Gateway<C>, next_era: &Signal, stop: &Signal) {
         let pause = retry_pause(self.failures, gateway.role.is_representative());
         // Random jitter, so that hosts that failed together do not retry together.
-        within(pause.mul_f64(rand::random_range(0.7..1.0)), stop.wait()).await;
+        let pause = pause.mul_f64(rand::random_range(0.7..1.0));
+        within(pause, select(next_era.wait(), stop.wait())).await;
     }
 }
 
@@ -126,7 +131,10 @@
             within(ROLE_CHECK_INTERVAL, stop.wait()).await;
             continue;
         }
-        let result = call_revisions(&gateway, &directory, since, known).await;
+        let next_era = gateway.next_era();
+        since = since.filter(|since| gateway.is_current_era(*since));
+        let call = call_revisions(&gateway, &directory, since, known);
+        let result = unless_set(&next_era, call).await;
         count_call(&gateway, "configuration_call", &result);
         match result {
             Ok(listing) => {
@@ -145,7 +153,7 @@
                 // The store may have come back from an older copy, in which changes after `since` are
                 // not the ones that follow.
                 since = None;
-                dependency.pause(&gateway, &stop).await;
+                dependency.pause(&gateway, &next_era, &stop).await;
             }
         }
     }
@@ -178,6 +186,18 @@
     true
 }
 
+/// Returns the result of a call to the store; [`Unavailable::HistoryGone`] if the store was found to
+/// be in a new era meanwhile.
+async fn unless_set<T>(
+    next_era: &Signal,
+    call: impl Future<Output = Result<T, Unavailable>>,
+) -> Result<T, Unavailable> {
+    match select(pin!(call), next_era.wait()).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(Unavailable::HistoryGone),
+    }
+}
+
 /// Keeps the engines up to date until `stop` is set, while this host watches the store.
 pub async fn engines<C: Clock, D: Directory>(gateway: Rc<Gateway<C>>, directory: D, stop: Signal) {
     let mut dependency = Dependency::new("engines");
@@ -189,17 +209,18 @@
             continue;
         }
         let was_lost = dependency.is_lost;
+        let next_era = gateway.next_era();
+        since = since.filter(|since| gateway.is_current_era(*since));
         let before = gateway.registry.borrow().last_change();
-        let result = match since {
-            None => list_engines(&gateway, &directory, was_lost).await,
-            Some(since) => watch_engines(&gateway, &directory, since).await,
-        };
+        let call = call_engines(&gateway, &directory, since, was_lost);
+        let result = unless_set(&next_era, call).await;
         count_call(&gateway, "engines_call", &result);
         match result {
             Ok(next) => {
                 dependency.record_success(&gateway, next);
                 since = Some(next);
-                gateway.set_engines_revision(next.revision);
+                gateway.set_engines_position(next);
+                gateway.registry.borrow_mut().expire_lapsed();
                 gateway.confirm_engines(Duration::ZERO);
                 if gateway.registry.borrow().last_change() != before {
                     gateway.notify_followers();
@@ -215,39 +236,58 @@
                 dependency.record_failure(&gateway, &err);
                 // Entries may have expired in the meantime, so all are listed again.
                 since = None;
-                dependency.pause(&gateway, &stop).await;
+                dependency.pause(&gateway, &next_era, &stop).await;
             }
         }
     }
 }
 
-async fn list_engines<C: Clock, D: Directory>(
+/// Lists the engines, or waits for changes after `since`. Returns the position to watch from.
+async fn call_engines<C: Clock, D: Directory>(
     gateway: &Gateway<C>,
     directory: &D,
+    since: Option<Position>,
     was_lost: bool,
 ) -> Result<Position, Unavailable> {
-    let listing = directory.list_engines().await?;
-    gateway.record_position("engines", listing.position);
+    let known = gateway.engines_position();
+    match since {
+        None => {
+            let listing = directory.list_engines().await?;
+            gateway.check_position("engines", None, known, listing.position)?;
+            Ok(apply_listing(gateway, listing, was_lost))
+        }
+        Some(since) => {
+            let wait = watch_wait(gateway);
+            let listing = directory.watch_engines(since, wait).await?;
+            gateway.check_position("engines", Some(since), known, listing.position)?;
+            Ok(apply_changes(gateway, listing))
+        }
+    }
+}
+
+fn apply_listing<C: Clock>(
+    gateway: &Gateway<C>,
+    listing: Listing<Registration>,
+    was_lost: bool,
+) -> Position {
     warn_unreadable("engines", listing.unreadable);
     let (engines, position) = (listing.items.len(), listing.position);
     let (era, revision) = (position.era, position.revision);
+    // What engines wrote in the lost part of the history is written again.
+    let is_new_era = era > gateway.engines_position().era;
     let mut registry = gateway.registry.borrow_mut();
-    registry.replace(listing.items, was_lost);
+    if is_new_era {
+        registry.begin_era();
+    }
+    registry.replace(listing.items, was_lost || is_new_era);
     let lapsing = registry.lapsing();
     info!(
         "event=engines_listed engines={engines} lapsing={lapsing} era={era} engines_revision={revision}"
     );
-    Ok(position)
+    position
 }
 
-async fn watch_engines<C: Clock, D: Directory>(
-    gateway: &Gateway<C>,
-    directory: &D,
-    since: Position,
-) -> Result<Position, Unavailable> {
-    let listing = directory.watch_engines(since, watch_wait(gateway)).await?;
-    gateway.record_position("engines", listing.position);
-    let listing = check_order(since, listing)?;
+fn apply_changes<C: Clock>(gateway: &Gateway<C>, listing: Listing<Change>) -> Position {
     warn_unreadable("engines", listing.unreadable);
     let mut registry = gateway.registry.borrow_mut();
     for change in listing.items {
@@ -257,7 +297,7 @@
                     "event=engine_registered engine={} draining={}",
                     registration.id, registration.is_draining
                 );
-                registry.insert(registration);
+                registry.insert_written(registration);
             }
             Change::Removed(id) => {
                 info!("event=engine_gone engine={id}");
@@ -265,17 +305,7 @@
             }
         }
     }
-    Ok(listing.position)
-}
-
-/// Refuses an answer to a watch from `since` that is older than that.
-fn check_order<T>(since: Position, answer: Listing<T>) -> Result<Listing<T>, Unavailable> {
-    match answer.position.revision < since.revision {
-        true => Err(Unavailable::NoAnswer(
-            "the response is older than the request".to_owned(),
-        )),
-        false => Ok(answer),
-    }
+    listing.position
 }
 
 /// Counts a call to the directory and its outcome in the metrics.
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use super::departed::Departed;
 use super::history::{Changes, History, Lapse};
 use super::load::Load;
 use super::losses::Losses;
@@ -130,6 +131,7 @@
     by_hash: BTreeMap<EngineHash, Engine>,
     // Changes of `by_id` and of the registrations in it.
     history: History,
+    departed: Departed,
     // Time up to which all changes in the store are known.
     confirmed_at: Option<Instant>,
     // Recently lost engines, with their failure domains.
@@ -154,6 +156,7 @@
             by_id: BTreeMap::new(),
             by_hash: BTreeMap::new(),
             history: History::default(),
+            departed: Departed::default(),
             confirmed_at: None,
             domain_losses: Vec::new(),
             losses: Losses::default(),
@@ -164,22 +167,45 @@
         }
     }
 
+    /// Begins a new era of the store, which came back from an older copy: engines that were removed so far
+    /// may be listed again.
+    pub fn begin_era(&mut self) {
+        self.departed.begin_era(self.clock.now());
+    }
+
     /// Applies a listing of all registrations. Engines that it does not list are removed, after an
     /// outage of the store only once `LAPSE_GRACE` has passed. One that was draining has left.
     pub fn replace(&mut self, listed: Vec<Registration>, is_after_outage: bool) {
-        let expires_at = self.clock.now() + LAPSE_GRACE;
-        for id in self.ids_missing_in(&listed) {
-            let is_draining = self.engines[self.by_id[&id]].registration.is_draining;
-            match is_after_outage && !is_draining {
-                true => self.begin_lapse(&id, expires_at),
-                false => self.remove(&id),
-            }
-        }
+        let listed = self.without_departed(listed);
+        let missing = self.ids_missing_in(&listed);
+        self.drop_missing(&missing, is_after_outage);
         for registration in listed {
             self.insert(registration);
         }
     }
 
+    /// Returns the listed engines without those that were removed in an earlier era.
+    fn without_departed(&mut self, mut listed: Vec<Registration>) -> Vec<Registration> {
+        let now = self.clock.now();
+        let ids: BTreeSet<_> = listed.iter().map(|listed| listed.id.clone()).collect();
+        self.departed.retain_listed(|id| ids.contains(id));
+        listed.retain(|registration| !self.departed.withhold(registration, now));
+        listed
+    }
+
+    /// Removes engines that are no longer listed, those that may be listed again only once
+    /// `LAPSE_GRACE` has passed.
+    fn drop_missing(&mut self, missing: &[CompactString], may_return: bool) {
+        let expires_at = self.clock.now() + LAPSE_GRACE;
+        for id in missing {
+            let is_draining = self.engines[self.by_id[id]].registration.is_draining;
+            match may_return && !is_draining {
+                true => self.begin_lapse(id, expires_at),
+                false => self.remove(id),
+            }
+        }
+    }
+
     fn ids_missing_in(&self, listed: &[Registration]) -> Vec<CompactString> {
         let listed: BTreeSet<_> = listed.iter().map(|registration| &registration.id).collect();
         let missing = self.by_id.keys().filter(|id| !listed.contains(id));
@@ -203,13 +229,15 @@
     }
 
     /// Adds or updates one registration. That of a restarted engine replaces the earlier one.
-    pub fn insert(&mut self, registration: Registration) {
+    pub fn insert(&mut self, mut registration: Registration) {
         if let Some(key) = self.by_id.get(&registration.id) {
             let known = &mut self.engines[*key];
             let is_same = known.registration.started_ms == registration.started_ms
                 && known.registration.address == registration.address;
             if is_same {
                 let was_lapsing = known.expires_at.take().is_some();
+                // Draining is final. An older copy of the store may show the entry as it was before.
+                registration.is_draining |= known.registration.is_draining;
                 if was_lapsing || known.registration != registration {
                     known.registration = registration.clone();
                     self.history.push(registration.id);
@@ -293,28 +321,44 @@
         lapses.collect()
     }
 
-    /// Applies changes that were read from another host.
-    pub fn apply_changes(&mut self, changes: Changes) {
+    /// Applies changes that were read from another host. Engines that a whole list lacks are removed,
+    /// in a new era of the store only once `LAPSE_GRACE` has passed.
+    pub fn apply_changes(&mut self, mut changes: Changes, is_new_era: bool) {
         let now = self.clock.now();
         for lapse in &changes.lapsing {
             let left = Duration::from_millis(lapse.left_ms).min(LAPSE_GRACE);
             self.begin_lapse(&lapse.id, now + left);
         }
         if changes.is_whole {
+            changes.registered = self.without_departed(changes.registered);
             let mut missing = self.ids_missing_in(&changes.registered);
             missing.retain(|id| !changes.lapsing.iter().any(|lapse| lapse.id == *id));
-            missing.iter().for_each(|id| self.remove(id));
+            self.drop_missing(&missing, is_new_era);
         }
         changes.gone.iter().for_each(|id| self.remove(id));
         for registration in changes.registered {
-            self.insert(registration);
+            match changes.is_whole {
+                true => self.insert(registration),
+                false => self.insert_written(registration),
+            }
         }
     }
 
+    /// Adds or updates a registration that its engine has written in the current era.
+    pub fn insert_written(&mut self, registration: Registration) {
+        self.departed.readmit(&registration.id);
+        self.insert(registration);
+    }
+
     /// Removes engines whose entries lapsed during an outage of the store and were not renewed in
-    /// time.
+    /// time, and uses those again that an older copy of the store has listed for long enough.
     pub fn expire_lapsed(&mut self) {
         let now = self.clock.now();
+        for registration in self.departed.take_due(now) {
+            if !self.by_id.contains_key(&registration.id) {
+                self.insert(registration);
+            }
+        }
         let is_expired = |key: &Engine| self.engines[*key].expires_at.is_some_and(|at| at <= now);
         let expired = self.by_id.iter().filter(|(_, key)| is_expired(key));
         let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
@@ -340,9 +384,12 @@
 
     /// Removes an engine. The requests that run on it continue.
     pub fn remove(&mut self, id: &str) {
+        self.departed.withdraw(id);
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
+        let now = self.clock.now();
+        self.departed.record(&self.engines[key].registration, now);
         let hash = EngineHash::of(id);
         if self.by_hash.get(&hash) == Some(&key) {
             self.by_hash.remove(&hash);
