Make no call to a backend server before the time it named

What callers saw: nothing yet; found while the product's own path was compared with the platform's. A backend server that turned a call away with 503 and `Retry-After` counted as one that answered, and got the next call at once. If all servers of a service had done so, the refusal of the router still named 1 s.

Cause: the end of an attempt told leaving, failed and answered apart, and no time.

Leaving was treated as on the platform's path already (chooses_idle_servers_in_the_own_failure_domain, leaving_backend_gets_no_work). The attempt now ends as `End::Held`, the server accepts no calls until then, an hour at most, and the refusal names the time until the first of them does if that is more than 1 s. The parser of `Retry-After` moved from the platform's adapter to `http/retry_after.rs`, which both paths use. The emulated backend server has the fault `refuse@SECONDS`.

Tests with the held time left out of the choice and the rest in place:

a_backend_server_that_wants_no_calls_gets_none: Reply { status: 200, .. }: left: None, right: Some(NotRun) a_server_that_wants_no_calls_gets_none_for_that_time: left: "near", right: "far"

Both pass now.

--- a/src/emulate/backend.rs
+++ b/src/emulate/backend.rs
@@ -89,6 +89,12 @@
             let detail = "the backend server is full; use another one";
             return Problem::not_run(Reason::QueueFull, detail).into_response();
         }
+        if let Some(seconds) = fault.strip_prefix("refuse@") {
+            let detail = "the backend server wants no call for a while; use another one";
+            let problem = Problem::not_run(Reason::BackendUnavailable, detail);
+            let after = Duration::from_secs(seconds.parse().unwrap_or_default());
+            return problem.retry_after(after).into_response();
+        }
         if head.method == Method::GET {
             return text_response(StatusCode::OK, format!("calendar of {}", head.uri.path()));
         }
--- a/src/http/backend.rs
+++ b/src/http/backend.rs
@@ -23,6 +23,7 @@
 use super::client;
 use super::completions::authenticate;
 use super::problem::{Problem, Reason};
+use super::retry_after;
 use crate::account::Outcome;
 use crate::claim::record::{self, Claim, Key};
 use crate::claim::task::Verdict;
@@ -49,6 +50,9 @@
 /// Request id sent to backend servers; an answer with another id is discarded.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
+/// Shortest `Retry-After` of a call that no backend server accepted.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+
 /// Set on an answer that was replayed from the record of an earlier call.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 
@@ -124,6 +128,7 @@
         let (outcome, response) = match call.route.idempotent {
             true => respond(
                 &task_router,
+                &call,
                 run_idempotent(&task_router.backends, &call).await,
             ),
             false => run_keyed(&task_router, &call, &caller).await,
@@ -143,13 +148,14 @@
 }
 
 /// Converts the result of an attempt into the outcome for the account and the response.
-fn respond(router: &Router, attempt: Attempt) -> (Outcome, Response<Body>) {
+fn respond(router: &Router, call: &Call, attempt: Attempt) -> (Outcome, Response<Body>) {
     match attempt {
         Attempt::Answered(answer) => (Outcome::Served(0), answer.into_response()),
         Attempt::NotRun(cause) => {
             let detail = format!("no backend server accepted the call: {cause}; retry later");
             let problem = Problem::not_run(Reason::BackendUnavailable, detail);
-            refuse(router, problem.retry_after(Duration::from_secs(1)))
+            let held_for = router.backends.borrow().held_for(&call.route.service);
+            refuse(router, problem.retry_after(RETRY_AFTER_MIN.max(held_for)))
         }
         Attempt::Unknown(cause) => {
             let detail = format!(
@@ -295,7 +301,12 @@
             );
         }
     };
+    let status = exchange.head.status();
     let headers = exchange.head.headers();
+    let end = match retry_after::of_unavailable(status, headers) {
+        Some(duration) => End::Held(duration),
+        None => End::Answered,
+    };
     if headers
         .get(REQUEST_ID)
         .is_some_and(|id| id != call.id.as_str())
@@ -306,16 +317,16 @@
     if let Some(problem) = refusal(headers, &body) {
         let end = match problem.reason {
             Reason::Leaving => End::Leaving,
-            _ => End::Answered,
+            _ => end,
         };
         return (end, Attempt::NotRun(problem.detail));
     }
     let answer = Answer {
-        status: exchange.head.status(),
+        status,
         headers: end_to_end_headers(headers),
         body: body.into(),
     };
-    (End::Answered, Attempt::Answered(answer))
+    (end, Attempt::Answered(answer))
 }
 
 /// Returns the problem document of an answer that says that the call was not executed.
@@ -421,7 +432,7 @@
         Attempt::Unknown(_) => record::Outcome::Unknown,
     };
     claims.report(&claim, outcome);
-    respond(router, attempt)
+    respond(router, call, attempt)
 }
 
 fn parse_key(headers: &HeaderMap) -> Result<Key, Problem> {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -9,6 +9,7 @@
 pub mod fair;
 pub mod pool;
 pub mod problem;
+pub mod retry_after;
 pub mod server;
 pub mod socket;
 pub mod sse;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::gateway::call::{Answer, Attempt, Call, InvalidHead, Outcome, PromptPart, TokenCount};
+use crate::http::retry_after;
 
 /// Id of the request. A caller sends each retry with a new id, so the platform calls it an attempt
 /// id.
@@ -191,22 +192,10 @@
     Answer {
         outcome: decode_outcome(head, id),
         is_leaving: header_text(head.headers(), &LEAVING).is_some_and(|text| text.trim() == "1"),
-        retry_after: decode_retry_after(head),
+        retry_after: retry_after::of_unavailable(head.status(), head.headers()),
     }
 }
 
-/// Returns the `Retry-After` of a response with status 503. One that is not a number of seconds, such
-/// as a date, is ignored.
-fn decode_retry_after(head: &Response<()>) -> Option<Duration> {
-    if head.status() != StatusCode::SERVICE_UNAVAILABLE {
-        return None;
-    }
-    let seconds = header_text(head.headers(), &hyper::header::RETRY_AFTER)?;
-    let seconds: f64 = seconds.trim().parse().ok()?;
-    let is_valid = seconds > 0.0;
-    is_valid.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
-}
-
 fn decode_outcome(head: &Response<()>, id: &str) -> Outcome {
     let headers = head.headers();
     let status = head.status();
--- a/src/route/registry/hold.rs
+++ b/src/route/registry/hold.rs
@@ -11,7 +11,7 @@
 
 /// Upper bound on a hold. An engine that asks for more is tried again after it, in case its value is
 /// wrong.
-const HOLD_MAX: Duration = Duration::from_secs(3600);
+pub const HOLD_MAX: Duration = Duration::from_secs(3600);
 
 /// Time for which a trial that has no answer yet lets other engines go first.
 const TRIAL_TIME: Duration = Duration::from_millis(500);
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -26,6 +26,7 @@
 mod usage;
 
 pub use choice::Need;
+pub use hold::HOLD_MAX;
 use hold::Holds;
 use leaving::Leaving;
 
--- a/src/route/servers.rs
+++ b/src/route/servers.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use slotmap::{SlotMap, new_key_type};
 
+use super::registry::HOLD_MAX;
 use crate::clock::Clock;
 use crate::sched::retry;
 use crate::wire::{Kind, Lifecycle, Member};
@@ -38,12 +39,18 @@
     // address for it, or shows it as live after it was shown as leaving.
     has_reported_leaving: bool,
     failed_at: Option<Instant>,
+    // Until when the server asked to be left alone.
+    held_until: Option<Instant>,
     // Value of `Servers::pick_count` when this server was last chosen.
     last_pick: u64,
 }
 
 impl Server {
-    fn accepts_calls(&self) -> bool {
+    fn accepts_calls(&self, now: Instant) -> bool {
+        self.is_staying() && self.held_until.is_none_or(|until| until <= now)
+    }
+
+    fn is_staying(&self) -> bool {
         !self.is_listed_leaving && !self.has_reported_leaving
     }
 }
@@ -57,6 +64,8 @@
     Failed,
     /// The server said that it accepts no new calls.
     Leaving,
+    /// The server turned the call away and wants no other for this long.
+    Held(Duration),
 }
 
 /// The backend servers of all services and the retry budget.
@@ -109,6 +118,7 @@
                         is_listed_leaving: is_leaving,
                         has_reported_leaving: false,
                         failed_at: None,
+                        held_until: None,
                         last_pick: 0,
                     });
                 }
@@ -118,10 +128,11 @@
 
     /// Returns the number of running calls of this host on each server that accepts calls, by name.
     pub fn overview(&self) -> BTreeMap<CompactString, u32> {
+        let now = self.clock.now();
         let accepting = self
             .servers
             .values()
-            .filter(|server| server.accepts_calls());
+            .filter(|server| server.accepts_calls(now));
         accepting
             .map(|server| (server.name.clone(), server.running))
             .collect()
@@ -142,7 +153,7 @@
         let candidates = self
             .servers
             .iter()
-            .filter(|(_, server)| server.service == service && server.accepts_calls());
+            .filter(|(_, server)| server.service == service && server.accepts_calls(now));
         let (key, _) = candidates.min_by_key(|(key, server)| {
             let has_failed = server
                 .failed_at
@@ -174,9 +185,26 @@
             End::Answered => server.failed_at = None,
             End::Failed => server.failed_at = Some(now),
             End::Leaving => server.has_reported_leaving = true,
+            End::Held(duration) => {
+                let until = Some(now + duration.min(HOLD_MAX));
+                server.held_until = server.held_until.max(until);
+            }
         }
     }
 
+    /// Returns the time until the first server of a service accepts calls if all that would accept
+    /// them asked to be left alone; zero if one did not, or there is none.
+    pub fn held_for(&self, service: &str) -> Duration {
+        let now = self.clock.now();
+        let servers = self.servers.values();
+        let staying = servers.filter(|server| server.service == service && server.is_staying());
+        let left = staying.map(|server| match server.held_until {
+            Some(until) => until.saturating_duration_since(now),
+            None => Duration::ZERO,
+        });
+        left.min().unwrap_or_default()
+    }
+
     /// Records a new call to a service, from which its retry budget is computed.
     pub fn record_call(&mut self, service: &str) {
         let now = self.clock.now();
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -214,6 +214,24 @@
     assert_eq!(runs_of(&cluster, &key), 0);
 }
 
+/// Guards against calls to a backend server that turned one away and wants no other for a while.
+#[test]
+fn a_backend_server_that_wants_no_calls_gets_none() {
+    let cluster = cluster(1, 1);
+    let address = &cluster.routers[0].address;
+    let turned_away = block_on(Call::status("first").fault("refuse@60").send(address));
+    let later = block_on(Call::status("second").send(address));
+    for reply in [turned_away, later] {
+        assert_eq!(reply.work(), Some(Execution::NotRun), "{reply:?}");
+        let retry_after = reply
+            .problem
+            .as_ref()
+            .and_then(|problem| problem.retry_after);
+        assert!(retry_after > Some(1), "{reply:?}");
+    }
+    assert_eq!(runs_of(&cluster, "second"), 0);
+}
+
 /// Guards against a claim that is granted twice or refused because the response to its store write
 /// was lost; the owner must read back whether the write took effect.
 #[test]
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -54,6 +54,31 @@
     assert_eq!(servers.begin_attempt("booking", &[]).unwrap().1, "far");
 }
 
+/// Guards against calls to a server before the time is over for which it wants none, and against a
+/// `Retry-After` that ends before a server accepts calls.
+#[test]
+fn a_server_that_wants_no_calls_gets_none_for_that_time() {
+    let clock = Manual::default();
+    let mut servers = Servers::new(clock.clone(), "fd-a".into());
+    let list = [member("far", "fd-b"), member("near", "fd-a")];
+    servers.set_members(&list);
+    let (near, _) = servers.begin_attempt("booking", &[]).unwrap();
+    servers.end_attempt(near, End::Held(Duration::from_secs(5)));
+    servers.set_members(&list);
+    let (far, address) = servers.begin_attempt("booking", &[]).unwrap();
+    assert_eq!(address, "far");
+    assert_eq!(servers.held_for("booking"), Duration::ZERO);
+    servers.end_attempt(far, End::Held(Duration::MAX));
+    assert_eq!(servers.held_for("booking"), Duration::from_secs(5));
+    assert!(servers.begin_attempt("booking", &[]).is_none());
+    clock.advance(Duration::from_secs(5));
+    assert_eq!(servers.begin_attempt("booking", &[]).unwrap().1, "near");
+    servers.end_attempt(near, End::Leaving);
+    assert!(servers.begin_attempt("booking", &[]).is_none());
+    clock.advance(Duration::from_secs(3600));
+    assert_eq!(servers.begin_attempt("booking", &[]).unwrap().1, "far");
+}
+
 /// Guards against retries that multiply the load of servers that all fail.
 #[test]
 fn retries_are_bounded() {
