Hold the ports of engines that refuse, in the test of waiting streams

Seen: a_begun_stream_waits_although_many_engines_refuse_it failed in 4 of 150 runs, three copies of the file at a time beside other test runs: the stream ended after three events.

Cause: the test took the addresses of its refusing engines from listeners that it closed, so that another program could get one of the ports. The log of both failures that were recorded shows it: eleven engines refuse the connection, the twelfth accepts it and gives no answer (`fault=lost work=unknown`), twice, and the stream has used its three attempts (`stream_ended reason=no-engine engines=3 not_run=11`), which is right for answers that may have run. The program that had the port was not identified.

The ports are now bound and not listened on for the whole test, so that they refuse for certain. The check itself is unchanged. 0 of 150 runs failed in the same way of running.

--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -3,11 +3,13 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use rustix::net::{self, AddressFamily, SocketType};
 use serde_json::{Value, json};
 
 use super::{Process, TEST_TIMEOUT};
@@ -101,6 +103,25 @@
     (listener, address)
 }
 
+/// A loopback address that refuses connections, and that no other program gets until it is dropped.
+pub struct RefusingAddress {
+    pub address: String,
+    _bound: OwnedFd,
+}
+
+impl RefusingAddress {
+    pub fn new() -> Self {
+        let bound = net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+        let any_port = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        net::bind(&bound, &any_port).unwrap();
+        let address = SocketAddrV4::try_from(net::getsockname(&bound).unwrap()).unwrap();
+        Self {
+            address: address.to_string(),
+            _bound: bound,
+        }
+    }
+}
+
 /// How the store responds.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -2,13 +2,12 @@
 
 mod support;
 
-use std::net::TcpListener;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, event, events, exchange,
-    request, start_gateway, wait_for,
+    API_KEY, End, Engine, Gateway, Message, Reaction, RefusingAddress, Store, config, event,
+    events, exchange, request, start_gateway, wait_for,
 };
 
 /// Starts the only engine, which is lost after three events of a stream, and a gateway.
@@ -61,10 +60,12 @@
     let (lost, store, gateway) = start();
     let response = start_stream(&gateway, "s1");
     wait_for("the stream", || lost.request_count() == 1);
-    for number in 3..15 {
-        let refusing = TcpListener::bind("127.0.0.1:0").unwrap();
+    let refusing: Vec<_> = (3..15)
+        .map(|number| (number, RefusingAddress::new()))
+        .collect();
+    for (number, refusing) in &refusing {
         let mut entry = lost.registration("model", "fd-a");
-        entry["address"] = refusing.local_addr().unwrap().to_string().into();
+        entry["address"] = refusing.address.clone().into();
         store.put("servers", &format!("i-{number}"), entry);
     }
     std::thread::sleep(Duration::from_millis(1200));
