--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -11,6 +11,7 @@
 pub mod linger;
 pub mod pool;
 pub mod problem;
+pub mod retry_after;
 pub mod server;
 pub mod socket;
 pub mod sse;
