Forward nothing but events in a stream

Class: a part that is not understood is passed on rather than refused.

Evidence, on the code before: an_error_of_the_next_engine_is_no_part_of_the_stream and two more failed; one caller received, after event 4, `HTTP/1.1 503 Service Unavailable\r\nx-bilberrypost-not-executed: 1\r\ncontent-length: 0`.

Ruled out: an answer with a status of failure, with a content encoding, of another request or without the engine's signature. They are in the same tables and reached no caller before either.

Fix: a line of an event is a comment or one of the fields of server-sent events, or the one more that the platform defines, and an event with content has exactly one id, a number. Anything else is a fault of the engine like an id out of order, and the stream goes on at the next engine.

Our own protocol parses each event into a frame and forwards only its tokens; an_engine_stream_holds_frames_only shows it and passed before.

--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -15,6 +15,9 @@
     /// Path of the readiness check.
     const READY_PATH: &'static str;
 
+    /// Names of the fields that events of engines may have besides the usual ones.
+    const EVENT_FIELDS: &'static [&'static str];
+
     /// Decodes the head of a caller's request.
     ///
     /// # Errors
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -427,7 +427,7 @@
     /// Forwards events until the stream ends, and resumes on another engine when one is lost.
     async fn relay<P: Protocol>(mut self, mut active: ActiveAttempt<C>, mut writer: Writer) {
         loop {
-            let reason = match self.forward_events(&mut active, &mut writer).await {
+            let reason = match self.forward_events::<P>(&mut active, &mut writer).await {
                 End::Complete => {
                     if active.events > 0 {
                         crash::record_pass(&self.gateway, &self.admitted.prompt);
@@ -531,9 +531,16 @@
         last.map_or(-1, |last| i64::try_from(last).unwrap_or(i64::MAX))
     }
 
-    async fn forward_events(&mut self, active: &mut ActiveAttempt<C>, writer: &mut Writer) -> End {
+    async fn forward_events<P: Protocol>(
+        &mut self,
+        active: &mut ActiveAttempt<C>,
+        writer: &mut Writer,
+    ) -> End {
         loop {
             while let Some(event) = active.splitter.next() {
+                if event.check(P::EVENT_FIELDS).is_err() {
+                    return End::Broken("not-an-event");
+                }
                 if self.position.advance(&event).is_err() {
                     return End::Broken("order");
                 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -21,12 +21,16 @@
 /// Path of the load balancer's readiness check.
 const READY_PATH: &str = "/bilberrypost/readyz";
 
+/// Field of an event at which the version of the engine's weights changes; it is the first line.
+const EVENT_WEIGHTS: &str = "x-bilberrypost-weight-versions";
+
 /// The platform's HTTP protocol between callers, gateways and engines.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Platform;
 
 impl Protocol for Platform {
     const READY_PATH: &'static str = READY_PATH;
+    const EVENT_FIELDS: &'static [&'static str] = &[EVENT_WEIGHTS];
 
     fn decode_request(headers: &HeaderMap) -> Result<Call, InvalidHead> {
         headers::decode_request(headers)
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -1,5 +1,5 @@
 //! Server-sent events with consecutive numeric ids: splits a body into events and checks their
-//! order. The content of an event is not interpreted.
+//! fields and their order. The values of fields other than `id` are not interpreted.
 
 use compio::bytes::{Bytes, BytesMut};
 
@@ -7,6 +7,9 @@
 /// takes which sends bytes without end.
 const EVENT_BYTES_MAX: usize = 16 * 1024;
 
+/// Names of the fields of an event.
+const FIELDS: [&[u8]; 4] = [b"event", b"data", b"id", b"retry"];
+
 /// A complete event, including the empty line that ends it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
@@ -30,11 +33,42 @@
     /// The buffered bytes exceed the limit.
     #[error("an event is longer than {EVENT_BYTES_MAX} bytes")]
     Oversized,
+    /// The text is no event, such as the head or the text of an error.
+    #[error("a text between two empty lines is no event with an id")]
+    NotAnEvent,
     /// The id of an event is not the successor of the previous one.
     #[error("the id of an event does not follow the previous id")]
     OutOfOrder,
 }
 
+impl Event {
+    /// Checks that all lines are comments or fields, of which `extra_fields` names more than the usual
+    /// ones, and that an event with content has one id, which is a number.
+    ///
+    /// # Errors
+    /// [`Error::NotAnEvent`]; the text must not be forwarded.
+    pub fn check(&self, extra_fields: &[&str]) -> Result<(), Error> {
+        let (mut ids, mut has_content) = (0, false);
+        for line in self.bytes.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if line.is_empty() || line.starts_with(b":") {
+                continue;
+            }
+            let field = line.split(|byte| *byte == b':').next().unwrap_or(line);
+            let is_extra = extra_fields.iter().any(|extra| extra.as_bytes() == field);
+            if !is_extra && !FIELDS.contains(&field) {
+                return Err(Error::NotAnEvent);
+            }
+            ids += u32::from(field == b"id");
+            has_content |= field != b"retry";
+        }
+        match has_content && (ids != 1 || self.id.is_none()) {
+            true => Err(Error::NotAnEvent),
+            false => Ok(()),
+        }
+    }
+}
+
 impl Splitter {
     /// Appends a chunk of the body.
     ///
