Take no answer without events for the end of a stream

Cause: any answer that reports success and ends in order ended the stream, also one of another type or status (204, a JSON document), and one that has neither a length nor chunks and ends with its connection before the first event. Class: the absence of an error is taken for success.

Evidence, on the code before: an_error_of_the_next_engine_is_no_part_of_the_stream failed as the caller received events 1 to 3 of 6 and a proper end, for an answer that ended with its connection.

Fix: on a streaming route only status 200 and, if there is one, the type of server-sent events count as a stream; another answer is lost, as are those of another request. An answer without length, chunks or events has broken off.

An answer with a length or chunks and without events still completes a stream: the engine says so, and only the end may have been missing.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use futures_util::future::{Either, select};
 use http_body_util::Full;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 
 use super::call::{Attempt, Outcome};
 use super::front::AdmittedRequest;
@@ -290,7 +290,9 @@
     };
     gateway.registry.borrow_mut().set_heard(placement.engine);
     let exchange = Exchange::new(response, connection);
+    let is_stream = admitted.route.kind.is_stream();
     match P::decode_response(&exchange.head, &admitted.call.id) {
+        Outcome::Success if is_stream && !is_event_stream(&exchange.head) => Err(Fault::Lost),
         Outcome::Success => Ok(OpenResponse {
             exchange,
             is_success: true,
@@ -305,6 +307,17 @@
     }
 }
 
+/// Returns whether a successful response is a stream of events, by its status and type. It may have no
+/// type.
+fn is_event_stream(head: &Response<()>) -> bool {
+    const EVENT_STREAM: &[u8] = b"text/event-stream";
+    let kind = head.headers().get(hyper::header::CONTENT_TYPE);
+    let kind = kind.map(|kind| kind.as_bytes().split(|byte| *byte == b';'));
+    let kind = kind.and_then(|mut parts| parts.next());
+    let is_events = kind.is_none_or(|kind| kind.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM));
+    head.status() == StatusCode::OK && is_events
+}
+
 /// Returns for how long to wait for a connection while this host reaches nothing.
 fn contact_limit<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> Duration {
     let left = admitted
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -83,6 +83,9 @@
     progress: Progress,
     /// Number of events that this engine has sent.
     events: u64,
+    /// Whether the response says where it ends. One that does not and holds no event may be that of an
+    /// engine that ended.
+    is_framed: bool,
 }
 
 /// Why forwarding the events of an attempt ended.
@@ -392,6 +395,7 @@
 
     /// Starts to forward the events of a response, and publishes its replica.
     fn activate(&self, mut open: OpenResponse, placement: Placement<C>) -> ActiveAttempt<C> {
+        let is_framed = open.exchange.is_framed();
         open.exchange.clear_headers();
         self.publish_replica(&placement);
         let registry = self.gateway.registry.borrow();
@@ -403,6 +407,7 @@
             splitter: Splitter::default(),
             progress: Progress::new(self.gateway.clock.now()),
             events: 0,
+            is_framed,
         }
     }
 
@@ -589,6 +594,9 @@
                     }
                 }
                 Some(Ok(None)) if active.splitter.has_rest() => return End::Broken("half-event"),
+                Some(Ok(None)) if !active.is_framed && active.events == 0 => {
+                    return End::Broken("empty");
+                }
                 Some(Ok(None)) => return End::Complete,
                 Some(Err(_)) => return End::Broken("reset"),
                 None => return End::TimedOut,
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response};
 
 use super::fair::Fair;
@@ -96,6 +97,12 @@
         }
     }
 
+    /// Returns whether the head says where the body ends. Otherwise it ends with its connection.
+    pub fn is_framed(&self) -> bool {
+        let headers = self.head.headers();
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Drops the headers, which hold the read buffer that they arrived in.
     pub fn clear_headers(&mut self) {
         *self.head.headers_mut() = HeaderMap::new();
--- a/tests/broken_streams.rs
+++ b/tests/broken_streams.rs
@@ -32,7 +32,11 @@
 fn bad_answers() -> Vec<String> {
     let mut answers = vec![
         REFUSAL.to_owned(),
+        UNFRAMED.to_owned(),
+        framed("204 No Content", "", ""),
+        framed("202 Accepted", "", ""),
         framed("200 OK", "content-encoding: gzip\r\n", &events(4, 6)),
+        framed("200 OK", "content-type: application/json\r\n", ""),
         framed("200 OK", "content-type: text/html\r\n", "<p>failed\n\n"),
         framed("200 OK", "", "failed").replace("ID", "another"),
         framed("200 OK", "", &events(4, 6)).replace("seal", "other"),
