--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -80,6 +80,9 @@
     progress: Progress,
     /// Number of events that this engine has sent.
     events: u64,
+    /// Whether the response says where it ends. One that does not and holds no event may be that of an
+    /// engine that ended.
+    is_framed: bool,
 }
 
 /// Why forwarding the events of an attempt ended.
@@ -402,6 +405,7 @@
 
     /// Starts to forward the events of a response, and publishes its replica.
     fn activate(&self, mut open: OpenResponse, placement: Placement<C>) -> ActiveAttempt<C> {
+        let is_framed = open.exchange.is_framed();
         open.exchange.clear_headers();
         self.publish_replica(&placement);
         ActiveAttempt {
@@ -410,6 +414,7 @@
             splitter: Splitter::default(),
             progress: Progress::new(self.gateway.clock.now()),
             events: 0,
+            is_framed,
         }
     }
 
@@ -434,7 +439,7 @@
     /// Forwards events until the stream ends, and resumes on another engine when one is lost.
     async fn relay<P: Protocol>(mut self, mut active: ActiveAttempt<C>, mut writer: Writer) {
         loop {
-            let reason = match self.forward_events(&mut active, &mut writer).await {
+            let reason = match self.forward_events::<P>(&mut active, &mut writer).await {
                 End::Complete => {
                     if active.events > 0 {
                         crash::record_pass(&self.gateway, &self.admitted.prompt);
@@ -546,9 +551,16 @@
         last.map_or(-1, |last| i64::try_from(last).unwrap_or(i64::MAX))
     }
 
-    async fn forward_events(&mut self, active: &mut ActiveAttempt<C>, writer: &mut Writer) -> End {
+    async fn forward_events<P: Protocol>(
+        &mut self,
+        active: &mut ActiveAttempt<C>,
+        writer: &mut Writer,
+    ) -> End {
         loop {
             while let Some(event) = active.splitter.next() {
+                if event.check(P::EVENT_FIELDS).is_err() {
+                    return End::Broken("not-an-event");
+                }
                 if self.position.advance(&event).is_err() {
                     return End::Broken("order");
                 }
@@ -603,6 +615,9 @@
                     }
                 }
                 Some(Ok(None)) if active.splitter.has_rest() => return End::Broken("half-event"),
+                Some(Ok(None)) if !active.is_framed && active.events == 0 => {
+                    return End::Broken("empty");
+                }
                 Some(Ok(None)) => return End::Complete,
                 Some(Err(_)) => return End::Broken("reset"),
                 None => return End::TimedOut,
