Give out no number of a lost revision again

What callers saw (in a test with real processes): publish ended with 0, but the settings were not in force on any host, and stayed out for good. The store had come back from an older copy without the revision before; the new one got its number, and the hosts, which had the lost one, took theirs for the same.

Cause: the number is that of the stored revision plus 1, and the stored one can go back. Hosts and peers compare the numbers alone. Class: a position in a history used without the identity of the history.

Evidence, on: a_revision_published_after_a_return_from_an_older_copy_is_in_force: assertion left == right failed, left:... (digest of the lost revision), right:... (of the published one) numbers_of_lost_revisions_are_not_given_out_again: assertion failed: later.revision > lost.revision

Why this works: the numbers of an era begin above all of earlier ones, as for fencing numbers. They have the order of eras in them, so that it holds between hosts too, in messages and fetches. A lost race now lists the changes across the gap.

Ruled out: the watch, which shows the new revision; it was left because of its number.

--- a/src/config/publish.rs
+++ b/src/config/publish.rs
@@ -125,8 +125,12 @@
     }
 
     fn next_record(&self, base: &Base, undo_of: Option<u64>) -> Record {
+        let (era, last) = match base {
+            Some((version, base)) => (version.era, base.latest.revision),
+            None => (self.store.era(), 0),
+        };
         Record {
-            revision: base.as_ref().map_or(0, |(_, base)| base.latest.revision) + 1,
+            revision: era.next_number(last),
             digest: String::new(),
             author: self.author.clone(),
             writer: self.writer.clone(),
@@ -280,7 +284,8 @@
         newer.reverse();
         for record in newer {
             text += &format!("\nrevision {} by {}", record.revision, record.author);
-            let changes = changes(&self.store, found, record.revision - 1, record.revision).await;
+            let before = found.number_before(record.revision);
+            let changes = changes(&self.store, found, before, record.revision).await;
             match changes {
                 Ok(lines) => lines.iter().for_each(|line| text += &format!("\n  {line}")),
                 Err(err) => text += &format!("\n  the changes cannot be read: {err}"),
--- a/src/config/publish/tests.rs
+++ b/src/config/publish/tests.rs
@@ -148,3 +148,24 @@
         assert_eq!(package.settings().unwrap(), large);
     });
 }
+
+/// Guards against a published revision that hosts leave as old, because the store came back without
+/// an earlier one with its number.
+#[test]
+fn numbers_of_lost_revisions_are_not_given_out_again() {
+    block_on(async {
+        let store = Fake::default();
+        let publisher = publisher(&store, "anna");
+        publisher.publish(&settings(50), None).await.unwrap();
+        store.take_copy();
+        let lost = publisher.publish(&settings(60), None).await.unwrap();
+        store.restore_copy();
+        let later = publisher.publish(&settings(70), None).await.unwrap();
+        assert!(later.revision > lost.revision);
+        let raced = publisher.publish(&settings(80), Some(1)).await;
+        let Err(Error::Raced(changes)) = raced else {
+            panic!("{raced:?}");
+        };
+        assert!(changes.contains("partners.a.share: 50 -> 70"), "{changes}");
+    });
+}
--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -23,7 +23,9 @@
 /// Metadata of a revision.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
-    /// Revision number, from 1; each new revision adds 1.
+    /// Revision number, from 1. Each new revision adds 1; the first one after a return of the store
+    /// from an older copy adds more, see
+    /// [`Era::next_number`](crate::store::objects::Era::next_number).
     pub revision: u64,
     /// SHA-256 of the content, in hex.
     pub digest: String,
@@ -58,6 +60,13 @@
         std::iter::once(&self.latest).chain(&self.history)
     }
 
+    /// Returns the number of the revision before this one; if that is not kept, the number below.
+    pub fn number_before(&self, revision: u64) -> u64 {
+        let numbers = self.records().map(|record| record.revision);
+        let before = numbers.filter(|number| *number < revision).max();
+        before.unwrap_or(revision - 1)
+    }
+
     /// Returns the record of a revision, if it is still kept.
     pub fn record(&self, revision: u64) -> Option<&Record> {
         self.records().find(|record| record.revision == revision)
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -361,3 +361,22 @@
     assert_eq!(publish(&cluster, "anna", 60).0, 0);
     wait_for_revision(&cluster, 2);
 }
+
+/// Guards against a published revision that hosts leave as old, because the store came back without
+/// an earlier one with its number.
+#[test]
+fn a_revision_published_after_a_return_from_an_older_copy_is_in_force() {
+    let cluster = cluster(2);
+    support::put(&cluster.store.address, "/v1/emulation/copy", &());
+    assert_eq!(publish(&cluster, "anna", 60).0, 0);
+    wait_for_revision(&cluster, 2);
+    support::put(&cluster.store.address, "/v1/emulation/restore", &());
+    assert_eq!(read_current(&cluster).unwrap().latest.revision, 1);
+    assert_eq!(publish(&cluster, "anna", 70).0, 0);
+    let published = read_current(&cluster).unwrap().latest;
+    wait_for_revision(&cluster, published.revision);
+    for router in &cluster.routers {
+        let status: Value = get(&router.address, "/admin/v1/status");
+        assert_eq!(status["config"]["digest"], published.digest);
+    }
+}
