--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -460,3 +460,21 @@
     });
     assert_eq!(runs_of(&cluster, &key), 1);
 }
+
+/// Guards against an owner that stops for good, or grants keys as before, because the store came
+/// back from an older copy while it held the range.
+#[test]
+fn an_owner_takes_its_ranges_over_again_in_a_restored_store() {
+    let cluster = cluster(1, 1);
+    put(&cluster.store.address, "/v1/emulation/copy", &());
+    let (lost, later) = (new_key(), new_key());
+    assert_eq!(send(&cluster, 0, &Call::reserve(&lost, "lost")).status, 200);
+    put(&cluster.store.address, "/v1/emulation/restore", &());
+    let reply = send(&cluster, 0, &Call::reserve(&later, "later"));
+    assert_eq!(reply.work(), Some(Execution::Unknown), "{reply:?}");
+    wait_until("the owner of the lost key has noticed the return", || {
+        let repeat = send(&cluster, 0, &Call::reserve(&lost, "lost-repeat"));
+        repeat.work() == Some(Execution::Unknown)
+    });
+    assert_eq!(runs(&cluster), [("lost".to_owned(), 1)].into());
+}
