--- a/src/store/objects.rs
+++ b/src/store/objects.rs
@@ -171,7 +171,8 @@
 pub struct Client {
     address: Rc<str>,
     pool: Rc<Pool>,
-    era: Rc<Cell<Era>>,
+    // `None` before the first response.
+    era: Rc<Cell<Option<Era>>>,
 }
 
 /// One entry of a listing as the store sends it.
@@ -220,7 +221,7 @@
     /// [`Error::Unknown`] if another response has already shown a later one: what this response
     /// tells may be gone.
     fn update_era(&self, headers: &HeaderMap) -> Result<Era, Error> {
-        let known = self.era.get();
+        let known = self.era();
         let era = headers.get(STORE_ERA);
         let era = era.and_then(|era| era.to_str().ok()?.parse().ok());
         // An intermediary's response does not tell it.
@@ -229,9 +230,8 @@
             let cause = format!("the response is of era {}, now {}", era.0, known.0);
             return Err(Error::Unknown(cause));
         }
-        if era > known {
+        if self.era.replace(Some(era)).is_some() && era > known {
             warn!("event=store_restored era={} before={}", era.0, known.0);
-            self.era.set(era);
         }
         Ok(era)
     }
@@ -301,7 +301,7 @@
 
 impl Objects for Client {
     fn era(&self) -> Era {
-        self.era.get()
+        self.era.get().unwrap_or_default()
     }
 
     async fn get(&self, key: &str) -> Result<Option<Object>, Error> {
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
+
 use bilberrypost::http::client;
-use bilberrypost::store::objects::{Client, Condition, Error, Objects, STORE_ERA};
+use bilberrypost::store::objects::{Client, Condition, Era, Error, Objects, STORE_ERA};
 use compio::bytes::Bytes;
 use hyper::{Request, Response};
 use support::{Process, TEST_TIMEOUT, block_on, put};
@@ -77,3 +80,38 @@
         assert_eq!(seen.unwrap().version, written);
     });
 }
+
+/// Answers one write for each era, as the store in that era does.
+fn answer_writes(listener: &TcpListener, eras: &[u64]) {
+    for era in eras {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = Vec::new();
+        while !request.ends_with(b"value") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            request.extend(byte);
+        }
+        let response = format!(
+            "HTTP/1.1 200 OK\r\n{STORE_ERA}: {era}\r\netag: \"7\"\r\ncontent-length: 0\r\n\
+             connection: close\r\n\r\n"
+        );
+        stream.write_all(response.as_bytes()).unwrap();
+    }
+}
+
+/// Guards against a write that counts as stored because its response, of a history that is gone,
+/// arrives after one of the present history.
+#[test]
+fn a_response_of_an_earlier_era_confirms_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = Client::new(&listener.local_addr().unwrap().to_string());
+    let answers = std::thread::spawn(move || answer_writes(&listener, &[2, 1]));
+    block_on(async {
+        let write = || client.put("a", Bytes::from("value"), Condition::Any);
+        assert_eq!(write().await.unwrap().era, Era(2));
+        let outdated = write().await;
+        assert!(matches!(outdated, Err(Error::Unknown(_))), "{outdated:?}");
+        assert_eq!(client.era(), Era(2));
+    });
+    answers.join().unwrap();
+}
