--- a/tests/engine_leaving.rs
+++ b/tests/engine_leaving.rs
@@ -100,8 +100,8 @@
     registry.insert(registration("a", "fd-a"));
     assert_unused(&registry, "a", "after another engine at its address");
     let mut follower = Registry::new(clock.clone(), "host-b".into(), "fd-a".into());
-    follower.apply_changes(registry.changes_since(None));
-    registry.apply_changes(follower.changes_since(None));
+    follower.apply_changes(registry.changes_since(None), false);
+    registry.apply_changes(follower.changes_since(None), false);
     assert_unused(&registry, "a", "after the list of another host");
     clock.advance(Duration::from_secs(7200));
     assert!(registry.set_leaving(registry.by_id("b").unwrap()));
@@ -141,7 +141,7 @@
     let mut registry = registry(&clock);
     registry.set_leaving(registry.by_id("a").unwrap());
     let mut follower: Registry<Manual> = Registry::new(clock, "host-b".into(), "fd-a".into());
-    follower.apply_changes(registry.changes_since(None));
+    follower.apply_changes(registry.changes_since(None), false);
     let engine: Key = follower.by_id("a").unwrap();
     assert!(follower.is_usable(engine));
 }
