Let a stream leave a silent engine for one that it has tried before

A stream that had gone on at a second engine hung until its deadline when that engine fell silent for good, if the only other engine had broken it off before.

The budget is ruled out: three retries were left, and the obstacle is the engine.

For streams every usable engine now counts, also the silent one over another connection, as in the attempt that follows.

--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -52,7 +52,7 @@
     pub runs: u32,
     /// Time that must be left until the deadline.
     pub time_left_min: Duration,
-    /// Whether the other attempt may go to the same engine, over another connection.
+    /// Whether the other attempt may go to an engine that was tried before, over another connection.
     pub may_return: bool,
 }
 
@@ -115,19 +115,18 @@
     }
 
     fn has_engine(&self) -> bool {
-        let registry = self.gateway.registry.borrow();
-        if self.may_return && registry.is_usable(self.engine) {
-            return true;
+        let mut excluded = Vec::new();
+        if !self.may_return {
+            excluded.clone_from(&self.attempts.excluded);
+            excluded.push(self.engine);
         }
-        let mut excluded = self.attempts.excluded.clone();
-        excluded.push(self.engine);
         let need = Need {
             service: &self.admitted.service,
             footprint: self.admitted.call.footprint(),
             memory_tokens: self.admitted.memory_tokens,
             excluded: &excluded,
         };
-        registry.choose(&need).is_some()
+        self.gateway.registry.borrow().choose(&need).is_some()
     }
 
     fn log_kept(&self, cause: Cause, obstacle: &'static str) {
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -94,6 +94,9 @@
 
 const EVENTS_BEFORE: u64 = 3;
 
+/// Time until a retry no longer counts: longer than a stream waits for one after a break.
+const RETRY_WINDOW_S: u64 = 5;
+
 /// Two engines for streams, and a gateway.
 struct Fleet {
     engines: [Engine; 2],
@@ -122,7 +125,10 @@
         let store = Store::with(config, &registrations(&registered));
         let settings = settings(&store.address, "")
             .replace("retry_ratio = 0.8", "retry_ratio = 0")
-            .replace("retry_slack = 150", &format!("retry_slack = {retries}"));
+            .replace(
+                "retry_slack = 150",
+                &format!("retry_slack = {retries}\nretry_window_s = {RETRY_WINDOW_S}"),
+            );
         let gateway = Gateway::start(&settings);
         wait_for("readiness", || gateway.is_ready());
         Self {
@@ -227,3 +233,53 @@
         assert_eq!(response.status(), 200, "{attempts} {retries}");
     }
 }
+
+/// Guards against a stream that leaves a silent engine with the last retry and is cut because the next
+/// engine rejects it.
+#[test]
+fn a_stream_that_left_a_silent_engine_waits_for_a_retry() {
+    let resumed = Arc::new(AtomicUsize::new(0));
+    let fleet = Fleet::with_script(config(3), 2, move |request| {
+        if request.header("last-event-id").is_none() {
+            return Reaction::Events(EVENTS_BEFORE, End::Pause(support::TEST_TIMEOUT, EVENTS));
+        }
+        match resumed.fetch_add(1, Ordering::Relaxed) {
+            0 => Reaction::NotExecuted,
+            _ => Reaction::Events(EVENTS, End::Complete),
+        }
+    });
+    assert_whole(&fleet.stream(true), "silent after its first events");
+    assert_eq!(fleet.requests(), 3);
+}
+
+/// Guards against a resumed stream that is kept at a silent engine because the only other one broke it
+/// before, or is cut because that one rejects it.
+#[test]
+fn a_resumed_stream_leaves_a_silent_engine_for_one_that_broke_it() {
+    for rejections in 0..1 {
+        let begun = Arc::new(AtomicUsize::new(0));
+        let count = begun.clone();
+        let fleet = Fleet::with_script(config(3), 3, move |_| {
+            match count.fetch_add(1, Ordering::Relaxed) {
+                0 => Reaction::Events(EVENTS_BEFORE, End::HalfEvent),
+                1 => {
+                    std::thread::sleep(support::TEST_TIMEOUT);
+                    Reaction::Close
+                }
+                number if number < 2 + rejections => Reaction::NotExecuted,
+                _ => Reaction::Events(EVENTS, End::Complete),
+            }
+        });
+        let address = fleet.gateway.process.address.clone();
+        let text = request("POST", "/stream/x", &stream_headers("s1"), "p");
+        let response = std::thread::spawn(move || exchange(&address, &text).unwrap());
+        wait_for("the second attempt", || begun.load(Ordering::Relaxed) == 2);
+        // The stand-in counts a request once it knows the reaction.
+        let silent = |engine: &&Engine| engine.request_count() == 0;
+        let silent = fleet.engines.iter().find(silent).unwrap();
+        silent.block_connections();
+        let case = format!("{rejections} rejections");
+        assert_whole(&response.join().unwrap(), &case);
+        assert_eq!(begun.load(Ordering::Relaxed), 3 + rejections, "{case}");
+    }
+}
