Wait for a retry after a resumed stream has left a silent engine

Callers saw a begun stream cut 2 s after its second engine, silent before its first event, had been left and the next one had rejected the request. The silent engine might have gone on.

Cause: a stream that leaves a silent engine between two events waits for further retries until its deadline; one that leaves it before the first event of a resumed attempt kept the limit of 2 s, which is meant for streams whose engine broke off.

The limit is lifted in both places now. A stream whose caller has no answer yet is still refused after 2 s, so that the caller can try another host.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -66,6 +66,8 @@
     has_passed: bool,
     /// The engine that holds a replica to resume from, and the id of the replicated run.
     resume_replica: Option<(Engine, CompactString)>,
+    /// Whether the caller has the head of a response.
+    is_begun: bool,
     /// Longest wait for a retry; `None` if only the deadline ends it.
     retry_wait: Option<Duration>,
     /// Digest of the request, which is the same when the caller retries at another host.
@@ -114,6 +116,7 @@
         gateway: gateway.clone(),
         attempts: Attempts::new(gateway, admitted.service.clone()),
         has_passed: false,
+        is_begun: false,
         retry_wait: Some(RETRY_WAIT_MAX),
         admitted,
         resume_replica,
@@ -124,6 +127,7 @@
         return stream.forward_failure(open, head).await;
     }
     let (writer, body) = Body::channel();
+    stream.is_begun = true;
     let active = stream.activate(open, placement);
     gateway
         .stream_tasks
@@ -218,6 +222,9 @@
                 }
                 Err(fault) => {
                     self.attempts.record_fault(engine, fault);
+                    if self.is_begun && matches!(fault, Fault::Silent | Fault::EngineLost) {
+                        self.retry_wait = None;
+                    }
                     if !fault.is_not_run() && !self.admitted.route.kind.is_retryable() {
                         return Err(answer_lost());
                     }
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -256,7 +256,7 @@
 /// before, or is cut because that one rejects it.
 #[test]
 fn a_resumed_stream_leaves_a_silent_engine_for_one_that_broke_it() {
-    for rejections in 0..1 {
+    for rejections in 0..2 {
         let begun = Arc::new(AtomicUsize::new(0));
         let count = begun.clone();
         let fleet = Fleet::with_script(config(3), 3, move |_| {
