Keep a retry that was used out of the budget

Callers: none saw it; engines did. A short response of a retry returned without a record, so that its retry was given back as unused, and likewise when the deadline passed or the caller left while a retry was running. Each host could send more arrivals to a service than the budget of all hosts allows (BUDGET).

Cause: 'used' was recorded with the outcome of an attempt, not with its start. Class: a resource is given back by a path that does not know whether it was used. Found by the review of the failover, which takes retries ahead.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -39,6 +39,8 @@
     has_retry: bool,
     // The same for the attempt after the one that is running.
     has_next_retry: bool,
+    // Whether an attempt is running, which may have reached its engine.
+    is_running: bool,
 }
 
 impl<C: Clock> Attempts<C> {
@@ -54,6 +56,7 @@
             earlier_not_run: 0,
             has_retry: false,
             has_next_retry: false,
+            is_running: false,
         }
     }
 
@@ -84,14 +87,27 @@
         is_granted
     }
 
+    /// Records the start of an attempt. If the request ends before the attempt does, its retry is not
+    /// given back.
+    pub fn begin(&mut self) {
+        self.is_running = true;
+    }
+
+    /// Records an attempt that sent nothing and may be repeated at the same engine.
+    pub fn record_no_contact(&mut self) {
+        self.is_running = false;
+    }
+
     /// Records an attempt that the engine answered, also with a failure.
     pub fn record_answer(&mut self) {
+        self.is_running = false;
         self.has_retry = false;
         self.possible_runs += 1;
     }
 
     /// Records an attempt without a usable response. The next attempt chooses another engine.
     pub fn record_fault(&mut self, engine: Engine, fault: Fault) {
+        self.is_running = false;
         self.excluded.push(engine);
         if matches!(fault, Fault::Unsent | Fault::Busy | Fault::Declined) {
             self.unsent += 1;
@@ -137,7 +153,7 @@
 impl<C: Clock> Drop for Attempts<C> {
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
-        let unused = [self.has_retry, self.has_next_retry];
+        let unused = [self.has_retry && !self.is_running, self.has_next_retry];
         for _ in unused.into_iter().filter(|has| *has) {
             let mut budget = self.gateway.budget.borrow_mut();
             budget.refund(&self.service, now);
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -55,15 +55,22 @@
             return give_up(&attempts, failure);
         }
         let placement = Placement::new(gateway, engine, None, admitted.call.footprint());
+        attempts.begin();
         match send_once::<C, P>(gateway, admitted, &mut attempts, placement).await {
-            Ok((response, true)) => return Ok(response),
+            Ok((response, true)) => {
+                attempts.record_answer();
+                return Ok(response);
+            }
             Ok((response, false)) => {
                 attempts.record_answer();
                 attempts.excluded.push(engine);
                 failure = Some(response);
             }
             Err(Fault::Silent) => return Err(timed_out()),
-            Err(Fault::NoContact) => return give_up(&attempts, failure),
+            Err(Fault::NoContact) => {
+                attempts.record_no_contact();
+                return give_up(&attempts, failure);
+            }
             Err(fault) => attempts.record_fault(engine, fault),
         }
         let is_exhausted = attempts.possible_runs >= admitted.route.max_attempts
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -200,6 +200,7 @@
                 continue;
             };
             let run = resume_replica.as_ref().map(|(_, run)| run.clone());
+            self.attempts.begin();
             let (result, placement) = match self.open_at::<P>(engine, run).await {
                 Some(opened) => opened,
                 None => return Err(crash::stopped()),
@@ -216,10 +217,11 @@
                         return Ok((open, placement));
                     }
                 }
-                Err(Fault::NoContact) if !self.can_wait() => {
-                    return Err(self.refusal());
-                }
                 Err(Fault::NoContact) => {
+                    self.attempts.record_no_contact();
+                    if !self.can_wait() {
+                        return Err(self.refusal());
+                    }
                     self.resume_replica = resume_replica;
                     compio::time::sleep(NO_ENGINE_PAUSE).await;
                 }
