Forward a failure in hand when the engine of the retry is lost

Callers of idempotent routes got 504 at their deadline in place of the failure that an engine had reported.

Cause: since a lost engine is awaited while no other attempt is possible, also if an earlier attempt left a response to forward, and the deadline then discarded that response.

Now a request with a response in hand gives up an unresponsive engine at once, and forwards that response, also at the deadline.

a_failure_in_hand_is_forwarded_when_the_retry_is_lost, before: left: (504, ...), right: (500, "failed").

--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -54,14 +54,16 @@
     pub time_left_min: Duration,
     /// Whether the other attempt may go to an engine that was tried before, over another connection.
     pub may_return: bool,
+    /// Whether a response to the request is at hand, so that an unresponsive engine is not awaited.
+    pub has_response: bool,
 }
 
 impl<C: Clock> Failover<'_, C> {
     /// Waits until the engine is unresponsive, as told by `silence` or its declared loss, and another
     /// attempt is possible, whose retry is then taken out of the budget. Never returns if the request
-    /// may not be sent again.
+    /// may not be sent again and no response is at hand.
     pub async fn wait(mut self, silence: impl Future<Output = ()>) -> Cause {
-        if !self.may_repeat() {
+        if !self.may_repeat() && !self.has_response {
             return std::future::pending().await;
         }
         let mut silence = pin!(silence);
@@ -72,6 +74,9 @@
                 true => Cause::Silent,
                 false => self.wait_until_unresponsive(silence.as_mut()).await,
             };
+            if self.has_response {
+                return cause;
+            }
             is_silent = cause == Cause::Silent;
             let Some(obstacle) = self.obstacle() else {
                 return cause;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -56,7 +56,15 @@
         }
         let placement = Placement::new(gateway, engine, None, admitted.call.footprint());
         attempts.begin();
-        match send_once::<C, P>(gateway, admitted, &mut attempts, placement).await {
+        match send_once::<C, P>(
+            gateway,
+            admitted,
+            &mut attempts,
+            placement,
+            failure.is_some(),
+        )
+        .await
+        {
             Ok((response, true)) => {
                 attempts.record_answer();
                 return Ok(response);
@@ -66,7 +74,7 @@
                 attempts.excluded.push(engine);
                 failure = Some(response);
             }
-            Err(Fault::Silent) => return Err(timed_out()),
+            Err(Fault::Silent) => return failure.ok_or_else(timed_out),
             Err(Fault::NoContact) => {
                 attempts.record_no_contact();
                 return give_up(&attempts, failure);
@@ -106,12 +114,14 @@
     attempts.excluded.is_empty() || left >= RETRY_TIME_LEFT_MIN
 }
 
-/// Makes one attempt; returns the engine's response and whether it reports success.
+/// Makes one attempt; returns the engine's response and whether it reports success. `has_response` tells
+/// whether an earlier attempt has left a response to forward.
 async fn send_once<C: Clock, P: Protocol>(
     gateway: &Rc<Gateway<C>>,
     admitted: &AdmittedRequest,
     attempts: &mut Attempts<C>,
     mut placement: Placement<C>,
+    has_response: bool,
 ) -> Result<(Response<Body>, bool), Fault> {
     let resume_point = ResumePoint {
         last_event: admitted.call.last_event,
@@ -126,6 +136,7 @@
         engine: placement.engine,
         time_left_min: RETRY_TIME_LEFT_MIN,
         may_return: false,
+        has_response,
     };
     // A short response may take until the deadline; only its engine's loss is a reason to give it up.
     let failover = failover.wait(std::future::pending());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -272,6 +272,7 @@
             engine,
             time_left_min: RETRY_TIME_LEFT_MIN,
             may_return: true,
+            has_response: false,
         };
         let failover = failover.wait(compio::time::sleep(head_limit));
         let result = {
@@ -601,6 +602,7 @@
                     engine: active.placement.engine,
                     time_left_min: RETRY_TIME_LEFT_MIN,
                     may_return: true,
+                    has_response: false,
                 };
                 let unresponsive = pin!(failover.wait(silence));
                 let next = pin!(within(left, active.exchange.next()));
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -64,6 +64,33 @@
     );
 }
 
+/// Guards against a failure of an engine that is lost because the engine of the retry is lost.
+#[test]
+fn a_failure_in_hand_is_forwarded_when_the_retry_is_lost() {
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    let counted = arrivals.clone();
+    let (engines, _store, gateway) = start("app", 150, move |_| {
+        match counted.fetch_add(1, Ordering::Relaxed) {
+            0 => Reaction::Response(500, "failed".into()),
+            _ => {
+                std::thread::sleep(Duration::from_millis(2 * TIMEOUT_MS));
+                ok()
+            }
+        }
+    });
+    let began = Instant::now();
+    std::thread::scope(|scope| {
+        let call = scope.spawn(|| gateway.call("POST", "/any/x", "r1", "b"));
+        wait_for("the retry", || arrivals.load(Ordering::Relaxed) == 2);
+        // The stand-in counts a request once it has reacted to it.
+        let retried = engines.iter().find(|engine| engine.request_count() == 0);
+        retried.unwrap().block_connections();
+        let response = call.join().unwrap();
+        assert_eq!((response.status(), response.text()), (500, "failed".into()));
+    });
+    assert!(began.elapsed() < Duration::from_millis(TIMEOUT_MS));
+}
+
 /// Guards against a resumed stream that stays with a lost engine, as it once left the other one.
 #[test]
 fn a_stream_that_was_resumed_leaves_a_lost_engine() {
