Read a granted claim back after a late claim of its key

What callers saw (in a test and in one of 3000 random histories): a call with an idempotency key ran twice, after a change of the range's owner. No return of the store is needed.

Cause: a claimant gave up, and its report not-run came before its claim, which was late. The owner applied the report to the claim, which it had in memory by then, and granted the key to another claimant. Read from the log, the report precedes the claim and is of no known one, so the next owner left the granted claim out in favour of the late one; the report, repeated, then freed the key. As old as the claims. Class: state kept in memory that its log does not give when it is read again.

Why this works: an owner writes a claim of a key only if it knows that the earlier one is given up, so the last claim in the log is the present one. A claim in memory that is still to be written stays.

--- a/src/claim/range.rs
+++ b/src/claim/range.rs
@@ -345,7 +345,10 @@
         match record {
             Record::Claim(claim) => match self.entries.get_mut(&claim.key) {
                 Some(entry) if entry.claim.nonce == claim.nonce => entry.is_durable = true,
-                Some(entry) if entry.outcome != Some(Outcome::NotRun) => {}
+                // A later claim, whose record is still to be written.
+                Some(entry) if !entry.is_durable => {}
+                // Its owner knew that the earlier claim was given up, possibly by a report that came
+                // before that claim.
                 _ => self.insert(claim.clone(), true),
             },
             Record::Outcome(report) => {
--- a/tests/claim_range.rs
+++ b/tests/claim_range.rs
@@ -241,3 +241,26 @@
     let repeat = fixture.answer(&mut owner, 2);
     assert_eq!(repeat, Some(Answer::Recorded(answered())));
 }
+
+/// Guards against a call that runs twice because a new owner takes an earlier claim of its key for
+/// the present one: the earlier claimant had given up before its claim arrived.
+#[test]
+fn a_claim_granted_after_a_late_one_outlives_a_takeover() {
+    let fixture = Fixture::new();
+    let (mut former, mut owner) = (fixture.owner("former"), fixture.owner("owner"));
+    poll_ready(former.take_over()).unwrap();
+    let (late, granted) = (fixture.claim("late", 1), fixture.claim("claimant", 2));
+    let given_up = Report {
+        key: late.key,
+        nonce: late.nonce,
+        outcome: Outcome::NotRun,
+    };
+    former.report(given_up.clone(), 1);
+    fixture.ask(&mut former, late);
+    assert_eq!(fixture.ask(&mut former, granted), Some(Answer::Granted));
+    poll_ready(owner.take_over()).unwrap();
+    owner.report(given_up, 1);
+    fixture.answer(&mut owner, 1);
+    let repeat = fixture.ask(&mut owner, fixture.claim("other", 3));
+    assert_ne!(repeat, Some(Answer::Granted));
+}
