Use an engine that returned before the store was restored

An incarnation counts as removed no longer once it is used again.

an_engine_that_returned_before_the_era_changed_stays_in_use failed before: 'assertion failed: registry.is_usable(b)'.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -297,7 +297,7 @@
                     "event=engine_registered engine={} draining={}",
                     registration.id, registration.is_draining
                 );
-                registry.insert_written(registration);
+                registry.insert(registration);
             }
             Change::Removed(id) => {
                 info!("event=engine_gone engine={id}");
--- a/src/route/departed.rs
+++ b/src/route/departed.rs
@@ -33,6 +33,13 @@
     at: Instant,
 }
 
+impl Removal {
+    /// Returns whether this incarnation was removed.
+    fn is_of(&self, registration: &Registration) -> bool {
+        self.started_ms == registration.started_ms && self.address == registration.address
+    }
+}
+
 impl Departed {
     /// Records that an engine was removed in the current era.
     pub fn record(&mut self, removed: &Registration, now: Instant) {
@@ -59,10 +66,8 @@
     /// Returns whether a listed engine is to be left out, as this incarnation was removed in an earlier
     /// era.
     pub fn withhold(&mut self, listed: &Registration, now: Instant) -> bool {
-        let Some(removal) = self.earlier.get(&listed.id) else {
-            return false;
-        };
-        if removal.started_ms != listed.started_ms || removal.address != listed.address {
+        let removal = self.earlier.get(&listed.id);
+        if !removal.is_some_and(|removal| removal.is_of(listed)) {
             return false;
         }
         let known = self.withheld.remove(&listed.id);
@@ -72,10 +77,17 @@
         true
     }
 
-    /// Records that the entry of an engine was written in the current era, so that it is used again.
-    pub fn readmit(&mut self, id: &str) {
-        self.earlier.remove(id);
-        self.withheld.remove(id);
+    /// Records that an incarnation of an engine is used, so that it counts as removed no longer.
+    pub fn readmit(&mut self, used: &Registration) {
+        self.withheld.remove(&used.id);
+        for removals in [&mut self.current, &mut self.earlier] {
+            if removals
+                .get(&used.id)
+                .is_some_and(|removal| removal.is_of(used))
+            {
+                removals.remove(&used.id);
+            }
+        }
     }
 
     /// Keeps only those withheld engines that `is_listed`.
@@ -87,8 +99,7 @@
     pub fn take_due(&mut self, now: Instant) -> Vec<Registration> {
         let due = self.withheld.values().filter(|(_, until)| *until <= now);
         let due: Vec<_> = due.map(|(registration, _)| registration.clone()).collect();
-        due.iter()
-            .for_each(|registration| self.readmit(&registration.id));
+        self.withheld.retain(|_, (_, until)| *until > now);
         due
     }
 }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -204,6 +204,7 @@
 
     /// Adds or updates one registration. That of a restarted engine replaces the earlier one.
     pub fn insert(&mut self, mut registration: Registration) {
+        self.departed.readmit(&registration);
         if let Some(key) = self.by_id.get(&registration.id) {
             let known = &mut self.engines[*key];
             let is_same = known.registration.started_ms == registration.started_ms
@@ -310,19 +311,10 @@
         }
         changes.gone.iter().for_each(|id| self.remove(id));
         for registration in changes.registered {
-            match changes.is_whole {
-                true => self.insert(registration),
-                false => self.insert_written(registration),
-            }
+            self.insert(registration);
         }
     }
 
-    /// Adds or updates a registration that its engine has written in the current era.
-    pub fn insert_written(&mut self, registration: Registration) {
-        self.departed.readmit(&registration.id);
-        self.insert(registration);
-    }
-
     /// Removes engines whose entries lapsed during an outage of the store and were not renewed in
     /// time, and uses those again that an older copy of the store has listed for long enough.
     pub fn expire_lapsed(&mut self) {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -386,7 +386,7 @@
     registry.remove("b");
     registry.begin_era();
     registry.replace(older_copy(), true);
-    registry.insert_written(registration("b", "fd-b"));
+    registry.insert(registration("b", "fd-b"));
     registry.replace(older_copy(), true);
     assert!(registry.is_usable(registry.by_id("b").unwrap()));
 }
@@ -464,3 +464,18 @@
     clock.advance(Duration::from_millis(2100));
     assert!(!follower.is_usable(c));
 }
+
+/// Guards against a running engine that is left out, as it was removed once in an earlier era and has
+/// registered again since.
+#[test]
+fn an_engine_that_returned_before_the_era_changed_stays_in_use() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    registry.remove("b");
+    registry.insert(registration("b", "fd-b"));
+    registry.begin_era();
+    registry.replace(older_copy(), true);
+    let b = registry.by_id("b").unwrap();
+    clock.advance(Duration::from_secs(3));
+    assert!(registry.is_usable(b));
+}
