Fetch a newer configuration from a peer if the store has an older one

A host that started after the store came back from an older copy read the older version there and stayed at it, though its peers report the newer one that had been acknowledged: the peer was asked only if the store did not answer. A follower in that state read the store after each update.

After the read, a host that is still behind the reported version fetches it from the peer that reported it.

a_newer_revision_than_that_of_the_store_is_fetched_from_a_peer failed before: 'no the newer revision within 60s'. Two assertions of tests/roster.rs now also check which version is due.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -160,8 +160,10 @@
         if let Some(update) = update {
             known = apply_update(&gateway, &directory, update).or(known);
         }
-        let is_behind = version > gateway.revision_version()
-            && !watch::read_revision(&gateway, &directory).await;
+        if version > gateway.revision_version() {
+            watch::read_revision(&gateway, &directory).await;
+        }
+        let is_behind = version > gateway.revision_version();
         let can_follow = failure.is_none() || select_usable(&gateway).await;
         let must_watch = gateway.role.must_watch();
         gateway.role.set_has_no_representative(must_watch);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -476,13 +476,14 @@
     }
 
     /// Starts to fetch a newer configuration that a peer reported and that did not arrive in time:
-    /// from the store, or from the peer if the store does not answer or this host knows no engines.
+    /// from the store, or from the peer if the store does not answer or has an older one, as it came
+    /// back from an older copy, or if this host knows no engines.
     fn fetch_newer_revision(&mut self) {
         let now = self.gateway.clock.now();
         if !self.gateway.registry.borrow().is_empty() {
             self.newer.record_own(self.gateway.revision_version(), now);
         }
-        let Some(from) = self.newer.due(now) else {
+        let Some((from, reported)) = self.newer.due(now) else {
             return;
         };
         if self.is_fetching.replace(true) {
@@ -493,7 +494,8 @@
         let (pool, is_fetching) = (self.pool.clone(), self.is_fetching.clone());
         self.fetches.spawn(async move {
             let has_read = watch::read_revision(&gateway, &directory).await;
-            if !has_read || gateway.registry.borrow().is_empty() {
+            let is_behind = gateway.revision_version() < reported;
+            if !has_read || is_behind || gateway.registry.borrow().is_empty() {
                 fetch(&gateway, &directory, &pool, from).await;
             }
             is_fetching.set(false);
--- a/src/peer/newer.rs
+++ b/src/peer/newer.rs
@@ -48,10 +48,11 @@
         }
     }
 
-    /// Returns the peer to fetch from once the delay has passed.
-    pub fn due(&self, now: Instant) -> Option<SocketAddr> {
+    /// Returns the peer to fetch from and the revision that it has, once the delay has passed.
+    pub fn due(&self, now: Instant) -> Option<(SocketAddr, u64)> {
         let reported = self.0.as_ref()?;
-        (now.duration_since(reported.since) >= FETCH_DELAY).then_some(reported.peer)
+        let is_due = now.duration_since(reported.since) >= FETCH_DELAY;
+        is_due.then_some((reported.peer, reported.revision))
     }
 
     /// Forgets the reported revision, as it is being fetched.
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -353,3 +353,21 @@
         }
     }
 }
+
+/// Guards against a host that stays at an older configuration, because the store that it reads came
+/// back from a copy without the one that its peers have.
+#[test]
+fn a_newer_revision_than_that_of_the_store_is_fetched_from_a_peer() {
+    let engine = Engine::start("i-1", |_| Reaction::Response(200, "answer".into()));
+    let engines = [("i-1", engine.registration("app", "fd-a"))];
+    let store = Store::with(config(2), &engines);
+    let ranked = ranked_addresses();
+    let all: Vec<_> = ranked.iter().map(SocketAddr::ip).collect();
+    let is_up = Arc::new(AtomicU64::new(1));
+    let newer = copies_of(update(11, 20, &[&engine]));
+    Representative::start(ranked[1], &all, ranked[0], newer, is_up);
+    let gateway = start_gateway(&store, ranked[0], ranked[1]);
+    wait_for("the newer revision", || {
+        gateway.metric("bilberrypost_revision_version ") == Some(3.0)
+    });
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -254,7 +254,7 @@
     newer.record_own(30, at(5250));
     newer.record_own(30, at(5400));
     assert_eq!(newer.due(at(5549)), None);
-    assert_eq!(newer.due(at(5550)), Some(address(2)));
+    assert_eq!(newer.due(at(5550)), Some((address(2), 31)));
     newer.clear();
     assert_eq!(newer.due(at(9000)), None);
 }
@@ -269,7 +269,7 @@
     newer.record(address(1), 2, 1, at(0));
     newer.record(address(2), 2, 1, at(100));
     newer.record(address(3), 1, 1, at(200));
-    assert_eq!(newer.due(at(300)), Some(address(2)));
+    assert_eq!(newer.due(at(300)), Some((address(2), 2)));
 }
 
 /// Guards against hosts that all follow one representative of the fleet or of another failure
