Use a withheld engine only once the store has listed it for long enough

Callers could be sent to an engine that had left (DRAIN): one that an older copy lists again is withheld for up to 10 s, by the host's clock alone. With the store away again meanwhile, or back from a copy a second time, the store had not yet been able to drop the entry of an engine that was silent, and the host used it.

Cause: the end of a wait for the store's word was taken for that word.

Now the time ends with a confirmation of the store after it, and begins anew with each era. Before, in tests/registry.rs: an_engine_that_an_older_copy_lists_again_is_withheld, with a step that lets the store be away, and the new the_time_of_a_withheld_engine_begins_anew_in_each_era both failed: left: Some(Engine(2v3)), right: None.

--- a/src/route/departed.rs
+++ b/src/route/departed.rs
@@ -58,6 +58,8 @@
 
     /// Begins a new era: all removals so far may be missing in the store.
     pub fn begin_era(&mut self, now: Instant) {
+        // The store measures the silence of engines anew.
+        self.withheld.clear();
         self.earlier.append(&mut self.current);
         self.earlier
             .retain(|_, removal| now.duration_since(removal.at) < REMOVAL_TTL);
@@ -95,11 +97,13 @@
         self.withheld.retain(|id, _| is_listed(id));
     }
 
-    /// Returns the engines that were withheld for the longest time, which are used again.
-    pub fn take_due(&mut self, now: Instant) -> Vec<Registration> {
-        let due = self.withheld.values().filter(|(_, until)| *until <= now);
+    /// Returns the engines that the store still listed at `confirmed_at` after they were withheld for the
+    /// longest time. They are used again.
+    pub fn take_due(&mut self, confirmed_at: Instant) -> Vec<Registration> {
+        let is_due = |until: &Instant| *until <= confirmed_at;
+        let due = self.withheld.values().filter(|(_, until)| is_due(until));
         let due: Vec<_> = due.map(|(registration, _)| registration.clone()).collect();
-        self.withheld.retain(|_, (_, until)| *until > now);
+        self.withheld.retain(|_, (_, until)| !is_due(until));
         due
     }
 }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -347,7 +347,8 @@
     /// time, and uses those again that an older copy of the store has listed for long enough.
     pub fn expire_lapsed(&mut self) {
         let now = self.clock.now();
-        for registration in self.departed.take_due(now) {
+        let due = self.confirmed_at.map(|at| self.departed.take_due(at));
+        for registration in due.unwrap_or_default() {
             if !self.by_id.contains_key(&registration.id) {
                 self.insert(registration);
             }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -373,11 +373,31 @@
         registry.expire_lapsed();
         assert_eq!(registry.by_id("b"), None);
     }
-    clock.advance(Duration::from_secs(2));
+    clock.advance(Duration::from_secs(20));
+    registry.expire_lapsed();
+    assert_eq!(registry.by_id("b"), None, "the store has not confirmed it");
+    registry.confirm(clock.now());
     registry.expire_lapsed();
     assert!(registry.is_usable(registry.by_id("b").unwrap()));
 }
 
+/// Guards against an engine that has left and is used before the store can have dropped its entry, as
+/// the time began in an earlier era.
+#[test]
+fn the_time_of_a_withheld_engine_begins_anew_in_each_era() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    registry.remove("b");
+    for _ in 0..2 {
+        registry.begin_era();
+        registry.replace(older_copy(), true);
+        clock.advance(Duration::from_secs(8));
+        registry.confirm(clock.now());
+        registry.expire_lapsed();
+        assert_eq!(registry.by_id("b"), None);
+    }
+}
+
 /// Guards against an engine that is left out although it has written its entry again.
 #[test]
 fn a_withheld_engine_is_used_once_it_writes_its_entry() {
