Read the rest of a refused request only until its deadline

A caller that sends bytes without end kept its connection for 10 s after its refusal, also if it was refused because its body had not arrived by its deadline.

Cause: reads the rest of each refused body for up to 10 s; a chunk header without end yields no data, so only the time bounds it. After its deadline the caller no longer reads the refusal, which is what the reading is for.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -213,13 +213,14 @@
         })
     }
 
-    /// Reads the rest of the body of a request that was refused before it had arrived.
-    fn discard_rest(&self, body: Incoming) {
-        if body.is_end_stream() {
+    /// Reads the rest of the body of a request that was refused before it had arrived, until `until`.
+    fn discard_rest(&self, body: Incoming, until: Instant) {
+        let left = until.saturating_duration_since(self.gateway.clock.now());
+        if body.is_end_stream() || left.is_zero() {
             return;
         }
         let limits = self.limits_in_force();
-        let reading = linger::discard_rest(body, limits.max_body_bytes);
+        let reading = linger::discard_rest(body, limits.max_body_bytes, left);
         self.gateway.stream_tasks.spawn(reading);
     }
 
@@ -292,9 +293,10 @@
 impl<C: Clock, P: Protocol> server::Service for Endpoint<C, P> {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, mut body) = request.into_parts();
-        let id = P::decode_request(&head.headers)
-            .map(|call| call.id)
-            .unwrap_or_default();
+        let (id, timeout) = match P::decode_request(&head.headers) {
+            Ok(call) => (call.id, call.timeout),
+            Err(_) => (CompactString::default(), linger::TIME_MAX),
+        };
         let entry = self.gateway.requests.begin(id.to_string());
         let arrived_at = self.gateway.clock.now();
         let trace = Trace::new(id.clone(), &self.gateway.sampler, arrived_at);
@@ -333,7 +335,8 @@
                 response
             }
         };
-        self.discard_rest(body);
+        // After its deadline, the caller reads no refusal.
+        self.discard_rest(body, arrived_at + timeout);
         if self.gateway.leaving.is_set() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
--- a/src/http/linger.rs
+++ b/src/http/linger.rs
@@ -11,10 +11,10 @@
 use crate::util::within;
 
 /// Longest time for which the rest of a body is read.
-const TIME_MAX: Duration = Duration::from_secs(10);
+pub const TIME_MAX: Duration = Duration::from_secs(10);
 
-/// Reads and discards the rest of `body`, up to `bytes_max` bytes.
-pub async fn discard_rest(mut body: Incoming, bytes_max: usize) {
+/// Reads and discards the rest of `body`, up to `bytes_max` bytes, for `time_max` and [`TIME_MAX`] at most.
+pub async fn discard_rest(mut body: Incoming, bytes_max: usize, time_max: Duration) {
     let reading = async {
         let mut left = bytes_max;
         while let Some(Ok(frame)) = body.frame().await {
@@ -25,5 +25,5 @@
             left = rest;
         }
     };
-    within(TIME_MAX, reading).await;
+    within(time_max.min(TIME_MAX), reading).await;
 }
