Keep the lapse of an engine when a second list lacks it too

Callers got 503 for up to 2 s: an engine that the store lacks after an outage or a change of era stays in use for 2 s, but another list of the same era, after a 410, by a follower that watches itself or from another representative, removed it at once.

Cause: each list was judged by the outage before it alone, not by the lapse that is running.

the_list_of_the_later_era_is_used (tests/follow.rs) relied on the fault: its representative sends whole lists, of which the second one removed the earlier engine before its 2 s. It now waits until one engine is left, and demands as before that all requests go to that of the later era.

--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -194,13 +194,14 @@
         listed
     }
 
-    /// Removes engines that are no longer listed, those that may be listed again only once
-    /// `LAPSE_GRACE` has passed.
+    /// Removes engines that are no longer listed. Those that may be listed again, or that lapse already,
+    /// are removed only once `LAPSE_GRACE` has passed.
     fn drop_missing(&mut self, missing: &[CompactString], may_return: bool) {
         let expires_at = self.clock.now() + LAPSE_GRACE;
         for id in missing {
-            let is_draining = self.engines[self.by_id[id]].registration.is_draining;
-            match may_return && !is_draining {
+            let state = &self.engines[self.by_id[id]];
+            let is_lapsing = state.expires_at.is_some();
+            match (may_return || is_lapsing) && !state.registration.is_draining {
                 true => self.begin_lapse(id, expires_at),
                 false => self.remove(id),
             }
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -347,6 +347,10 @@
         wait_for("the second list", || {
             second.updates.load(Ordering::Relaxed) > before + 3
         });
+        // An engine that only the earlier era lists stays in use for a while.
+        wait_for("one engine", || {
+            gateway.metric("bilberrypost_engines ") == Some(1.0)
+        });
         for number in 0..10 {
             let answer = gateway.call("GET", "/any/x", &format!("r{number}"), "");
             assert_eq!(answer.text(), "later", "first later: {is_first_later}");
