Bound how often a list of the store is begun again

A store, or a device on the path, that tells its era in some answers only would be called without a pause, each call priced, and no list would end. Found by the review, by reading; after three tries the list counts as failed, and the watch pauses as after any failure. a_list_is_begun_again_if_the_era_changes passes as before.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -49,6 +49,10 @@
     pub removed: bool,
 }
 
+/// Number of times that a list is begun. A store that tells its era in some answers only would
+/// otherwise be called without a pause.
+const LIST_TRIES_MAX: u32 = 3;
+
 /// Header of all answers that tells how often the store came back from an older copy.
 const ERA_HEADER: &str = "store-era";
 
@@ -97,13 +101,15 @@
     /// Lists all objects of a kind, page by page. Begins again if the era changes between two pages.
     ///
     /// # Errors
-    /// [`Error::Unavailable`] if a page cannot be read.
+    /// [`Error::Unavailable`] if a page cannot be read, or the era changes each time.
     pub async fn list(&self, kind: &str) -> Result<Batch<Object>, Error> {
-        loop {
+        for _ in 0..LIST_TRIES_MAX {
             if let Some(batch) = self.list_within_era(kind).await? {
                 return Ok(batch);
             }
         }
+        let cause = "the era changes between the pages of a list".to_owned();
+        Err(Error::Unavailable(cause))
     }
 
     /// Lists all objects of a kind; `None` if the era changed between two pages.
