Take the list of the host that is followed as it is

That host tells lapses apart from what has left; only a host's own list of the store leaves that open.

--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -178,7 +178,9 @@
     /// outage of the store only once `LAPSE_GRACE` has passed. One that was draining has left.
     pub fn replace(&mut self, listed: Vec<Registration>, is_after_outage: bool) {
         let listed = self.without_departed(listed);
-        let missing = self.ids_missing_in(&listed);
+        let mut missing = self.ids_missing_in(&listed);
+        // Those that lapse were missing in an earlier list too.
+        missing.retain(|id| self.engines[self.by_id[id]].expires_at.is_none());
         self.drop_missing(&missing, is_after_outage);
         for registration in listed {
             self.insert(registration);
@@ -194,14 +196,13 @@
         listed
     }
 
-    /// Removes engines that are no longer listed. Those that may be listed again, or that lapse already,
-    /// are removed only once `LAPSE_GRACE` has passed.
+    /// Removes engines that are no longer listed, those that may be listed again only once
+    /// `LAPSE_GRACE` has passed.
     fn drop_missing(&mut self, missing: &[CompactString], may_return: bool) {
         let expires_at = self.clock.now() + LAPSE_GRACE;
         for id in missing {
-            let state = &self.engines[self.by_id[id]];
-            let is_lapsing = state.expires_at.is_some();
-            match (may_return || is_lapsing) && !state.registration.is_draining {
+            let is_draining = self.engines[self.by_id[id]].registration.is_draining;
+            match may_return && !is_draining {
                 true => self.begin_lapse(id, expires_at),
                 false => self.remove(id),
             }
