Withhold no engine whose lapse ended while the store was away

Callers could get 503 for up to 10 s after the store came back from an older copy: engines that had lapsed in an outage just before it were recorded as departed once 2 s had passed, also if the store had not answered since, and the new era withheld them although they ran, possibly all at once.

Found by the review.

a_lapse_that_ends_without_the_store_is_no_departure (tests/registry.rs), before: left: false, right: true. The tests of registry, restored, platform, roster and follow pass.

--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -356,9 +356,21 @@
             }
         }
         let is_expired = |key: &Engine| self.engines[*key].expires_at.is_some_and(|at| at <= now);
-        let expired = self.by_id.iter().filter(|(_, key)| is_expired(key));
-        let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
-        expired.iter().for_each(|id| self.remove(id));
+        let expired = self.by_id.values().copied().filter(is_expired);
+        let expired: Vec<_> = expired.collect();
+        expired.into_iter().for_each(|key| self.end_lapse(key));
+    }
+
+    /// Removes an engine at the end of its lapse.
+    fn end_lapse(&mut self, key: Engine) {
+        let state = &self.engines[key];
+        let was_confirmed = self.confirmed_at >= state.expires_at;
+        let registration = state.registration.clone();
+        self.remove(&registration.id);
+        if !was_confirmed {
+            // The store has not answered since, so the engine may have written its entry again.
+            self.departed.readmit(&registration);
+        }
     }
 
     /// Removes an engine that has the address of a newly registered one but started earlier. It no
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -516,3 +516,23 @@
     registry.expire_lapsed();
     assert_eq!(registry.by_id("b"), None);
 }
+
+/// Guards against running engines that are left out in a new era, because their lapse ended while the
+/// store was away.
+#[test]
+fn a_lapse_that_ends_without_the_store_is_no_departure() {
+    let clock = Manual::default();
+    for is_confirmed in [false, true] {
+        let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+        registry.replace(vec![registration("a", "fd-a")], true);
+        clock.advance(Duration::from_millis(2100));
+        if is_confirmed {
+            registry.confirm(clock.now());
+        }
+        registry.expire_lapsed();
+        assert_eq!(registry.by_id("b"), None);
+        registry.begin_era();
+        registry.replace(older_copy(), true);
+        assert_eq!(registry.by_id("b").is_some(), !is_confirmed);
+    }
+}
