Let an engine that has drained take work once it says so

Callers got 503: an engine that wrote 'available' again after 'draining', under the same start, was left out for good, also without any return of the store.

Cause: made draining final for an incarnation, where only an older copy of the store must not undo it. Now an engine that drained when the era changed stays draining while lists show it as before, until it writes its entry anew.

--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -95,6 +95,8 @@
     peer_load: Load,
     // When the entry expires, if the store no longer lists it.
     expires_at: Option<Instant>,
+    // Whether it was draining when the era of the store changed, and has not written its entry since.
+    has_drained_before_era: bool,
     unreachable_until: Option<Instant>,
     // When the engine was last lost or unreachable, unless it has answered since.
     lost_at: Option<Instant>,
@@ -172,6 +174,10 @@
     /// may be listed again.
     pub fn begin_era(&mut self) {
         self.departed.begin_era(self.clock.now());
+        for key in self.by_id.values() {
+            let state = &mut self.engines[*key];
+            state.has_drained_before_era = state.registration.is_draining;
+        }
     }
 
     /// Applies a listing of all registrations. Engines that it does not list are removed, after an
@@ -183,7 +189,22 @@
         missing.retain(|id| self.engines[self.by_id[id]].expires_at.is_none());
         self.drop_missing(&missing, is_after_outage);
         for registration in listed {
-            self.insert(registration);
+            self.insert_listed(registration);
+        }
+    }
+
+    /// Adds or updates a registration that a list shows. An older copy of the store may show an engine that
+    /// drains as it was before; it stays draining until it writes its entry in the current era.
+    fn insert_listed(&mut self, mut registration: Registration) {
+        let incarnation = Incarnation::of(&registration);
+        let id = registration.id.clone();
+        let known = self.by_id.get(&id).map(|key| &self.engines[*key]);
+        let stays_draining = known
+            .is_some_and(|known| known.has_drained_before_era && known.incarnation == incarnation);
+        registration.is_draining |= stays_draining;
+        self.insert(registration);
+        if let Some(key) = self.by_id.get(&id) {
+            self.engines[*key].has_drained_before_era = stays_draining;
         }
     }
 
@@ -232,7 +253,7 @@
     }
 
     /// Adds or updates one registration. That of a restarted engine replaces the earlier one.
-    pub fn insert(&mut self, mut registration: Registration) {
+    pub fn insert(&mut self, registration: Registration) {
         self.departed.readmit(&registration);
         if let Some(key) = self.by_id.get(&registration.id) {
             let known = &mut self.engines[*key];
@@ -240,8 +261,7 @@
                 && known.registration.address == registration.address;
             if is_same {
                 let was_lapsing = known.expires_at.take().is_some();
-                // Draining is final. An older copy of the store may show the entry as it was before.
-                registration.is_draining |= known.registration.is_draining;
+                known.has_drained_before_era = false;
                 if was_lapsing || known.registration != registration {
                     known.registration = registration.clone();
                     self.history.push(registration.id);
@@ -260,6 +280,7 @@
             registration,
             own_load: Load::default(),
             expires_at: None,
+            has_drained_before_era: false,
             unreachable_until: None,
             lost_at: None,
             failures: Vec::new(),
@@ -341,7 +362,10 @@
         }
         changes.gone.iter().for_each(|id| self.remove(id));
         for registration in changes.registered {
-            self.insert(registration);
+            match changes.is_whole {
+                true => self.insert_listed(registration),
+                false => self.insert(registration),
+            }
         }
     }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -441,10 +441,18 @@
         ..registration("b", "fd-b")
     };
     registry.insert(draining);
-    registry.begin_era();
+    for _ in 0..2 {
+        registry.begin_era();
+        for _ in 0..2 {
+            registry.replace(older_copy(), true);
+            let b = registry.by_id("b").unwrap();
+            assert!(registry.get(b).unwrap().registration.is_draining);
+        }
+    }
+    registry.insert(registration("b", "fd-b"));
     registry.replace(older_copy(), true);
     let b = registry.by_id("b").unwrap();
-    assert!(registry.get(b).unwrap().registration.is_draining);
+    assert!(!registry.get(b).unwrap().registration.is_draining);
     registry.insert(Registration {
         started_ms: 2,
         ..registration("b", "fd-b")
