--- a/review/standin/app.rs
+++ b/review/standin/app.rs
@@ -5,7 +5,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http;
 use crate::record::Record;
@@ -18,8 +18,10 @@
     id: String,
     work: Duration,
     record: Record,
-    // Complete runs by attempt id.
+    // Runs by attempt id.
     runs: Arc<Mutex<BTreeMap<String, u32>>>,
+    // Attempt ids and times of the requests that arrived.
+    arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
 }
 
 impl App {
@@ -32,6 +34,7 @@
             work,
             record: record.clone(),
             runs: Arc::default(),
+            arrivals: Arc::default(),
         };
         let serving = app.clone();
         std::thread::spawn(move || {
@@ -49,6 +52,11 @@
         runs.get(attempt).copied().unwrap_or(0)
     }
 
+    /// Returns the attempt ids and times of the requests that arrived.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.arrivals.lock().expect("no panic").clone()
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
@@ -56,6 +64,7 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(request) = http::read_message(&mut reader) {
+            let arrived_at = Instant::now();
             let attempt = request
                 .header("x-bilberrypost-attempt-id")
                 .unwrap_or("")
@@ -66,6 +75,8 @@
             let result = match is_other {
                 true => http::write_response(&mut writer, "421 Misdirected Request", &echo, ""),
                 false => {
+                    let arrival = (attempt.clone(), arrived_at);
+                    self.arrivals.lock().expect("no panic").push(arrival);
                     self.record
                         .line(&format!("server {}: runs {attempt}", self.id));
                     *self
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,10 +5,12 @@
 //! With `TROUBLE=0` in the environment there is no disruption.
 
 mod app;
+mod cut;
 mod handover;
 mod host;
 mod http;
 mod model;
+mod proxy;
 mod record;
 mod reload;
 mod store;
@@ -24,6 +26,7 @@
     let scratch = std::env::temp_dir().join(format!("bilberrypost-review-{}", std::process::id()));
     std::fs::create_dir_all(&scratch).map_err(|err| err.to_string())?;
     let result = match case {
+        "cut" => cut::run(&scratch, &record, has_trouble),
         "handover" => handover::run(&scratch, &record, has_trouble),
         "reload" => reload::run(&scratch, &record, has_trouble),
         _ => Err(format!("unknown case {case}")),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -60,6 +60,11 @@
         self.change(kind, name, Some(spec));
     }
 
+    /// Removes an object. The return acknowledges the write.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.change(kind, name, None);
+    }
+
     fn change(&self, kind: &str, name: &str, spec: Option<&str>) {
         let mut state = self.state.0.lock().expect("no panic");
         state.revision += 1;
