--- a/review/standin/host.rs
+++ b/review/standin/host.rs
@@ -105,6 +105,13 @@
 impl Host {
     /// Starts the program and waits until it is ready.
     pub fn start(place: Place) -> Result<Self, String> {
+        let host = Self::spawn(place)?;
+        host.wait_until_ready()?;
+        Ok(host)
+    }
+
+    /// Starts the program.
+    pub fn spawn(place: Place) -> Result<Self, String> {
         let failed = |err: std::io::Error| err.to_string();
         let path = place.folder.join(format!("{}.conf", place.name));
         fs::write(&path, settings(&place)?).map_err(failed)?;
@@ -123,18 +130,23 @@
             .stderr(log)
             .spawn()
             .map_err(failed)?;
-        let host = Self { place, process };
+        Ok(Self { place, process })
+    }
+
+    /// Waits until the host says that it is ready.
+    pub fn wait_until_ready(&self) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
-            if host.is_ready() {
-                return Ok(host);
+            if self.is_ready() {
+                return Ok(());
             }
             std::thread::sleep(Duration::from_millis(20));
         }
-        Err(format!("{} is not ready within 10 s", host.place.name))
+        Err(format!("{} is not ready within 10 s", self.place.name))
     }
 
-    fn is_ready(&self) -> bool {
+    /// Returns whether the host says that it is ready.
+    pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.place.readiness()) else {
             return false;
         };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,6 +13,7 @@
 mod proxy;
 mod record;
 mod reload;
+mod stop;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -28,6 +29,7 @@
     let result = match case {
         "cut" => cut::run(&scratch, &record, has_trouble),
         "handover" => handover::run(&scratch, &record, has_trouble),
+        "stop" => stop::run(&scratch, &record, has_trouble),
         "reload" => reload::run(&scratch, &record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
