Hand a stream over to the caller of its own request only

Cause: hosts recognize the request of a reconnecting caller by a digest of path, token counts and prompt parts. Body, credential, team, model, method and other headers were left out. Besides, the lists of streams held one run for each digest, so that the later of two runs replaced the earlier one without notice, which also mixes requests that are equal in every byte.

Change: the digest covers all that engines get and the credential, without the headers that the adapter names as those of a single attempt. Crashing requests are recognized by the same digest. `not_handed_over` logs why a prompt is read again.

Ruled out: that the engine or the attempt id mixes the runs. The engine went on from the run that the header kv-from named.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,7 +6,6 @@
 
 use crate::route::load::Footprint;
 use crate::route::prompt::Prompt;
-use crate::util::hash64;
 
 /// A caller's request as described by its head.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -28,26 +27,11 @@
 }
 
 impl Call {
-    /// Returns a digest of the path, token counts and prompt parts. It stays the same when a caller
-    /// retries, so that another host can find the replica of a stream.
-    pub fn digest(&self, path: &str) -> u64 {
-        let token_counts = self
-            .token_count
-            .map_or((0, 0), |count| (count.prompt, count.output_max));
-        let mut parts = vec![path.to_owned(), format!("{token_counts:?}")];
-        parts.extend(
-            self.prompt_parts
-                .iter()
-                .map(|part| format!("{}:{}", part.id, part.tokens)),
-        );
-        let parts: Vec<_> = parts.iter().map(String::as_bytes).collect();
-        hash64(&parts)
-    }
-
-    /// Returns the prompt as it is related to engines that ended.
-    pub fn prompt(&self, path: &str) -> Prompt {
+    /// Returns the prompt as it is related to engines that ended. `digest` is that of the whole
+    /// request.
+    pub fn prompt(&self, digest: u64) -> Prompt {
         let ids = self.prompt_parts.iter().map(|part| part.id.as_str());
-        Prompt::new(self.digest(path), ids)
+        Prompt::new(digest, ids)
     }
 
     /// Returns the load that the request is expected to put on an engine.
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -16,7 +16,7 @@
 use super::Gateway;
 use super::call::{Call, InvalidHead};
 use super::protocol::Protocol;
-use super::{crash, plain, stream};
+use super::{crash, digest, plain, stream};
 use crate::clock::Clock;
 use crate::config::routes::{Denied, Limits, Revision, Route};
 use crate::http::body::Body;
@@ -37,6 +37,8 @@
 pub struct AdmittedRequest {
     /// The decoded head.
     pub call: Call,
+    /// Digest of the request, which is the same for all attempts of its caller.
+    pub digest: u64,
     /// Hashes of the parts of the prompt.
     pub prompt: Prompt,
     /// Method of the request.
@@ -194,9 +196,18 @@
         let service = route.service(rand::random()).clone();
         let service_settings = revision.services.get(&service);
         let path_and_query = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let request = digest::Request {
+            method: &head.method,
+            path_and_query,
+            key: call.key.as_deref(),
+            headers: &headers,
+            body: &body,
+        };
+        let digest = request.digest::<P>();
         Ok(AdmittedRequest {
             method: head.method,
-            prompt: call.prompt(path_and_query),
+            digest,
+            prompt: call.prompt(digest),
             path_and_query: path_and_query.into(),
             headers,
             body: detach_body(body),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod check;
 pub mod crash;
 pub mod delivery;
+pub mod digest;
 pub mod documents;
 pub mod failover;
 pub mod feed;
@@ -29,7 +30,6 @@
 pub mod watch;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -129,10 +129,10 @@
     pub role: Role,
     /// Set at the next change of the configuration or the engines, and replaced by a new signal.
     pub next_change: RefCell<Signal>,
-    /// Streams that this host relays and that have a replica, by digest of the request.
-    pub local_streams: RefCell<BTreeMap<u64, handover::Stream>>,
-    /// Streams with a replica that other hosts reported.
-    pub remote_streams: RefCell<handover::Streams>,
+    /// Resumable streams that this host relays.
+    pub local_streams: RefCell<handover::LocalStreams>,
+    /// Resumable streams that other hosts reported.
+    pub remote_streams: RefCell<handover::RemoteStreams>,
     /// Tasks that relay streams.
     pub stream_tasks: Group,
     /// Checks of single engines.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -423,7 +423,7 @@
 
     fn streams_to_report(&self) -> Vec<handover::Stream> {
         let streams = self.gateway.local_streams.borrow();
-        streams.values().take(REPORT_STREAMS_MAX).cloned().collect()
+        streams.to_report(REPORT_STREAMS_MAX)
     }
 
     /// Returns a report without load, streams and summaries.
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -19,6 +19,9 @@
     /// Names of the fields that events of engines may have besides the usual ones.
     const EVENT_FIELDS: &'static [&'static str];
 
+    /// Names of the callers' headers that differ between attempts at the same request.
+    const ATTEMPT_HEADERS: &'static [&'static str];
+
     /// Decodes the head of a caller's request.
     ///
     /// # Errors
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,7 +24,7 @@
 use crate::http::problem::Reason;
 use crate::peer::report::EngineHash;
 use crate::relay::event_stream::{Position, Splitter};
-use crate::relay::handover;
+use crate::relay::handover::{LocalStream, Missing};
 use crate::relay::silence::{self, Progress};
 use crate::route::registry::{Engine, Need};
 use crate::util::within;
@@ -70,8 +70,9 @@
     is_begun: bool,
     /// Longest wait for a retry; `None` if only the deadline ends it.
     retry_wait: Option<Duration>,
-    /// Digest of the request, which is the same when the caller retries at another host.
-    digest: u64,
+    /// Key in the list of streams that are reported to other hosts; `None` if the stream cannot be
+    /// resumed there.
+    local: Option<LocalStream>,
 }
 
 /// The attempt whose events are being forwarded.
@@ -111,10 +112,9 @@
     gateway: &Rc<Gateway<C>>,
     admitted: AdmittedRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let digest = admitted.call.digest(&admitted.path_and_query);
-    let resume_replica = find_handover(gateway, &admitted, digest);
+    let resume_replica = find_handover(gateway, &admitted);
     let mut stream = Stream {
-        digest,
+        local: list_locally(gateway, &admitted),
         position: Position::after(admitted.call.last_event),
         gateway: gateway.clone(),
         attempts: Attempts::new(gateway, admitted.service.clone()),
@@ -143,28 +143,62 @@
 fn find_handover<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
-    digest: u64,
 ) -> Option<(Engine, CompactString)> {
-    if !admitted.route.kind.is_retryable() || admitted.call.prompt_parts.is_empty() {
+    if !can_be_handed_over(admitted) {
         return None;
     }
-    admitted.call.last_event?;
+    let last_event = admitted.call.last_event?;
+    let result = find_replica(gateway, admitted);
+    match &result {
+        Ok((engine, run)) => {
+            let registry = gateway.registry.borrow();
+            let state = registry.get(*engine);
+            let replica = state.map_or("none", |state| state.registration.id.as_str());
+            let pairs = format_args!("run={run} replica={replica} last_event={last_event}");
+            admitted.trace.log("handed_over", pairs);
+        }
+        Err(missing) => admitted.trace.log(
+            "not_handed_over",
+            format_args!("reason={missing} last_event={last_event}"),
+        ),
+    }
+    result.ok()
+}
+
+/// Returns the replica of the only known run of the request. If there are several, it is not known
+/// which of them is that of the caller, and the prompt is prefilled again.
+fn find_replica<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &AdmittedRequest,
+) -> Result<(Engine, CompactString), Missing> {
     let now = gateway.clock.now();
-    let stream = gateway.remote_streams.borrow_mut().take(digest, now)?;
-    let engine = gateway.registry.borrow().by_hash(stream.replica)?;
-    let registry = gateway.registry.borrow();
-    let replica = registry.get(engine)?.registration.id.as_str();
-    let pairs = format_args!("run={} replica={replica}", stream.run);
-    admitted.trace.log("handed_over", pairs);
-    Some((engine, stream.run))
+    let replica = gateway
+        .remote_streams
+        .borrow_mut()
+        .take(admitted.digest, now)?;
+    if gateway.local_streams.borrow().has_run_of(admitted.digest) {
+        return Err(Missing::Distinction);
+    }
+    let engine = gateway.registry.borrow().by_hash(replica.engine);
+    let engine = engine.ok_or(Missing::Replica)?;
+    Ok((engine, replica.run))
+}
+
+/// Returns whether another host may resume the stream from a replica.
+fn can_be_handed_over(admitted: &AdmittedRequest) -> bool {
+    admitted.route.kind.is_retryable() && !admitted.call.prompt_parts.is_empty()
+}
+
+/// Lists the stream in the reports to other hosts, for the case that the caller continues it there.
+fn list_locally<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> Option<LocalStream> {
+    let mut local = gateway.local_streams.borrow_mut();
+    can_be_handed_over(admitted).then(|| local.begin(admitted.digest, admitted.call.id.clone()))
 }
 
 impl<C: Clock> Drop for Stream<C> {
     fn drop(&mut self) {
-        let mut local = self.gateway.local_streams.borrow_mut();
-        let is_this_run = |stream: &handover::Stream| stream.run == self.admitted.call.id;
-        if local.get(&self.digest).is_some_and(is_this_run) {
-            local.remove(&self.digest);
+        if let Some(key) = self.local {
+            self.gateway.local_streams.borrow_mut().end(key);
         }
     }
 }
@@ -428,22 +462,14 @@
         }
     }
 
-    /// Lists the replica of this stream in the reports to other hosts, for the case that the caller
-    /// continues the stream there.
+    /// Lists the replica of this stream in the reports to other hosts.
     fn publish_replica(&self, placement: &Placement<C>) {
+        let Some(key) = self.local else { return };
         let registry = self.gateway.registry.borrow();
         let replica = placement.replica.and_then(|replica| registry.get(replica));
+        let replica = replica.map(|replica| EngineHash::of(&replica.registration.id));
         let mut local = self.gateway.local_streams.borrow_mut();
-        let Some(replica) = replica else {
-            local.remove(&self.digest);
-            return;
-        };
-        let stream = handover::Stream {
-            digest: self.digest,
-            run: self.admitted.call.id.clone(),
-            replica: EngineHash::of(&replica.registration.id),
-        };
-        local.insert(self.digest, stream);
+        local.set_replica(key, replica);
     }
 
     /// Forwards events until the stream ends, and resumes on another engine when one is lost.
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -15,7 +15,7 @@
 use crate::util::hash64;
 
 /// First byte of a datagram. A host drops datagrams of a format that its release does not know.
-const FORMAT_VERSION: u8 = 3;
+const FORMAT_VERSION: u8 = 4;
 
 /// Maximum size of a datagram in bytes.
 pub const BYTES_MAX: usize = 8192;
@@ -116,7 +116,7 @@
     pub losses: Vec<Loss>,
     /// What the host knows of parts of prompts that crash engines.
     pub evidence: Evidence,
-    /// The host's running streams that have a replica.
+    /// The host's running streams that another host may resume.
     pub streams: Vec<handover::Stream>,
     /// Summaries of failure domains; only representatives send them.
     pub summaries: Vec<Summary>,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -11,8 +11,10 @@
 
 /// Id of the request. A caller sends each retry with a new id, so the platform calls it an attempt
 /// id.
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-bilberrypost-attempt-id");
-const DEADLINE: HeaderName = HeaderName::from_static("x-bilberrypost-deadline-ms");
+const REQUEST_ID: HeaderName = HeaderName::from_static(REQUEST_ID_NAME);
+const REQUEST_ID_NAME: &str = "x-bilberrypost-attempt-id";
+const DEADLINE: HeaderName = HeaderName::from_static(DEADLINE_NAME);
+const DEADLINE_NAME: &str = "x-bilberrypost-deadline-ms";
 const KEY: HeaderName = HeaderName::from_static("x-bilberrypost-credential");
 const TEAM: HeaderName = HeaderName::from_static("x-bilberrypost-tenant");
 const EXPECT_ENGINE: HeaderName = HeaderName::from_static("x-bilberrypost-expect-instance");
@@ -36,7 +38,8 @@
 /// `ADDRESS/RUN`: the engine that holds a replica to resume from, and the id of the replicated run.
 const RESUME_FROM: HeaderName = HeaderName::from_static("kv-from");
 const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
-const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const LAST_EVENT: HeaderName = HeaderName::from_static(LAST_EVENT_NAME);
+const LAST_EVENT_NAME: &str = "last-event-id";
 
 /// Headers of a caller that are not forwarded: the key, and those that only the gateway may set.
 const NOT_FORWARDED: [HeaderName; 10] = [
@@ -52,6 +55,9 @@
     KEY,
 ];
 
+/// Headers of a caller that differ between attempts at the same request.
+pub(super) const ATTEMPT_HEADERS: &[&str] = &[REQUEST_ID_NAME, DEADLINE_NAME, LAST_EVENT_NAME];
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -32,6 +32,7 @@
 impl Protocol for Platform {
     const READY_PATH: &'static str = READY_PATH;
     const EVENT_FIELDS: &'static [&'static str] = &[EVENT_WEIGHTS];
+    const ATTEMPT_HEADERS: &'static [&'static str] = headers::ATTEMPT_HEADERS;
 
     fn decode_request(headers: &HeaderMap) -> Result<Call, InvalidHead> {
         headers::decode_request(headers)
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -439,9 +439,9 @@
         evidence: evidence.clone(),
     };
     let stream = Stream {
-        digest: 7,
+        digest: u64::MAX,
         run: "9c41d07be2a35f68".into(),
-        replica: EngineHash::of("i-1"),
+        replica: Some(EngineHash::of("i-1")),
     };
     let empty = Report {
         number: 1 << 41,
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -10,7 +10,7 @@
 use bilberrypost::peer::report::EngineHash;
 use bilberrypost::platform::store::WATCH_TIMEOUT_MARGIN;
 use bilberrypost::relay::event_stream::{Error, Position, Splitter};
-use bilberrypost::relay::handover::{Stream, Streams};
+use bilberrypost::relay::handover::{Missing, RemoteStreams, Replica, Stream};
 use bilberrypost::report::trace::{LINES_PER_S, Sampler};
 use bilberrypost::sched::retry::{Budget, Policy};
 use rand::rngs::StdRng;
@@ -179,14 +179,19 @@
     let stream = |digest: u64| Stream {
         digest,
         run: "s1".into(),
-        replica: EngineHash::of("i-2"),
+        replica: Some(EngineHash::of("i-2")),
     };
-    let mut streams = Streams::default();
+    let found = Ok(Replica {
+        run: "s1".into(),
+        engine: EngineHash::of("i-2"),
+    });
+    let mut streams = RemoteStreams::default();
     streams.record_report(vec![stream(1), stream(2)], now);
-    assert_eq!(streams.take(3, now), None);
-    assert_eq!(streams.take(1, now), Some(stream(1)));
-    assert_eq!(streams.take(1, now), None);
-    assert_eq!(streams.take(2, now + Duration::from_secs(4)), None);
+    assert_eq!(streams.take(3, now), Err(Missing::Run));
+    assert_eq!(streams.take(1, now), found);
+    assert_eq!(streams.take(1, now), Err(Missing::Replica));
+    let later = now + Duration::from_secs(4);
+    assert_eq!(streams.take(2, later), Err(Missing::Replica));
 }
 
 /// Guards against a log that grows without limit under high load, and against a sampler that still
