Handle signals from the first step of a process to its exit

Cause: listeners belonged to tasks, and the runtime's library drops a listener with its first signal and then restores the default action. There was none until the settings were read, none between two signals, and none for SIGINT once SIGTERM had come.

Ruled out: a drain that hangs; the log had neither stop_requested nor leaving.

Change: signals.rs installs handlers with signal-hook as the first step of main. They stay until the exit, and each signal adds a byte to a socket that is read once the runtime runs. Each subcommand states what signals do to it; the short ones end at once, which SIGTERM did not make them do.

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -6,12 +6,14 @@
 use super::Subcommand;
 use crate::config::check;
 use crate::error::Error;
-use crate::supervisor::Signal;
+use crate::signals::{Policy, Shutdown};
 
 pub(super) struct Check;
 
 impl Subcommand for Check {
-    async fn run(matches: &ArgMatches, _stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Exit;
+
+    async fn run(matches: &ArgMatches, _shutdown: Shutdown) -> anyhow::Result<()> {
         let texts = read_files(matches)?;
         let (settings, hosts) =
             check::parse_files(&texts).map_err(|errors| Error::Refused(errors.to_string()))?;
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -12,7 +12,8 @@
 use crate::config::split::{SharedSettings, key_digest};
 use crate::emulate::{backend, engine, members, store};
 use crate::router::{self, Sockets};
-use crate::supervisor::{Signal, Supervisor};
+use crate::signals::{Policy, Shutdown};
+use crate::supervisor::Supervisor;
 use crate::wire::{Kind, Lifecycle, Member};
 
 /// Listens on a free loopback port.
@@ -23,7 +24,9 @@
 pub(super) struct Demo;
 
 impl Subcommand for Demo {
-    async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Stop;
+
+    async fn run(matches: &ArgMatches, shutdown: Shutdown) -> anyhow::Result<()> {
         let listen = matches.get_one::<String>("listen").expect("has a default");
         let emulators = Supervisor::new();
         let (store, members) = start_emulators(&emulators).await?;
@@ -42,7 +45,7 @@
             "curl -N http://{address}/v1/completions -H 'Authorization: Bearer {CALLER_KEY}' \
              -d '{{\"model\":\"atlas\",\"prompt\":\"Sky notes:\",\"max_tokens\":20,\"stream\":true}}'"
         );
-        router::run(sockets, host, Some(settings), stop).await?;
+        router::run(sockets, host, Some(settings), shutdown).await?;
         emulators.stop().await;
         Ok(())
     }
--- a/src/cmd/emulate.rs
+++ b/src/cmd/emulate.rs
@@ -6,12 +6,15 @@
 
 use super::Subcommand;
 use crate::emulate::{backend, bind, engine, members, proxy, store};
-use crate::supervisor::Signal;
+use crate::signals::{Policy, Shutdown};
 
 pub(super) struct Emulate;
 
 impl Subcommand for Emulate {
-    async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Stop;
+
+    async fn run(matches: &ArgMatches, shutdown: Shutdown) -> anyhow::Result<()> {
+        let stop = shutdown.stop;
         let (kind, matches) = matches.subcommand().expect("required");
         let listener = bind(kind, text(matches, "listen")).await?;
         let seed = number(matches, "seed");
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -5,12 +5,14 @@
 use super::{Subcommand, check};
 use crate::error::Error;
 use crate::report::explain::{Line, explain};
-use crate::supervisor::Signal;
+use crate::signals::{Policy, Shutdown};
 
 pub(super) struct Explain;
 
 impl Subcommand for Explain {
-    async fn run(matches: &ArgMatches, _stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Exit;
+
+    async fn run(matches: &ArgMatches, _shutdown: Shutdown) -> anyhow::Result<()> {
         let id = matches.get_one::<String>("request").expect("required");
         let files = check::read_files(matches)?;
         let lines: Vec<_> = files
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -8,13 +8,15 @@
 use super::Subcommand;
 use crate::error::Error;
 use crate::load::tool::{self, Percentiles, Plan, Summary};
-use crate::supervisor::Signal;
+use crate::signals::{Policy, Shutdown};
 
 pub(super) struct Load;
 
 impl Subcommand for Load {
-    async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()> {
-        let summary = tool::run(parse_plan(matches)?, &stop).await;
+    const SIGNALS: Policy = Policy::Stop;
+
+    async fn run(matches: &ArgMatches, shutdown: Shutdown) -> anyhow::Result<()> {
+        let summary = tool::run(parse_plan(matches)?, &shutdown.stop).await;
         match matches.get_flag("json") {
             true => println!("{}", serde_json::to_string(&summary)?),
             false => print_summary(&summary),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -15,23 +15,27 @@
 
 use anyhow::Context;
 use clap::ArgMatches;
-use futures_util::FutureExt;
 
 use crate::config::ini::File;
 use crate::config::operator::Operator;
 use crate::error::Error;
-use crate::supervisor::Signal;
-
-const SIGTERM: i32 = 15;
+use crate::signals::{Handlers, Policy, Shutdown};
 
 /// A subcommand of the program.
 trait Subcommand {
-    /// Runs the subcommand to its end, or until `stop` is set.
-    async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()>;
+    /// What signals do while the subcommand runs.
+    const SIGNALS: Policy;
+
+    /// Runs the subcommand to its end, or until `shutdown` asks to stop.
+    async fn run(matches: &ArgMatches, shutdown: Shutdown) -> anyhow::Result<()>;
 }
 
 /// Runs the program and returns its exit code.
 pub fn main() -> ExitCode {
+    let Ok(handlers) = Handlers::install() else {
+        eprintln!("could not handle signals; check the limit on open files");
+        return ExitCode::FAILURE;
+    };
     let matches = args::command().get_matches();
     // `serve` starts the log after it has read the settings, which decide where the log goes.
     if matches.subcommand_name() != Some("serve") {
@@ -41,7 +45,7 @@
         eprintln!("could not start the async runtime; check the limit on open files");
         return ExitCode::FAILURE;
     };
-    match runtime.block_on(dispatch(&matches)) {
+    match runtime.block_on(dispatch(&matches, handlers)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("{err:#}");
@@ -63,32 +67,30 @@
     let _ = simplelog::WriteLogger::init(level, config, std::io::stderr());
 }
 
-/// Keeps a SIGTERM handler installed for the life of the process. A listener removes itself after
-/// its first signal; a second signal before the next listener exists, or during exit, would
-/// otherwise kill the process.
-fn keep_sigterm_handler() {
-    let mut listener = Box::pin(compio::signal::unix::signal(SIGTERM));
-    // The first poll registers the listener; `forget` keeps it registered.
-    let _ = listener.as_mut().now_or_never();
-    std::mem::forget(listener);
+async fn dispatch(matches: &ArgMatches, handlers: Handlers) -> anyhow::Result<()> {
+    match matches.subcommand() {
+        Some(("serve", matches)) => run::<serve::Serve>(matches, handlers).await,
+        Some(("check", matches)) => run::<check::Check>(matches, handlers).await,
+        Some(("publish", matches)) => run::<publish::Publish>(matches, handlers).await,
+        Some(("status", matches)) => run::<status::Status>(matches, handlers).await,
+        Some(("emulate", matches)) => run::<emulate::Emulate>(matches, handlers).await,
+        Some(("load", matches)) => run::<load::Load>(matches, handlers).await,
+        Some(("report", matches)) => run::<report::Report>(matches, handlers).await,
+        Some(("explain", matches)) => run::<explain::Explain>(matches, handlers).await,
+        Some(("demo", matches)) => run::<demo::Demo>(matches, handlers).await,
+        _ => unreachable!("clap accepts only the subcommands above"),
+    }
 }
 
-async fn dispatch(matches: &ArgMatches) -> anyhow::Result<()> {
-    keep_sigterm_handler();
-    let stop = Signal::default();
-    let signals = compio::runtime::spawn(watch_signals(stop.clone()));
-    let result = match matches.subcommand() {
-        Some(("serve", matches)) => serve::Serve::run(matches, stop).await,
-        Some(("check", matches)) => check::Check::run(matches, stop).await,
-        Some(("publish", matches)) => publish::Publish::run(matches, stop).await,
-        Some(("status", matches)) => status::Status::run(matches, stop).await,
-        Some(("emulate", matches)) => emulate::Emulate::run(matches, stop).await,
-        Some(("load", matches)) => load::Load::run(matches, stop).await,
-        Some(("report", matches)) => report::Report::run(matches, stop).await,
-        Some(("explain", matches)) => explain::Explain::run(matches, stop).await,
-        Some(("demo", matches)) => demo::Demo::run(matches, stop).await,
-        _ => unreachable!("clap accepts only the subcommands above"),
-    };
+async fn run<S: Subcommand>(matches: &ArgMatches, handlers: Handlers) -> anyhow::Result<()> {
+    let shutdown = Shutdown::default();
+    if S::SIGNALS == Policy::Exit {
+        handlers.restore_default();
+        return S::run(matches, shutdown).await;
+    }
+    let watch = handlers.watch(S::SIGNALS, shutdown.clone());
+    let signals = compio::runtime::spawn(watch);
+    let result = S::run(matches, shutdown).await;
     signals.cancel().await;
     result
 }
@@ -106,13 +108,3 @@
         operator.map_err(|err| Error::Refused(err.to_string()))?,
     ))
 }
-
-/// Sets `stop` on the first SIGTERM or SIGINT.
-async fn watch_signals(stop: Signal) {
-    use futures_util::future::select;
-    let terminate = Box::pin(compio::signal::unix::signal(SIGTERM));
-    // 2 is SIGINT.
-    let interrupt = Box::pin(compio::signal::unix::signal(2));
-    select(terminate, interrupt).await;
-    stop.set();
-}
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -10,8 +10,8 @@
 use crate::config::publish::{self, Publisher};
 use crate::config::revision::{self, Current, Record};
 use crate::error::Error;
+use crate::signals::{Policy, Shutdown};
 use crate::store::objects::Client;
-use crate::supervisor::Signal;
 
 /// Time between two queries of the hosts while waiting for them.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -19,7 +19,9 @@
 pub(super) struct Publish;
 
 impl Subcommand for Publish {
-    async fn run(matches: &ArgMatches, _stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Exit;
+
+    async fn run(matches: &ArgMatches, _shutdown: Shutdown) -> anyhow::Result<()> {
         let operator = super::read_operator(matches)?;
         let store = store_client(matches, operator.as_ref())?;
         let is_waiting = matches.get_flag("wait");
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -5,12 +5,14 @@
 
 use super::Subcommand;
 use crate::report::burn::{self, Burn};
-use crate::supervisor::Signal;
+use crate::signals::{Policy, Shutdown};
 
 pub(super) struct Report;
 
 impl Subcommand for Report {
-    async fn run(matches: &ArgMatches, _stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Exit;
+
+    async fn run(matches: &ArgMatches, _shutdown: Shutdown) -> anyhow::Result<()> {
         let key = read_key(matches)?;
         let hosts = matches.get_many::<String>("hosts").expect("required");
         let mut reports = Vec::new();
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -10,12 +10,14 @@
 use crate::platform;
 use crate::report::output;
 use crate::router::{self, Sockets};
-use crate::supervisor::Signal;
+use crate::signals::{Policy, Shutdown};
 
 pub(super) struct Serve;
 
 impl Subcommand for Serve {
-    async fn run(matches: &ArgMatches, stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Serve;
+
+    async fn run(matches: &ArgMatches, shutdown: Shutdown) -> anyhow::Result<()> {
         let path = matches.get_one::<String>("config").expect("required");
         let text = std::fs::read_to_string(path)
             .with_context(|| format!("could not read {path}; check the path"))?;
@@ -23,7 +25,8 @@
         if let Some(settings) = platform::settings::read(&file)? {
             let log = output::start()?;
             let store = platform::store::Store::new(&settings.store);
-            let result = gateway::run::<platform::Platform, _>(settings, store, stop).await;
+            let result =
+                gateway::run::<platform::Platform, _>(settings, store, shutdown.stop).await;
             log.flush();
             return result;
         }
@@ -39,6 +42,6 @@
             sockets.peers.local_addr()?,
             sockets.callers.local_addr()?
         );
-        router::run(sockets, host, shared_settings, stop).await
+        router::run(sockets, host, shared_settings, shutdown).await
     }
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -4,12 +4,14 @@
 
 use super::Subcommand;
 use crate::error::Error;
-use crate::supervisor::Signal;
+use crate::signals::{Policy, Shutdown};
 
 pub(super) struct Status;
 
 impl Subcommand for Status {
-    async fn run(matches: &ArgMatches, _stop: Signal) -> anyhow::Result<()> {
+    const SIGNALS: Policy = Policy::Exit;
+
+    async fn run(matches: &ArgMatches, _shutdown: Shutdown) -> anyhow::Result<()> {
         let operator = super::read_operator(matches)?
             .ok_or_else(|| Error::Refused("the settings are not given; add -c FILE".into()))?;
         let hosts = operator.hosts().await?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,14 +31,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use compact_str::CompactString;
 use compio::net::TcpListener;
-use futures_util::future::{Either, select};
 use log::{info, warn};
 
 use crate::clock::{self, Clock};
@@ -496,30 +494,6 @@
     }
 }
 
-/// Logs each SIGHUP. Settings cannot change while the process runs, so there is nothing to reload;
-/// without a handler the signal would end the process.
-async fn log_sighup(stop: Signal) {
-    const SIGHUP: i32 = 1;
-    while !stop.is_set() {
-        let signal = pin!(compio::signal::unix::signal(SIGHUP));
-        if let Either::Left(_) = select(signal, pin!(stop.wait())).await {
-            info!("event=reload changed=none");
-        }
-    }
-}
-
-/// Logs each SIGTERM, also while the host drains. Without this handler a second SIGTERM would end
-/// the process at once instead of letting running requests end.
-async fn log_sigterm(stop: Signal) {
-    const SIGTERM: i32 = 15;
-    while !stop.is_set() {
-        let signal = pin!(compio::signal::unix::signal(SIGTERM));
-        if let Either::Left(_) = select(signal, pin!(stop.wait())).await {
-            info!("event=stop_requested");
-        }
-    }
-}
-
 async fn listen_on(address: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -592,8 +566,6 @@
         "lateness",
         lateness::run(gateway.clone(), supervisor.stop_signal()),
     );
-    supervisor.spawn("reloads", log_sighup(supervisor.stop_signal()));
-    supervisor.spawn("stops", log_sigterm(supervisor.stop_signal()));
     let caller_stop = Signal::default();
     let front = Rc::new(front::Endpoint::<_, P>::new(gateway.clone()));
     let caller_server =
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod route;
 pub mod router;
 pub mod sched;
+pub mod signals;
 pub mod store;
 pub mod supervisor;
 pub mod util;
--- a/src/router.rs
+++ b/src/router.rs
@@ -45,6 +45,7 @@
 use crate::route::servers::Servers;
 use crate::sched::lease_task::{self, AllocatorHandle, LeaseStatus, Reporter};
 use crate::sched::share::Shares;
+use crate::signals::Shutdown;
 use crate::store::objects;
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::{unix_ms, within};
@@ -291,7 +292,7 @@
     })
 }
 
-/// Runs a router process until `stop` is set and all requests have ended.
+/// Runs a router process until `shutdown` asks to stop and all requests have ended.
 ///
 /// `settings` is in force until the first revision is published.
 ///
@@ -301,7 +302,7 @@
     sockets: Sockets,
     host: Host,
     settings: Option<SharedSettings>,
-    stop: Signal,
+    shutdown: Shutdown,
 ) -> anyhow::Result<()> {
     let supervisor = Supervisor::new();
     let (dispatch, dispatch_task) = dispatch::create(
@@ -349,7 +350,7 @@
         },
         dispatch,
         metrics: Metrics::default(),
-        stop: stop.clone(),
+        stop: shutdown.stop.clone(),
         leaving: Signal::default(),
         refusing: Signal::default(),
         request_tasks: Group::default(),
@@ -398,13 +399,10 @@
     let endpoint = Rc::new(Endpoint(router.clone()));
     let serving = compio::runtime::spawn(server::serve(sockets.callers, endpoint, close.clone()));
     info!("event=serving host={}", router.host.name);
-    let abort = Signal::default();
-    let signals = compio::runtime::spawn(watch_second_signal(abort.clone()));
-    stop.wait().await;
-    leave(&router, host.drain_limit, abort, close, serving).await;
+    shutdown.stop.wait().await;
+    leave(&router, host.drain_limit, shutdown.abort, close, serving).await;
     router.members.leave(State::Left).await;
     supervisor.stop().await;
-    signals.cancel().await;
     info!("event=stopped host={}", router.host.name);
     Ok(())
 }
@@ -508,22 +506,6 @@
     }
 }
 
-/// Sets `abort` at the second SIGTERM or the second SIGINT.
-async fn watch_second_signal(abort: Signal) {
-    let second = |number| async move {
-        // When the last listener of a signal is dropped, the signal gets back its default action,
-        // which ends the process. This listener stays registered until the process exits.
-        let mut held = Box::pin(compio::signal::unix::signal(number));
-        let _ = futures_util::poll!(&mut held);
-        let _ = compio::signal::unix::signal(number).await;
-        let _ = compio::signal::unix::signal(number).await;
-        drop(held);
-    };
-    select(pin!(second(15)), pin!(second(2))).await;
-    abort.set();
-    std::future::pending::<()>().await;
-}
-
 /// Polls the status of engines whose load was not reported recently.
 async fn poll_engines<C: Clock>(router: Rc<Router>, clock: C, stop: Signal) {
     let mut poller = Poller::new(clock);
