Notice the return of the store within 0.6 s

Cause: entries that are missing after an outage stay in use for 2 s, counted from the first list. A list that was sent just before the end of the cut got no answer; its timeout of 1 s and the pause of up to 0.6 s after it put that list off to 1.6 s after the cut.

Ruled out: a removal that the host overlooks (the log has lapsing=1); dropping the grace, as a host without peers cannot tell a cut of its own from an outage of the store.

Change: a list without an answer for 0.5 s is begun again beside the first, and the pause after a failed call counts from its start. Lapsed entries then end 2.6 s after the return at the latest.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod protocol;
 pub mod reach;
 pub mod ready;
+pub mod stagger;
 pub mod stream;
 pub mod watch;
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::{Either, select};
 use log::{info, warn};
@@ -10,6 +10,7 @@
 use super::Gateway;
 use super::position::Position;
 use super::protocol::{Change, Directory, Listing, Unavailable};
+use super::stagger;
 use crate::clock::Clock;
 use crate::config::routes::Revision;
 use crate::route::registry::Registration;
@@ -35,24 +36,32 @@
 const ENGINE_WATCH_PAUSE: (Duration, Duration) =
     (Duration::from_millis(300), Duration::from_millis(500));
 
-/// Pause after the first failed call to the store; it doubles with each further failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time after which a list of engines without an answer is begun again beside the first one. A call
+/// that was sent just before a cut ended gets no answer, and would delay the notice of its end by its
+/// whole timeout.
+pub const LIST_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest pause of a representative, and of any other host, of which there are many more.
-const RETRY_PAUSE_MAX: (Duration, Duration) =
+/// Time from the start of the first failed call to the store to the next one; it doubles with each
+/// further failure.
+const RETRY_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Longest [`RETRY_INTERVAL`] of a representative, and of any other host, of which there are many
+/// more. Together with the time for which lapsed entries stay in use, that of a representative stays
+/// below the 3 s within which a host must be up to date after an outage.
+const RETRY_INTERVAL_MAX: (Duration, Duration) =
     (Duration::from_millis(600), Duration::from_millis(4000));
 
 /// Time between two checks whether this host has to watch the store.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Returns the pause after `failures` failed calls in a row. The store charges for refused calls
-/// too, and hosts must not call a recovering store all at once.
-pub fn retry_pause(failures: u32, is_representative: bool) -> Duration {
+/// Returns the time between the starts of two calls after `failures` failed ones in a row. The store
+/// charges for refused calls too, and hosts must not call a recovering store all at once.
+pub fn retry_interval(failures: u32, is_representative: bool) -> Duration {
     let longest = match is_representative {
-        true => RETRY_PAUSE_MAX.0,
-        false => RETRY_PAUSE_MAX.1,
+        true => RETRY_INTERVAL_MAX.0,
+        false => RETRY_INTERVAL_MAX.1,
     };
-    let doubled = RETRY_PAUSE.saturating_mul(1 << failures.saturating_sub(1).min(8));
+    let doubled = RETRY_INTERVAL.saturating_mul(1 << failures.saturating_sub(1).min(8));
     doubled.min(longest)
 }
 
@@ -98,11 +107,20 @@
         );
     }
 
-    /// Waits before the next call, until the store is found to be in a new era.
-    async fn pause<C: Clock>(&self, gateway: &Gateway<C>, next_era: &Signal, stop: &Signal) {
-        let pause = retry_pause(self.failures, gateway.role.is_representative());
+    /// Waits until the next call is due after one that began at `began_at`, or the store is found to be
+    /// in a new era.
+    async fn pause<C: Clock>(
+        &self,
+        gateway: &Gateway<C>,
+        began_at: Instant,
+        next_era: &Signal,
+        stop: &Signal,
+    ) {
+        let interval = retry_interval(self.failures, gateway.role.is_representative());
         // Random jitter, so that hosts that failed together do not retry together.
-        let pause = pause.mul_f64(rand::random_range(0.7..1.0));
+        let interval = interval.mul_f64(rand::random_range(0.7..1.0));
+        let elapsed = gateway.clock.now().duration_since(began_at);
+        let pause = interval.saturating_sub(elapsed);
         within(pause, select(next_era.wait(), stop.wait())).await;
     }
 }
@@ -131,6 +149,7 @@
             within(ROLE_CHECK_INTERVAL, stop.wait()).await;
             continue;
         }
+        let began_at = gateway.clock.now();
         let next_era = gateway.next_era();
         since = since.filter(|since| gateway.is_current_era(*since));
         let call = call_revisions(&gateway, &directory, since, known);
@@ -153,7 +172,7 @@
                 // The store may have come back from an older copy, in which changes after `since` are
                 // not the ones that follow.
                 since = None;
-                dependency.pause(&gateway, &next_era, &stop).await;
+                dependency.pause(&gateway, began_at, &next_era, &stop).await;
             }
         }
     }
@@ -209,6 +228,7 @@
             continue;
         }
         let was_lost = dependency.is_lost;
+        let began_at = gateway.clock.now();
         let next_era = gateway.next_era();
         since = since.filter(|since| gateway.is_current_era(*since));
         let before = gateway.registry.borrow().last_change();
@@ -236,7 +256,7 @@
                 dependency.record_failure(&gateway, &err);
                 // Entries may have expired in the meantime, so all are listed again.
                 since = None;
-                dependency.pause(&gateway, &next_era, &stop).await;
+                dependency.pause(&gateway, began_at, &next_era, &stop).await;
             }
         }
     }
@@ -252,7 +272,7 @@
     let known = gateway.engines_position();
     match since {
         None => {
-            let listing = directory.list_engines().await?;
+            let listing = stagger::first_of(LIST_INTERVAL, || directory.list_engines()).await?;
             gateway.check_position("engines", None, known, listing.position)?;
             Ok(apply_listing(gateway, listing, was_lost))
         }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -33,7 +33,7 @@
 
 /// Time after an outage of the store for which entries that it no longer lists stay in use. Entries
 /// that lapsed during the outage are renewed in this time.
-const LAPSE_GRACE: Duration = Duration::from_secs(2);
+pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// Time for which an engine that could not be reached is tried last, and one that is lost not at
 /// all. A restart takes about as long, and gives the engine another id or start time.
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -2,25 +2,9 @@
 
 mod support;
 
-use std::cell::{Cell, RefCell};
-use std::rc::Rc;
-use std::time::Duration;
-
-use bilberrypost::clock::Manual;
-use bilberrypost::config::routes::Revision;
-use bilberrypost::gateway;
-use bilberrypost::gateway::position::Position;
-use bilberrypost::gateway::protocol::{Change, Directory, Listing, Unavailable};
-use bilberrypost::gateway::watch;
-use bilberrypost::platform::store::Store as Client;
-use bilberrypost::route::registry::Registration;
-use bilberrypost::supervisor::Signal;
-use bilberrypost::util::within;
 use serde_json::json;
-use support::platform::{
-    Engine, Gateway, Mode, Store, config, gateway_settings, ok, start, two_engines, wait_for,
-};
-use support::{TEST_TIMEOUT, block_on};
+use support::directory::{Played, until, with_watches};
+use support::platform::{Engine, Gateway, Mode, Store, config, ok, start, two_engines, wait_for};
 
 const VERSION: &str = "bilberrypost_revision_version ";
 const ENGINES: &str = "bilberrypost_engines ";
@@ -79,116 +63,6 @@
     assert_eq!(left.request_count(), 0);
 }
 
-/// A store whose answers the test decides.
-#[derive(Clone, Default)]
-struct Played(Rc<Answers>);
-
-#[derive(Default)]
-struct Answers {
-    position: Cell<Position>,
-    version: Cell<u64>,
-    engines: RefCell<Vec<Registration>>,
-    // Whether a watch from an earlier era gets status 410. Otherwise its revision was given out again,
-    // and nothing has changed since.
-    is_history_gone: Cell<bool>,
-}
-
-impl Played {
-    fn new(version: u64, engines: &[&str]) -> Self {
-        let played = Self::default();
-        played.set(0, version, engines);
-        played
-    }
-
-    fn set(&self, era: u64, version: u64, engines: &[&str]) {
-        self.0.position.set(Position { era, revision: 20 });
-        self.0.version.set(version);
-        *self.0.engines.borrow_mut() = engines.iter().map(|id| registration(id)).collect();
-    }
-
-    fn answer<T>(&self, items: Vec<T>) -> Listing<T> {
-        Listing {
-            items,
-            unreadable: 0,
-            position: self.0.position.get(),
-        }
-    }
-}
-
-impl Directory for Played {
-    async fn read_revision(&self) -> Result<Listing<Revision>, Unavailable> {
-        let document = config(self.0.version.get()).to_string();
-        let revision = self.decode_revision(&document).unwrap();
-        Ok(self.answer(vec![revision]))
-    }
-
-    async fn watch_revision(
-        &self,
-        _: Position,
-        _: Duration,
-    ) -> Result<Listing<Revision>, Unavailable> {
-        std::future::pending().await
-    }
-
-    fn decode_revision(&self, source: &str) -> Option<Revision> {
-        Client::new("127.0.0.1:1").decode_revision(source)
-    }
-
-    async fn list_engines(&self) -> Result<Listing<Registration>, Unavailable> {
-        Ok(self.answer(self.0.engines.borrow().clone()))
-    }
-
-    async fn watch_engines(
-        &self,
-        since: Position,
-        _: Duration,
-    ) -> Result<Listing<Change>, Unavailable> {
-        let is_same_era = since.era == self.0.position.get().era;
-        match self.0.is_history_gone.get() && !is_same_era {
-            true => Err(Unavailable::HistoryGone),
-            false => Ok(self.answer(Vec::new())),
-        }
-    }
-}
-
-fn registration(id: &str) -> Registration {
-    Registration {
-        id: id.into(),
-        service: "app".into(),
-        address: "127.0.0.1:1".into(),
-        failure_domain: "fd-a".into(),
-        slots: 4,
-        is_draining: false,
-        started_ms: 1,
-    }
-}
-
-async fn until(what: &str, condition: impl Fn() -> bool) {
-    let waiting = async {
-        while !condition() {
-            compio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    within(TEST_TIMEOUT, waiting).await.expect(what);
-}
-
-/// Runs the watches of a gateway until `test` ends.
-fn with_watches(store: &Played, test: impl AsyncFnOnce(&gateway::Gateway<Manual>)) {
-    block_on(async {
-        let gateway = gateway::Gateway::new(Manual::default(), gateway_settings());
-        let (gateway, stop) = (Rc::new(gateway), Signal::default());
-        let revisions = watch::revisions(gateway.clone(), store.clone(), stop.clone());
-        let engines = watch::engines(gateway.clone(), store.clone(), stop);
-        let tasks = (
-            compio::runtime::spawn(revisions),
-            compio::runtime::spawn(engines),
-        );
-        until("the first answers", || gateway.reaches_store()).await;
-        test(&gateway).await;
-        drop(tasks);
-    });
-}
-
 /// Guards against a configuration that arrives late, as its watch still waits in a history that is
 /// gone while that of the engines has been told so.
 #[test]
@@ -219,7 +93,7 @@
 #[test]
 fn an_engine_of_the_lost_history_stays_in_use_for_a_while() {
     let store = Played::new(3, &["a", "b"]);
-    store.0.is_history_gone.set(true);
+    store.set_history_gone();
     with_watches(&store, async |gateway| {
         store.set(1, 3, &["a"]);
         let registry = &gateway.registry;
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -6,7 +6,7 @@
 
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::gateway::followed::Followed;
-use bilberrypost::gateway::watch::retry_pause;
+use bilberrypost::gateway::watch::retry_interval;
 use bilberrypost::peer::newer::Newer;
 use bilberrypost::peer::report::{BYTES_MAX, EngineHash, Report, Summary, Usage};
 use bilberrypost::peer::representatives::Representatives;
@@ -303,12 +303,12 @@
 /// against hosts that notice its return too late.
 #[test]
 fn retries_slow_down_during_an_outage() {
-    let pauses: Vec<_> = (1..40).map(|n| retry_pause(n, true)).collect();
+    let pauses: Vec<_> = (1..40).map(|n| retry_interval(n, true)).collect();
     assert!(pauses.is_sorted());
     assert!(pauses[0] <= Duration::from_millis(200));
     // Lapsed registrations stay in force for 2 s after the store returns.
     assert!(*pauses.last().unwrap() < Duration::from_secs(1));
-    assert!(retry_pause(u32::MAX, false) > retry_pause(u32::MAX, true));
+    assert!(retry_interval(u32::MAX, false) > retry_interval(u32::MAX, true));
 }
 
 fn registration(id: &str, version: u64) -> Registration {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod directory;
 pub mod fault_plan;
 pub mod platform;
 pub mod seed_log;
