--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -388,6 +388,8 @@
     Reset(String),
     /// Streams the events up to this number, then ends the stream as given.
     Events(u64, End),
+    /// Reacts after this time; the engine serves other requests meanwhile.
+    After(Duration, Box<Reaction>),
     /// Like `Events`, with the attempt's id in each event and a pause before each.
     TaggedEvents(u64, End, Duration),
 }
@@ -589,7 +591,11 @@
             let _ = stream.write_all(b"HTTP/1.1 421 x\r\ncontent-length: 0\r\n\r\n");
             continue;
         }
-        let reaction = (script.lock().unwrap())(&request);
+        let mut reaction = (script.lock().unwrap())(&request);
+        while let Reaction::After(delay, next) = reaction {
+            std::thread::sleep(delay);
+            reaction = *next;
+        }
         received.lock().unwrap().push(request.clone());
         let common = format!(
             "x-bilberrypost-attempt-id: {attempt}\r\nx-bilberrypost-response-seal: seal-{id}\r\n"
@@ -607,7 +613,7 @@
                     "HTTP/1.1 503 x\r\nx-bilberrypost-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
                 let _ = stream.write_all(head.as_bytes());
             }
-            Reaction::Close => return,
+            Reaction::Close | Reaction::After(..) => return,
             Reaction::Raw(text) => {
                 let _ = stream.write_all(text.replace("ID", &attempt).as_bytes());
                 return;
