Pass on late in a drain only what ends in time, and answer the rest

Cause: only streams were asked whether their time was left, and only when their head arrived.

Ruled out: a listener that takes connections too long; these connections were open before the stop.

Change: gateway/drain.rs decides when a request is passed on. After the balancer's lag three times the expected time, or the time to the deadline, has to fit; calls without a prompt are expected to take as long as the slowest recent one of their service. The others are refused at once as not run. 0.2 s before the end, callers without a response get one.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -2,11 +2,13 @@
 //! it to [`plain`] or [`stream`].
 
 use std::marker::PhantomData;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use compio::bytes::Bytes;
+use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -152,15 +154,6 @@
             ),
         );
         crash::admit(&self.gateway, &admitted)?;
-        if admitted.route.kind.is_stream()
-            && !self
-                .gateway
-                .has_time_for(admitted.call.footprint().expected_time())
-        {
-            let detail = "this host is leaving; retry to reach another host";
-            let after = self.gateway.leaving_retry_after();
-            return Err(Refusal::not_run(Reason::Leaving, detail, after));
-        }
         let service = admitted.service.clone();
         let now = self.gateway.clock.now();
         self.gateway
@@ -168,9 +161,19 @@
             .borrow_mut()
             .record_request(&service, now);
         // Boxed, so that a connection takes their memory only while it has a request.
-        match admitted.route.kind.is_stream() {
-            true => Box::pin(stream::serve::<C, P>(&self.gateway, admitted)).await,
-            false => Box::pin(plain::serve::<C, P>(&self.gateway, &admitted)).await,
+        let served = Box::pin(async {
+            match admitted.route.kind.is_stream() {
+                true => stream::serve::<C, P>(&self.gateway, admitted).await,
+                false => plain::serve::<C, P>(&self.gateway, &admitted).await,
+            }
+        });
+        match select(served, self.gateway.ending.wait()).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => {
+                let detail = "this host ends before the engine has answered; check the effect \
+                              before sending again";
+                Err(Refusal::unknown(Reason::AnswerLost, detail))
+            }
         }
     }
 
@@ -190,7 +193,11 @@
         };
         let (route, team) = self.find_route(&revision, &head, &call)?;
         let deadline = arrived_at + call.timeout.min(route.timeout);
-        let body = read_body(&revision, body, deadline, arrived_at).await?;
+        let reading = pin!(read_body(&revision, body, deadline, arrived_at));
+        let body = match select(reading, gateway.ending.wait()).await {
+            Either::Left((body, _)) => body?,
+            Either::Right(_) => return Err(gateway.leaving_refusal()),
+        };
         let mut headers = P::forwarded_headers(&head.headers);
         detach_headers(&mut headers);
         let service = route.service(rand::random()).clone();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod delivery;
 pub mod digest;
 pub mod documents;
+pub mod drain;
 pub mod failover;
 pub mod feed;
 pub mod follow;
@@ -32,6 +33,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -43,6 +45,7 @@
 use crate::clock::{self, Clock};
 use crate::config::patch::{self, Patch};
 use crate::config::routes::Revision;
+use crate::http::problem::Reason;
 use crate::http::server;
 use crate::relay::handover;
 use crate::report::metrics::Metrics;
@@ -53,7 +56,9 @@
 use crate::supervisor::{Group, Signal, Supervisor};
 use crate::util::within;
 use documents::Documents;
+use drain::{AnswerTimes, Drain};
 use follow::Role;
+use front::{AdmittedRequest, Refusal};
 use position::Position;
 use protocol::{Directory, Protocol, Unavailable};
 
@@ -65,6 +70,9 @@
 /// killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Callers that have no response yet get one this long before the remaining work is cut.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// Number of requests that the log names when they are cut at the end of a drain.
 const DRAIN_CUT_IDS_MAX: usize = 16;
 
@@ -158,8 +166,12 @@
     engines_confirmed_at: Cell<Option<Instant>>,
     // Position in the store's history up to which the changes of engines are known.
     engines_position: Cell<Position>,
-    // When running work is cut; set when draining begins.
-    drain_ends_at: Cell<Option<Instant>>,
+    /// Times that requests to the services without prompts took.
+    pub answer_times: RefCell<AnswerTimes>,
+    /// Set shortly before a leaving host cuts what still runs. Callers without a response get one.
+    pub ending: Signal,
+    // Set when draining begins.
+    drain: Cell<Option<Drain>>,
 }
 
 impl<C: Clock> Gateway<C> {
@@ -197,7 +209,9 @@
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
             engines_position: Cell::default(),
-            drain_ends_at: Cell::default(),
+            answer_times: RefCell::default(),
+            ending: Signal::default(),
+            drain: Cell::default(),
             clock,
             settings,
         }
@@ -431,13 +445,39 @@
         self.metrics.text()
     }
 
-    /// Returns whether work that takes `expected` ends before a draining host cuts it; always true
-    /// while the host does not drain.
-    pub fn has_time_for(&self, expected: Duration) -> bool {
-        let Some(drain_ends_at) = self.drain_ends_at.get() else {
-            return true;
+    /// Checks that a request which no engine has run yet ends before this host, if it is leaving.
+    ///
+    /// # Errors
+    /// [`Refusal`] if the request had better be sent to another host.
+    pub fn check_time_left(&self, admitted: &AdmittedRequest) -> Result<(), Refusal> {
+        let Some(drain) = self.drain.get() else {
+            return Ok(());
         };
-        self.clock.now() + expected < drain_ends_at
+        let now = self.clock.now();
+        let expected = match admitted.call.footprint().expected_time() {
+            // Without a prompt, the service's recent requests tell.
+            Duration::ZERO => {
+                let answer_times = self.answer_times.borrow();
+                let slowest = answer_times.slowest(&admitted.service, now);
+                slowest.unwrap_or(admitted.route.target_latency)
+            }
+            expected => expected,
+        };
+        match drain.may_begin(now, expected, admitted.deadline) {
+            true => Ok(()),
+            false => Err(self.leaving_refusal()),
+        }
+    }
+
+    /// Returns the refusal of a request that no engine has run, by a host that is leaving.
+    pub fn leaving_refusal(&self) -> Refusal {
+        let now = self.clock.now();
+        let after = self
+            .drain
+            .get()
+            .map_or(Duration::ZERO, |drain| drain.retry_after(now));
+        let detail = "this host is leaving; retry to reach another host";
+        Refusal::not_run(Reason::Leaving, detail, after)
     }
 
     /// Returns the `Retry-After` for a caller with the given timeout while no configuration is
@@ -454,29 +494,14 @@
         }
     }
 
-    /// Returns the `Retry-After` for a caller refused by a draining host: the time until the load
-    /// balancer sends new connections elsewhere. An earlier retry may reach this host again, and
-    /// callers retry only once or twice.
-    pub fn leaving_retry_after(&self) -> Duration {
-        let Some(drain_ends_at) = self.drain_ends_at.get() else {
-            return Duration::ZERO;
-        };
-        let time_after_close = self.drain_limit().saturating_sub(BALANCER_LAG);
-        drain_ends_at
-            .checked_sub(time_after_close)
-            .map_or(Duration::ZERO, |closes_at| {
-                closes_at.saturating_duration_since(self.clock.now())
-            })
-    }
-
     /// Returns the time after the request to stop at which running requests and streams are cut.
     fn drain_limit(&self) -> Duration {
         self.settings.drain_limit.saturating_sub(EXIT_MARGIN)
     }
 
     fn begin_drain(&self) {
-        let drain_ends_at = self.clock.now() + self.drain_limit();
-        self.drain_ends_at.set(Some(drain_ends_at));
+        let drain = Drain::new(self.clock.now(), BALANCER_LAG, self.drain_limit());
+        self.drain.set(Some(drain));
         self.leaving.set();
     }
 
@@ -574,12 +599,18 @@
     stop.wait().await;
     info!("event=leaving running={}", gateway.requests.running().len());
     gateway.begin_drain();
-    let drained = async {
+    let mut drained = pin!(async {
         compio::time::sleep(BALANCER_LAG).await;
         caller_stop.set();
         let _ = caller_server.await;
-    };
-    if within(gateway.drain_limit(), drained).await.is_none() {
+    });
+    let limit = gateway.drain_limit().saturating_sub(LAST_RESPONSE_TIME);
+    let mut has_drained = within(limit, drained.as_mut()).await.is_some();
+    if !has_drained {
+        gateway.ending.set();
+        has_drained = within(LAST_RESPONSE_TIME, drained).await.is_some();
+    }
+    if !has_drained {
         let running = gateway.requests.running();
         let ids = running.iter().take(DRAIN_CUT_IDS_MAX);
         let ids: Vec<_> = ids.map(|(id, _)| id.as_str()).collect();
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -48,6 +48,9 @@
     // The last failure that an engine reported. It is forwarded if no other attempt succeeds.
     let mut failure = None;
     loop {
+        if attempts.possible_runs == 0 {
+            gateway.check_time_left(admitted)?;
+        }
         let Some(engine) = choose_engine(gateway, admitted, &attempts) else {
             return give_up(&attempts, failure);
         };
@@ -56,15 +59,21 @@
         }
         let placement = Placement::new(gateway, engine, None, admitted.call.footprint());
         attempts.begin();
-        match send_once::<C, P>(
+        let sent_at = gateway.clock.now();
+        let result = send_once::<C, P>(
             gateway,
             admitted,
             &mut attempts,
             placement,
             failure.is_some(),
         )
-        .await
-        {
+        .await;
+        let now = gateway.clock.now();
+        let taken = now.duration_since(sent_at);
+        let mut answer_times = gateway.answer_times.borrow_mut();
+        answer_times.record(&admitted.service, taken, now);
+        drop(answer_times);
+        match result {
             Ok((response, true)) => {
                 attempts.record_answer();
                 return Ok(response);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -219,6 +219,9 @@
             if crash::is_blocked(&self.gateway, &self.admitted) {
                 return Err(self.blocked());
             }
+            if self.attempts.possible_runs == 0 {
+                self.gateway.check_time_left(&self.admitted)?;
+            }
             let registry = &self.gateway.registry;
             let resume_replica = self.resume_replica.take();
             let resume_replica =
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -4,9 +4,13 @@
 
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use support::platform::{End, Engine, Message, Reaction, headers, ok, request, start, wait_for};
+use support::platform::{
+    End, Engine, Gateway, Message, Reaction, headers, ok, request, start, wait_for,
+};
 
 /// Time after SIGTERM in which a process must end: the default drain limit of the settings.
 const DRAIN_LIMIT: Duration = Duration::from_secs(8);
@@ -107,3 +111,73 @@
     }
     assert_eq!(gateway.process.wait(), Some(0));
 }
+
+/// Sends all of a request but its last byte, which is `b`.
+fn send_slowly(gateway: &Gateway, id: &str, path: &str) -> TcpStream {
+    let text = request("POST", path, &headers(id), &"b".repeat(100));
+    let mut stream = TcpStream::connect(&gateway.process.address).unwrap();
+    stream
+        .write_all(&text.as_bytes()[..text.len() - 1])
+        .unwrap();
+    stream
+}
+
+/// Guards against requests whose body ends late in a drain, and that are passed on to a slow server and
+/// cut without a response, and against a refusal of one that the server has got.
+#[test]
+fn slow_bodies_are_answered_at_a_stop() {
+    // The server takes one request at a time.
+    let engine = Engine::start("i-1", |_| {
+        std::thread::sleep(Duration::from_millis(1500));
+        ok()
+    });
+    let (_store, mut gateway) = start(&[(&engine, "app", "fd-a")]);
+    assert_eq!(gateway.status("POST", "/once/x", "before", "b"), 200);
+    let slow: Vec<_> = (0..8)
+        .map(|number| {
+            let path = if number % 2 == 0 { "/once/x" } else { "/any/x" };
+            send_slowly(&gateway, &format!("s{number}"), path)
+        })
+        .collect();
+    let never_ends = send_slowly(&gateway, "never", "/once/x");
+    gateway.process.terminate();
+    wait_for("refusal of readiness", || !gateway.is_ready());
+    std::thread::sleep(Duration::from_millis(3600));
+    let mut streams = Vec::new();
+    for mut stream in slow {
+        stream.write_all(b"b").unwrap();
+        streams.push(stream);
+        std::thread::sleep(Duration::from_millis(400));
+    }
+    let statuses: Vec<_> = streams.into_iter().map(status).collect();
+    assert_eq!(status(never_ends), Some(503));
+    assert_eq!(gateway.process.wait(), Some(0));
+    for (number, status) in statuses.iter().enumerate() {
+        assert!(matches!(status, Some(200 | 503)), "{number}: {statuses:?}");
+        let id = format!("s{number}");
+        let received = engine.received.lock().unwrap();
+        let has_arrived = received
+            .iter()
+            .any(|seen| seen.header("x-bilberrypost-attempt-id") == Some(&id));
+        assert_eq!(has_arrived, *status == Some(200), "{number}: {statuses:?}");
+    }
+}
+
+/// Guards against a request that is cut without a response because its server takes longer than the
+/// drain. Its effect is not known, so it must not count as not run.
+#[test]
+fn a_request_that_outlasts_the_drain_gets_an_answer() {
+    let has_arrived = Arc::new(AtomicBool::new(false));
+    let arrived = has_arrived.clone();
+    let engine = Engine::start("i-1", move |_| {
+        arrived.store(true, Ordering::Relaxed);
+        std::thread::sleep(support::TEST_TIMEOUT);
+        ok()
+    });
+    let (_store, mut gateway) = start(&[(&engine, "app", "fd-a")]);
+    let stream = gateway.open("POST", "/once/x", &headers("r1"), "b");
+    wait_for("arrival", || has_arrived.load(Ordering::Relaxed));
+    gateway.process.terminate();
+    assert_eq!(status(stream), Some(502));
+    assert_eq!(gateway.process.wait(), Some(0));
+}
