Bind all ports of a host before it says that it is ready

A host whose TCP port for its peers was in use said that it was ready, served nothing and ended; with the UDP port in use it ran on without peers for good. Both were bound after the ready line.

Change: both sockets are bound first, and a port in use ends the start with its address. The tests of several hosts use a port outside the range from which the system draws ports, on addresses of their own, in place of a port that they had let go. A failed test prints how its processes ended and their last output, the soak without SOAK_LOGS too.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,7 @@
 
 use anyhow::Context;
 use compact_str::CompactString;
-use compio::net::TcpListener;
+use compio::net::{TcpListener, UdpSocket};
 use log::{info, warn};
 
 use crate::clock::{self, Clock};
@@ -526,11 +526,27 @@
         .with_context(|| format!("could not listen on {address}; choose a free port"))
 }
 
+/// Sockets for other gateways.
+struct PeerSockets {
+    feed: TcpListener,
+    reports: UdpSocket,
+}
+
+impl PeerSockets {
+    async fn bind(address: SocketAddr) -> anyhow::Result<Self> {
+        let feed = listen_on(&address.to_string()).await?;
+        let reports = UdpSocket::bind(address).await;
+        let reports =
+            reports.with_context(|| format!("could not bind UDP {address}; choose a free port"))?;
+        Ok(Self { feed, reports })
+    }
+}
+
 /// Runs a gateway process until `stop` is set and all requests have ended or were cut at the
 /// drain limit.
 ///
 /// # Errors
-/// A listener cannot be bound to its address, or its local address cannot be read.
+/// A socket cannot be bound to its address, or its local address cannot be read.
 pub async fn run<P: Protocol, D: Directory>(
     settings: Settings,
     directory: D,
@@ -538,6 +554,10 @@
 ) -> anyhow::Result<()> {
     let caller_listener = listen_on(&settings.listen).await?;
     let ready_listener = listen_on(&settings.ready_listen).await?;
+    let peer_sockets = match &settings.peers {
+        Some((address, _)) => Some(PeerSockets::bind(*address).await?),
+        None => None,
+    };
     info!(
         "event=started host={} failure_domain={} listen={} store={}",
         settings.name, settings.failure_domain, settings.listen, settings.store
@@ -557,12 +577,11 @@
         "engines",
         watch::engines(gateway.clone(), directory.clone(), supervisor.stop_signal()),
     );
-    if let Some((address, seeds)) = gateway.settings.peers.clone() {
-        let listener = listen_on(&address.to_string()).await?;
+    if let Some((sockets, (address, seeds))) = peer_sockets.zip(gateway.settings.peers.clone()) {
         let service = Rc::new(feed::Endpoint::new(gateway.clone()));
         supervisor.spawn(
             "feed",
-            server::serve(listener, service, supervisor.stop_signal()),
+            server::serve(sockets.feed, service, supervisor.stop_signal()),
         );
         supervisor.spawn(
             "follow",
@@ -573,6 +592,7 @@
             peers::run(
                 gateway.clone(),
                 directory,
+                sockets.reports,
                 address,
                 seeds,
                 supervisor.stop_signal(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -51,18 +51,16 @@
 /// Timeout for fetching the configuration and the engines from a peer, which may be large.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Exchanges reports until `stop` is set. If the socket cannot be bound, logs it and returns.
+/// Exchanges reports over `socket`, which is bound to `address`, until `stop` is set.
 pub async fn run<C: Clock, D: Directory>(
     gateway: Rc<Gateway<C>>,
     directory: D,
+    socket: UdpSocket,
     address: SocketAddr,
     seeds: Vec<SocketAddr>,
     stop: Signal,
 ) {
-    let socket = match UdpSocket::bind(address).await {
-        Ok(socket) => Rc::new(socket),
-        Err(err) => return warn!("event=peers_off address={address} error={err:?}"),
-    };
+    let socket = Rc::new(socket);
     let domain = gateway.settings.failure_domain.clone();
     let mut peers = Peers {
         own_address: address,
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -90,7 +90,7 @@
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
         let mut reader = BufReader::new(TcpStream::connect(&gateway.process.address).unwrap());
-        let keeps = caller % 4 != 0;
+        let keeps = !caller.is_multiple_of(4);
         loop {
             number += 1;
             let id = format!("c{caller}-{number}");
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,16 +9,11 @@
 use bilberrypost::peer::report::{BYTES_MAX, Report};
 use serde_json::json;
 use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, Mode, Reaction, Store, config, events, exchange, ok,
-    registrations, request, resumable, settings, start, stream_headers, two_engines, wait_for,
+    API_KEY, End, Engine, Gateway, Message, Mode, PEER_PORT, Reaction, Store, config, events,
+    exchange, ok, own_ips, registrations, request, resumable, settings, start, stream_headers,
+    two_engines, wait_for,
 };
 
-/// Returns a port on which no TCP connection of 127.0.0.1 is open.
-fn free_port() -> u16 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
-}
-
 /// Script of a stream that breaks off inside event 4 and cannot be resumed.
 fn breaks_for_good(request: &Message) -> Reaction {
     match request.header("last-event-id") {
@@ -424,22 +419,19 @@
 fn a_host_without_the_store_reads_from_its_peers() {
     let app = Engine::start("i-1", |_| ok());
     let store = Store::with(config(3), &registrations(&[(&app, "app", "fd-a")]));
-    let port = free_port();
+    let [one, two] = own_ips();
     let on = |ip: &str, store: &str| {
         settings(
             store,
-            &format!(
-                "seeds = 127.0.0.1:1\nports = {port},{}",
-                port.saturating_add(1)
-            ),
+            &format!("seeds = {one}:1\nports = {PEER_PORT},{}", PEER_PORT + 1),
         )
         .replace("listen = 127.0.0.1:0", &format!("listen = {ip}:0"))
     };
-    let connected = Gateway::start(&on("127.0.0.1", &store.address));
+    let connected = Gateway::start(&on(&one, &store.address));
     wait_for("readiness", || connected.is_ready());
     let unavailable_store = Store::start();
     unavailable_store.set_mode(Mode::Unavailable);
-    let cut_off = Gateway::start(&on("127.0.0.2", &unavailable_store.address));
+    let cut_off = Gateway::start(&on(&two, &unavailable_store.address));
     wait_for("readiness by a peer", || cut_off.is_ready());
     assert_eq!(cut_off.status("POST", "/once/x", "r1", "b"), 200);
     store.put("config", "main", {
@@ -460,13 +452,13 @@
     let two = Engine::start("i-2", |_| ok());
     let engines = registrations(&[(&one, "app", "fd-a"), (&two, "app", "fd-a")]);
     let store = Store::with(config(3), &engines);
-    let port = free_port();
-    let start = |number: u8| {
-        let more = format!("seeds = 127.0.0.1:1\nports = {port},{port}");
+    let ips = own_ips::<4>();
+    let start = |ip: &String| {
+        let more = format!("seeds = {}:1\nports = {PEER_PORT},{PEER_PORT}", ips[0]);
         let settings = settings(&store.address, &more);
-        Gateway::start(&settings.replace("127.0.0.1:0", &format!("127.0.0.{number}:0")))
+        Gateway::start(&settings.replace("127.0.0.1:0", &format!("{ip}:0")))
     };
-    let mut hosts: Vec<_> = (1..=4).map(start).collect();
+    let mut hosts: Vec<_> = ips.iter().map(start).collect();
     hosts
         .iter()
         .for_each(|host| wait_for("readiness", || host.is_ready()));
@@ -514,10 +506,11 @@
 fn reports_from_other_domains_are_answered_only_if_they_ask() {
     let app = Engine::start("i-1", |_| ok());
     let store = Store::with(config(3), &registrations(&[(&app, "app", "fd-a")]));
-    let port = free_port();
-    let socket = std::net::UdpSocket::bind(("127.0.0.9", port)).unwrap();
-    let more = format!("ports = {port},{port}");
-    let gateway = Gateway::start(&settings(&store.address, &more));
+    let [own_ip, other_ip] = own_ips();
+    let port = PEER_PORT;
+    let socket = std::net::UdpSocket::bind((other_ip.as_str(), port)).unwrap();
+    let settings = settings(&store.address, &format!("ports = {port},{port}"));
+    let gateway = Gateway::start(&settings.replace("127.0.0.1:0", &format!("{own_ip}:0")));
     wait_for("readiness", || gateway.is_ready());
     let hosts = (1..=30).map(|n| std::net::IpAddr::from([127, 0, 1, n]));
     let mut report = Report {
@@ -536,7 +529,7 @@
         streams: Vec::new(),
         summaries: Vec::new(),
     };
-    let to = format!("127.0.0.1:{port}");
+    let to = format!("{own_ip}:{port}");
     let mut buffer = [0; BYTES_MAX];
     // Sent repeatedly, as the gateway forgets hosts that are no longer listed.
     let (sender, datagram, to_host) = (
@@ -582,17 +575,17 @@
     let [one, two] = &engines;
     let registered = registrations(&[(one, "model", "fd-a"), (two, "model", "fd-b")]);
     let store = Store::with(config(3), &registered);
-    let port = free_port();
+    let [first_ip, second_ip] = own_ips();
     let on = |ip: &str| {
         settings(
             &store.address,
-            &format!("seeds = 127.0.0.1:1\nports = {port},{port}"),
+            &format!("seeds = {first_ip}:1\nports = {PEER_PORT},{PEER_PORT}"),
         )
         .replace("listen = 127.0.0.1:0", &format!("listen = {ip}:0"))
     };
     let (first, second) = (
-        Gateway::start(&on("127.0.0.1")),
-        Gateway::start(&on("127.0.0.2")),
+        Gateway::start(&on(&first_ip)),
+        Gateway::start(&on(&second_ip)),
     );
     wait_for("readiness", || first.is_ready() && second.is_ready());
     let parts = "x-bilberrypost-prompt-prefix: aa:200,bb:800\r\n";
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -21,8 +21,8 @@
 use serde_json::{Value, json};
 use support::fault_plan::{HOSTS, Plan, SERVICES, Step};
 use support::platform::{
-    End, Engine, Gateway, Message, Mode, Reaction, Store, config, request, settings, tagged_event,
-    wait_for,
+    End, Engine, Gateway, Message, Mode, PEER_PORT, Reaction, Store, config, own_ips, request,
+    settings, tagged_event, wait_for,
 };
 use support::seed_log::SeedLog;
 use support::{Proxy, TEST_TIMEOUT};
@@ -146,7 +146,7 @@
     /// Address and process id of each host.
     addresses: Arc<Mutex<Vec<(String, u32)>>>,
     observations: Arc<Observations>,
-    log: Option<SeedLog>,
+    log: SeedLog,
 }
 
 /// Returns the configuration `version`. Its team is named after the version, so that engines see
@@ -158,15 +158,13 @@
 }
 
 impl Host {
-    /// Copies the output of the gateway's process to the log of this host, if logs are kept.
-    fn keep_log(&mut self, number: usize, log: Option<&SeedLog>) {
-        if let Some(log) = log {
-            let log = log.open(&format!("host-{number}"));
-            self.gateway.process.copy_output(log);
-        }
+    /// Copies the output of the gateway's process to the log of this host.
+    fn keep_log(&mut self, number: usize, log: &SeedLog) {
+        let log = log.open(&format!("host-{number}"));
+        self.gateway.process.copy_output(log);
     }
 
-    fn restart(&mut self, number: usize, log: Option<&SeedLog>) {
+    fn restart(&mut self, number: usize, log: &SeedLog) {
         self.gateway.restart();
         self.is_stopping = false;
         self.keep_log(number, log);
@@ -203,14 +201,12 @@
     }
 
     fn start_hosts(&mut self) {
-        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let port = free.local_addr().unwrap().port();
-        drop(free);
-        for number in 0..HOSTS {
+        let ips = own_ips::<HOSTS>();
+        for (number, ip) in ips.iter().enumerate() {
             let link = Proxy::start(&self.store.address);
-            let ip = format!("127.0.0.{}", number + 1);
             let more = format!(
-                "seeds = 127.0.0.1:1,127.0.0.2:1\nports = {port},{port}\ndrain_limit_s = 8"
+                "seeds = {}:1,{}:1\nports = {PEER_PORT},{PEER_PORT}\ndrain_limit_s = 8",
+                ips[0], ips[1]
             );
             let settings = settings(link.address(), &more)
                 .replace("127.0.0.1:0", &format!("{ip}:0"))
@@ -221,7 +217,7 @@
                 gateway: Gateway::start(&settings),
                 is_stopping: false,
             };
-            host.keep_log(number, self.log.as_ref());
+            host.keep_log(number, &self.log);
             self.hosts.push(host);
         }
         self.publish_addresses();
@@ -249,10 +245,8 @@
     }
 
     fn inject(&mut self, step: Step) {
-        if let Some(log) = &self.log {
-            let event = format_args!("event=step step={step:?}");
-            log.open("steps").write_at(Instant::now(), event);
-        }
+        let event = format_args!("event=step step={step:?}");
+        self.log.open("steps").write_at(Instant::now(), event);
         match step {
             Step::HostLink(host, fault) => self.hosts[host].link.set(fault),
             Step::EngineLink(engine, fault) => self.engines[engine].1.set(fault),
@@ -283,7 +277,7 @@
             host.is_stopping = true;
             return host.gateway.process.terminate();
         }
-        host.restart(number, self.log.as_ref());
+        host.restart(number, &self.log);
         self.publish_addresses();
     }
 
@@ -299,7 +293,7 @@
                 "a host that was not asked to stop exited with {code:?}"
             );
             assert_eq!(code, Some(0), "a stopped host exits with 0");
-            host.restart(number, self.log.as_ref());
+            host.restart(number, &self.log);
         }
         self.publish_addresses();
     }
@@ -543,9 +537,7 @@
     for caller in callers {
         caller.join().expect("a caller thread panicked");
     }
-    if let Some(log) = &fleet.log {
-        write_calls(log, &fleet.observations);
-    }
+    write_calls(&fleet.log, &fleet.observations);
     let served = check(seed, &fleet.observations);
     println!(
         "seed {seed}: {served} of {} requests served",
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -24,6 +24,9 @@
 /// Time limit of all waits; long enough that only a hang reaches it.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Maximum number of lines that a failed test prints of each of its processes.
+const PRINTED_LINES_MAX: usize = 200;
+
 /// Key of the caller in the settings that [`shared_settings`] returns.
 pub const CALLER_KEY: &str = "test-caller-key";
 
@@ -163,12 +166,35 @@
     }
 }
 
+impl Process {
+    /// Prints how the process ended and the last lines of its output.
+    fn print_log(&mut self, end: &str) {
+        let mut log = Vec::new();
+        if let Some(output) = &mut self.output {
+            let _ = std::io::Read::read_to_end(output, &mut log);
+        }
+        let log = String::from_utf8_lossy(&log);
+        let lines: Vec<_> = log.lines().collect();
+        let last = &lines[lines.len().saturating_sub(PRINTED_LINES_MAX)..];
+        println!("process of {}: {end}; its output:", self.ready);
+        println!("{}", last.join("\n"));
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
+        let is_failing = std::thread::panicking();
+        let end = match self.child.try_wait() {
+            Ok(Some(status)) => status.to_string(),
+            _ => "killed by the test".to_owned(),
+        };
         self.kill();
         if let Some(copying) = self.copying.take() {
             let _ = copying.join();
         }
+        if is_failing {
+            self.print_log(&end);
+        }
     }
 }
 
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -698,10 +698,10 @@
 
 /// Returns loopback addresses that no other test uses, so that [`PEER_PORT`] is free on them.
 pub fn own_ips<const N: usize>() -> [String; N] {
-    static LAST: AtomicU8 = AtomicU8::new(0);
+    static LAST: AtomicU32 = AtomicU32::new(0);
     let process = std::process::id();
     std::array::from_fn(|_| {
-        let host = LAST.fetch_add(1, Ordering::Relaxed) + 1;
+        let host = 1 + LAST.fetch_add(1, Ordering::Relaxed) % 254;
         format!("127.{}.{}.{host}", 1 + (process >> 8) % 254, process % 256)
     })
 }
--- a/tests/support/seed_log.rs
+++ b/tests/support/seed_log.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::io::{self, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime};
 
@@ -32,20 +32,25 @@
     }
 }
 
-/// The logs of one seed. If the test fails, they are written to files when this is dropped.
+/// Maximum number of lines that are printed of each log.
+const PRINTED_LINES_MAX: usize = 200;
+
+/// The logs of one seed. If the test fails, they are written to files when this is dropped, or their last
+/// lines are printed.
 pub struct SeedLog {
-    folder: PathBuf,
+    // `None` if they are printed.
+    folder: Option<PathBuf>,
     logs: Mutex<BTreeMap<String, Log>>,
 }
 
 impl SeedLog {
-    /// Creates the logs of a seed if the environment variable `SOAK_LOGS` names a folder for them.
-    pub fn create(seed: u64) -> Option<Self> {
-        let folder = PathBuf::from(std::env::var_os("SOAK_LOGS")?);
-        Some(Self {
-            folder: folder.join(format!("seed-{seed}")),
+    /// Creates the logs of a seed. The environment variable `SOAK_LOGS` may name a folder for them.
+    pub fn create(seed: u64) -> Self {
+        let folder = std::env::var_os("SOAK_LOGS").map(PathBuf::from);
+        Self {
+            folder: folder.map(|folder| folder.join(format!("seed-{seed}"))),
             logs: Mutex::default(),
-        })
+        }
     }
 
     /// Returns the log with this name, to which all who open it append.
@@ -54,21 +59,34 @@
         logs.entry(name.into()).or_default().clone()
     }
 
-    fn save(&self) -> io::Result<()> {
-        std::fs::create_dir_all(&self.folder)?;
+    fn save(&self, folder: &Path) -> io::Result<()> {
+        std::fs::create_dir_all(folder)?;
         for (name, log) in self.logs.lock().unwrap().iter() {
-            let path = self.folder.join(format!("{name}.log"));
+            let path = folder.join(format!("{name}.log"));
             std::fs::write(path, &*log.0.lock().unwrap())?;
         }
         Ok(())
     }
+
+    fn print(&self) {
+        for (name, log) in self.logs.lock().unwrap().iter() {
+            let log = log.0.lock().unwrap();
+            let text = String::from_utf8_lossy(&log);
+            let lines: Vec<_> = text.lines().collect();
+            let last = &lines[lines.len().saturating_sub(PRINTED_LINES_MAX)..];
+            println!("log of {name}:\n{}", last.join("\n"));
+        }
+    }
 }
 
 impl Drop for SeedLog {
     fn drop(&mut self) {
-        if std::thread::panicking() {
-            let saved = self.save();
-            println!("logs in {}: {saved:?}", self.folder.display());
+        if !std::thread::panicking() {
+            return;
+        }
+        match &self.folder {
+            Some(folder) => println!("logs in {}: {:?}", folder.display(), self.save(folder)),
+            None => self.print(),
         }
     }
 }
