--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -6,7 +6,7 @@
 use super::Subcommand;
 use crate::config::host::Host;
 use crate::config::ini::File;
-use crate::gateway;
+use crate::gateway::process;
 use crate::platform;
 use crate::report::output;
 use crate::router::{self, Sockets};
@@ -26,7 +26,7 @@
             let log = output::start()?;
             let store = platform::store::Store::new(&settings.store);
             let result =
-                gateway::run::<platform::Platform, _>(settings, store, shutdown.stop).await;
+                process::run::<platform::Platform, _>(settings, store, shutdown.stop).await;
             log.flush();
             return result;
         }
--- /dev/null
+++ b/src/gateway/handover.rs
@@ -0,0 +1,67 @@
+//! Streams that callers continue at another host: what this host reports of its own, and from which
+//! replica it goes on with those of others. [`crate::relay::handover`] decides.
+
+use compact_str::CompactString;
+
+use super::Gateway;
+use super::front::AdmittedRequest;
+use crate::clock::Clock;
+use crate::relay::handover::{LocalStream, Missing};
+use crate::route::registry::Engine;
+
+/// Finds the replica of a stream that another host relayed before, if the caller continues one.
+/// Returns the engine that holds it and the id of the replicated run.
+pub fn find<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &AdmittedRequest,
+) -> Option<(Engine, CompactString)> {
+    if !can_be_handed_over(admitted) {
+        return None;
+    }
+    let last_event = admitted.call.last_event?;
+    let result = find_replica(gateway, admitted);
+    match &result {
+        Ok((engine, run)) => {
+            let registry = gateway.registry.borrow();
+            let state = registry.get(*engine);
+            let replica = state.map_or("none", |state| state.registration.id.as_str());
+            let pairs = format_args!("run={run} replica={replica} last_event={last_event}");
+            admitted.trace.log("handed_over", pairs);
+        }
+        Err(missing) => admitted.trace.log(
+            "not_handed_over",
+            format_args!("reason={missing} last_event={last_event}"),
+        ),
+    }
+    result.ok()
+}
+
+/// Returns the replica of the only known run of the request. If there are several, it is not known
+/// which of them is that of the caller, and the prompt is prefilled again.
+fn find_replica<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &AdmittedRequest,
+) -> Result<(Engine, CompactString), Missing> {
+    let now = gateway.clock.now();
+    let replica = gateway
+        .remote_streams
+        .borrow_mut()
+        .take(admitted.digest, now)?;
+    if gateway.local_streams.borrow().has_run_of(admitted.digest) {
+        return Err(Missing::Distinction);
+    }
+    let engine = gateway.registry.borrow().by_hash(replica.engine);
+    let engine = engine.ok_or(Missing::Replica)?;
+    Ok((engine, replica.run))
+}
+
+/// Returns whether another host may resume the stream from a replica.
+fn can_be_handed_over(admitted: &AdmittedRequest) -> bool {
+    admitted.route.kind.is_retryable() && !admitted.call.prompt_parts.is_empty()
+}
+
+/// Lists the stream in the reports to other hosts, for the case that the caller continues it there.
+pub fn list<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> Option<LocalStream> {
+    let mut local = gateway.local_streams.borrow_mut();
+    can_be_handed_over(admitted).then(|| local.begin(admitted.digest, admitted.call.id.clone()))
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,12 +18,14 @@
 pub mod follow;
 pub mod followed;
 pub mod front;
+pub mod handover;
 pub mod lateness;
 pub mod notice;
 pub mod pacing;
 pub mod peers;
 pub mod plain;
 pub mod position;
+pub mod process;
 pub mod protocol;
 pub mod reach;
 pub mod ready;
@@ -33,34 +35,30 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use anyhow::Context;
 use compact_str::CompactString;
-use compio::net::{TcpListener, UdpSocket};
 use log::{info, warn};
 
-use crate::clock::{self, Clock};
+use crate::clock::Clock;
 use crate::config::patch::{self, Patch};
 use crate::config::routes::Revision;
 use crate::http::problem::Reason;
 use crate::http::server;
-use crate::relay::handover;
+use crate::relay::handover::{LocalStreams, RemoteStreams};
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
 use crate::route::quarantine::Quarantine;
 use crate::route::registry::Registry;
 use crate::sched::retry;
-use crate::supervisor::{Group, Signal, Supervisor};
-use crate::util::within;
+use crate::supervisor::{Group, Signal};
 use documents::Documents;
 use drain::{AnswerTimes, Drain};
 use follow::Role;
 use front::{AdmittedRequest, Refusal};
 use position::Position;
-use protocol::{Directory, Protocol, Unavailable};
+use protocol::{Directory, Unavailable};
 
 /// Time after the request to stop in which the load balancer still sends new connections to this
 /// host. The listener for callers stays open that long.
@@ -70,12 +68,6 @@
 /// killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
-/// Callers that have no response yet get one this long before the remaining work is cut.
-const LAST_RESPONSE_TIME: Duration = Duration::from_millis(200);
-
-/// Number of requests that the log names when they are cut at the end of a drain.
-const DRAIN_CUT_IDS_MAX: usize = 16;
-
 /// Time after the start within which a host normally has read its configuration.
 const STARTUP_TIME: Duration = Duration::from_millis(500);
 
@@ -127,8 +119,12 @@
     pub metrics: Metrics,
     /// Selects the requests that are logged in full.
     pub sampler: Rc<Sampler>,
+    /// Times that requests to the services without prompts took.
+    pub answer_times: RefCell<AnswerTimes>,
     /// Set once the process drains.
     pub leaving: Signal,
+    /// Set shortly before a leaving process cuts what still runs. Callers without a response get one.
+    pub ending: Signal,
     /// Random id of this process. Followers use it to notice a restart, after which the change
     /// numbers that they hold are void.
     pub process: u64,
@@ -137,9 +133,9 @@
     /// Set at the next change of the configuration or the engines, and replaced by a new signal.
     pub next_change: RefCell<Signal>,
     /// Resumable streams that this host relays.
-    pub local_streams: RefCell<handover::LocalStreams>,
+    pub local_streams: RefCell<LocalStreams>,
     /// Resumable streams that other hosts reported.
-    pub remote_streams: RefCell<handover::RemoteStreams>,
+    pub remote_streams: RefCell<RemoteStreams>,
     /// Tasks that relay streams.
     pub stream_tasks: Group,
     /// Checks of single engines.
@@ -166,10 +162,6 @@
     engines_confirmed_at: Cell<Option<Instant>>,
     // Position in the store's history up to which the changes of engines are known.
     engines_position: Cell<Position>,
-    /// Times that requests to the services without prompts took.
-    pub answer_times: RefCell<AnswerTimes>,
-    /// Set shortly before a leaving host cuts what still runs. Callers without a response get one.
-    pub ending: Signal,
     // Set when draining begins.
     drain: Cell<Option<Drain>>,
 }
@@ -189,7 +181,9 @@
             waiting: crash::Waiting::default(),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
+            answer_times: RefCell::default(),
             leaving: Signal::default(),
+            ending: Signal::default(),
             process,
             role: Role::default(),
             next_change: RefCell::default(),
@@ -209,8 +203,6 @@
             has_engine_list: Cell::default(),
             engines_confirmed_at: Cell::default(),
             engines_position: Cell::default(),
-            answer_times: RefCell::default(),
-            ending: Signal::default(),
             drain: Cell::default(),
             clock,
             settings,
@@ -519,131 +511,3 @@
         None
     }
 }
-
-async fn listen_on(address: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("could not listen on {address}; choose a free port"))
-}
-
-/// Sockets for other gateways.
-struct PeerSockets {
-    feed: TcpListener,
-    reports: UdpSocket,
-}
-
-impl PeerSockets {
-    async fn bind(address: SocketAddr) -> anyhow::Result<Self> {
-        let feed = listen_on(&address.to_string()).await?;
-        let reports = UdpSocket::bind(address).await;
-        let reports =
-            reports.with_context(|| format!("could not bind UDP {address}; choose a free port"))?;
-        Ok(Self { feed, reports })
-    }
-}
-
-/// Runs a gateway process until `stop` is set and all requests have ended or were cut at the
-/// drain limit.
-///
-/// # Errors
-/// A socket cannot be bound to its address, or its local address cannot be read.
-pub async fn run<P: Protocol, D: Directory>(
-    settings: Settings,
-    directory: D,
-    stop: Signal,
-) -> anyhow::Result<()> {
-    let caller_listener = listen_on(&settings.listen).await?;
-    let ready_listener = listen_on(&settings.ready_listen).await?;
-    let peer_sockets = match &settings.peers {
-        Some((address, _)) => Some(PeerSockets::bind(*address).await?),
-        None => None,
-    };
-    info!(
-        "event=started host={} failure_domain={} listen={} store={}",
-        settings.name, settings.failure_domain, settings.listen, settings.store
-    );
-    println!(
-        "ready kind=gateway ready_address={} address={}",
-        ready_listener.local_addr()?,
-        caller_listener.local_addr()?
-    );
-    let supervisor = Supervisor::new();
-    let gateway = Rc::new(Gateway::new(clock::System, settings));
-    supervisor.spawn(
-        "revisions",
-        watch::revisions(gateway.clone(), directory.clone(), supervisor.stop_signal()),
-    );
-    supervisor.spawn(
-        "engines",
-        watch::engines(gateway.clone(), directory.clone(), supervisor.stop_signal()),
-    );
-    if let Some((sockets, (address, seeds))) = peer_sockets.zip(gateway.settings.peers.clone()) {
-        let service = Rc::new(feed::Endpoint::new(gateway.clone()));
-        supervisor.spawn(
-            "feed",
-            server::serve(sockets.feed, service, supervisor.stop_signal()),
-        );
-        supervisor.spawn(
-            "follow",
-            follow::run(gateway.clone(), directory.clone(), supervisor.stop_signal()),
-        );
-        supervisor.spawn(
-            "peers",
-            peers::run(
-                gateway.clone(),
-                directory,
-                sockets.reports,
-                address,
-                seeds,
-                supervisor.stop_signal(),
-            ),
-        );
-    }
-    let ready = Rc::new(ready::Endpoint::<_, P>::new(gateway.clone()));
-    supervisor.spawn(
-        "ready",
-        server::serve(ready_listener, ready, supervisor.stop_signal()),
-    );
-    supervisor.spawn(
-        "checks",
-        check::run(gateway.clone(), supervisor.stop_signal()),
-    );
-    supervisor.spawn(
-        "lateness",
-        lateness::run(gateway.clone(), supervisor.stop_signal()),
-    );
-    let caller_stop = Signal::default();
-    let front = Rc::new(front::Endpoint::<_, P>::new(gateway.clone()));
-    let caller_server =
-        compio::runtime::spawn(server::serve(caller_listener, front, caller_stop.clone()));
-    stop.wait().await;
-    info!("event=leaving running={}", gateway.requests.running().len());
-    gateway.begin_drain();
-    let mut drained = pin!(async {
-        compio::time::sleep(BALANCER_LAG).await;
-        caller_stop.set();
-        let _ = caller_server.await;
-    });
-    let limit = gateway.drain_limit().saturating_sub(LAST_RESPONSE_TIME);
-    let mut has_drained = within(limit, drained.as_mut()).await.is_some();
-    if !has_drained {
-        gateway.ending.set();
-        has_drained = within(LAST_RESPONSE_TIME, drained).await.is_some();
-    }
-    if !has_drained {
-        let running = gateway.requests.running();
-        let ids = running.iter().take(DRAIN_CUT_IDS_MAX);
-        let ids: Vec<_> = ids.map(|(id, _)| id.as_str()).collect();
-        warn!(
-            "event=drain_cut requests={} ids={}",
-            running.len(),
-            ids.join(",")
-        );
-    }
-    gateway.stream_tasks.cancel().await;
-    within(Duration::from_millis(100), supervisor.stop()).await;
-    gateway.checks.cancel().await;
-    gateway.reach.stop().await;
-    info!("event=stopped");
-    Ok(())
-}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,14 +17,14 @@
 use super::failover::{Cause, Failover};
 use super::front::{AdmittedRequest, Refusal};
 use super::protocol::Protocol;
-use super::{Gateway, check, crash, reach};
+use super::{Gateway, check, crash, handover, reach};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::Exchange;
 use crate::http::problem::Reason;
 use crate::peer::report::EngineHash;
 use crate::relay::event_stream::{Position, Splitter};
-use crate::relay::handover::{LocalStream, Missing};
+use crate::relay::handover::LocalStream;
 use crate::relay::silence::{self, Progress};
 use crate::route::registry::{Engine, Need};
 use crate::util::within;
@@ -112,9 +112,9 @@
     gateway: &Rc<Gateway<C>>,
     admitted: AdmittedRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let resume_replica = find_handover(gateway, &admitted);
+    let resume_replica = handover::find(gateway, &admitted);
     let mut stream = Stream {
-        local: list_locally(gateway, &admitted),
+        local: handover::list(gateway, &admitted),
         position: Position::after(admitted.call.last_event),
         gateway: gateway.clone(),
         attempts: Attempts::new(gateway, admitted.service.clone()),
@@ -138,63 +138,6 @@
     head.body(body).map_err(|_| answer_lost())
 }
 
-/// Finds the replica of a stream that another host relayed before, if the caller continues one.
-/// Returns the engine that holds it and the id of the replicated run.
-fn find_handover<C: Clock>(
-    gateway: &Gateway<C>,
-    admitted: &AdmittedRequest,
-) -> Option<(Engine, CompactString)> {
-    if !can_be_handed_over(admitted) {
-        return None;
-    }
-    let last_event = admitted.call.last_event?;
-    let result = find_replica(gateway, admitted);
-    match &result {
-        Ok((engine, run)) => {
-            let registry = gateway.registry.borrow();
-            let state = registry.get(*engine);
-            let replica = state.map_or("none", |state| state.registration.id.as_str());
-            let pairs = format_args!("run={run} replica={replica} last_event={last_event}");
-            admitted.trace.log("handed_over", pairs);
-        }
-        Err(missing) => admitted.trace.log(
-            "not_handed_over",
-            format_args!("reason={missing} last_event={last_event}"),
-        ),
-    }
-    result.ok()
-}
-
-/// Returns the replica of the only known run of the request. If there are several, it is not known
-/// which of them is that of the caller, and the prompt is prefilled again.
-fn find_replica<C: Clock>(
-    gateway: &Gateway<C>,
-    admitted: &AdmittedRequest,
-) -> Result<(Engine, CompactString), Missing> {
-    let now = gateway.clock.now();
-    let replica = gateway
-        .remote_streams
-        .borrow_mut()
-        .take(admitted.digest, now)?;
-    if gateway.local_streams.borrow().has_run_of(admitted.digest) {
-        return Err(Missing::Distinction);
-    }
-    let engine = gateway.registry.borrow().by_hash(replica.engine);
-    let engine = engine.ok_or(Missing::Replica)?;
-    Ok((engine, replica.run))
-}
-
-/// Returns whether another host may resume the stream from a replica.
-fn can_be_handed_over(admitted: &AdmittedRequest) -> bool {
-    admitted.route.kind.is_retryable() && !admitted.call.prompt_parts.is_empty()
-}
-
-/// Lists the stream in the reports to other hosts, for the case that the caller continues it there.
-fn list_locally<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest) -> Option<LocalStream> {
-    let mut local = gateway.local_streams.borrow_mut();
-    can_be_handed_over(admitted).then(|| local.begin(admitted.digest, admitted.call.id.clone()))
-}
-
 impl<C: Clock> Drop for Stream<C> {
     fn drop(&mut self) {
         if let Some(key) = self.local {
