--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -161,10 +161,10 @@
             .borrow_mut()
             .record_request(&service, now);
         // Boxed, so that a connection takes their memory only while it has a request.
-        let served = Box::pin(async {
+        let served = pin!(async {
             match admitted.route.kind.is_stream() {
-                true => stream::serve::<C, P>(&self.gateway, admitted).await,
-                false => plain::serve::<C, P>(&self.gateway, &admitted).await,
+                true => Box::pin(stream::serve::<C, P>(&self.gateway, admitted)).await,
+                false => Box::pin(plain::serve::<C, P>(&self.gateway, &admitted)).await,
             }
         });
         match select(served, self.gateway.ending.wait()).await {
