Block signals while their handlers are installed

Cause: signal-hook installs its handler before the list of actions that the handler reads, and our first action of each signal had no effect until the second one was added.

--- a/src/signals.rs
+++ b/src/signals.rs
@@ -16,10 +16,11 @@
 use compio::net::UnixStream;
 use futures_util::future::join3;
 use log::{error, info};
+use nix::sys::signal::{SigSet, Signal};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::{flag, low_level};
 
-use crate::supervisor::Signal;
+use crate::supervisor;
 
 /// What signals do to a process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,9 +37,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
     /// Set at the first request: running work ends and no new work begins.
-    pub stop: Signal,
+    pub stop: supervisor::Signal,
     /// Set at a later request: running work may be cut.
-    pub abort: Signal,
+    pub abort: supervisor::Signal,
 }
 
 /// What a request to stop means after those before it.
@@ -82,11 +83,22 @@
 }
 
 impl Handlers {
-    /// Installs the handlers for the life of the process.
+    /// Installs the handlers for the life of the process. The signals are blocked meanwhile, as one that
+    /// arrives while its handler is being installed would be lost. To be called on the only thread.
     ///
     /// # Errors
     /// The process cannot open more files.
     pub fn install() -> io::Result<Self> {
+        let blocked: SigSet = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]
+            .into_iter()
+            .collect();
+        blocked.thread_block()?;
+        let handlers = Self::install_blocked();
+        blocked.thread_unblock()?;
+        handlers
+    }
+
+    fn install_blocked() -> io::Result<Self> {
         let is_default = Arc::new(AtomicBool::new(false));
         Ok(Self {
             terminate: handle(SIGTERM, &is_default)?,
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -250,3 +250,31 @@
     sending.join().unwrap();
     assert_eq!(gateway.process.wait(), Some(0));
 }
+
+/// Guards against a signal that is lost while its handler is being installed. The moment is met by
+/// chance: each process gets one signal, at another time after its start.
+#[test]
+fn a_stop_at_any_moment_of_the_start_ends_a_process() {
+    const THREADS: u64 = 8;
+    const STARTS: u64 = 250;
+    const LAST: Duration = Duration::from_micros(2500);
+    std::thread::scope(|scope| {
+        for thread in 0..THREADS {
+            scope.spawn(move || {
+                for start in 0..STARTS {
+                    let signal = [Signal::TERM, Signal::INT, Signal::HUP][start as usize % 3];
+                    let mut child = Command::new(env!("CARGO_BIN_EXE_bilberrypost"))
+                        .args(["emulate", "store"])
+                        .stdout(Stdio::null())
+                        .spawn()
+                        .unwrap();
+                    let part = (start * THREADS + thread) as f64 / (STARTS * THREADS) as f64;
+                    std::thread::sleep(LAST.mul_f64(part));
+                    send(child.id(), signal);
+                    let code = wait(&mut child);
+                    assert!(matches!(code, None | Some(0)), "{signal:?} {code:?}");
+                }
+            });
+        }
+    });
+}
