Tell other hosts which engines the store removed

Cause: a host that cannot tell a cut of its own from an outage keeps all entries that its list lacks for 2 s. Other hosts that watched the store know which entries it removed, and were not asked.

Ruled out: a shorter grace for all, as entries that lapsed in an outage are back only about 2 s after it; a shorter watch, which costs calls to the store.

A host ends the use of such an engine if its own list lacks it; one that it still lists may have been registered again. Tests share the report of an idle host.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,7 +25,7 @@
 use crate::http::client::post_json;
 use crate::http::pool::Pool;
 use crate::peer::newer::Newer;
-use crate::peer::report::{self, Report, Summary};
+use crate::peer::report::{self, EngineHash, Report, Summary};
 use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::peer::schedule::Schedule;
 use crate::relay::handover;
@@ -185,6 +185,7 @@
         for summary in report.summaries {
             self.handle_summary(summary, from, now);
         }
+        self.end_removed(&report.removals, from);
         if !self.roster.reports_directly(&report.domain) {
             if report.is_question {
                 self.awaiting_reply.insert(from);
@@ -205,6 +206,22 @@
         crash::merge(&self.gateway, &report.evidence, Finder::Peer, from);
     }
 
+    /// Ends the lapses of engines whose removal the store told another host.
+    fn end_removed(&self, removals: &[EngineHash], from: SocketAddr) {
+        let mut registry = self.gateway.registry.borrow_mut();
+        let ids = removals
+            .iter()
+            .filter_map(|engine| registry.end_removed(*engine));
+        let ids: Vec<_> = ids.collect();
+        drop(registry);
+        for id in &ids {
+            info!("event=lapse_ended engine={id} peer={from}");
+        }
+        if !ids.is_empty() {
+            self.gateway.notify_followers();
+        }
+    }
+
     /// Records the losses that another host reports; returns whether one of them was not known.
     fn record_losses(&self, losses: &[Loss], finder: Finder, from: SocketAddr) -> bool {
         let mut registry = self.gateway.registry.borrow_mut();
@@ -440,6 +457,7 @@
             usages: Vec::new(),
             retries: Vec::new(),
             losses: Vec::new(),
+            removals: self.gateway.registry.borrow().recent_removals(),
             evidence: Evidence::default(),
             streams: Vec::new(),
             summaries: Vec::new(),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -321,7 +321,7 @@
             }
             Change::Removed(id) => {
                 info!("event=engine_gone engine={id}");
-                registry.remove(&id);
+                registry.apply_removal(&id);
             }
         }
     }
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -114,6 +114,8 @@
     pub retries: Vec<retry::Usage>,
     /// Engines that the host lost a moment ago.
     pub losses: Vec<Loss>,
+    /// Engines whose removal the store told the host a moment ago.
+    pub removals: Vec<EngineHash>,
     /// What the host knows of parts of prompts that crash engines.
     pub evidence: Evidence,
     /// The host's running streams that another host may resume.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -19,6 +19,7 @@
 pub mod prompt;
 pub mod quarantine;
 pub mod registry;
+pub mod removals;
 pub mod reports;
 mod select;
 pub mod servers;
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -14,6 +14,7 @@
 use super::history::{Changes, History, Lapse};
 use super::load::Load;
 use super::losses::Losses;
+use super::removals::Removals;
 use super::reports::Reports;
 use crate::clock::Clock;
 use crate::peer::report::EngineHash;
@@ -135,6 +136,7 @@
     // Changes of `by_id` and of the registrations in it.
     history: History,
     departed: Departed,
+    removals: Removals,
     // Time up to which all changes in the store are known.
     confirmed_at: Option<Instant>,
     // Recently lost engines, with their failure domains.
@@ -160,6 +162,7 @@
             by_hash: BTreeMap::new(),
             history: History::default(),
             departed: Departed::default(),
+            removals: Removals::default(),
             confirmed_at: None,
             domain_losses: Vec::new(),
             losses: Losses::default(),
@@ -174,6 +177,7 @@
     /// may be listed again.
     pub fn begin_era(&mut self) {
         self.departed.begin_era(self.clock.now());
+        self.removals.clear();
         for key in self.by_id.values() {
             let state = &mut self.engines[*key];
             state.has_drained_before_era = state.registration.is_draining;
@@ -255,6 +259,7 @@
     /// Adds or updates one registration. That of a restarted engine replaces the earlier one.
     pub fn insert(&mut self, registration: Registration) {
         self.departed.readmit(&registration);
+        self.removals.cancel(EngineHash::of(&registration.id));
         if let Some(key) = self.by_id.get(&registration.id) {
             let known = &mut self.engines[*key];
             let is_same = known.registration.started_ms == registration.started_ms
@@ -414,6 +419,27 @@
         }
     }
 
+    /// Removes an engine as a change in the store tells, which other hosts hear of.
+    pub fn apply_removal(&mut self, id: &str) {
+        self.removals.record(EngineHash::of(id), self.clock.now());
+        self.remove(id);
+    }
+
+    /// Returns the engines whose removal the store told this host a moment ago.
+    pub fn recent_removals(&self) -> Vec<EngineHash> {
+        self.removals.to_report(self.clock.now())
+    }
+
+    /// Ends the lapse of an engine whose removal the store told another host. Returns its id; `None` if
+    /// it does not lapse here, as this host may know of a later registration.
+    pub fn end_removed(&mut self, engine: EngineHash) -> Option<CompactString> {
+        let state = &self.engines[self.by_hash(engine)?];
+        state.expires_at?;
+        let id = state.registration.id.clone();
+        self.remove(&id);
+        Some(id)
+    }
+
     /// Removes an engine. The requests that run on it continue.
     pub fn remove(&mut self, id: &str) {
         self.departed.withdraw(id);
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -16,7 +16,7 @@
 use bilberrypost::route::registry::Registration;
 use compact_str::ToCompactString;
 use support::platform::{
-    Engine, Gateway, Message, Mode, Reaction, Store, config, settings, wait_for,
+    Engine, Gateway, Message, Mode, Reaction, Store, config, empty_report, settings, wait_for,
 };
 
 /// A gateway that answers queries of followers with a fixed list of engines.
@@ -35,19 +35,9 @@
     ) -> Self {
         let socket = UdpSocket::bind(address).unwrap();
         let report = Report {
-            number: 1,
-            process: 1,
-            domain: "fd-a".into(),
             revision: 3,
-            is_leaving: false,
-            is_question: false,
             hosts: [("fd-a".into(), all.to_vec())].into(),
-            usages: Vec::new(),
-            retries: Vec::new(),
-            losses: Vec::new(),
-            evidence: Default::default(),
-            streams: Vec::new(),
-            summaries: Vec::new(),
+            ..empty_report("fd-a")
         };
         let datagram = report.encode().unwrap();
         std::thread::spawn(move || {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,9 +9,9 @@
 use bilberrypost::peer::report::{BYTES_MAX, Report};
 use serde_json::json;
 use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, Mode, PEER_PORT, Reaction, Store, config, events,
-    exchange, ok, own_ips, registrations, request, resumable, settings, start, stream_headers,
-    two_engines, wait_for,
+    API_KEY, End, Engine, Gateway, Message, Mode, PEER_PORT, Reaction, Store, config, empty_report,
+    events, exchange, ok, own_ips, registrations, request, resumable, settings, start,
+    stream_headers, two_engines, wait_for,
 };
 
 /// Script of a stream that breaks off inside event 4 and cannot be resumed.
@@ -514,20 +514,10 @@
     wait_for("readiness", || gateway.is_ready());
     let hosts = (1..=30).map(|n| std::net::IpAddr::from([127, 0, 1, n]));
     let mut report = Report {
-        number: 1,
-        process: 1,
-        domain: "fd-z".into(),
-        revision: 0,
         // A leaving host is no representative, so it gets no summaries either.
         is_leaving: true,
-        is_question: false,
         hosts: [("fd-z".into(), hosts.collect())].into(),
-        usages: Vec::new(),
-        retries: Vec::new(),
-        losses: Vec::new(),
-        evidence: Default::default(),
-        streams: Vec::new(),
-        summaries: Vec::new(),
+        ..empty_report("fd-z")
     };
     let to = format!("{own_ip}:{port}");
     let mut buffer = [0; BYTES_MAX];
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -11,8 +11,8 @@
 use bilberrypost::peer::report::Report;
 
 use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, event, exchange, request,
-    settings, start_gateway, tagged_event, wait_for,
+    API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, empty_report, event, exchange,
+    request, settings, start_gateway, tagged_event, wait_for,
 };
 
 /// An address to which a connection fails at once with an error other than a refusal.
@@ -208,19 +208,9 @@
     let socket = UdpSocket::bind(address).unwrap();
     let hosts = all.iter().map(SocketAddr::ip).collect();
     let report = Report {
-        number: 1,
-        process: 1,
-        domain: "fd-b".into(),
         revision: 3,
-        is_leaving: false,
-        is_question: false,
         hosts: [("fd-b".into(), hosts)].into(),
-        usages: Vec::new(),
-        retries: Vec::new(),
-        losses: Vec::new(),
-        evidence: Default::default(),
-        streams: Vec::new(),
-        summaries: Vec::new(),
+        ..empty_report("fd-b")
     };
     let datagram = report.encode().unwrap();
     std::thread::spawn(move || {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -255,6 +255,43 @@
     assert!(!registry.is_usable(b));
 }
 
+/// Guards against an engine that left while this host alone was cut off from the store, and that stays
+/// in use as if its entry had lapsed in an outage of the store. The store told another host of it.
+#[test]
+fn a_removal_that_another_host_was_told_ends_a_lapse() {
+    let clock = Manual::default();
+    let entries = [("a", "fd-a"), ("b", "fd-b"), ("c", "fd-b")];
+    let mut watcher = registry(&clock, &entries);
+    let mut returned = registry(&clock, &entries);
+    watcher.apply_removal("b");
+    let removals = watcher.recent_removals();
+    assert_eq!(removals, [EngineHash::of("b")]);
+    // An entry that the own list still has may have been written again since.
+    assert_eq!(returned.end_removed(removals[0]), None);
+    assert!(returned.by_id("b").is_some());
+    returned.replace(vec![registration("a", "fd-a")], true);
+    assert_eq!(returned.end_removed(removals[0]).as_deref(), Some("b"));
+    assert_eq!(returned.by_id("b"), None);
+    // The store told nobody that it removed this one.
+    let c = returned.by_id("c").unwrap();
+    assert!(returned.is_usable(c));
+    watcher.insert(registration("b", "fd-b"));
+    assert_eq!(watcher.recent_removals(), []);
+}
+
+/// Guards against removals that are reported for ever, or that a new era of the store has undone.
+#[test]
+fn removals_are_reported_for_a_while() {
+    let clock = Manual::default();
+    let mut registry = registry(&clock, &[("a", "fd-a"), ("b", "fd-b")]);
+    registry.apply_removal("a");
+    clock.advance(Duration::from_secs(60));
+    assert_eq!(registry.recent_removals(), []);
+    registry.apply_removal("b");
+    registry.begin_era();
+    assert_eq!(registry.recent_removals(), []);
+}
+
 /// Guards against an engine that has left and is used again, because a host that did not reach the
 /// store meanwhile keeps its entry as lapsed and hands it on.
 #[test]
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -19,6 +19,7 @@
 use bilberrypost::route::prompt::{PartHash, RequestHash};
 use bilberrypost::route::quarantine::REPORTED_PARTS_MAX;
 use bilberrypost::route::registry::{Registration, Registry};
+use bilberrypost::route::removals::REPORTED_MAX as REMOVALS_MAX;
 use bilberrypost::sched::retry;
 use compact_str::{CompactString, format_compact};
 use rand::rngs::StdRng;
@@ -454,6 +455,7 @@
         usages: Vec::new(),
         retries: Vec::new(),
         losses: Vec::new(),
+        removals: vec![EngineHash::of("i-1"); REMOVALS_MAX],
         evidence: Evidence::default(),
         streams: Vec::new(),
         summaries: Vec::new(),
@@ -502,6 +504,7 @@
             engine: EngineHash::of("a"),
             age_ms: 3,
         }],
+        removals: vec![EngineHash::of("a")],
         evidence: Evidence::default(),
         streams: Vec::new(),
         summaries: Vec::new(),
--- a/tests/support/directory.rs
+++ b/tests/support/directory.rs
@@ -33,6 +33,8 @@
     // Whether calls fail, and the number of lists that get no answer before one does.
     is_down: Cell<bool>,
     lost_lists: Cell<u32>,
+    // Changes that the next watch tells.
+    changes: RefCell<Vec<Change>>,
 }
 
 impl Played {
@@ -48,6 +50,12 @@
         *self.0.engines.borrow_mut() = engines.iter().map(|id| registration(id)).collect();
     }
 
+    /// Removes the entry of an engine, of which the next watch tells.
+    pub fn remove(&self, id: &str) {
+        self.0.engines.borrow_mut().retain(|known| known.id != id);
+        self.0.changes.borrow_mut().push(Change::Removed(id.into()));
+    }
+
     /// Answers watches from an earlier era with [`Unavailable::HistoryGone`] from now on.
     pub fn set_history_gone(&self) {
         self.0.is_history_gone.set(true);
@@ -121,7 +129,7 @@
         let is_same_era = since.era == self.0.position.get().era;
         match self.0.is_history_gone.get() && !is_same_era {
             true => Err(Unavailable::HistoryGone),
-            false => Ok(self.answer(Vec::new())),
+            false => Ok(self.answer(self.0.changes.take())),
         }
     }
 }
@@ -149,7 +157,7 @@
 }
 
 /// Runs the watches of a gateway until `test` ends.
-pub fn with_watches(store: &Played, test: impl AsyncFnOnce(&gateway::Gateway<Manual>)) {
+pub fn with_watches(store: &Played, test: impl AsyncFnOnce(&Rc<gateway::Gateway<Manual>>)) {
     block_on(async {
         let gateway = gateway::Gateway::new(Manual::default(), gateway_settings());
         let (gateway, stop) = (Rc::new(gateway), Signal::default());
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::gateway;
+use bilberrypost::peer::report::Report;
+use bilberrypost::route::evidence::Evidence;
 use bilberrypost::sched::retry;
 use compact_str::CompactString;
 use rustix::net::{self, AddressFamily, SocketType};
@@ -561,6 +563,26 @@
     format!("id: {number}\ndata: piece-{number}\n\n")
 }
 
+/// Report of a host in `domain` that knows nothing and runs nothing.
+pub fn empty_report(domain: &str) -> Report {
+    Report {
+        number: 1,
+        process: 1,
+        domain: domain.into(),
+        revision: 0,
+        is_leaving: false,
+        is_question: false,
+        hosts: BTreeMap::new(),
+        usages: Vec::new(),
+        retries: Vec::new(),
+        losses: Vec::new(),
+        removals: Vec::new(),
+        evidence: Evidence::default(),
+        streams: Vec::new(),
+        summaries: Vec::new(),
+    }
+}
+
 /// Text of event `number` with the id of its attempt.
 pub fn tagged_event(number: u64, id: &str) -> String {
     format!("id: {number}\ndata: piece-{number}-of-{id}\n\n")
