--- a/src/route/departed.rs
+++ b/src/route/departed.rs
@@ -48,9 +48,22 @@
             address: removed.address.clone(),
             at: now,
         };
+        // No copy of the store is older than that.
+        self.current
+            .retain(|_, removal| now.duration_since(removal.at) < REMOVAL_TTL);
         self.current.insert(removed.id.clone(), removal);
     }
 
+    /// Returns the number of removals that are kept.
+    pub fn len(&self) -> usize {
+        self.current.len() + self.earlier.len()
+    }
+
+    /// Returns whether no removal is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Records that the store no longer lists an engine.
     pub fn withdraw(&mut self, id: &str) {
         self.withheld.remove(id);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -4,6 +4,7 @@
 
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::peer::report::{EngineHash, Usage};
+use bilberrypost::route::departed::Departed;
 use bilberrypost::route::load::{Footprint, Load};
 use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
 use bilberrypost::route::reports::Source;
@@ -279,6 +280,20 @@
     assert_eq!(watcher.recent_removals(), []);
 }
 
+/// Guards against memory that grows with each engine that ever left, if the store never comes back from
+/// an older copy.
+#[test]
+fn old_removals_are_dropped() {
+    let clock = Manual::default();
+    let mut departed = Departed::default();
+    for number in 0..100 {
+        let removed = registration(&format!("i-{number}"), "fd-a");
+        departed.record(&removed, clock.now());
+        clock.advance(Duration::from_secs(10));
+    }
+    assert!((1..10).contains(&departed.len()), "{}", departed.len());
+}
+
 /// Guards against removals that are reported for ever, or that a new era of the store has undone.
 #[test]
 fn removals_are_reported_for_a_while() {
