Share the registries and polls of decision tests; say why a call has no reply

The entry, need and registry of an engine stood in three test files, and the poll of a future that must be ready in two; they are in tests/support/engines.rs and poll.rs now.

The tests that interrupt a router while the store delays its claim check that the store still delayed it then, and try again in another cluster otherwise: the one of the killed router had failed with a sight (200) that a late kill would give.

--- a/tests/claim_range.rs
+++ b/tests/claim_range.rs
@@ -1,7 +1,7 @@
 //! The decisions of one claim range, with time moved by hand and a store in memory.
 
-use std::future::Future;
-use std::task::{Context, Poll, Waker};
+mod support;
+
 use std::time::Duration;
 
 use bilberrypost::claim::log::{Log, Owner};
@@ -11,22 +11,13 @@
 use bilberrypost::member::view::Liveness;
 use bilberrypost::store::fake::Fake;
 use bilberrypost::util::unix_ms;
+use support::poll::poll_ready;
 
 /// Time for which a claim of these tests may wait for an answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(500);
 
 type TestRange = Range<Fake, Manual, u64>;
 
-/// Polls a future that must be ready at once.
-fn poll_ready<T>(future: impl Future<Output = T>) -> T {
-    let mut future = std::pin::pin!(future);
-    let mut context = Context::from_waker(Waker::noop());
-    match future.as_mut().poll(&mut context) {
-        Poll::Ready(value) => value,
-        Poll::Pending => panic!("the store did not answer at once"),
-    }
-}
-
 /// The owners of one range and the clock that they share.
 struct Fixture {
     clock: Manual,
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -15,7 +15,7 @@
 use bilberrypost::wire::{Execution, Kind};
 use futures_util::future::join_all;
 use keyed::{Call, Reply, cluster, key_owned_by, new_key, runs, runs_of, wait_for_cluster};
-use support::{Cluster, Proxy, TEST_TIMEOUT, block_on, domain, get, put, wait_until};
+use support::{Cluster, Process, Proxy, TEST_TIMEOUT, block_on, domain, get, put, wait_until};
 
 fn send(cluster: &Cluster, router: usize, call: &Call) -> Reply {
     block_on(call.send(&cluster.routers[router].address))
@@ -161,6 +161,26 @@
     assert_eq!((count("submitted"), counts), (9, (2, 6, 1, 0)), "{account}");
 }
 
+/// Starts a cluster in which router 0 is interrupted while the store delays the claim of a call that it
+/// has got. Returns the cluster, the key and the thread of the call. An interruption that comes after the
+/// delay is not the one that the tests are about, and is tried again in another cluster.
+fn interrupted_claim(
+    interrupt: impl Fn(&mut Process),
+) -> (Cluster, String, std::thread::JoinHandle<Reply>) {
+    const TRIES_MAX: usize = 20;
+    for _ in 0..TRIES_MAX {
+        let mut cluster = cluster(3, 1);
+        let (key, first) = start_claim(&cluster);
+        interrupt(&mut cluster.routers[0]);
+        let is_in_time = is_claim_delayed(&cluster, &key);
+        set_store_faults(&cluster, Faults::default());
+        if is_in_time {
+            return (cluster, key, first);
+        }
+    }
+    panic!("the store wrote each claim before its router was interrupted");
+}
+
 /// Sends a call to router 0 with a key that another router owns, and waits until the store has
 /// received its claim, which it writes with a delay. Returns the key and the thread of the call.
 fn start_claim(cluster: &Cluster) -> (String, std::thread::JoinHandle<Reply>) {
@@ -182,11 +202,9 @@
 /// Guards against a run by another router after the router that claimed the key was killed.
 #[test]
 fn router_killed_between_claim_and_run() {
-    let mut cluster = cluster(3, 1);
-    let (key, first) = start_claim(&cluster);
-    cluster.routers[0].kill();
-    set_store_faults(&cluster, Faults::default());
-    assert_eq!(first.join().unwrap().status, 0);
+    let (cluster, key, first) = interrupted_claim(Process::kill);
+    let first = first.join().unwrap();
+    assert_eq!(first.status, 0, "{first:?}");
     for router in [1, 2] {
         let repeat = send(
             &cluster,
@@ -202,10 +220,7 @@
 /// although the grant is too old and the outcome has been reported as unknown.
 #[test]
 fn router_paused_between_claim_and_run() {
-    let cluster = cluster(3, 1);
-    let (key, first) = start_claim(&cluster);
-    cluster.routers[0].pause();
-    set_store_faults(&cluster, Faults::default());
+    let (cluster, key, first) = interrupted_claim(|router| router.pause());
     let repeat = send(&cluster, 1, &Call::reserve(&key, &format!("{key}/repeat")));
     assert_eq!(repeat.work(), Some(Execution::Unknown), "{repeat:?}");
     cluster.routers[0].unpause();
--- a/tests/engine_hold.rs
+++ b/tests/engine_hold.rs
@@ -6,44 +6,17 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::clock::Manual;
-use bilberrypost::route::load::Footprint;
-use bilberrypost::route::registry::{Engine as Key, Need, Registration, Registry};
-use compact_str::format_compact;
+use bilberrypost::route::registry::{Engine as Key, Registration, Registry};
+use support::engines::{need, registration, registry};
 use support::platform::{
     End, Engine, Gateway, Message, Reaction, events, ok, start, two_engines, wait_for,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn registration(id: &str, domain: &str) -> Registration {
-    Registration {
-        id: id.into(),
-        service: "model".into(),
-        address: format_compact!("{id}:1"),
-        failure_domain: domain.into(),
-        slots: 4,
-        is_draining: false,
-        started_ms: 1,
-    }
-}
-
-fn need() -> Need<'static> {
-    Need {
-        service: "model",
-        footprint: Footprint {
-            prompt: 1000,
-            output: 100,
-        },
-        memory_tokens: 10_000,
-        excluded: &[],
-    }
-}
-
 /// Returns a registry with the engines `a` and `b`, and their keys.
-fn registry(clock: &Manual) -> (Registry<Manual>, Key, Key) {
-    let mut registry = Registry::new(clock.clone(), "host-a".into(), "fd-a".into());
-    let engines = [("a", "fd-a"), ("b", "fd-b")].map(|(id, domain)| registration(id, domain));
-    registry.replace(engines.to_vec(), false);
+fn two_known(clock: &Manual) -> (Registry<Manual>, Key, Key) {
+    let registry = registry(clock, &[("a", "fd-a"), ("b", "fd-b")]);
     let [a, b] = ["a", "b"].map(|id| registry.by_id(id).unwrap());
     (registry, a, b)
 }
@@ -74,13 +47,13 @@
 #[test]
 fn a_held_engine_is_not_used_before_its_time_is_over() {
     let clock = Manual::default();
-    let (mut registry, a, b) = registry(&clock);
+    let (mut registry, a, b) = two_known(&clock);
     let assert_held = |registry: &Registry<Manual>, when: &str| {
         let a = registry.by_id("a").unwrap();
         let b = registry.by_id("b").unwrap();
         assert!(!registry.is_usable(a) && registry.is_declining(a), "{when}");
-        assert_eq!(registry.choose(&need()), Some(b), "{when}");
-        assert_eq!(registry.choose_replica(&need(), b), None, "{when}");
+        assert_eq!(registry.choose(&need(&[])), Some(b), "{when}");
+        assert_eq!(registry.choose_replica(&need(&[]), b), None, "{when}");
     };
     assert_eq!(registry.hold(a, 4 * SECOND), Some(4 * SECOND));
     assert_held(&registry, "at once");
@@ -95,14 +68,14 @@
     clock.advance(SECOND);
     let a = registry.by_id("a").unwrap();
     assert!(registry.is_usable(a) && !registry.is_declining(a));
-    assert_eq!(registry.choose_replica(&need(), b), Some(a));
+    assert_eq!(registry.choose_replica(&need(&[]), b), Some(a));
 }
 
 /// Guards against a restarted engine that is held for what the earlier one at its id said.
 #[test]
 fn a_restarted_engine_is_not_held() {
     let clock = Manual::default();
-    let (mut registry, a, _) = registry(&clock);
+    let (mut registry, a, _) = two_known(&clock);
     registry.hold(a, 60 * SECOND);
     registry.insert(Registration {
         started_ms: 2,
@@ -116,32 +89,32 @@
 #[test]
 fn an_engine_is_tried_with_one_request_after_its_hold() {
     let clock = Manual::default();
-    let (mut registry, a, b) = registry(&clock);
+    let (mut registry, a, b) = two_known(&clock);
     registry.hold(a, 2 * SECOND);
     clock.advance(2 * SECOND);
     // Engine `b` has more load, so `a` would get each request.
     for _ in 0..3 {
-        registry.begin(b, need().footprint);
+        registry.begin(b, need(&[]).footprint);
     }
-    assert_eq!(registry.choose(&need()), Some(a));
-    registry.begin(a, need().footprint);
-    assert_eq!(registry.choose(&need()), Some(b));
+    assert_eq!(registry.choose(&need(&[])), Some(a));
+    registry.begin(a, need(&[]).footprint);
+    assert_eq!(registry.choose(&need(&[])), Some(b));
     assert!(registry.is_usable(a), "it is the last choice, not none");
     clock.advance(SECOND);
-    assert_eq!(registry.choose(&need()), Some(a), "no answer in time");
-    registry.begin(a, need().footprint);
+    assert_eq!(registry.choose(&need(&[])), Some(a), "no answer in time");
+    registry.begin(a, need(&[]).footprint);
     assert_eq!(registry.release(a), Some(3 * SECOND));
-    assert_eq!(registry.choose(&need()), Some(a));
+    assert_eq!(registry.choose(&need(&[])), Some(a));
     assert_eq!(registry.release(a), None);
     assert_eq!(registry.hold(a, SECOND), Some(SECOND));
-    assert_eq!(registry.choose(&need()), Some(b));
+    assert_eq!(registry.choose(&need(&[])), Some(b));
 }
 
 /// Guards against an engine that a wrong value keeps out of use for good.
 #[test]
 fn a_hold_has_a_longest_time() {
     let clock = Manual::default();
-    let (mut registry, a, _) = registry(&clock);
+    let (mut registry, a, _) = two_known(&clock);
     let held_for = registry.hold(a, Duration::MAX);
     assert_eq!(held_for, Some(3600 * SECOND));
     clock.advance(3600 * SECOND);
@@ -153,7 +126,7 @@
 #[test]
 fn the_first_engine_whose_hold_ends_sets_the_time_of_a_retry() {
     let clock = Manual::default();
-    let (mut registry, a, b) = registry(&clock);
+    let (mut registry, a, b) = two_known(&clock);
     registry.hold(a, 9 * SECOND);
     assert_eq!(registry.held_for("model"), Duration::ZERO);
     registry.hold(b, 4 * SECOND);
--- a/tests/engine_leaving.rs
+++ b/tests/engine_leaving.rs
@@ -7,9 +7,8 @@
 use std::time::Duration;
 
 use bilberrypost::clock::Manual;
-use bilberrypost::route::load::Footprint;
-use bilberrypost::route::registry::{Engine as Key, Need, Registration, Registry};
-use compact_str::format_compact;
+use bilberrypost::route::registry::{Engine as Key, Registration, Registry};
+use support::engines::{need, registration, registry};
 use support::platform::{
     End, Engine, Gateway, Mode, Reaction, Store, config, events, ok, settings, start,
     start_gateway, wait_for,
@@ -29,45 +28,16 @@
     leaving(200, "x-bilberrypost-response-seal: s\r\n", "done")
 }
 
-fn registration(id: &str, domain: &str) -> Registration {
-    Registration {
-        id: id.into(),
-        service: "model".into(),
-        address: format_compact!("{id}:1"),
-        failure_domain: domain.into(),
-        slots: 4,
-        is_draining: false,
-        started_ms: 1,
-    }
-}
-
-fn need() -> Need<'static> {
-    Need {
-        service: "model",
-        footprint: Footprint {
-            prompt: 1000,
-            output: 100,
-        },
-        memory_tokens: 10_000,
-        excluded: &[],
-    }
-}
-
-fn registry(clock: &Manual) -> Registry<Manual> {
-    let mut registry = Registry::new(clock.clone(), "host-a".into(), "fd-a".into());
-    registry.replace(
-        vec![registration("a", "fd-a"), registration("b", "fd-b")],
-        false,
-    );
-    registry
+fn two_known(clock: &Manual) -> Registry<Manual> {
+    registry(clock, &[("a", "fd-a"), ("b", "fd-b")])
 }
 
 fn assert_unused(registry: &Registry<Manual>, id: &str, when: &str) {
     let engine = registry.by_id(id).unwrap();
     let other = registry.by_id("b").unwrap();
     assert!(!registry.is_usable(engine), "{when}");
-    assert_eq!(registry.choose(&need()), Some(other), "{when}");
-    assert_eq!(registry.choose_replica(&need(), other), None, "{when}");
+    assert_eq!(registry.choose(&need(&[])), Some(other), "{when}");
+    assert_eq!(registry.choose_replica(&need(&[]), other), None, "{when}");
 }
 
 /// Guards against a request, resumed stream or replica at an engine that has said that it leaves, once
@@ -75,7 +45,7 @@
 #[test]
 fn an_entry_does_not_bring_back_an_engine_that_leaves() {
     let clock = Manual::default();
-    let mut registry = registry(&clock);
+    let mut registry = two_known(&clock);
     let both = || vec![registration("a", "fd-a"), registration("b", "fd-b")];
     assert!(registry.set_leaving(registry.by_id("a").unwrap()));
     assert!(!registry.set_leaving(registry.by_id("a").unwrap()));
@@ -113,9 +83,9 @@
 #[test]
 fn another_incarnation_of_an_engine_that_left_is_used() {
     let clock = Manual::default();
-    let mut registry = registry(&clock);
+    let mut registry = two_known(&clock);
     let old = registry.by_id("a").unwrap();
-    registry.begin(old, need().footprint);
+    registry.begin(old, need(&[]).footprint);
     let restarted = Registration {
         started_ms: 2,
         ..registration("a", "fd-a")
@@ -138,7 +108,7 @@
 #[test]
 fn other_hosts_are_not_told_that_an_engine_leaves() {
     let clock = Manual::default();
-    let mut registry = registry(&clock);
+    let mut registry = two_known(&clock);
     registry.set_leaving(registry.by_id("a").unwrap());
     let mut follower: Registry<Manual> = Registry::new(clock, "host-b".into(), "fd-a".into());
     follower.apply_changes(registry.changes_since(None), false);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -1,49 +1,19 @@
 //! Engine selection of the gateway, on a clock that the tests advance.
 
+mod support;
+
 use std::time::Duration;
 
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::peer::report::{EngineHash, Usage};
 use bilberrypost::route::departed::Departed;
-use bilberrypost::route::load::{Footprint, Load};
-use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
+use bilberrypost::route::load::Load;
+use bilberrypost::route::registry::{Engine, Registration, Registry};
 use bilberrypost::route::reports::Source;
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-
-const SMALL: Footprint = Footprint {
-    prompt: 1000,
-    output: 100,
-};
-
-fn registration(id: &str, domain: &str) -> Registration {
-    Registration {
-        id: id.into(),
-        service: "model".into(),
-        address: format_compact!("{id}:1"),
-        failure_domain: domain.into(),
-        slots: 4,
-        is_draining: false,
-        started_ms: 1,
-    }
-}
-
-fn need(excluded: &[Engine]) -> Need<'_> {
-    Need {
-        service: "model",
-        footprint: SMALL,
-        memory_tokens: 10_000,
-        excluded,
-    }
-}
-
-fn registry(clock: &Manual, entries: &[(&str, &str)]) -> Registry<Manual> {
-    let mut registry = Registry::new(clock.clone(), "host-a".into(), "fd-a".into());
-    let entries = entries.iter().map(|(id, domain)| registration(id, domain));
-    registry.replace(entries.collect(), false);
-    registry
-}
+use support::engines::{SMALL, need, registration, registry};
 
 fn chosen(registry: &Registry<Manual>) -> Option<CompactString> {
     let engine = registry.choose(&need(&[]))?;
--- a/tests/restored_claims.rs
+++ b/tests/restored_claims.rs
@@ -1,8 +1,8 @@
 //! The decisions of claim ranges beside a store that comes back from an older copy, with time moved
 //! by hand and a store in memory.
 
-use std::future::Future;
-use std::task::{Context, Poll, Waker};
+mod support;
+
 use std::time::Duration;
 
 use bilberrypost::claim::log::{Log, Owner};
@@ -11,19 +11,10 @@
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::store::fake::{Fake, Fault};
 use bilberrypost::util::unix_ms;
+use support::poll::poll_ready;
 
 type TestRange = Range<Fake, Manual, u64>;
 
-/// Polls a future that must be ready at once.
-fn poll_ready<T>(future: impl Future<Output = T>) -> T {
-    let mut future = std::pin::pin!(future);
-    let mut context = Context::from_waker(Waker::noop());
-    match future.as_mut().poll(&mut context) {
-        Poll::Ready(value) => value,
-        Poll::Pending => panic!("the store did not answer at once"),
-    }
-}
-
 /// The owners of one range, their store and the clock that they share.
 #[derive(Default)]
 struct Fixture {
--- a/tests/support/keyed.rs
+++ b/tests/support/keyed.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bilberrypost::claim::record::Key;
 use bilberrypost::config::split::key_digest;
@@ -100,20 +100,28 @@
             .unwrap()
     }
 
-    /// Sends the call; a broken connection or a timeout gives the default reply.
+    /// Sends the call; a broken connection or a timeout gives a reply with nothing but its cause.
     pub async fn send(&self, address: &str) -> Reply {
+        let began = Instant::now();
         let exchange = async {
             let request = self.request(address);
-            let mut exchange = client::send(address, request, CALL_TIMEOUT).await.ok()?;
-            let body = exchange.read_rest(1024 * 1024).await.ok()?;
+            let exchange = client::send(address, request, CALL_TIMEOUT).await;
+            let mut exchange = exchange.map_err(|err| err.to_string())?;
+            let body = exchange.read_rest(1024 * 1024).await;
+            let body = body.map_err(|err| err.to_string())?;
             let headers = exchange.head.headers();
             let replayed = headers.contains_key("idempotency-replayed");
-            Some(Reply::new(exchange.head.status().as_u16(), replayed, &body))
+            Ok(Reply::new(exchange.head.status().as_u16(), replayed, &body))
         };
-        within(CALL_TIMEOUT, exchange)
-            .await
-            .flatten()
-            .unwrap_or_default()
+        let cause = match within(CALL_TIMEOUT, exchange).await {
+            Some(Ok(reply)) => return reply,
+            Some(Err::<_, String>(cause)) => cause,
+            None => "no whole response in time".to_owned(),
+        };
+        Reply {
+            failure: Some(format!("{cause}, after {:?}", began.elapsed())),
+            ..Reply::default()
+        }
     }
 }
 
@@ -126,6 +134,8 @@
     pub replayed: bool,
     pub confirmation: Option<Confirmation>,
     pub problem: Option<Problem>,
+    /// Why there is no whole response.
+    pub failure: Option<String>,
 }
 
 impl Reply {
@@ -135,6 +145,7 @@
             replayed,
             confirmation: serde_json::from_slice(body).ok(),
             problem: serde_json::from_slice(body).ok(),
+            failure: None,
         }
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,8 +3,10 @@
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
 pub mod directory;
+pub mod engines;
 pub mod fault_plan;
 pub mod platform;
+pub mod poll;
 pub mod seed_log;
 
 use std::future::Future;
