--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -51,8 +51,8 @@
 /// Time for which a sound engine is silent.
 const SILENCE: Duration = Duration::from_millis(1100);
 
-/// Time for which callers wait after a refusal beside series, as `Retry-After` asks them to. Otherwise
-/// refusals, which take no time, outnumber what is served.
+/// Time for which callers wait beside series after a refusal, as `Retry-After` asks them to, or without
+/// a connection. Otherwise such calls, which take no time, outnumber what is served.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
 
 /// Deadline of a request, which is also sent to the gateway.
@@ -429,7 +429,7 @@
             std::thread::sleep(Duration::from_millis(20));
         }
         let ended = Instant::now();
-        let is_refused = answer.as_ref().is_some_and(|a| a.status() == 503);
+        let is_refused = answer.as_ref().is_none_or(|a| a.status() == 503);
         if is_refused && kind != Kind::Faults {
             std::thread::sleep(REFUSAL_PAUSE);
         }
