--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -251,17 +251,22 @@
     assert_eq!(gateway.process.wait(), Some(0));
 }
 
-/// Returns whether this process ignores SIGHUP, as one that `nohup` has started, and its children do.
-fn ignores_hang_up() -> bool {
+/// Returns whether this process and its children ignore one of the signals that the program handles:
+/// `nohup` ignores SIGHUP, and a shell ignores SIGINT for what it runs in the background.
+fn ignores_signals() -> bool {
+    const HANDLED: [Signal; 3] = [Signal::TERM, Signal::INT, Signal::HUP];
     let status = std::fs::read_to_string("/proc/self/status").unwrap();
     let ignored = status.lines().find_map(|line| line.strip_prefix("SigIgn:"));
-    u64::from_str_radix(ignored.unwrap().trim(), 16).unwrap() & 1 == 1
+    let ignored = u64::from_str_radix(ignored.unwrap().trim(), 16).unwrap();
+    HANDLED
+        .iter()
+        .any(|signal| ignored >> (signal.as_raw() - 1) & 1 == 1)
 }
 
-/// Runs a test of this file again in a process in which SIGHUP has its default action.
-fn run_with_default_hang_up(test: &str) {
+/// Runs a test of this file again in a process in which all signals have their default actions.
+fn run_with_default_signals(test: &str) {
     let status = Command::new("env")
-        .arg("--default-signal=HUP")
+        .arg("--default-signal")
         .arg(std::env::current_exe().unwrap())
         .args(["--exact", test])
         .status();
@@ -275,9 +280,9 @@
     const THREADS: u64 = 8;
     const STARTS: u64 = 250;
     const LAST: Duration = Duration::from_micros(2500);
-    if ignores_hang_up() {
-        // A child would ignore it too until its handler is installed, and rightly not end.
-        return run_with_default_hang_up("a_stop_at_any_moment_of_the_start_ends_a_process");
+    if ignores_signals() {
+        // A child would ignore them too until their handlers are installed, and rightly not end.
+        return run_with_default_signals("a_stop_at_any_moment_of_the_start_ends_a_process");
     }
     std::thread::scope(|scope| {
         for thread in 0..THREADS {
