Move what several gateway modules share below them

Change: request.rs, refusal.rs and fault.rs hold these types; EngineHash and Usage are in route/load.rs. No logic is changed.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -5,8 +5,8 @@
 use compact_str::CompactString;
 
 use super::Gateway;
-use super::attempt::Fault;
-use super::front::{RETRY_AFTER_SHORT, Refusal};
+use super::fault::Fault;
+use super::refusal::{RETRY_AFTER_SHORT, Refusal};
 use crate::clock::Clock;
 use crate::http::problem::Reason;
 use crate::route::registry::Engine;
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -11,11 +11,12 @@
 use log::info;
 
 use super::Gateway;
-use super::front::{AdmittedRequest, Refusal};
+use super::refusal::Refusal;
+use super::request::AdmittedRequest;
 use crate::clock::Clock;
 use crate::http::problem::Reason;
-use crate::peer::report::EngineHash;
 use crate::route::evidence::{DomainHash, Evidence};
+use crate::route::load::EngineHash;
 use crate::route::losses::Finder;
 use crate::route::prompt::{self, Prompt};
 use crate::route::quarantine::{Blocked, Cause, Update};
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -11,7 +11,7 @@
 
 use super::Gateway;
 use super::attempts::Attempts;
-use super::front::AdmittedRequest;
+use super::request::AdmittedRequest;
 use crate::clock::Clock;
 use crate::route::registry::{Engine, Need};
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -4,108 +4,32 @@
 use std::marker::PhantomData;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use compact_str::CompactString;
 use compio::bytes::Bytes;
 use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Method, Request, Response};
+use hyper::{Request, Response};
 
 use super::Gateway;
 use super::call::{Call, InvalidHead};
 use super::protocol::Protocol;
+use super::refusal::{RETRY_AFTER_SHORT, Refusal};
+use super::request::AdmittedRequest;
 use super::{crash, digest, plain, stream};
 use crate::clock::Clock;
 use crate::config::routes::{Denied, Limits, Revision, Route};
 use crate::http::body::Body;
 use crate::http::detach::{detach_body, detach_headers};
 use crate::http::linger;
-use crate::http::problem::{Problem, Reason};
+use crate::http::problem::Reason;
 use crate::http::server;
 use crate::report::trace::Trace;
-use crate::route::prompt::Prompt;
 use crate::util::within;
-use crate::wire::Execution;
-
-/// `Retry-After` of a refusal whose cause usually passes soon.
-pub const RETRY_AFTER_SHORT: Duration = Duration::from_millis(300);
-
-/// A request whose route and key were checked and whose body has arrived.
-#[derive(Clone, Debug)]
-pub struct AdmittedRequest {
-    /// The decoded head.
-    pub call: Call,
-    /// Digest of the request, which is the same for all attempts of its caller.
-    pub digest: u64,
-    /// Hashes of the parts of the prompt.
-    pub prompt: Prompt,
-    /// Method of the request.
-    pub method: Method,
-    /// Path and query as the caller sent them.
-    pub path_and_query: CompactString,
-    /// Headers that are forwarded with each attempt.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-    /// Route that the host and path select.
-    pub route: Route,
-    /// Service chosen among the targets of the route.
-    pub service: CompactString,
-    /// Tokens that fit into the memory of an engine of the service; 0 for a service without such
-    /// memory.
-    pub memory_tokens: u32,
-    /// Whether engines of the service can hold replicas.
-    pub has_replicas: bool,
-    /// Team that the key belongs to.
-    pub team: Option<CompactString>,
-    /// Rank of the team or else of the route; 0 goes first.
-    pub rank: u8,
-    /// When the head arrived.
-    pub arrived_at: Instant,
-    /// When the response must be complete.
-    pub deadline: Instant,
-    /// Log lines of the request.
-    pub trace: Trace,
-}
-
-/// Why a request gets a response from the gateway instead of one from an engine.
-#[derive(Debug)]
-pub struct Refusal {
-    /// Problem document for the caller.
-    pub problem: Problem,
-    /// When the caller may retry; `None` if a retry does not help or the work may have run.
-    pub retry_after: Option<Duration>,
-}
-
-impl Refusal {
-    /// Creates a refusal of work that did not run and may be retried.
-    pub fn not_run(reason: Reason, detail: &str, retry_after: Duration) -> Self {
-        Self {
-            problem: Problem::not_run(reason, detail),
-            retry_after: Some(retry_after),
-        }
-    }
-
-    /// Creates a refusal of work that may have run.
-    pub fn unknown(reason: Reason, detail: &str) -> Self {
-        Self {
-            problem: Problem::new(reason, Execution::Unknown, detail),
-            retry_after: None,
-        }
-    }
-
-    /// Creates a refusal of work that did not run, without `Retry-After`.
-    fn permanent(reason: Reason, detail: impl Into<String>) -> Self {
-        Self {
-            problem: Problem::not_run(reason, detail),
-            retry_after: None,
-        }
-    }
-}
 
 /// The HTTP service on the address for callers.
 pub struct Endpoint<C: Clock, P> {
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 
 use super::Gateway;
-use super::front::AdmittedRequest;
+use super::request::AdmittedRequest;
 use crate::clock::Clock;
 use crate::relay::handover::{LocalStream, Missing};
 use crate::route::registry::Engine;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod documents;
 pub mod drain;
 pub mod failover;
+pub mod fault;
 pub mod feed;
 pub mod follow;
 pub mod followed;
@@ -29,6 +30,8 @@
 pub mod protocol;
 pub mod reach;
 pub mod ready;
+pub mod refusal;
+pub mod request;
 pub mod stagger;
 pub mod stream;
 pub mod watch;
@@ -56,9 +59,10 @@
 use documents::Documents;
 use drain::{AnswerTimes, Drain};
 use follow::Role;
-use front::{AdmittedRequest, Refusal};
 use position::Position;
 use protocol::{Directory, Unavailable};
+use refusal::Refusal;
+use request::AdmittedRequest;
 
 /// Time after the request to stop in which the load balancer still sends new connections to this
 /// host. The listener for callers stays open that long.
@@ -482,7 +486,7 @@
         let age = self.clock.now().duration_since(self.started_at);
         match age < STARTUP_TIME {
             true => STARTUP_TIME,
-            false => (timeout / RETRY_TIMEOUT_DIVISOR).max(front::RETRY_AFTER_SHORT),
+            false => (timeout / RETRY_TIMEOUT_DIVISOR).max(refusal::RETRY_AFTER_SHORT),
         }
     }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -11,11 +11,13 @@
 use hyper::Response;
 
 use super::Gateway;
-use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
+use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::failover::Failover;
-use super::front::{AdmittedRequest, Refusal};
+use super::fault::Fault;
 use super::protocol::Protocol;
+use super::refusal::Refusal;
+use super::request::AdmittedRequest;
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::{Exchange, Prefix};
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,51 @@
+//! A request that may be sent to an engine.
+
+use std::time::Instant;
+
+use compact_str::CompactString;
+use compio::bytes::Bytes;
+use hyper::Method;
+use hyper::header::HeaderMap;
+
+use super::call::Call;
+use crate::config::routes::Route;
+use crate::report::trace::Trace;
+use crate::route::prompt::Prompt;
+
+/// A request whose route and key were checked and whose body has arrived.
+#[derive(Clone, Debug)]
+pub struct AdmittedRequest {
+    /// The decoded head.
+    pub call: Call,
+    /// Digest of the request, which is the same for all attempts of its caller.
+    pub digest: u64,
+    /// Hashes of the parts of the prompt.
+    pub prompt: Prompt,
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub path_and_query: CompactString,
+    /// Headers that are forwarded with each attempt.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Route that the host and path select.
+    pub route: Route,
+    /// Service chosen among the targets of the route.
+    pub service: CompactString,
+    /// Tokens that fit into the memory of an engine of the service; 0 for a service without such
+    /// memory.
+    pub memory_tokens: u32,
+    /// Whether engines of the service can hold replicas.
+    pub has_replicas: bool,
+    /// Team that the key belongs to.
+    pub team: Option<CompactString>,
+    /// Rank of the team or else of the route; 0 goes first.
+    pub rank: u8,
+    /// When the head arrived.
+    pub arrived_at: Instant,
+    /// When the response must be complete.
+    pub deadline: Instant,
+    /// Log lines of the request.
+    pub trace: Trace,
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,11 +12,13 @@
 use futures_util::future::{Either, select};
 use hyper::Response;
 
-use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
+use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::failover::Failover;
-use super::front::{AdmittedRequest, Refusal};
+use super::fault::Fault;
 use super::protocol::Protocol;
+use super::refusal::Refusal;
+use super::request::AdmittedRequest;
 use super::{Gateway, crash, handover};
 use crate::clock::Clock;
 use crate::http::body::Body;
--- a/src/gateway/stream/forwarding.rs
+++ b/src/gateway/stream/forwarding.rs
@@ -14,9 +14,9 @@
 use crate::http::body::Writer;
 use crate::http::client::Exchange;
 use crate::http::problem::Reason;
-use crate::peer::report::EngineHash;
 use crate::relay::event_stream::Splitter;
 use crate::relay::silence::{self, Progress};
+use crate::route::load::EngineHash;
 use crate::util::within;
 
 /// Number of events from an engine after which it is past the beginning of the response. One event
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
-use crate::peer::report::EngineHash;
+use crate::route::load::EngineHash;
 
 /// Age of a report after which its replicas are no longer used: the time for which an engine keeps
 /// a replica after its run ended, less the age of the report on arrival.
--- a/src/route/evidence.rs
+++ b/src/route/evidence.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::prompt::{PartHash, RequestHash};
-use crate::peer::report::EngineHash;
+use crate::route::load::EngineHash;
 use crate::util::hash64;
 
 /// Hash of the name of a failure domain.
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+use crate::util::hash64;
+
 /// Tokens that a request costs an engine; all zero for requests without a prompt.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Footprint {
@@ -56,3 +60,50 @@
         self.memory -= other.memory;
     }
 }
+
+/// Hash of an engine's id, which keeps reports small. The reported loads of two engines with the
+/// same hash are added up, which only makes the choice of an engine worse.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct EngineHash(u32);
+
+impl EngineHash {
+    /// Returns the hash of the engine `id`.
+    pub fn of(id: &str) -> Self {
+        Self(hash64(&[id.as_bytes()]) as u32)
+    }
+}
+
+/// Load on one engine.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// The engine.
+    pub engine: EngineHash,
+    /// Number of running requests.
+    pub running: u32,
+    /// Prompt tokens of requests that have no output yet.
+    pub reading: u32,
+    /// Tokens in the engine's memory, those of replicas included.
+    pub memory: u32,
+}
+
+impl Usage {
+    /// Creates the usage of an engine; larger values are reported as `u32::MAX`.
+    pub fn new(engine: EngineHash, load: Load) -> Self {
+        let saturate = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+        Self {
+            engine,
+            running: saturate(load.running),
+            reading: saturate(load.reading),
+            memory: saturate(load.memory),
+        }
+    }
+
+    /// Returns the usage as a load; its 64-bit fields make room for sums of reports.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.running.into(),
+            reading: self.reading.into(),
+            memory: self.memory.into(),
+        }
+    }
+}
--- a/src/route/losses.rs
+++ b/src/route/losses.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::peer::report::EngineHash;
+use crate::route::load::EngineHash;
 
 /// Time for which a loss is reported. An engine that restarts after it has a new registration.
 const REPORTED_FOR: Duration = Duration::from_millis(1500);
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -27,7 +27,7 @@
 use super::passes::Passes;
 use super::prompt::{self, PartHash, Prompt};
 use super::suspicion::{KnownCrash, Suspicion, count_events};
-use crate::peer::report::EngineHash;
+use crate::route::load::EngineHash;
 use crate::util::hash64;
 
 /// Separate crashes from which a part is blocked. The third makes coincidence improbable: engines that
--- a/src/route/registry/health.rs
+++ b/src/route/registry/health.rs
@@ -8,7 +8,7 @@
 
 use super::{Engine, FAILURE_WINDOW, Registry, State, UNREACHABLE_FOR};
 use crate::clock::Clock;
-use crate::peer::report::EngineHash;
+use crate::route::load::EngineHash;
 use crate::route::losses::{Finder, Loss, Losses};
 use crate::supervisor::Signal;
 
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -12,12 +12,11 @@
 
 use super::departed::Departed;
 use super::history::{Changes, History, Lapse};
-use super::load::Load;
+use super::load::{EngineHash, Load};
 use super::losses::Losses;
 use super::removals::Removals;
 use super::reports::Reports;
 use crate::clock::Clock;
-use crate::peer::report::EngineHash;
 use crate::supervisor::Signal;
 use crate::util::hash64;
 
--- a/src/route/registry/usage.rs
+++ b/src/route/registry/usage.rs
@@ -5,8 +5,7 @@
 
 use super::{Engine, Registry};
 use crate::clock::Clock;
-use crate::peer::report::{EngineHash, Usage};
-use crate::route::load::{Footprint, Load};
+use crate::route::load::{EngineHash, Footprint, Load, Usage};
 use crate::route::reports::Source;
 use crate::supervisor::Signal;
 
--- a/src/route/removals.rs
+++ b/src/route/removals.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::peer::report::EngineHash;
+use crate::route::load::EngineHash;
 
 /// Time for which a removal is reported. It covers a cut of some seconds and the watch that may have to
 /// time out before the cut is noticed.
--- a/src/route/reports.rs
+++ b/src/route/reports.rs
@@ -9,8 +9,7 @@
 
 use compact_str::CompactString;
 
-use super::load::Load;
-use crate::peer::report::{EngineHash, Usage};
+use super::load::{EngineHash, Load, Usage};
 
 /// Time after which a report expires.
 const REPORT_TTL: Duration = Duration::from_millis(1500);
--- a/src/route/suspicion.rs
+++ b/src/route/suspicion.rs
@@ -6,7 +6,7 @@
 use super::evidence::DomainHash;
 use super::losses::Finder;
 use super::prompt::{PartHash, RequestHash};
-use crate::peer::report::EngineHash;
+use crate::route::load::EngineHash;
 
 /// Ends of engines in one failure domain within this time count as one crash.
 const EVENT_WINDOW: Duration = Duration::from_millis(500);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::gateway::digest::Request;
-use bilberrypost::peer::report::EngineHash;
 use bilberrypost::platform::Platform;
 use bilberrypost::relay::handover::{LocalStreams, Missing, RemoteStreams, Replica, Stream};
+use bilberrypost::route::load::EngineHash;
 use hyper::Method;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::json;
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bilberrypost::clock::{Clock, Manual};
-use bilberrypost::peer::report::EngineHash;
+use bilberrypost::route::load::EngineHash;
 use bilberrypost::route::load::Footprint;
 use bilberrypost::route::losses::{Finder, Loss};
 use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::clock::{Clock, Manual};
-use bilberrypost::peer::report::EngineHash;
 use bilberrypost::route::evidence::{DomainHash, Evidence};
+use bilberrypost::route::load::EngineHash;
 use bilberrypost::route::losses::Finder;
 use bilberrypost::route::prompt::{PartHash, Prompt};
 use bilberrypost::route::quarantine::{
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bilberrypost::clock::{Clock, Manual};
-use bilberrypost::peer::report::{EngineHash, Usage};
 use bilberrypost::route::departed::Departed;
 use bilberrypost::route::load::Load;
+use bilberrypost::route::load::{EngineHash, Usage};
 use bilberrypost::route::registry::{Engine, Registration, Registry};
 use bilberrypost::route::reports::Source;
 use compact_str::CompactString;
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -7,11 +7,11 @@
 
 use bilberrypost::config::routes::{Denied, Limits, Revision, Route, RouteKind, Target, Team};
 use bilberrypost::gateway::watch::WATCH_WAIT;
-use bilberrypost::peer::report::EngineHash;
 use bilberrypost::platform::store::WATCH_TIMEOUT_MARGIN;
 use bilberrypost::relay::event_stream::{Error, Position, Splitter};
 use bilberrypost::relay::handover::{Missing, RemoteStreams, Replica, Stream};
 use bilberrypost::report::trace::{LINES_PER_S, Sampler};
+use bilberrypost::route::load::EngineHash;
 use bilberrypost::sched::retry::{Budget, Policy};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
