Count crashes that do not look like the end of a process

Callers saw: requests with a part of the prompt that crashes engines were passed on to engines long after the fifth crash, when the engines were real processes.

Cause: a crash was evidence only if the engine had sent the head of its response, the connection then broke, and its address refused a new connection at once. A real process may end before its head is written (the kernel closes or resets the connection), may be listening again on the same address when it is asked, or may have sent a head without length, whose end looks complete and counted as a pass after one event.

Evidence: the new test of two gateway processes tries nine such crashes.

Change: a crash carries how certain it is. Certain ones count as before. A sound request that goes on at another engine passes its parts, which drops the evidence. Reports put the crashes and passes that matter most first, as many requests merely wait at an engine that ends. Requests without streams are checked between attempts, and are passes too. The format of reports is 5.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,7 +14,7 @@
 use super::front::AdmittedRequest;
 use super::protocol::Protocol;
 use super::reach::{self, Unreached};
-use super::{Gateway, check, notice};
+use super::{Gateway, check, crash, notice};
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
 use crate::route::load::Footprint;
@@ -298,11 +298,17 @@
         match select(answer, pin!(failover)).await {
             Either::Left((Some(Ok(response)), _)) => response,
             Either::Left((Some(Err(Error::Connect { .. })), _)) => return Err(Fault::Unsent),
-            Either::Left((Some(Err(Error::Response { .. })), _)) => return Err(Fault::Lost),
+            Either::Left((Some(Err(Error::Response { .. })), _)) => {
+                crash::record_possible(gateway, admitted, placement.engine);
+                return Err(Fault::Lost);
+            }
             Either::Left((None, _)) | Either::Right((Cause::Silent, _)) => {
                 return Err(Fault::Silent);
             }
-            Either::Right((Cause::Lost, _)) => return Err(Fault::EngineLost),
+            Either::Right((Cause::Lost, _)) => {
+                crash::record_possible(gateway, admitted, placement.engine);
+                return Err(Fault::EngineLost);
+            }
         }
     };
     gateway.registry.borrow_mut().set_heard(placement.engine);
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -15,11 +15,11 @@
 use crate::clock::Clock;
 use crate::http::problem::Reason;
 use crate::peer::report::EngineHash;
-use crate::route::evidence::{DomainHash, Evidence};
+use crate::route::evidence::{Certainty, DomainHash, Evidence};
 use crate::route::losses::Finder;
 use crate::route::prompt::{self, Prompt};
 use crate::route::quarantine::{Blocked, Cause, Update};
-use crate::route::registry::Engine;
+use crate::route::registry::{Engine, Registration};
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -79,18 +79,24 @@
     matches!(result, Some(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Finds out whether an engine ended whose connection was reset while it began to write the response
-/// to a request, and records it if so.
-pub async fn record_reset<C: Clock>(
+/// How a response ended before its engine was past the beginning.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// It broke off.
+    Broken,
+    /// Its connection was closed, which is also how a complete response without a length ends.
+    Closed,
+}
+
+/// Finds out whether an engine has ended that sent the head of a response and not much more, and
+/// records what may be a crash.
+pub async fn record_end<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
     engine: Engine,
+    end: End,
 ) {
-    let registration = {
-        let registry = gateway.registry.borrow();
-        registry.get(engine).map(|state| state.registration.clone())
-    };
-    let Some(registration) = registration.filter(|_| !admitted.prompt.parts.is_empty()) else {
+    let Some(registration) = suspect(gateway, admitted, engine) else {
         return;
     };
     let has_ended = has_ended(&registration.address).await;
@@ -101,15 +107,49 @@
             registration.id, admitted.prompt
         ),
     );
-    if !has_ended {
-        return;
+    match (has_ended, end) {
+        (true, _) => record(gateway, admitted, &registration, Certainty::Certain),
+        (false, End::Broken) => record(gateway, admitted, &registration, Certainty::Possible),
+        (false, End::Closed) => {}
+    }
+}
+
+/// Records a possible crash: the engine broke off before the head of its response, or was declared lost.
+pub fn record_possible<C: Clock>(gateway: &Gateway<C>, admitted: &AdmittedRequest, engine: Engine) {
+    if let Some(registration) = suspect(gateway, admitted, engine) {
+        record(gateway, admitted, &registration, Certainty::Possible);
     }
-    gateway.metrics.count_decision("prompt", "crashed");
+}
+
+/// Returns the registration of an engine, unless the prompt of the request cannot be a cause.
+fn suspect<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &AdmittedRequest,
+    engine: Engine,
+) -> Option<Registration> {
+    if admitted.prompt.parts.is_empty() {
+        return None;
+    }
+    let registry = gateway.registry.borrow();
+    registry.get(engine).map(|state| state.registration.clone())
+}
+
+fn record<C: Clock>(
+    gateway: &Gateway<C>,
+    admitted: &AdmittedRequest,
+    registration: &Registration,
+    certainty: Certainty,
+) {
+    let outcome = match certainty {
+        Certainty::Certain => "crashed",
+        Certainty::Possible => "maybe-crashed",
+    };
+    gateway.metrics.count_decision("prompt", outcome);
     let engine = EngineHash::of(&registration.id);
     let domain = DomainHash::of(&registration.failure_domain);
     let now = gateway.clock.now();
     let mut quarantine = gateway.quarantine.borrow_mut();
-    let update = quarantine.record_crash(engine, domain, &admitted.prompt, now);
+    let update = quarantine.record_crash(engine, domain, &admitted.prompt, certainty, now);
     drop(quarantine);
     apply(gateway, &update, "own");
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,12 +10,12 @@
 use futures_util::future::{Either, select};
 use hyper::Response;
 
-use super::Gateway;
 use super::attempt::{self, Fault, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::failover::Failover;
 use super::front::{AdmittedRequest, Refusal};
 use super::protocol::Protocol;
+use super::{Gateway, crash};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::{Exchange, Prefix};
@@ -51,6 +51,13 @@
         if attempts.possible_runs == 0 {
             gateway.check_time_left(admitted)?;
         }
+        if crash::is_blocked(gateway, admitted) {
+            let blocked = || match attempts.possible_runs {
+                0 => crash::not_sent(gateway, admitted),
+                _ => crash::stopped(),
+            };
+            return failure.ok_or_else(blocked);
+        }
         let Some(engine) = choose_engine(gateway, admitted, &attempts) else {
             return give_up(&attempts, failure);
         };
@@ -75,6 +82,7 @@
         drop(answer_times);
         match result {
             Ok((response, true)) => {
+                crash::record_pass(gateway, &admitted.prompt);
                 attempts.record_answer();
                 return Ok(response);
             }
--- a/src/gateway/stream/forwarding.rs
+++ b/src/gateway/stream/forwarding.rs
@@ -17,6 +17,7 @@
 use crate::peer::report::EngineHash;
 use crate::relay::event_stream::Splitter;
 use crate::relay::silence::{self, Progress};
+use crate::route::registry::Engine;
 use crate::util::within;
 
 /// Number of events from an engine after which it is past the beginning of the response. One event
@@ -93,6 +94,16 @@
                     self.record_complete(&active);
                     // An error means that the caller has closed the connection.
                     let _ = writer.finish().await;
+                    if !active.is_framed && !self.has_passed {
+                        let engine = active.placement.engine;
+                        crash::record_end(
+                            &self.gateway,
+                            &self.admitted,
+                            engine,
+                            crash::End::Closed,
+                        )
+                        .await;
+                    }
                     return;
                 }
                 End::CallerGone => return self.record_incomplete("caller-gone"),
@@ -110,8 +121,8 @@
             let broken = active.placement.engine;
             self.record_broken(&active, reason);
             let broken_at = self.gateway.clock.now();
-            if !self.has_passed && matches!(reason, "reset" | "half-event") {
-                crash::record_reset(&self.gateway, &self.admitted, broken).await;
+            if !self.has_passed {
+                self.record_crash(broken, reason).await;
             }
             if !self.can_resume() {
                 return self.record_incomplete("not-resumable");
@@ -151,7 +162,8 @@
 
     /// Logs and counts the end of a complete stream.
     fn record_complete(&self, active: &ActiveAttempt<C>) {
-        if active.events > 0 {
+        // A response without a length ends in the same way when its engine crashes.
+        if active.events > 0 && active.is_framed {
             crash::record_pass(&self.gateway, &self.admitted.prompt);
         }
         self.admitted.trace.log(
@@ -167,6 +179,17 @@
             .count_decision("stream_end", "complete");
     }
 
+    /// Records that an engine may have crashed at the beginning of its response.
+    async fn record_crash(&self, engine: Engine, reason: &str) {
+        match reason {
+            "reset" | "half-event" | "empty" => {
+                crash::record_end(&self.gateway, &self.admitted, engine, crash::End::Broken).await;
+            }
+            "engine-lost" => crash::record_possible(&self.gateway, &self.admitted, engine),
+            _ => {}
+        }
+    }
+
     /// Logs and counts an attempt that was broken off, and has its engine checked.
     fn record_broken(&self, active: &ActiveAttempt<C>, reason: &'static str) {
         let last_at = active.progress.last_at();
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -15,7 +15,7 @@
 use crate::util::hash64;
 
 /// First byte of a datagram. A host drops datagrams of a format that its release does not know.
-const FORMAT_VERSION: u8 = 4;
+const FORMAT_VERSION: u8 = 5;
 
 /// Maximum size of a datagram in bytes.
 pub const BYTES_MAX: usize = 8192;
--- a/src/route/evidence.rs
+++ b/src/route/evidence.rs
@@ -17,6 +17,16 @@
     }
 }
 
+/// How certain it is that an engine ended at a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Certainty {
+    /// Its connection broke or fell silent before it was past the beginning of the response. The engine
+    /// may have ended and started again, or have ended at another request, or only the connection failed.
+    Possible,
+    /// It began the response, and its address refused connections afterwards.
+    Certain,
+}
+
 /// An engine that ended just as it began to write the response to a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
@@ -28,6 +38,8 @@
     pub request: RequestHash,
     /// Parts of the request's prompt that others may share.
     pub parts: Vec<PartHash>,
+    /// How certain it is.
+    pub certainty: Certainty,
     /// Time since the engine ended in milliseconds.
     pub age_ms: u32,
 }
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -10,6 +10,9 @@
 //! - A part is blocked once [`EVENTS_MIN`] separate crashes of [`REQUESTS_MIN`] different requests
 //!   have it in common since it last passed. Engines of one failure domain that end together count
 //!   as one crash, as they more probably share a cause of their own.
+//! - A crash is only possible if the engine may have ended for another reason or not at all: it broke off
+//!   before the head of its response, or accepts connections again at once. More of these are needed for
+//!   a block, from more requests, and they are not held against a single request.
 //! - Parts that these crashes have in common are blocked together: only requests with all of them are
 //!   refused. A part that passes on its own is taken out, and so are parts that further crashes do
 //!   without. A sound part is therefore not blocked for its company.
@@ -22,23 +25,15 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::evidence::{Block, Crash, DomainHash, Evidence, Pass};
+use super::evidence::{Block, Certainty, Crash, DomainHash, Evidence, Pass};
 use super::losses::Finder;
 use super::passes::Passes;
 use super::prompt::{self, PartHash, Prompt};
+pub use super::suspicion::{EVENTS_MIN, REQUESTS_MIN};
 use super::suspicion::{KnownCrash, Suspicion, count_events};
 use crate::peer::report::EngineHash;
 use crate::util::hash64;
 
-/// Separate crashes from which a part is blocked. The third makes coincidence improbable: engines that
-/// fail for other reasons rarely have a request at its beginning, and other requests with a sound
-/// part pass in between.
-pub const EVENTS_MIN: usize = 3;
-
-/// Different requests that these crashes must have in common. All parts of a single request that is
-/// retried would be equally suspect.
-pub const REQUESTS_MIN: usize = 2;
-
 /// Separate crashes after which one request, also when its caller sends it again, is not sent to
 /// another engine. One crash may be a coincidence.
 pub const REQUEST_EVENTS_MAX: usize = 2;
@@ -165,6 +160,7 @@
         engine: EngineHash,
         domain: DomainHash,
         prompt: &Prompt,
+        certainty: Certainty,
         now: Instant,
     ) -> Update {
         let mut update = Update::default();
@@ -173,6 +169,7 @@
             domain,
             request: prompt.request,
             parts: prompt.parts.clone(),
+            certainty,
             at: now,
             finder: Finder::Own,
         };
@@ -210,6 +207,7 @@
                 domain: crash.domain,
                 request: crash.request,
                 parts: crash.parts.clone(),
+                certainty: crash.certainty,
                 at,
                 finder,
             }));
@@ -243,7 +241,8 @@
         by_part.or_else(|| {
             let own = || {
                 let crashes = self.crashes.iter();
-                crashes.filter(|crash| crash.request == prompt.request && self.is_evidence(crash))
+                let own = crashes.filter(|crash| crash.request == prompt.request);
+                own.filter(|crash| crash.certainty == Certainty::Certain && self.is_evidence(crash))
             };
             let ends = own().map(|crash| (crash.domain, crash.at)).collect();
             let last = own().map(|crash| crash.at).max()?;
@@ -371,7 +370,9 @@
                 self.disputed.insert(*part, crashed_at);
             }
         }
-        let crashes = self.crashes.iter().filter(|crash| crash.has_all(parts));
+        let crashes = self.crashes.iter();
+        let crashes =
+            crashes.filter(|crash| crash.certainty == Certainty::Certain && crash.has_all(parts));
         let ends = crashes.map(|crash| (crash.domain, crash.at)).collect();
         let is_informed = count_events(ends) >= EVENTS_MIN;
         let is_open = |part: &PartHash| match self.passes.last(*part) {
@@ -431,12 +432,12 @@
     fn most_suspect(&self, now: Instant) -> Option<(Vec<PartHash>, Instant)> {
         let suspicions = self.suspicions(now).into_iter();
         let enough = suspicions.filter_map(|(part, suspicion)| {
-            let events = count_events(suspicion.ends.clone());
             let is_blocked = self.blocks.iter().any(|block| block.parts.contains(&part));
             let is_enough = match is_blocked {
-                true => events >= REQUEST_EVENTS_MAX,
-                false => events >= EVENTS_MIN && suspicion.requests.len() >= REQUESTS_MIN,
+                true => suspicion.events() >= REQUEST_EVENTS_MAX,
+                false => suspicion.is_enough(),
             };
+            let events = suspicion.events().max(suspicion.all_events());
             is_enough.then_some((part, events, suspicion))
         });
         let (part, _, suspicion) = enough
@@ -529,6 +530,7 @@
         let is_recent = |at: Instant| now.duration_since(at) < REPORTED_FOR;
         let crashes = self.crashes.iter().rev();
         let crashes = crashes.filter(|crash| crash.finder <= last && is_recent(crash.at));
+        let crashes = self.most_telling_first(crashes.collect(), now).into_iter();
         let mut blocks: Vec<_> = self.blocks.iter().collect();
         blocks.sort_by_key(|block| std::cmp::Reverse(block.crashed_at));
         let blocks = within_parts_max(blocks.into_iter(), |block| &block.parts);
@@ -539,6 +541,7 @@
                     domain: crash.domain,
                     request: crash.request,
                     parts: crash.parts.clone(),
+                    certainty: crash.certainty,
                     age_ms: age_of(crash.at),
                 })
                 .collect(),
@@ -552,23 +555,48 @@
         }
     }
 
-    /// Returns the passes that clear a part of a known crash, or one that another host blocks.
+    /// Sorts crashes so that a report has room for those that matter: many requests that merely waited at
+    /// an engine meet its end.
+    fn most_telling_first<'a>(
+        &self,
+        mut crashes: Vec<&'a KnownCrash>,
+        now: Instant,
+    ) -> Vec<&'a KnownCrash> {
+        if crashes.len() <= REPORTED_MAX {
+            return crashes;
+        }
+        let suspicions = self.suspicions(now);
+        crashes.sort_by_cached_key(|crash| {
+            let suspicions = crash.parts.iter().filter_map(|part| suspicions.get(part));
+            let events = suspicions.map(Suspicion::all_events).max();
+            std::cmp::Reverse((crash.certainty, events))
+        });
+        crashes
+    }
+
+    /// Returns the passes that clear a part of a known crash, or one that another host blocks: those of
+    /// parts with most crashes first, as hosts may be about to block them.
     fn passes_to_report(&self, last: Finder, now: Instant) -> Vec<Pass> {
-        let mut suspects = self.disputed.clone();
+        let disputed = self.disputed.iter();
+        let mut suspects: BTreeMap<_, _> = disputed
+            .map(|(part, crashed_at)| (*part, (*crashed_at, usize::MAX)))
+            .collect();
         for crash in &self.crashes {
             for part in &crash.parts {
-                suspects.insert(*part, crash.at);
+                let (crashed_at, crashes) = suspects.entry(*part).or_insert((crash.at, 0));
+                *crashed_at = crash.at;
+                *crashes = crashes.saturating_add(1);
             }
         }
-        let passes = suspects.iter().filter_map(|(part, crashed_at)| {
+        let passes = suspects.iter().filter_map(|(part, (crashed_at, crashes))| {
             let (at, finder) = self.passes.get(*part)?;
-            (at >= *crashed_at && finder <= last).then_some((at, *part))
+            (at >= *crashed_at && finder <= last).then_some((*crashes, at, *part))
         });
         let mut passes: Vec<_> = passes.collect();
         passes.sort_by(|a, b| b.cmp(a));
-        let newest = passes.into_iter().take(REPORTED_MAX);
-        newest
-            .map(|(at, part)| Pass {
+        let reported = passes.into_iter().take(REPORTED_MAX);
+        reported
+            .map(|(_, at, part)| Pass {
                 part,
                 age_ms: now.duration_since(at).as_millis() as u32,
             })
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -4,13 +4,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
 
 use bilberrypost::http::problem::{Problem, Reason};
 use bilberrypost::wire::Execution;
 use serde_json::{Value, json};
 use support::platform::{
-    API_KEY, End, Engine, Gateway, Message, PEER_PORT, Reaction, Store, config, events, own_ips,
-    settings, wait_for,
+    API_KEY, End, Engine, Gateway, Message, PEER_PORT, Reaction, Store, UNFRAMED, config, events,
+    own_ips, settings, wait_for,
 };
 
 /// Part that crashes each engine which begins to write a response to it.
@@ -39,13 +41,19 @@
     }
 
     fn start_with(config: Value) -> Self {
+        Self::start_crashing(config, 8, Reaction::Events(0, End::Crash))
+    }
+
+    /// Starts engines that react like this to a request with the bad part.
+    fn start_crashing(config: Value, engines: usize, crash: Reaction) -> Self {
         let store = Store::start();
         store.put("config", "main", config);
-        let engines: Vec<_> = (0..8)
+        let engines: Vec<_> = (0..engines)
             .map(|number| {
-                Engine::start(&format!("i-{number}"), |request| {
+                let crash = crash.clone();
+                Engine::start(&format!("i-{number}"), move |request| {
                     match has_bad_part(request) {
-                        true => Reaction::Events(0, End::Crash),
+                        true => crash.clone(),
                         false => Reaction::Events(9, End::Complete),
                     }
                 })
@@ -95,6 +103,19 @@
             .count()
     }
 
+    /// Number of times that a request with the bad part has reached an engine.
+    fn bad_arrivals(&self) -> usize {
+        let engines = self.engines.iter();
+        let arrivals = engines.map(|engine| {
+            let received = engine.received.lock().unwrap();
+            received
+                .iter()
+                .filter(|request| has_bad_part(request))
+                .count()
+        });
+        arrivals.sum()
+    }
+
     fn wait_until_blocked(&self, gateway: usize) {
         let name = "bilberrypost_decisions_total{decision=\"prompt\",outcome=\"blocked\"} ";
         wait_for("a block", || {
@@ -137,6 +158,83 @@
     assert_eq!(site.crashed(), 3);
 }
 
+/// Guards against crashes that do not look like the end of an engine's process, and are no evidence:
+/// seen with engines that are real processes.
+#[test]
+fn a_part_is_refused_however_its_crashes_look() {
+    let chunked = UNFRAMED.replace("\r\n\r\n", "\r\ntransfer-encoding: chunked\r\n\r\n");
+    let ways = [
+        ("refuses, before the head", Reaction::Crash(String::new())),
+        (
+            "refuses, after a head without length",
+            Reaction::Crash(UNFRAMED.into()),
+        ),
+        ("accepts again, before the head", Reaction::Close),
+        (
+            "accepts again, reset before the head",
+            Reaction::Reset(String::new()),
+        ),
+        (
+            "accepts again, after the head",
+            Reaction::Raw(chunked.clone()),
+        ),
+        (
+            "accepts again, reset after the head",
+            Reaction::Reset(chunked),
+        ),
+        (
+            "accepts again, after a head without length",
+            Reaction::Raw(UNFRAMED.into()),
+        ),
+        (
+            "accepts again, in the first event",
+            Reaction::Events(0, End::HalfEvent),
+        ),
+        (
+            "accepts again, in the second event",
+            Reaction::Events(1, End::HalfEvent),
+        ),
+    ];
+    let runs = ways.map(|(name, crash)| (name, thread::spawn(|| late_arrivals(crash))));
+    let late = runs.map(|(name, run)| (name, run.join().unwrap()));
+    let faults: Vec<_> = late.iter().filter(|(_, late)| *late > LATE_MAX).collect();
+    assert!(
+        faults.is_empty(),
+        "requests that reached engines late: {faults:?}"
+    );
+}
+
+/// Number of requests with a part that crashes engines which may reach engines later than
+/// [`STABLE_TIME`] after the fifth crash.
+const LATE_MAX: usize = 3;
+
+/// Time in which hosts agree.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Returns how many requests with the bad part reach engines late, which then react like this.
+fn late_arrivals(crash: Reaction) -> usize {
+    let site = Site::start_crashing(config(3), 24, crash);
+    let mut number = 0;
+    let mut send_to_each_host = || {
+        for gateway in 0..2 {
+            number += 1;
+            site.send(gateway, &format!("c{number}"), &[SHARED]);
+            site.send(gateway, &format!("b{number}"), &[SHARED, BAD]);
+        }
+        // Crashes close together count as one.
+        thread::sleep(Duration::from_millis(600));
+    };
+    for _ in 0..3 {
+        send_to_each_host();
+    }
+    thread::sleep(STABLE_TIME);
+    let early = site.bad_arrivals();
+    for _ in 0..3 {
+        send_to_each_host();
+    }
+    site.bad_arrivals() - early
+}
+
 /// Guards against crashes by streams that cannot go on at another engine and count as no evidence.
 #[test]
 fn streams_that_cannot_be_resumed_are_evidence_too() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use bilberrypost::clock::{Clock, Manual};
 use bilberrypost::peer::report::EngineHash;
-use bilberrypost::route::evidence::{DomainHash, Evidence};
+use bilberrypost::route::evidence::{Certainty, DomainHash, Evidence};
 use bilberrypost::route::losses::Finder;
 use bilberrypost::route::prompt::{PartHash, Prompt};
 use bilberrypost::route::quarantine::{
@@ -43,10 +43,15 @@
     }
 
     fn crash(&mut self, host: usize, domain: &str, prompt: &Prompt) {
+        self.end(host, domain, prompt, Certainty::Certain);
+    }
+
+    fn end(&mut self, host: usize, domain: &str, prompt: &Prompt, certainty: Certainty) {
         self.engines += 1;
         let engine = EngineHash::of(&format!("i-{}", self.engines));
         let now = self.now();
-        self.hosts[host].record_crash(engine, DomainHash::of(domain), prompt, now);
+        let domain = DomainHash::of(domain);
+        self.hosts[host].record_crash(engine, domain, prompt, certainty, now);
     }
 
     fn pass(&mut self, host: usize, prompt: &Prompt) {
@@ -226,6 +231,62 @@
     }
 }
 
+/// Guards against sound parts that are blocked as connections to all failure domains are reset every few
+/// seconds, which breaks most requests that wait for the head of their response.
+#[test]
+fn resets_of_all_connections_block_no_part_in_use() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut fleet = Fleet::new(6);
+    for step in 0..2000_u32 {
+        fleet.clock.advance(Duration::from_millis(50));
+        let session = format!("s-{}", rng.random_range(0..40));
+        let request = prompt(step.into(), &["common", &session]);
+        assert_eq!(fleet.refusing(&request), 0, "step {step}");
+        let host = rng.random_range(0..6);
+        if step % 80 == 0 {
+            for waiting in 0..30 {
+                let domain = ["a", "b", "c"][waiting % 3];
+                let number = u64::from(step) * 100 + waiting as u64;
+                let session = format!("s-{}", rng.random_range(0..40));
+                let broken = prompt(number, &["common", &session]);
+                fleet.end(host, domain, &broken, Certainty::Possible);
+            }
+        } else if rng.random_bool(0.9) {
+            fleet.pass(host, &request);
+        }
+        if step % 10 == 0 {
+            fleet.report();
+        }
+    }
+}
+
+/// Guards against possible crashes that other hosts do not hear of, since a report has no room for all the
+/// requests that merely waited at the same engine and go on at others.
+#[test]
+fn possible_crashes_are_enough_after_the_fifth() {
+    let mut fleet = Fleet::new(6);
+    for crash in 0..5_u64 {
+        let host = crash as usize % 6;
+        let waiting: Vec<_> = (0..60)
+            .map(|n| prompt(1000 + crash * 100 + n, &["s", &format!("s-{crash}-{n}")]))
+            .collect();
+        let bad = prompt(crash, &["s", "p"]);
+        for request in std::iter::once(&bad).chain(&waiting) {
+            fleet.end(host, "fd", request, Certainty::Possible);
+        }
+        fleet.report();
+        for request in &waiting {
+            fleet.pass(host, request);
+        }
+        for _ in 0..4 {
+            fleet.clock.advance(Duration::from_millis(200));
+            fleet.report();
+        }
+    }
+    assert_eq!(fleet.refusing(&prompt(900, &["s", "p"])), 6);
+    assert_eq!(fleet.refusing(&prompt(901, &["s"])), 0);
+}
+
 /// Guards against a block that is never lifted, or lifted at all hosts in the same moment.
 #[test]
 fn a_block_fades_and_one_request_tries() {
@@ -316,7 +377,13 @@
     let mut late = Vec::new();
     for number in 0..2 {
         let engine = EngineHash::of(&format!("i-{number}"));
-        sender.record_crash(engine, domain, &prompt(number, &["p"]), clock.now());
+        sender.record_crash(
+            engine,
+            domain,
+            &prompt(number, &["p"]),
+            Certainty::Certain,
+            clock.now(),
+        );
         clock.advance(Duration::from_millis(700));
         late.push(sender.own(clock.now()));
     }
@@ -328,7 +395,13 @@
     }
     assert_eq!(receiver.check(&prompt(900, &["p"]), clock.now()), None);
     let engine = EngineHash::of("i-9");
-    sender.record_crash(engine, domain, &prompt(9, &["p"]), clock.now());
+    sender.record_crash(
+        engine,
+        domain,
+        &prompt(9, &["p"]),
+        Certainty::Certain,
+        clock.now(),
+    );
     let report = sender.own(clock.now());
     receiver.merge(&report, Finder::Remote, clock.now());
     assert!(receiver.check(&prompt(900, &["p"]), clock.now()).is_some());
@@ -347,7 +420,13 @@
         match number % 3 {
             0 => {
                 let engine = EngineHash::of(&format!("i-{number}"));
-                quarantine.record_crash(engine, DomainHash::of("fd"), &request, clock.now());
+                quarantine.record_crash(
+                    engine,
+                    DomainHash::of("fd"),
+                    &request,
+                    Certainty::Certain,
+                    clock.now(),
+                );
             }
             _ => drop(quarantine.record_pass(&request, clock.now())),
         }
@@ -378,7 +457,7 @@
     for number in 0..3 {
         let engine = EngineHash::of(&format!("i-{number}"));
         let request = prompt(number, &["p", "s"]);
-        hosts[0].record_crash(engine, domain, &request, clock.now());
+        hosts[0].record_crash(engine, domain, &request, Certainty::Certain, clock.now());
         clock.advance(Duration::from_millis(600));
     }
     // Host 0 reports to its representative 1, which sends a summary to 2, which forwards it to 3.
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -13,7 +13,7 @@
 use bilberrypost::peer::roster::{REPRESENTATIVES, Roster};
 use bilberrypost::peer::schedule::Schedule;
 use bilberrypost::relay::handover::Stream;
-use bilberrypost::route::evidence::{Block, Crash, DomainHash, Evidence, Pass};
+use bilberrypost::route::evidence::{Block, Certainty, Crash, DomainHash, Evidence, Pass};
 use bilberrypost::route::load::Load;
 use bilberrypost::route::losses::Loss;
 use bilberrypost::route::prompt::{PartHash, RequestHash};
@@ -409,6 +409,7 @@
                 domain: DomainHash::of("fd-a"),
                 request: RequestHash::of(u64::MAX),
                 parts: parts.clone(),
+                certainty: Certainty::Certain,
                 age_ms: 3000,
             };
             8
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -388,6 +388,8 @@
     Raw(String),
     /// Like `Raw`, but resets the connection.
     Reset(String),
+    /// Like `Raw`, and the engine's process ends: its address refuses further connections.
+    Crash(String),
     /// Streams the events up to this number, then ends the stream as given.
     Events(u64, End),
     /// Reacts after this time; the engine serves other requests meanwhile.
@@ -645,6 +647,10 @@
                 reset(&stream);
                 return;
             }
+            Reaction::Crash(text) => {
+                let _ = stream.write_all(text.replace("ID", &attempt).as_bytes());
+                return stop_listening(&stream, listener);
+            }
             Reaction::Events(last, end) | Reaction::TaggedEvents(last, end, _) => {
                 let (is_tagged, pause) = match reaction {
                     Reaction::TaggedEvents(_, _, pause) => (true, pause),
@@ -691,13 +697,7 @@
                         }
                     }
                     End::Crash => {
-                        listener.lock().unwrap().take();
-                        let own = stream.local_addr().unwrap();
-                        // Wakes the accepting thread, which then drops its handle of the listener.
-                        while TcpStream::connect(own).is_ok() {
-                            std::thread::sleep(Duration::from_millis(1));
-                        }
-                        return;
+                        return stop_listening(&stream, listener);
                     }
                     End::Unresponsive => {
                         // The accepting thread holds another handle of the listener; the connection
@@ -715,6 +715,16 @@
     }
 }
 
+/// Closes the listener, and waits until its address refuses connections.
+fn stop_listening(stream: &TcpStream, listener: &Mutex<Option<TcpListener>>) {
+    listener.lock().unwrap().take();
+    let own = stream.local_addr().unwrap();
+    // Wakes the accepting thread, which then drops its handle of the listener.
+    while TcpStream::connect(own).is_ok() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Port for messages between gateways, outside of the range from which the system draws ports.
 pub const PEER_PORT: u16 = 7200;
 
