--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,7 +10,6 @@
 use futures_util::future::{Either, select};
 use hyper::Response;
 
-use super::Gateway;
 use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::failover::Failover;
@@ -18,6 +17,7 @@
 use super::protocol::Protocol;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
+use super::{Gateway, crash};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::{Exchange, Prefix};
@@ -53,6 +53,13 @@
         if attempts.possible_runs == 0 {
             gateway.check_time_left(admitted)?;
         }
+        if crash::is_blocked(gateway, admitted) {
+            let blocked = || match attempts.possible_runs {
+                0 => crash::not_sent(gateway, admitted),
+                _ => crash::stopped(),
+            };
+            return failure.ok_or_else(blocked);
+        }
         let Some(engine) = choose_engine(gateway, admitted, &attempts) else {
             return give_up(&attempts, failure);
         };
@@ -77,6 +84,7 @@
         drop(answer_times);
         match result {
             Ok((response, true)) => {
+                crash::record_pass(gateway, &admitted.prompt);
                 attempts.record_answer();
                 return Ok(response);
             }
