--- a/src/route/evidence.rs
+++ b/src/route/evidence.rs
@@ -58,6 +58,8 @@
 pub struct Block {
     /// The parts, in ascending order.
     pub parts: Vec<PartHash>,
+    /// Number of requests that were let through after a block had ended and crashed an engine.
+    pub failed_trials: u32,
     /// Time since their last crash in milliseconds.
     pub age_ms: u32,
 }
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -48,18 +48,20 @@
 /// crashes engines costs one, so trials must be rare.
 pub const BLOCKED_FOR_MIN: Duration = Duration::from_secs(60);
 
-/// Longest time after the last crash for which a part is blocked that has failed one trial at most. Hosts
-/// end the block at different times, so that the report of the first trial reaches most others before
-/// theirs.
+/// Longest time after the last crash for which a part is blocked that has failed no trial. Hosts end the
+/// block at different times, so that the report of the first trial reaches most others before theirs.
 pub const BLOCKED_FOR_MAX: Duration = Duration::from_secs(240);
 
-/// Largest number of times that the block of a part is doubled, once for each failed trial after the
-/// first.
-const DOUBLINGS_MAX: u32 = 4;
+/// Factor by which a block lasts longer after each failed trial. A sound part passes its first trial; one that
+/// fails it costs three engines in a day.
+pub const FAILED_TRIAL_FACTOR: u32 = 12;
+
+/// Longest block of a part that has failed trials. Engines that were mended serve it a day later.
+const BLOCKED_FOR_LIMIT: Duration = Duration::from_secs(24 * 3600);
 
 /// Time after the last crash for which a part whose block has ended gets one request at a time, and
 /// a single crash blocks it again. It is longer than the longest block.
-const TRIAL_FOR: Duration = Duration::from_secs(2 * 3600);
+const TRIAL_FOR: Duration = Duration::from_secs(26 * 3600);
 
 /// Time after which a trial counts as ended without result, as the request may never have been sent.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(15);
@@ -214,7 +216,7 @@
         }
         for block in &evidence.blocks {
             if let Some(at) = time_of(block.age_ms) {
-                self.adopt(&block.parts, at, now, &mut update);
+                self.adopt(block, at, now, &mut update);
             }
         }
         if update.crashes > 0 {
@@ -353,16 +355,14 @@
     /// Takes over a block from another host, without the parts that passed after its last crash; those
     /// are reported to the other host. A host that has heard of enough crashes leaves out all parts that
     /// ever passed: of these it draws its own conclusion.
-    fn adopt(
-        &mut self,
-        parts: &[PartHash],
-        crashed_at: Instant,
-        now: Instant,
-        update: &mut Update,
-    ) {
+    fn adopt(&mut self, reported: &Block, crashed_at: Instant, now: Instant, update: &mut Update) {
         if now.duration_since(crashed_at) >= TRIAL_FOR {
             return;
         }
+        let parts = reported.parts.as_slice();
+        if let Some(known) = self.blocks.iter_mut().find(|known| known.parts == parts) {
+            known.failed_trials = known.failed_trials.max(reported.failed_trials);
+        }
         for part in parts {
             let passed_at = self.passes.last(*part);
             let is_disputed = passed_at.is_some_and(|at| at > crashed_at);
@@ -383,12 +383,18 @@
         if open.is_empty() {
             return;
         }
-        self.block(open, crashed_at, update);
+        self.block(open, crashed_at, reported.failed_trials, update);
     }
 
     /// Blocks a set of parts, unless some of them are blocked already. Replaces the blocks of
     /// larger sets.
-    fn block(&mut self, parts: Vec<PartHash>, crashed_at: Instant, update: &mut Update) {
+    fn block(
+        &mut self,
+        parts: Vec<PartHash>,
+        crashed_at: Instant,
+        failed_trials: u32,
+        update: &mut Update,
+    ) {
         // Only a crash moves the time of a block. The time of a reported block includes the delay of
         // the report, and hosts would renew each other's blocks without end.
         if self
@@ -409,7 +415,7 @@
         self.blocks.push(KnownBlock {
             parts: parts.clone(),
             crashed_at,
-            failed_trials: 0,
+            failed_trials,
             trial_until: None,
         });
         update.blocked.push(parts);
@@ -420,7 +426,7 @@
     fn conclude(&mut self, now: Instant, update: &mut Update) {
         while let Some((parts, crashed_at)) = self.most_suspect(now) {
             let blocked = update.blocked.len();
-            self.block(parts, crashed_at, update);
+            self.block(parts, crashed_at, 0, update);
             if update.blocked.len() == blocked {
                 return;
             }
@@ -521,8 +527,9 @@
             &self.seed.to_le_bytes(),
             prompt::join(&block.parts).as_bytes(),
         ]);
-        let doublings = block.failed_trials.saturating_sub(1).min(DOUBLINGS_MAX);
-        (BLOCKED_FOR_MIN + Duration::from_millis(own % spread)) * 2_u32.pow(doublings)
+        let first = BLOCKED_FOR_MIN + Duration::from_millis(own % spread);
+        let factor = FAILED_TRIAL_FACTOR.saturating_pow(block.failed_trials);
+        first.saturating_mul(factor).min(BLOCKED_FOR_LIMIT)
     }
 
     fn found_by(&self, last: Finder, now: Instant) -> Evidence {
@@ -549,6 +556,7 @@
             blocks: blocks
                 .map(|block| Block {
                     parts: block.parts.clone(),
+                    failed_trials: block.failed_trials,
                     age_ms: age_of(block.crashed_at),
                 })
                 .collect(),
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -8,7 +8,8 @@
 use bilberrypost::route::losses::Finder;
 use bilberrypost::route::prompt::{PartHash, Prompt};
 use bilberrypost::route::quarantine::{
-    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, EVENTS_MIN, Quarantine, REPORTED_PARTS_MAX,
+    BLOCKED_FOR_MAX, BLOCKED_FOR_MIN, Cause, EVENTS_MIN, FAILED_TRIAL_FACTOR, Quarantine,
+    REPORTED_PARTS_MAX,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -322,6 +323,10 @@
     fleet.report();
     assert_eq!(fleet.refusing(&bad(903)), 20);
     fleet.clock.advance(BLOCKED_FOR_MAX);
+    assert_eq!(fleet.refusing(&bad(903)), 20);
+    fleet
+        .clock
+        .advance(BLOCKED_FOR_MAX * (FAILED_TRIAL_FACTOR - 1));
     assert_eq!(fleet.refusing(&bad(903)), 0);
     // The next trial passes.
     let now = fleet.now();
@@ -575,7 +580,39 @@
         fleet.clock.advance(Duration::from_millis(920));
         fleet.report();
     }
-    assert!(crashes <= 12, "{crashes} engines ended in an hour");
+    assert!(crashes <= 6, "{crashes} engines ended in an hour");
+}
+
+/// Guards against a part that ends more than three engines in the day after it became known, with hosts
+/// that are restarted after each failed trial and know of none.
+#[test]
+fn a_part_that_stays_bad_fails_three_trials_a_day() {
+    let mut fleet = Fleet::new(6);
+    for number in 0..EVENTS_MIN {
+        fleet.crash(0, "fd", &prompt(number as u64, &["p"]));
+        fleet.clock.advance(Duration::from_secs(1));
+        fleet.report();
+    }
+    let known_at = fleet.now();
+    let mut failed = 0;
+    let mut number = 100;
+    while fleet.now() - known_at < Duration::from_secs(24 * 3600) {
+        for host in 0..6 {
+            number += 1;
+            let request = prompt(number, &["p"]);
+            let now = fleet.now();
+            if fleet.hosts[host].admit(&request, now).is_none() {
+                fleet.crash(host, "fd", &request);
+                failed += 1;
+                fleet.report();
+                fleet.hosts[(host + 3) % 6] = Quarantine::new(number);
+                fleet.report();
+            }
+        }
+        fleet.clock.advance(Duration::from_secs(10));
+        fleet.report();
+    }
+    assert!(failed <= 3, "{failed} engines ended in a day");
 }
 
 /// Guards against sound requests that are refused as several bad parts come in the company of one of
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -424,6 +424,7 @@
         blocks: vec![
             Block {
                 parts: parts.clone(),
+                failed_trials: 3,
                 age_ms: 900_000,
             };
             8
