--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -98,6 +98,11 @@
     pub revoke_limit: Duration,
     /// Rate of the host's link in Mbit/s; `None` if what it sends to followers is not paced.
     pub link_mbps: Option<f64>,
+    /// Memory in MB above which the process is killed; `None` if it is not limited.
+    pub memory_mb: Option<u32>,
+    /// Number of descriptors that the process may have, those of files included; `None` if it is not
+    /// limited.
+    pub max_fds: Option<u32>,
     /// Limits on retries.
     pub retries: retry::Policy,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -24,6 +24,8 @@
     "retry_slack",
     "retry_window_s",
     "revoke_limit_ms",
+    "memory_mb",
+    "max_fds",
 ];
 
 /// Accepted rates of a link in Mbit/s.
@@ -78,6 +80,21 @@
     }
 }
 
+/// Reads a limit of the process; `None` if it is not set or empty.
+fn limit(section: &Section<'_>, name: &str) -> Result<Option<u32>, Error> {
+    if section.text(name).is_none_or(str::is_empty) {
+        return Ok(None);
+    }
+    let value: f64 = section.value(name, 0.0)?;
+    match (1.0..=f64::from(u32::MAX)).contains(&value) {
+        true => Ok(Some(value as u32)),
+        false => {
+            let message = format!("{name} = {value} is out of range; write a number above 0");
+            Err(section.error(name, message))
+        }
+    }
+}
+
 /// Reads the `[platform]` section of a settings file; `None` if the file has none.
 ///
 /// # Errors
@@ -116,6 +133,8 @@
         link_mbps: link_mbps(&section)?,
         is_fail_closed: section.flag("fail_closed", false)?,
         revoke_limit: section.millis("revoke_limit_ms", Duration::from_secs(5))?,
+        memory_mb: limit(&section, "memory_mb")?,
+        max_fds: limit(&section, "max_fds")?,
         retries: retry::Policy {
             ratio: section.value("retry_ratio", 0.1)?,
             slack: section.value("retry_slack", 20.0)?,
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -780,6 +780,8 @@
         is_fail_closed: false,
         revoke_limit: Duration::from_secs(5),
         link_mbps: None,
+        memory_mb: None,
+        max_fds: None,
         retries: retry::Policy {
             ratio: 0.8,
             slack: 150.0,
