Bound the memory and descriptors that callers make a gateway hold

Nothing counted what a process holds for callers: bodies were collected part by part, each part with an entry of its own and its read buffer, up to 17 chunks of an unread answer were kept, and connections were accepted without end.

http/budget.rs decides, without sockets and clock: limits from memory_mb and max_fds, charges for connections and body capacity by owner (address, then team), a reserve for owners that hold little, whose connection is closed (longest standstill, of the owner that holds most) and who is refused (503 overloaded, not-run, Retry-After, or a closed connection). gateway/intake.rs copies a body into one buffer and refuses one that stands still for idle-timeout-ms. A chunked answer keeps 16 KB for a slow reader. event=bound_reached and bilberrypost_bound_actions_total name the limit. deploy/host.ini passes limits.memory-mb and limits.max-fds; without them nothing is limited.

One test is added: a body that stands still is refused.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -9,7 +9,6 @@
 use compact_str::CompactString;
 use compio::bytes::Bytes;
 use futures_util::future::{Either, select};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
@@ -17,18 +16,19 @@
 
 use super::Gateway;
 use super::call::{Call, InvalidHead};
+use super::intake::{Account, Reservation};
 use super::protocol::Protocol;
-use super::{crash, digest, plain, stream};
+use super::{crash, digest, intake, plain, stream};
 use crate::clock::Clock;
 use crate::config::routes::{Denied, Limits, Revision, Route};
 use crate::http::body::Body;
-use crate::http::detach::{detach_body, detach_headers};
+use crate::http::budget::{Budget, ConnectionKey};
+use crate::http::detach::detach_headers;
 use crate::http::linger;
 use crate::http::problem::{Problem, Reason};
 use crate::http::server;
 use crate::report::trace::Trace;
 use crate::route::prompt::Prompt;
-use crate::util::within;
 use crate::wire::Execution;
 
 /// `Retry-After` of a refusal whose cause usually passes soon.
@@ -51,6 +51,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Memory that the body is charged for.
+    pub reservation: Rc<Reservation>,
     /// Route that the host and path select.
     pub route: Route,
     /// Service chosen among the targets of the route.
@@ -99,7 +101,7 @@
     }
 
     /// Creates a refusal of work that did not run, without `Retry-After`.
-    fn permanent(reason: Reason, detail: impl Into<String>) -> Self {
+    pub fn permanent(reason: Reason, detail: impl Into<String>) -> Self {
         Self {
             problem: Problem::not_run(reason, detail),
             retry_after: None,
@@ -193,7 +195,19 @@
         };
         let (route, team) = self.find_route(&revision, &head, &call)?;
         let deadline = arrived_at + call.timeout.min(route.timeout);
-        let reading = pin!(read_body(&revision, body, deadline, arrived_at));
+        let account = match head.extensions.get::<ConnectionKey>() {
+            Some(key) => {
+                let team = team.map(|team| &team.name);
+                Some(Account::admit(&gateway.memory, *key, team, arrived_at)?)
+            }
+            None => None,
+        };
+        let limits = intake::Limits {
+            bytes_max: revision.limits.max_body_bytes,
+            idle_timeout: revision.limits.idle_timeout,
+            deadline,
+        };
+        let reading = pin!(intake::read_body(body, limits, account, &gateway.clock));
         let body = match select(reading, gateway.ending.wait()).await {
             Either::Left((body, _)) => body?,
             Either::Right(_) => return Err(gateway.leaving_refusal()),
@@ -208,7 +222,7 @@
             path_and_query,
             key: call.key.as_deref(),
             headers: &headers,
-            body: &body,
+            body: &body.bytes,
         };
         let digest = request.digest::<P>();
         Ok(AdmittedRequest {
@@ -217,7 +231,8 @@
             prompt: call.prompt(digest),
             path_and_query: path_and_query.into(),
             headers,
-            body: detach_body(body),
+            body: body.bytes,
+            reservation: body.reservation,
             memory_tokens: service_settings.map_or(0, |settings| settings.kv_capacity_tokens),
             has_replicas: service_settings.is_some_and(|settings| settings.has_replicas),
             service,
@@ -282,32 +297,6 @@
     Refusal::permanent(Reason::BadRequest, err.to_string())
 }
 
-async fn read_body(
-    revision: &Revision,
-    body: &mut Incoming,
-    deadline: Instant,
-    now: Instant,
-) -> Result<Bytes, Refusal> {
-    let limit = revision.limits.max_body_bytes;
-    let reading = Limited::new(body, limit).collect();
-    match within(deadline.saturating_duration_since(now), reading).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            let detail = format!("the body is longer than {limit} bytes; shorten it");
-            Err(Refusal::permanent(Reason::PromptTooLong, detail))
-        }
-        Some(Err(_)) => Err(Refusal::permanent(
-            Reason::BadRequest,
-            "the body is truncated or malformed; send it again",
-        )),
-        None => Err(Refusal::not_run(
-            Reason::NoEngine,
-            "the body did not arrive in time; send it again",
-            RETRY_AFTER_SHORT,
-        )),
-    }
-}
-
 impl<C: Clock, P: Protocol> server::Service for Endpoint<C, P> {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, mut body) = request.into_parts();
@@ -370,4 +359,8 @@
             max_head_bytes: limits.max_header_bytes,
         }
     }
+
+    fn budget(&self) -> Option<&Budget> {
+        Some(&self.gateway.memory)
+    }
 }
--- a/src/gateway/lateness.rs
+++ b/src/gateway/lateness.rs
@@ -8,7 +8,7 @@
 
 use log::info;
 
-use super::Gateway;
+use super::{Gateway, bounds};
 use crate::clock::Clock;
 use crate::supervisor::Signal;
 use crate::util::within;
@@ -49,6 +49,7 @@
 /// Measures and records delays until `stop` is set.
 pub async fn run<C: Clock>(gateway: Rc<Gateway<C>>, stop: Signal) {
     let mut lateness = Lateness::default();
+    let mut reported_at = gateway.clock.now();
     while !stop.is_set() {
         let started = gateway.clock.now();
         within(SAMPLE_INTERVAL, stop.wait()).await;
@@ -58,5 +59,10 @@
         if let Some(late) = lateness.record(delay, now) {
             info!("event=timer_late late_ms={}", late.as_millis());
         }
+        // This task is woken anyway.
+        if now.duration_since(reported_at) >= LOG_INTERVAL_MIN {
+            reported_at = now;
+            bounds::report(&gateway);
+        }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod attempts;
+pub mod bounds;
 pub mod call;
 pub mod check;
 pub mod crash;
@@ -19,6 +20,7 @@
 pub mod followed;
 pub mod front;
 pub mod handover;
+pub mod intake;
 pub mod lateness;
 pub mod notice;
 pub mod pacing;
@@ -44,6 +46,7 @@
 use crate::clock::Clock;
 use crate::config::patch::{self, Patch};
 use crate::config::routes::Revision;
+use crate::http::budget::{self, Budget};
 use crate::http::problem::Reason;
 use crate::http::server;
 use crate::relay::handover::{LocalStreams, RemoteStreams};
@@ -116,6 +119,8 @@
     pub registry: RefCell<Registry<C>>,
     /// Retry budget.
     pub budget: RefCell<retry::Budget>,
+    /// Memory and connections that this process holds for callers.
+    pub memory: Budget,
     /// Parts of prompts that crash engines.
     pub quarantine: RefCell<Quarantine>,
     /// Requests that wait for an engine to begin, which end when a part of theirs is blocked.
@@ -182,6 +187,10 @@
                 settings.failure_domain.clone(),
             )),
             budget: RefCell::new(retry::Budget::new(settings.retries, process)),
+            memory: Budget::new(budget::Limits::of_process(
+                settings.memory_mb,
+                settings.max_fds,
+            )),
             quarantine: RefCell::new(Quarantine::new(process)),
             waiting: crash::Waiting::default(),
             metrics: Metrics::default(),
@@ -434,6 +443,7 @@
 
     /// Returns all metrics in the text format of OpenMetrics.
     pub fn metrics_text(&self) -> String {
+        bounds::report(self);
         self.metrics.set_watching(self.role.is_watching());
         let position = self.store_position.get().unwrap_or_default();
         self.metrics.set_store_era(position.era);
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,7 +1,10 @@
 //! Response bodies: complete ones, or chunks written with backpressure.
 
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
 
 use compio::bytes::Bytes;
 use futures_channel::{mpsc, oneshot};
@@ -14,6 +17,62 @@
 /// Number of chunks buffered for a slow reader; when it is reached, the writer waits.
 const BUFFERED_CHUNKS: usize = 16;
 
+/// Number of bytes in buffered chunks from which on the writer waits.
+const BUFFERED_BYTES: usize = 16 * 1024;
+
+/// Bytes in the chunks of a body that were not sent yet.
+#[derive(Debug, Default)]
+struct Unsent {
+    bytes: Cell<usize>,
+    writer: RefCell<Option<Waker>>,
+}
+
+impl Unsent {
+    fn add(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
+    fn subtract(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() - bytes);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        if let Some(writer) = self.writer.take() {
+            writer.wake();
+        }
+    }
+
+    /// Waits until there is room or the reader is gone.
+    async fn room(&self, reader: &oneshot::Sender<()>) {
+        poll_fn(|cx| {
+            if self.bytes.get() < BUFFERED_BYTES || reader.is_canceled() {
+                return Poll::Ready(());
+            }
+            self.writer.replace(Some(cx.waker().clone()));
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// The reader's side of a chunked body.
+#[derive(Debug)]
+pub struct Reader {
+    // Chunks not yet sent; `None` marks the end.
+    chunks: mpsc::Receiver<Option<Bytes>>,
+    // Dropped with the body, which tells the writer that the reader disconnected.
+    connected: Option<oneshot::Receiver<()>>,
+    unsent: Rc<Unsent>,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.connected.take();
+        self.unsent.wake();
+    }
+}
+
 /// A response body.
 #[derive(Debug)]
 pub enum Body {
@@ -21,10 +80,8 @@
     Full(Option<Bytes>),
     /// A body written by a [`Writer`].
     Chunks {
-        /// Chunks not yet sent; `None` marks the end.
-        receiver: mpsc::Receiver<Option<Bytes>>,
-        /// Dropped with the body, which tells the writer that the reader disconnected.
-        _reader: oneshot::Receiver<()>,
+        /// The chunks.
+        reader: Reader,
         /// Whether the writer was found to be dropped before the end.
         is_truncated: bool,
     },
@@ -61,6 +118,7 @@
 pub struct Writer {
     sender: mpsc::Sender<Option<Bytes>>,
     reader: oneshot::Sender<()>,
+    unsent: Rc<Unsent>,
 }
 
 /// The writer was dropped before the end of the body.
@@ -88,24 +146,36 @@
     /// Creates a body and the writer of its chunks.
     pub fn channel() -> (Writer, Self) {
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
-        let (reader, reader_side) = oneshot::channel();
+        let (reader, connected) = oneshot::channel();
+        let unsent = Rc::new(Unsent::default());
         let body = Self::Chunks {
-            receiver,
-            _reader: reader_side,
+            reader: Reader {
+                chunks: receiver,
+                connected: Some(connected),
+                unsent: unsent.clone(),
+            },
             is_truncated: false,
         };
-        (Writer { sender, reader }, body)
+        let writer = Writer {
+            sender,
+            reader,
+            unsent,
+        };
+        (writer, body)
     }
 }
 
 impl Writer {
-    /// Sends a chunk; waits while the buffer is full.
+    /// Sends a chunk; waits while the buffer is full. A single chunk may be longer than the buffer.
     ///
     /// # Errors
     /// [`Disconnected`] if the reader closed the connection.
     pub async fn send(&mut self, chunk: impl Into<Bytes>) -> Result<(), Disconnected> {
+        let chunk = chunk.into();
+        self.unsent.room(&self.reader).await;
+        self.unsent.add(chunk.len());
         self.sender
-            .send(Some(chunk.into()))
+            .send(Some(chunk))
             .await
             .map_err(|_| Disconnected)
     }
@@ -135,11 +205,13 @@
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Chunks {
-                receiver,
+                reader,
                 is_truncated,
-                ..
-            } => match ready!(Pin::new(receiver).poll_next(cx)) {
-                Some(Some(chunk)) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+            } => match ready!(Pin::new(&mut reader.chunks).poll_next(cx)) {
+                Some(Some(chunk)) => {
+                    reader.unsent.subtract(chunk.len());
+                    Poll::Ready(Some(Ok(Frame::data(chunk))))
+                }
                 Some(None) => Poll::Ready(None),
                 None if *is_truncated => Poll::Ready(Some(Err(Truncated))),
                 None => {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod backend;
 pub mod body;
+pub mod budget;
 pub mod client;
 pub mod completions;
 pub mod detach;
@@ -15,3 +16,4 @@
 pub mod server;
 pub mod socket;
 pub mod sse;
+pub mod unsent;
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -66,6 +66,8 @@
     CallerGone,
     /// The caller read too slowly for too long.
     SlowReader,
+    /// The memory or the connections of this host are used up.
+    Overloaded,
 }
 
 impl Reason {
@@ -91,6 +93,7 @@
             | Self::CrashingPrompt
             | Self::Leaving
             | Self::StoreUnavailable
+            | Self::Overloaded
             | Self::BackendUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -125,6 +128,7 @@
             Self::Timeout => "timeout",
             Self::CallerGone => "caller-gone",
             Self::SlowReader => "slow-reader",
+            Self::Overloaded => "overloaded",
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,9 +20,11 @@
 use log::warn;
 
 use super::body::Body;
+use super::budget::{Budget, Exhausted, OpenConnection};
 use super::fair::Fair;
 use super::idle::Idle;
 use super::socket::Socket;
+use super::unsent::Unsent;
 use crate::supervisor::Signal;
 use crate::util::within;
 
@@ -66,6 +69,11 @@
     fn limits(&self) -> Limits {
         Limits::default()
     }
+
+    /// Returns the budget that limits connections; `None` if they are not limited.
+    fn budget(&self) -> Option<&Budget> {
+        None
+    }
 }
 
 /// The requests that are running on this host.
@@ -138,9 +146,12 @@
             }
         };
         match accepted {
-            Ok((stream, _)) => {
-                let task = serve_connection(stream, service.clone(), stop.clone());
-                connections.push(compio::runtime::spawn(task));
+            Ok((stream, peer)) => {
+                // A connection that is refused is closed.
+                if let Ok(open) = admit(&*service, peer) {
+                    let task = serve_connection(stream, service.clone(), open, stop.clone());
+                    connections.push(compio::runtime::spawn(task));
+                }
             }
             Err(err) => {
                 warn!("event=accept_failed error={err:?}");
@@ -150,14 +161,24 @@
         }
     }
     // Callers have sent their requests on these connections before the listener closes.
-    while let Some(Ok((stream, _))) = within(ACCEPT_QUEUE_WAIT, listener.accept()).await {
-        let task = serve_connection(stream, service.clone(), stop.clone());
-        connections.push(compio::runtime::spawn(task));
+    while let Some(Ok((stream, peer))) = within(ACCEPT_QUEUE_WAIT, listener.accept()).await {
+        if let Ok(open) = admit(&*service, peer) {
+            let task = serve_connection(stream, service.clone(), open, stop.clone());
+            connections.push(compio::runtime::spawn(task));
+        }
     }
     drop(listener);
     while connections.next().await.is_some() {}
 }
 
+/// Adds a connection to the budget of the service, if it has one.
+fn admit<S: Service>(service: &S, peer: SocketAddr) -> Result<Option<OpenConnection>, Exhausted> {
+    let budget = service.budget();
+    budget
+        .map(|budget| budget.open(peer.ip(), Instant::now()))
+        .transpose()
+}
+
 /// Waits until a connection has ended; never returns if there are none.
 async fn next_ended<F: Future>(connections: &mut FuturesUnordered<F>) {
     if connections.next().await.is_none() {
@@ -165,7 +186,12 @@
     }
 }
 
-async fn serve_connection<S: Service>(stream: TcpStream, service: Rc<S>, stop: Signal) {
+async fn serve_connection<S: Service>(
+    stream: TcpStream,
+    service: Rc<S>,
+    open: Option<OpenConnection>,
+    stop: Signal,
+) {
     // Callers wait for each small frame, so Nagle's algorithm would only delay them.
     let _ = stream.set_nodelay(true);
     let limits = service.limits();
@@ -174,11 +200,20 @@
     };
     let has_chunks = Rc::new(Cell::new(true));
     let sets_chunks = has_chunks.clone();
-    let idle = Idle::new();
+    let key = open.as_ref().map(|open| open.key);
+    let budgeted = service.budget().cloned().zip(key);
+    let idle = Idle::new(budgeted.clone());
+    let closing = open.as_ref().map(|open| open.closing.clone());
+    let closing = closing.unwrap_or_default();
+    // A connection without a budget never has to close for others.
     let expired = pin!(idle.wait(|| service.limits().head_timeout));
+    let expired = pin!(select(expired, closing.wait()));
     let requests = idle.clone();
     let handled = service.clone();
-    let handler = service_fn(move |request: Request<Incoming>| {
+    let handler = service_fn(move |mut request: Request<Incoming>| {
+        if let Some(key) = key {
+            request.extensions_mut().insert(key);
+        }
         sets_chunks.set(request.version() > Version::HTTP_10);
         let service = handled.clone();
         // Boxed, as hyper keeps the memory of this future as long as the connection is open.
@@ -193,7 +228,10 @@
         // Its limit would be that of the time at which the connection was opened.
         .header_read_timeout(None)
         .max_buf_size(limits.max_head_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(Fair::new(Socket::new(socket)), handler);
+        .serve_connection(
+            Unsent::new(Fair::new(Socket::new(socket)), budgeted),
+            handler,
+        );
     let served = pin!(async move {
         let mut connection = pin!(connection);
         let stopped = pin!(stop.wait());
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -40,6 +40,13 @@
     outcome: &'static str,
 }
 
+/// A limit of the process and what was done there.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct BoundAction {
+    bound: &'static str,
+    action: &'static str,
+}
+
 /// A step of a request or of the process whose duration is measured.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Step {
@@ -78,6 +85,9 @@
     relayed: Family<Relayed, Counter>,
     feed_bytes: Family<Sent, Counter>,
     report_bytes: Family<Sent, Counter>,
+    bound_actions: Family<BoundAction, Counter>,
+    caller_memory: Gauge,
+    caller_connections: Gauge,
 }
 
 impl Default for Metrics {
@@ -118,6 +128,15 @@
         let engines_age = Gauge::default();
         let text = "Time since the engines were last confirmed";
         registry.register_with_unit("engines_age", text, unit(), engines_age.clone());
+        let bound_actions = Family::default();
+        let text = "Connections closed, and connections and requests refused, at a limit";
+        registry.register("bound_actions", text, bound_actions.clone());
+        let caller_memory = Gauge::default();
+        let text = "Memory that is charged for callers";
+        registry.register_with_unit("caller_memory", text, Unit::Bytes, caller_memory.clone());
+        let caller_connections = Gauge::default();
+        let text = "Open connections of callers";
+        registry.register("caller_connections", text, caller_connections.clone());
         Self {
             registry: Mutex::new(registry),
             decisions,
@@ -133,6 +152,9 @@
             relayed,
             feed_bytes,
             report_bytes,
+            bound_actions,
+            caller_memory,
+            caller_connections,
         }
     }
 }
@@ -179,6 +201,19 @@
         durations.observe(duration.as_secs_f64());
     }
 
+    /// Counts what was done at a limit of the process.
+    pub fn count_bound_actions(&self, bound: &'static str, action: &'static str, count: u64) {
+        let key = BoundAction { bound, action };
+        self.bound_actions.get_or_create(&key).inc_by(count);
+    }
+
+    /// Sets the memory in bytes and the connections that are held for callers.
+    pub fn set_caller_usage(&self, bytes: usize, connections: usize) {
+        let value = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.caller_memory.set(value(bytes));
+        self.caller_connections.set(value(connections));
+    }
+
     /// Sets the version of the active configuration.
     pub fn set_revision(&self, version: u64) {
         self.revision_version
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -13,9 +13,10 @@
 
 use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
 use serde_json::{Value, json};
+use support::TEST_TIMEOUT;
 use support::platform::{
     API_KEY, Engine, Gateway, Message, Store, config, exchange, ok, registration, request,
-    settings, wait_for,
+    settings, start_gateway, wait_for,
 };
 
 /// Limits of the gateway process.
@@ -308,3 +309,22 @@
         stream.shutdown(Shutdown::Both).unwrap();
     }
 }
+
+/// Guards against a body that stands still and keeps its connection and memory until the deadline, which
+/// its caller chooses.
+#[test]
+fn a_body_that_stands_still_is_refused() {
+    let _alone = alone();
+    let engine = Engine::start("i-1", |_| ok());
+    let mut config = crowd_config();
+    config["limits"]["idle-timeout-ms"] = json!(500);
+    let entry = registration(&engine.address, "app", "fd-a");
+    let (_store, gateway) = start_gateway(config, &[("i-1", entry)]);
+    let mut stream = TcpStream::connect(&gateway.process.address).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    stream.write_all(&unfinished(1, 10, 1)).unwrap();
+    let answer = Message::read(&mut BufReader::new(&stream)).expect("a refusal");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(engine.request_count(), 0);
+}
