--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -7,9 +7,7 @@
 use std::time::Instant;
 
 use compact_str::CompactString;
-use compio::bytes::Bytes;
 use futures_util::future::{Either, select};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
@@ -17,19 +15,20 @@
 
 use super::Gateway;
 use super::call::{Call, InvalidHead};
+use super::intake::Account;
 use super::protocol::Protocol;
 use super::refusal::{RETRY_AFTER_SHORT, Refusal};
 use super::request::AdmittedRequest;
-use super::{crash, digest, plain, stream};
+use super::{crash, digest, intake, plain, stream};
 use crate::clock::Clock;
 use crate::config::routes::{Denied, Limits, Revision, Route};
 use crate::http::body::Body;
-use crate::http::detach::{detach_body, detach_headers};
+use crate::http::budget::{Budget, ConnectionKey};
+use crate::http::detach::detach_headers;
 use crate::http::linger;
 use crate::http::problem::Reason;
 use crate::http::server;
 use crate::report::trace::Trace;
-use crate::util::within;
 
 /// The HTTP service on the address for callers.
 pub struct Endpoint<C: Clock, P> {
@@ -117,7 +116,19 @@
         };
         let (route, team) = self.find_route(&revision, &head, &call)?;
         let deadline = arrived_at + call.timeout.min(route.timeout);
-        let reading = pin!(read_body(&revision, body, deadline, arrived_at));
+        let account = match head.extensions.get::<ConnectionKey>() {
+            Some(key) => {
+                let team = team.map(|team| &team.name);
+                Some(Account::admit(&gateway.memory, *key, team, arrived_at)?)
+            }
+            None => None,
+        };
+        let limits = intake::Limits {
+            bytes_max: revision.limits.max_body_bytes,
+            idle_timeout: revision.limits.idle_timeout,
+            deadline,
+        };
+        let reading = pin!(intake::read_body(body, limits, account, &gateway.clock));
         let body = match select(reading, gateway.ending.wait()).await {
             Either::Left((body, _)) => body?,
             Either::Right(_) => return Err(gateway.leaving_refusal()),
@@ -132,7 +143,7 @@
             path_and_query,
             key: call.key.as_deref(),
             headers: &headers,
-            body: &body,
+            body: &body.bytes,
         };
         let digest = request.digest::<P>();
         Ok(AdmittedRequest {
@@ -141,7 +152,8 @@
             prompt: call.prompt(digest),
             path_and_query: path_and_query.into(),
             headers,
-            body: detach_body(body),
+            body: body.bytes,
+            reservation: body.reservation,
             memory_tokens: service_settings.map_or(0, |settings| settings.kv_capacity_tokens),
             has_replicas: service_settings.is_some_and(|settings| settings.has_replicas),
             service,
@@ -206,32 +218,6 @@
     Refusal::permanent(Reason::BadRequest, err.to_string())
 }
 
-async fn read_body(
-    revision: &Revision,
-    body: &mut Incoming,
-    deadline: Instant,
-    now: Instant,
-) -> Result<Bytes, Refusal> {
-    let limit = revision.limits.max_body_bytes;
-    let reading = Limited::new(body, limit).collect();
-    match within(deadline.saturating_duration_since(now), reading).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            let detail = format!("the body is longer than {limit} bytes; shorten it");
-            Err(Refusal::permanent(Reason::PromptTooLong, detail))
-        }
-        Some(Err(_)) => Err(Refusal::permanent(
-            Reason::BadRequest,
-            "the body is truncated or malformed; send it again",
-        )),
-        None => Err(Refusal::not_run(
-            Reason::NoEngine,
-            "the body did not arrive in time; send it again",
-            RETRY_AFTER_SHORT,
-        )),
-    }
-}
-
 impl<C: Clock, P: Protocol> server::Service for Endpoint<C, P> {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, mut body) = request.into_parts();
@@ -294,4 +280,8 @@
             max_head_bytes: limits.max_header_bytes,
         }
     }
+
+    fn budget(&self) -> Option<&Budget> {
+        Some(&self.gateway.memory)
+    }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! A request that may be sent to an engine.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use compact_str::CompactString;
@@ -8,6 +9,7 @@
 use hyper::header::HeaderMap;
 
 use super::call::Call;
+use super::intake::Reservation;
 use crate::config::routes::Route;
 use crate::report::trace::Trace;
 use crate::route::prompt::Prompt;
@@ -29,6 +31,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Memory that the body is charged for.
+    pub reservation: Rc<Reservation>,
     /// Route that the host and path select.
     pub route: Route,
     /// Service chosen among the targets of the route.
