Take an unframed answer for broken where the upload was not sent

What callers saw: a part of a 200 without a length as a complete answer or a complete stream, where the engine had ended its side of the connection in order and then reset it while the upload was being sent.

Cause: an unframed body ends with its connection, and a read reports an orderly end without the reset behind it. Nothing looked at whether the request had left at all.

Change: the socket notes whether the last write left bytes unsent when a read reports the end. A successful response whose end is that of its connection is then broken off, and is retried or resumed as before. A body with only transfer encodings other than chunked counts as unframed. Failures stay as they are, as an engine may refuse an upload early.

Why it works: an engine that did not take the whole request cannot have answered it; one that did has been sent every byte before it ends.

A write that takes the error of a reset was not seen to hide it from the reader: hyper ends the body with the error of the write.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -10,13 +10,13 @@
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response};
 
 use super::fair::Fair;
-use super::socket::Socket;
+use super::socket::{EarlyEnd, Socket};
 use crate::util::within;
 
 /// Why a request got no response.
@@ -53,6 +53,9 @@
     /// The connection failed before the end.
     #[error("the body broke off: {0}")]
     Broken(#[from] hyper::Error),
+    /// The connection, whose end is that of the body, ended while the request was still being sent.
+    #[error("the server closed the connection before it was sent the whole request")]
+    EarlyEnd,
     /// The body is longer than the limit, and perhaps endless.
     #[error("the body is longer than {limit} bytes; raise the limit or shorten the response")]
     TooLong {
@@ -83,6 +86,9 @@
     /// Status and headers.
     pub head: Response<()>,
     body: Incoming,
+    /// Set for a successful response whose end is that of its connection: where the connection ended
+    /// before the request was sent, the body may be a part.
+    early_end: Option<EarlyEnd>,
     _connection: JoinHandle<()>,
 }
 
@@ -90,17 +96,21 @@
     /// Combines a response with the connection it arrives on.
     pub fn new(response: Response<Incoming>, connection: Connection) -> Self {
         let (parts, body) = response.into_parts();
+        let head = Response::from_parts(parts, ());
+        let has_end = is_framed(&head) || body.is_end_stream();
+        // A failure may be reported before the whole request has arrived.
+        let needs_request = head.status().is_success() && !has_end;
         Self {
-            head: Response::from_parts(parts, ()),
+            head,
             body,
+            early_end: needs_request.then_some(connection.early_end),
             _connection: connection.task,
         }
     }
 
     /// Returns whether the head says where the body ends. Otherwise it ends with its connection.
     pub fn is_framed(&self) -> bool {
-        let headers = self.head.headers();
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+        is_framed(&self.head)
     }
 
     /// Drops the headers, which hold the read buffer that they arrived in.
@@ -112,13 +122,16 @@
     ///
     /// # Errors
     /// The connection failed before the end of the body.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         while let Some(frame) = self.body.frame().await {
             if let Ok(data) = frame?.into_data() {
                 return Ok(Some(data));
             }
         }
-        Ok(None)
+        match self.early_end.as_ref().is_some_and(EarlyEnd::is_set) {
+            true => Err(BodyError::EarlyEnd),
+            false => Ok(None),
+        }
     }
 
     /// Reads the rest of the body.
@@ -149,6 +162,20 @@
     }
 }
 
+fn is_framed(head: &Response<()>) -> bool {
+    let headers = head.headers();
+    headers.contains_key(CONTENT_LENGTH) || is_chunked(headers)
+}
+
+/// Returns whether the body is sent in chunks; one with only other transfer encodings has no end of
+/// its own.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let mut lines = headers.get_all(TRANSFER_ENCODING).iter();
+    let last = lines.next_back().map(|line| line.as_bytes());
+    let last = last.and_then(|line| line.rsplit(|byte| *byte == b',').next());
+    last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Size of the read buffer of a connection, which bounds the head of a response and the memory that a
 /// server takes which sends bytes without end.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -158,6 +185,7 @@
 pub struct Connection {
     address: String,
     sender: http1::SendRequest<Full<Bytes>>,
+    early_end: EarlyEnd,
     task: JoinHandle<()>,
 }
 
@@ -191,9 +219,11 @@
         let socket = stream
             .into_poll_fd()
             .map_err(|err| unsent(err.to_string()))?;
+        let socket = Socket::new(socket);
+        let early_end = socket.early_end();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(Fair::new(Socket::new(socket)))
+            .handshake(Fair::new(socket))
             .await
             .map_err(|err| unsent(err.to_string()))?;
         let task = compio::runtime::spawn(async move {
@@ -202,6 +232,7 @@
         Ok(Self {
             address: address.into(),
             sender,
+            early_end,
             task,
         })
     }
