Give up answers whose status is none of HTTP

What callers saw: answers with status 101, 600, 799 or 999, with the engine's seal. A caller that gets 101 no longer reads HTTP on the connection, and the other codes are in no client's tables.

Cause: the HTTP library takes any three digits from 100 on, and the gateway forwarded a response that is neither a success nor a refusal.

Change: a response with a status outside of 200 to 599 counts as lost, in the client that all processes use. The request is retried as after any lost answer, and gets 502 without the seal where it may not be. Nothing of such a head is used, so it promises nothing either.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -4,6 +4,7 @@
 //! may have failed silently, and only with a new connection is it known whether any byte of a request
 //! can have reached the server.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use compio::bytes::Bytes;
@@ -180,6 +181,10 @@
 /// server takes which sends bytes without end.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Status codes of a response (RFC 9110, section 15). The library takes those up to 999, and 101 for
+/// a change of the protocol, which is never asked for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// An open connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -255,7 +260,14 @@
             cause: err.to_string(),
         };
         self.sender.ready().await.map_err(failed)?;
-        self.sender.send_request(request).await.map_err(failed)
+        let response = self.sender.send_request(request).await.map_err(failed)?;
+        if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+            return Err(Error::Response {
+                address: self.address.clone(),
+                cause: format!("status {} is none of HTTP", response.status().as_u16()),
+            });
+        }
+        Ok(response)
     }
 }
 
--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -1,5 +1,5 @@
-//! Engines that answer while the request is still being sent to them, with real processes and
-//! connections.
+//! Engines that answer while the request is still being sent to them, or with a status line that no
+//! client reads, with real processes and connections.
 
 mod support;
 
@@ -194,3 +194,54 @@
         );
     }
 }
+
+/// Status lines that are no answer in the protocol.
+const STATUS_LINES: [&str; 16] = [
+    "HTTP/1.1 000 x",
+    "HTTP/1.1 099 x",
+    "HTTP/1.1 101 x",
+    "HTTP/1.1 600 x",
+    "HTTP/1.1 799 x",
+    "HTTP/1.1 999 x",
+    "HTTP/1.1 20 x",
+    "HTTP/1.1 2000 x",
+    "HTTP/1.1 abc x",
+    "HTTP/1.1 -20 x",
+    "HTTP/1.1  200 x",
+    "HTTP/1.1",
+    "HTTP/2.0 200 x",
+    "HTTP/0.9 200 x",
+    "HTTP/1.2 200 x",
+    "ICY 200 x",
+];
+
+/// Guards against an answer with a status that no client knows, or none, that is passed on.
+#[test]
+fn a_status_line_outside_of_the_protocol_is_no_answer() {
+    let address = start_engine(|stream, id| {
+        let mut parts = id.split('-').skip(1);
+        let line = STATUS_LINES[parts.next().unwrap().parse::<usize>().unwrap()];
+        let head = UNFRAMED.replace("HTTP/1.1 200 x", line).replace("ID", id);
+        let head = match parts.next().unwrap() {
+            "unframed" => head + &event(1),
+            _ => head.replace("\r\n\r\n", "\r\ncontent-length: 4\r\n\r\n") + "part",
+        };
+        let _ = stream.read_exact(&mut [0; SHORT_UPLOAD_BYTES]);
+        let _ = stream.write_all(head.as_bytes());
+    });
+    let (_store, gateway) = start(&address);
+    let mut wrong = Vec::new();
+    for (number, line) in STATUS_LINES.iter().enumerate() {
+        for framing in ["unframed", "framed"] {
+            for path in ["/once/x", "/any/x", "/stream/x"] {
+                let id = format!("r-{number}-{framing}-{}", &path[1..4]);
+                let answer = call(&gateway, path, &id, SHORT_UPLOAD_BYTES);
+                let is_sealed = answer.header("x-bilberrypost-response-seal").is_some();
+                if answer.status() != 502 || is_sealed {
+                    wrong.push((path, line, framing, answer.first_line));
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "passed on: {wrong:#?}");
+}
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -96,8 +96,9 @@
 /// an engine sends bytes without end in any part of a response.
 #[test]
 fn endless_bytes_of_an_engine_end_in_time() {
-    let cases: [(&str, &'static str, &'static [u8]); 6] = [
+    let cases: [(&str, &'static str, &'static [u8]); 7] = [
         ("status line", "HTTP/1.1 200 ", b"x"),
+        ("informational responses", "", b"HTTP/1.1 102 x\r\n\r\n"),
         ("head", HEAD, b"x-more: and more\r\n"),
         ("chunk header", CHUNKED, b"0"),
         ("trailer", TRAILERS, b"x-more: and more\r\n"),
