Seal the reports between gateways where a key is set

Cause: a host used each readable datagram on its port. A stranger's could add hosts, load, losses, crashed prompts and a newer configuration.

Change: peer_key and previous_peer_key in the settings of a gateway. With a key, each report ends with a truncated HMAC-SHA256 of the sender's address and the report (peer/seal.rs); the keys and the MAC are those of peer/auth.rs. A report without a valid seal, of another sender, or not newer than the sender's last one changes nothing, and is logged and counted. Without a key the datagrams stay as they are. `check` names a key that is too short, and a previous key without a current one.

A test with two processes in the middle of a rotation: they hear each other, and 2 datagrams of a stranger each are refused and change nothing.

Not done: calls between gateways over TCP have no key; hosts with a key do not hear those without while the first key is introduced.

--- a/src/config/host.rs
+++ b/src/config/host.rs
@@ -243,7 +243,11 @@
     Ok(Some(text.trim_end_matches('/').into()))
 }
 
-pub(super) fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
+/// Reads a key; `None` if it is not set.
+///
+/// # Errors
+/// The key is too short.
+pub(crate) fn secret(section: &Section<'_>, name: &str) -> Result<Option<Secret>, Error> {
     let Some(text) = section.text(name) else {
         return Ok(None);
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 use crate::config::routes::Revision;
 use crate::http::problem::Reason;
 use crate::http::server;
+use crate::peer::auth::Keys;
 use crate::relay::handover::{LocalStreams, RemoteStreams};
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
@@ -88,6 +89,8 @@
     /// Own address for messages between gateways, and the addresses of the seeds, which are the
     /// first gateways to contact. `None` without peers.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// Keys that prove the sender of a report; `None` if reports of any sender are used.
+    pub peer_keys: Option<Keys>,
     /// Address of the store, `IP:PORT`.
     pub store: CompactString,
     /// Time after the request to stop at which the process is killed.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,9 +25,10 @@
 use crate::http::client::post_json;
 use crate::http::pool::Pool;
 use crate::peer::newer::Newer;
-use crate::peer::report::{self, EngineHash, Report, Summary};
+use crate::peer::report::{EngineHash, Report, Summary};
 use crate::peer::roster::{REPRESENTATIVES, Roster};
 use crate::peer::schedule::Schedule;
+use crate::peer::seal::{self, Verifier};
 use crate::relay::handover;
 use crate::route::evidence::Evidence;
 use crate::route::losses::{Finder, Loss};
@@ -61,11 +62,13 @@
     stop: Signal,
 ) {
     let socket = Rc::new(socket);
+    let (sender, mut reports) = futures_channel::mpsc::unbounded();
+    let receiver = compio::runtime::spawn(receive(gateway.clone(), socket.clone(), sender));
     let domain = gateway.settings.failure_domain.clone();
     let mut peers = Peers {
         own_address: address,
         roster: Roster::new(address, domain, seeds),
-        socket: socket.clone(),
+        socket,
         gateway,
         directory,
         pool: Rc::default(),
@@ -83,8 +86,6 @@
         summarized_evidence: 0,
         has_urgent_summary: false,
     };
-    let (sender, mut reports) = futures_channel::mpsc::unbounded();
-    let receiver = compio::runtime::spawn(receive(socket, sender));
     while !stop.is_set() {
         within(TICK, stop.wait()).await;
         while let Ok((from, report)) = reports.try_recv() {
@@ -99,11 +100,13 @@
     peers.fetches.cancel().await;
 }
 
-async fn receive(
+async fn receive<C: Clock>(
+    gateway: Rc<Gateway<C>>,
     socket: Rc<UdpSocket>,
     reports: futures_channel::mpsc::UnboundedSender<(SocketAddr, Report)>,
 ) {
-    let mut buffer = Vec::with_capacity(report::BYTES_MAX);
+    let mut verifier = Verifier::new(gateway.settings.peer_keys.clone());
+    let mut buffer = Vec::with_capacity(seal::BYTES_MAX);
     loop {
         buffer.clear();
         let compio::BufResult(result, filled) = socket.recv_from(buffer).await;
@@ -112,12 +115,18 @@
             compio::time::sleep(TICK).await;
             continue;
         };
-        let report = match Report::decode(&buffer[..length]) {
+        let now_ms = unix_ms(gateway.clock.wall());
+        let report = match verifier.open(from, &buffer[..length], now_ms) {
             Ok(report) => report,
-            Err(err) => {
+            Err(seal::Error::Unreadable(err)) => {
                 info!("event=report_unreadable peer={from} error={err:?}");
                 continue;
             }
+            Err(err) => {
+                gateway.metrics.count_decision("report", "refused");
+                info!("event=report_refused peer={from} error={err:?}");
+                continue;
+            }
         };
         if reports.unbounded_send((from, report)).is_err() {
             return;
@@ -477,10 +486,14 @@
             true => "report",
             false => "summary",
         };
-        let bytes = match report.encode() {
-            Ok(bytes) => Bytes::from(bytes),
+        let mut bytes = match report.encode() {
+            Ok(bytes) => bytes,
             Err(err) => return warn!("event=report_unsent error={err:?}"),
         };
+        if let Some(keys) = &self.gateway.settings.peer_keys {
+            seal::seal(keys, self.own_address, &mut bytes);
+        }
+        let bytes = Bytes::from(bytes);
         let total = (bytes.len() * targets.len()) as u64;
         self.gateway.metrics.count_report_bytes(content, total);
         for target in targets {
--- a/src/peer/auth.rs
+++ b/src/peer/auth.rs
@@ -21,8 +21,46 @@
 /// small that every host sends continuously.
 const AUTH_HEADER: &str = "x-auth";
 
-/// Length of the truncated MAC; 128 bits cannot be guessed.
-const MAC_BYTES: usize = 16;
+/// Length of a truncated MAC; 128 bits cannot be guessed.
+pub const MAC_BYTES: usize = 16;
+
+/// Keys that hosts of one fleet share: the one to sign with, and during a rotation another one, which
+/// is accepted too.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    key: Secret,
+    previous_key: Option<Secret>,
+}
+
+impl Keys {
+    /// Creates the keys of a host.
+    pub fn new(key: Secret, previous_key: Option<Secret>) -> Self {
+        Self { key, previous_key }
+    }
+
+    /// Returns the MAC of a message, given in parts whose lengths follow from the message.
+    pub fn sign(&self, parts: &[&[u8]]) -> [u8; MAC_BYTES] {
+        let whole = mac(&self.key, parts).finalize().into_bytes();
+        let mut truncated = [0; MAC_BYTES];
+        truncated.copy_from_slice(&whole[..MAC_BYTES]);
+        truncated
+    }
+
+    /// Returns whether a MAC of this message was made with one of the keys.
+    pub fn is_valid(&self, parts: &[&[u8]], received_mac: &[u8; MAC_BYTES]) -> bool {
+        let mut keys = std::iter::once(&self.key).chain(&self.previous_key);
+        keys.any(|key| mac(key, parts).verify_truncated_left(received_mac).is_ok())
+    }
+}
+
+fn mac(key: &Secret, parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac =
+        Hmac::<Sha256>::new_from_slice(key.expose()).expect("HMAC accepts keys of any length");
+    for part in parts {
+        mac.update(part);
+    }
+    mac
+}
 
 /// Why a message was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -45,8 +83,7 @@
 #[derive(Debug)]
 pub struct Authenticator<C: Clock> {
     clock: C,
-    key: Secret,
-    previous_key: Option<Secret>,
+    keys: Keys,
     // Invariant: contains the time and nonce of each accepted message that is not yet too old.
     accepted: RefCell<BTreeSet<(u64, u64)>>,
 }
@@ -57,8 +94,7 @@
     pub fn new(clock: C, key: Secret, previous_key: Option<Secret>) -> Self {
         Self {
             clock,
-            key,
-            previous_key,
+            keys: Keys::new(key, previous_key),
             accepted: RefCell::default(),
         }
     }
@@ -66,12 +102,10 @@
     /// Adds the authentication header for `body`.
     pub fn sign(&self, headers: &mut HeaderMap, body: &[u8]) {
         let time_ms = unix_ms(self.clock.wall());
-        let nonce = rand::random();
-        let mac = mac(&self.key, time_ms, nonce, body).finalize().into_bytes();
-        let hex: String = mac[..MAC_BYTES]
-            .iter()
-            .map(|byte| format!("{byte:02x}"))
-            .collect();
+        let nonce: u64 = rand::random();
+        let signed = (time_ms.to_le_bytes(), nonce.to_le_bytes());
+        let mac = self.keys.sign(&[&signed.0, &signed.1, body]);
+        let hex: String = mac.iter().map(|byte| format!("{byte:02x}")).collect();
         if let Ok(value) = HeaderValue::from_str(&format!("{time_ms:x}-{nonce:x}-{hex}")) {
             headers.insert(AUTH_HEADER, value);
         }
@@ -86,11 +120,9 @@
             .get(AUTH_HEADER)
             .and_then(|value| value.to_str().ok());
         let (time_ms, nonce, received_mac) = value.and_then(parse_header).ok_or(Error::Missing)?;
-        let is_valid = |key: &Secret| {
-            let mac = mac(key, time_ms, nonce, body);
-            mac.verify_truncated_left(&received_mac).is_ok()
-        };
-        if !is_valid(&self.key) && !self.previous_key.as_ref().is_some_and(is_valid) {
+        let signed = (time_ms.to_le_bytes(), nonce.to_le_bytes());
+        let parts: [&[u8]; 3] = [&signed.0, &signed.1, body];
+        if !self.keys.is_valid(&parts, &received_mac) {
             return Err(Error::Forged);
         }
         let now_ms = unix_ms(self.clock.wall());
@@ -116,14 +148,5 @@
     Some((time_ms, nonce, mac.to_be_bytes()))
 }
 
-fn mac(key: &Secret, time_ms: u64, nonce: u64, body: &[u8]) -> Hmac<Sha256> {
-    let mut mac =
-        Hmac::<Sha256>::new_from_slice(key.expose()).expect("HMAC accepts keys of any length");
-    mac.update(&time_ms.to_le_bytes());
-    mac.update(&nonce.to_le_bytes());
-    mac.update(body);
-    mac
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,5 +1,5 @@
 //! Messages between routers: JSON-RPC over HTTP, authenticated with the key from the settings.
-//! Gateways exchange datagrams instead (`report`).
+//! Gateways exchange datagrams instead (`report`, `seal`).
 
 pub mod auth;
 pub mod client;
@@ -8,6 +8,7 @@
 pub mod representatives;
 pub mod roster;
 pub mod schedule;
+pub mod seal;
 pub mod server;
 
 use compact_str::CompactString;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -5,8 +5,10 @@
 
 use compact_str::CompactString;
 
+use crate::config::host::secret;
 use crate::config::ini::{Error, File, Section};
 use crate::gateway::Settings;
+use crate::peer::auth::Keys;
 use crate::sched::retry;
 
 const SETTINGS: &[&str] = &[
@@ -16,6 +18,8 @@
     "ready_listen",
     "seeds",
     "ports",
+    "peer_key",
+    "previous_peer_key",
     "store",
     "fail_closed",
     "drain_limit_s",
@@ -78,6 +82,19 @@
     }
 }
 
+/// Reads the keys that prove the sender of a message between gateways; `None` if there are none.
+fn peer_keys(section: &Section<'_>) -> Result<Option<Keys>, Error> {
+    let previous_key = secret(section, "previous_peer_key")?;
+    match secret(section, "peer_key")? {
+        Some(key) => Ok(Some(Keys::new(key, previous_key))),
+        None if previous_key.is_some() => {
+            let message = "previous_peer_key is set without peer_key; add peer_key = …";
+            Err(section.error("previous_peer_key", message))
+        }
+        None => Ok(None),
+    }
+}
+
 /// Reads the `[platform]` section of a settings file; `None` if the file has none.
 ///
 /// # Errors
@@ -111,6 +128,7 @@
         listen: address("listen")?,
         ready_listen: address("ready_listen")?,
         peers: peer_addresses(&section)?,
+        peer_keys: peer_keys(&section)?,
         store: address("store")?,
         drain_limit: seconds("drain_limit_s", 8.0)?,
         link_mbps: link_mbps(&section)?,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,10 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use bilberrypost::peer::report::{BYTES_MAX, Report};
+use bilberrypost::config::host::Secret;
+use bilberrypost::peer::auth::Keys;
+use bilberrypost::peer::report::Report;
+use bilberrypost::peer::seal::{BYTES_MAX, seal};
 use serde_json::json;
 use support::platform::{
     API_KEY, End, Engine, Gateway, Message, Mode, PEER_PORT, Reaction, Store, config, empty_report,
@@ -557,6 +560,52 @@
     );
 }
 
+/// Guards against a datagram of a stranger that is used although the hosts share a key, and against
+/// hosts that do not hear each other while that key is rotated.
+#[test]
+fn reports_without_the_key_of_the_hosts_change_nothing() {
+    let app = Engine::start("i-1", |_| ok());
+    let store = Store::with(config(3), &registrations(&[(&app, "app", "fd-a")]));
+    let [one, two, stranger] = own_ips();
+    let start = |ip: &str, keys: &str| {
+        let more = format!("seeds = {one}:1\nports = {PEER_PORT},{PEER_PORT}\n{keys}");
+        let settings = settings(&store.address, &more);
+        Gateway::start(&settings.replace("127.0.0.1:0", &format!("{ip}:0")))
+    };
+    let old = "key-before-the-rotation";
+    let rotated = format!("peer_key = key-after-the-rotation\nprevious_peer_key = {old}");
+    let prepared = format!("peer_key = {old}\nprevious_peer_key = key-after-the-rotation");
+    let hosts = [start(&one, &rotated), start(&two, &prepared)];
+    let known = |host: &Gateway| host.metric("bilberrypost_hosts");
+    let hear_each_other = || hosts.iter().all(|host| known(host) == Some(2.0));
+    wait_for("the other host", hear_each_other);
+    let socket = std::net::UdpSocket::bind((stranger.as_str(), PEER_PORT)).unwrap();
+    let listed = (1..=30).map(|n| std::net::IpAddr::from([127, 0, 1, n]));
+    let report = Report {
+        number: u64::MAX,
+        is_question: true,
+        hosts: [("fd-z".into(), listed.collect())].into(),
+        ..empty_report("fd-z")
+    };
+    let mut other_key = report.encode().unwrap();
+    let keys = Keys::new(Secret::new("key-of-another-fleet"), None);
+    seal(&keys, socket.local_addr().unwrap(), &mut other_key);
+    for datagram in [report.encode().unwrap(), other_key] {
+        for ip in [&one, &two] {
+            socket.send_to(&datagram, (ip.as_str(), PEER_PORT)).unwrap();
+        }
+    }
+    let refused = "bilberrypost_decisions_total{decision=\"report\",outcome=\"refused\"}";
+    for host in &hosts {
+        wait_for("refused datagrams", || host.metric(refused) == Some(2.0));
+    }
+    // Longer than the time between two reports, after which the list of hosts is updated.
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(hear_each_other());
+    socket.set_nonblocking(true).unwrap();
+    assert!(socket.recv(&mut [0; BYTES_MAX]).is_err(), "an answer");
+}
+
 /// Guards against a prompt that is prefilled again when the caller continues a stream at another
 /// host, although an engine holds a replica of the run.
 #[test]
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -775,6 +775,7 @@
         listen: address.clone(),
         ready_listen: address.clone(),
         peers: None,
+        peer_keys: None,
         store: address,
         drain_limit: Duration::from_secs(8),
         is_fail_closed: false,
