Refuse at once what exceeds the capacity of services with few slots

Cause: a service that has lost engines is called through more hosts than it has slots. No host sees the overload on its own connections in time, so the queues of the engines that are left fill, all answers are late, and retries take further slots. Change: hosts report what they send to services without prompts and how long the engines take to answer. Each host decides by the rates of the fleet whether to send a request or to refuse it before the first attempt: by rank, team, and class. Window counts sums of any type, as rates need it.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! gateway knows no header or document by name: the [`protocol`] traits, which an adapter
 //! implements, translate them.
 
+pub mod admission;
 pub mod attempt;
 pub mod attempts;
 pub mod call;
@@ -54,6 +55,7 @@
 use crate::report::trace::Sampler;
 use crate::route::quarantine::Quarantine;
 use crate::route::registry::Registry;
+use crate::sched::admission::Controller;
 use crate::sched::retry;
 use crate::supervisor::{Group, Signal};
 use documents::Documents;
@@ -115,6 +117,12 @@
     pub registry: RefCell<Registry<C>>,
     /// Retry budget.
     pub budget: RefCell<retry::Budget>,
+    /// Admission to services with few slots.
+    pub admission: RefCell<Controller>,
+    /// Episodes of refusals by that, for the log.
+    pub overloads: RefCell<admission::Overloads>,
+    /// Timeouts of the callers of each route.
+    pub caller_timeouts: RefCell<AnswerTimes>,
     /// Parts of prompts that crash engines.
     pub quarantine: RefCell<Quarantine>,
     /// Requests that wait for an engine to begin, which end when a part of theirs is blocked.
@@ -181,6 +189,9 @@
                 settings.failure_domain.clone(),
             )),
             budget: RefCell::new(retry::Budget::new(settings.retries, process)),
+            admission: RefCell::default(),
+            overloads: RefCell::default(),
+            caller_timeouts: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(process)),
             waiting: crash::Waiting::default(),
             metrics: Metrics::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -33,6 +33,7 @@
 use crate::route::load::EngineHash;
 use crate::route::losses::{Finder, Loss};
 use crate::route::reports::Source;
+use crate::sched::demand::Counts;
 use crate::supervisor::{Group, Signal};
 use crate::util::{unix_ms, within};
 
@@ -201,6 +202,8 @@
         if registry.set_report(source.clone(), report.number, report.usages) {
             let mut budget = self.gateway.budget.borrow_mut();
             budget.record_report(source, report.process, 1, report.retries, now);
+            let mut admission = self.gateway.admission.borrow_mut();
+            admission.record_counts(&report.counts, now);
         }
         drop(registry);
         self.record_losses(&report.losses, Finder::Peer, from);
@@ -260,6 +263,8 @@
             let (hosts, retries) = (summary.retrying_hosts, summary.retries.clone());
             let mut budget = self.gateway.budget.borrow_mut();
             budget.record_report(source, summary.process, hosts, retries, now);
+            let mut admission = self.gateway.admission.borrow_mut();
+            admission.record_summary(&summary.counts, now);
         }
         drop(registry);
         self.has_urgent_summary |= self.record_losses(&summary.losses, Finder::Remote, from);
@@ -350,6 +355,12 @@
             let registry = self.gateway.registry.borrow();
             (registry.own_usages(), registry.losses().own(now))
         };
+        // Counts are reported once, so only to all recipients.
+        let is_broadcast = self.last_report.is_some_and(|(at, _)| at == now);
+        let counts = match is_broadcast {
+            true => self.gateway.admission.borrow_mut().take_counts(),
+            false => Counts::default(),
+        };
         let retries = self.gateway.budget.borrow_mut().own_usages(now);
         let evidence = self.gateway.quarantine.borrow().own(now);
         let report = Report {
@@ -357,11 +368,13 @@
             losses,
             evidence,
             retries,
+            counts,
             streams: self.streams_to_report(),
             ..self.empty_report(now)
         };
         let question = Report {
             is_question: true,
+            counts: Counts::default(),
             ..report.clone()
         };
         self.send(report, &targets).await;
@@ -382,8 +395,11 @@
             || evidence_version != self.summarized_evidence;
         if !self.roster.has_indirect_hosts()
             || local_representatives.first() != Some(&self.own_address)
-            || !self.schedule.is_due(is_urgent, now)
         {
+            self.gateway.admission.borrow_mut().clear_joint_counts();
+            return;
+        }
+        if !self.schedule.is_due(is_urgent, now) {
             return;
         }
         self.schedule.record(is_urgent, now);
@@ -407,6 +423,7 @@
             usages: self.gateway.registry.borrow().joint_usages(),
             retrying_hosts,
             retries,
+            counts: self.gateway.admission.borrow_mut().take_joint_counts(),
             losses: self.gateway.registry.borrow().losses().joint(now),
             evidence: self.gateway.quarantine.borrow().joint(now),
         };
@@ -457,6 +474,7 @@
                 .collect(),
             usages: Vec::new(),
             retries: Vec::new(),
+            counts: Counts::default(),
             losses: Vec::new(),
             removals: self.gateway.registry.borrow().recent_removals(),
             evidence: Evidence::default(),
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 
 use super::Gateway;
+use super::admission;
 use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::failover::Failover;
@@ -46,6 +47,7 @@
     gateway: &Rc<Gateway<C>>,
     admitted: &AdmittedRequest,
 ) -> Result<Response<Body>, Refusal> {
+    admission::admit(gateway, admitted)?;
     let mut attempts = Attempts::new(gateway, admitted.service.clone());
     // The last failure that an engine reported. It is forwarded if no other attempt succeeds.
     let mut failure = None;
@@ -75,6 +77,9 @@
         let mut answer_times = gateway.answer_times.borrow_mut();
         answer_times.record(&admitted.service, taken, now);
         drop(answer_times);
+        if result.is_ok() {
+            admission::record_answer(gateway, admitted, engine, taken);
+        }
         match result {
             Ok((response, true)) => {
                 attempts.record_answer();
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -30,6 +30,8 @@
     DeadlineUnreachable,
     /// No engine that serves the model is available.
     NoEngine,
+    /// More requests arrive than the engines of the service can answer.
+    Overload,
     /// This host is leaving.
     Leaving,
     /// The host has no shared settings yet.
@@ -88,6 +90,7 @@
             Self::Timeout | Self::CallerGone | Self::SlowReader => StatusCode::GATEWAY_TIMEOUT,
             Self::NoSettings
             | Self::NoEngine
+            | Self::Overload
             | Self::CrashingPrompt
             | Self::Leaving
             | Self::StoreUnavailable
@@ -107,6 +110,7 @@
             Self::QueueFull => "queue-full",
             Self::DeadlineUnreachable => "deadline-unreachable",
             Self::NoEngine => "no-engine",
+            Self::Overload => "overload",
             Self::Leaving => "leaving",
             Self::NoSettings => "no-settings",
             Self::VersionGone => "version-gone",
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -11,10 +11,11 @@
 use crate::route::evidence::Evidence;
 use crate::route::load::{EngineHash, Usage};
 use crate::route::losses::Loss;
+use crate::sched::demand::Counts;
 use crate::sched::retry;
 
 /// First byte of a datagram. A host drops datagrams of a format that its release does not know.
-const FORMAT_VERSION: u8 = 4;
+const FORMAT_VERSION: u8 = 5;
 
 /// Maximum size of a datagram in bytes.
 pub const BYTES_MAX: usize = 8192;
@@ -36,6 +37,8 @@
     pub retrying_hosts: usize,
     /// What these hosts used of the retry budgets.
     pub retries: Vec<retry::Usage>,
+    /// What these hosts counted of limited services since the last summary, without teams.
+    pub counts: Counts,
     /// Engines that these hosts lost a moment ago.
     pub losses: Vec<Loss>,
     /// What these hosts know of parts of prompts that crash engines.
@@ -64,6 +67,8 @@
     pub usages: Vec<Usage>,
     /// What the host used of the retry budgets.
     pub retries: Vec<retry::Usage>,
+    /// What the host counted of limited services since its last report to all recipients.
+    pub counts: Counts,
     /// Engines that the host lost a moment ago.
     pub losses: Vec<Loss>,
     /// Engines whose removal the store told the host a moment ago.
--- a/src/route/registry/usage.rs
+++ b/src/route/registry/usage.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::route::load::{EngineHash, Footprint, Load, Usage};
 use crate::route::reports::Source;
+use crate::sched::admission;
 use crate::supervisor::Signal;
 
 impl<C: Clock> Registry<C> {
@@ -15,6 +16,20 @@
         self.own_load_version
     }
 
+    /// Returns the engines of a service that may get requests, with their slots.
+    pub fn usable(&self, service: &str) -> Vec<admission::Engine> {
+        let engines = self.by_id.iter();
+        let of_service =
+            engines.filter(|(_, key)| self.engines[**key].registration.service == service);
+        let usable = of_service.filter(|(_, key)| self.is_usable(**key));
+        usable
+            .map(|(id, key)| admission::Engine {
+                id: EngineHash::of(id),
+                slots: self.engines[*key].registration.slots,
+            })
+            .collect()
+    }
+
     /// Returns the load that this host causes, by engine.
     pub fn own_usages(&self) -> Vec<Usage> {
         let busy = self
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -7,8 +7,12 @@
 //!   host, and [`share`] has the arithmetic of both.
 //! - [`limit`] adapts this host's concurrency limit for each engine. [`retry`] bounds the retries of
 //!   all hosts, which it counts in a [`window`].
+//! - [`admission`] refuses what exceeds the capacity of services with few slots, by the [`demand`] that
+//!   all hosts count.
 
+pub mod admission;
 pub mod allocator;
+pub mod demand;
 pub mod job;
 pub mod lease;
 pub mod lease_client;
--- a/src/sched/window.rs
+++ b/src/sched/window.rs
@@ -1,6 +1,7 @@
-//! Counts of requests and retries in a sliding window.
+//! Sums over a sliding window, such as counts of requests and retries.
 
 use std::collections::VecDeque;
+use std::ops::AddAssign;
 use std::time::{Duration, Instant};
 
 /// Number of slices in which a window is counted.
@@ -15,29 +16,28 @@
     pub retries: u32,
 }
 
+impl AddAssign for Total {
+    fn add_assign(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.retries += other.retries;
+    }
+}
+
 #[derive(Debug)]
-struct Slice {
+struct Slice<T> {
     started_at: Instant,
-    total: Total,
+    total: T,
 }
 
 /// A sliding window; the caller passes the time, which must not go back.
 #[derive(Debug)]
-pub struct Window {
+pub struct Window<T = Total> {
     length: Duration,
     // Invariant: in order of time, and no slice is older than the window and one slice.
-    slices: VecDeque<Slice>,
+    slices: VecDeque<Slice<T>>,
 }
 
 impl Window {
-    /// Creates an empty window.
-    pub fn new(length: Duration) -> Self {
-        Self {
-            length,
-            slices: VecDeque::new(),
-        }
-    }
-
     /// Counts the first attempt of a request.
     pub fn record_request(&mut self, now: Instant) {
         self.current_slice(now).requests += 1;
@@ -57,17 +57,6 @@
         }
     }
 
-    /// Returns the counts of the whole window.
-    pub fn total(&mut self, now: Instant) -> Total {
-        self.expire(now);
-        let mut sum = Total::default();
-        for slice in &self.slices {
-            sum.requests += slice.total.requests;
-            sum.retries += slice.total.retries;
-        }
-        sum
-    }
-
     /// Returns the retries since `from`, counting the slice that contains it in full.
     pub fn retries_since(&self, from: Instant) -> u32 {
         let slice_length = self.length / SLICES;
@@ -77,6 +66,31 @@
             .filter(|slice| slice.started_at + slice_length > from);
         recent.map(|slice| slice.total.retries).sum()
     }
+}
+
+impl<T: AddAssign + Copy + Default> Window<T> {
+    /// Creates an empty window.
+    pub fn new(length: Duration) -> Self {
+        Self {
+            length,
+            slices: VecDeque::new(),
+        }
+    }
+
+    /// Adds to the sum.
+    pub fn add(&mut self, value: T, now: Instant) {
+        *self.current_slice(now) += value;
+    }
+
+    /// Returns the sum over the whole window.
+    pub fn total(&mut self, now: Instant) -> T {
+        self.expire(now);
+        let mut sum = T::default();
+        for slice in &self.slices {
+            sum += slice.total;
+        }
+        sum
+    }
 
     // A slice counts until its last event has left the window.
     fn expire(&mut self, now: Instant) {
@@ -88,14 +102,14 @@
         }
     }
 
-    fn current_slice(&mut self, now: Instant) -> &mut Total {
+    fn current_slice(&mut self, now: Instant) -> &mut T {
         self.expire(now);
         let slice_length = self.length / SLICES;
-        let is_current = |slice: &Slice| now.duration_since(slice.started_at) < slice_length;
+        let is_current = |slice: &Slice<T>| now.duration_since(slice.started_at) < slice_length;
         if !self.slices.back().is_some_and(is_current) {
             self.slices.push_back(Slice {
                 started_at: now,
-                total: Total::default(),
+                total: T::default(),
             });
         }
         let current = self.slices.back_mut().expect("a slice was just ensured");
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -21,6 +21,7 @@
 use bilberrypost::route::quarantine::REPORTED_PARTS_MAX;
 use bilberrypost::route::registry::{Registration, Registry};
 use bilberrypost::route::removals::REPORTED_MAX as REMOVALS_MAX;
+use bilberrypost::sched::demand::{Answered, Answers, Arrivals, Class, Counts, ENTRIES_MAX, Team};
 use bilberrypost::sched::retry;
 use compact_str::{CompactString, format_compact};
 use rand::rngs::StdRng;
@@ -429,6 +430,25 @@
             8
         ],
     };
+    let counts = Counts {
+        arrivals: vec![
+            Arrivals {
+                service: retry::Service::of("s"),
+                class: Class::new(9, true, true),
+                team: Team::of(Some("t")),
+                count: 1000,
+            };
+            ENTRIES_MAX
+        ],
+        answers: vec![
+            Answers {
+                service: retry::Service::of("s"),
+                engine: EngineHash::of("i-1"),
+                answered: Answered::one(Duration::from_secs(60)),
+            };
+            ENTRIES_MAX
+        ],
+    };
     let summary = Summary {
         domain: "fd-a".into(),
         number: 1 << 41,
@@ -437,6 +457,7 @@
         usages: usages.clone(),
         retrying_hosts: 40,
         retries: retries.clone(),
+        counts: counts.clone(),
         losses: losses.clone(),
         evidence: evidence.clone(),
     };
@@ -455,6 +476,7 @@
         hosts: BTreeMap::from([(CompactString::from("fd-a"), hosts)]),
         usages: Vec::new(),
         retries: Vec::new(),
+        counts: Counts::default(),
         losses: Vec::new(),
         removals: vec![EngineHash::of("i-1"); REMOVALS_MAX],
         evidence: Evidence::default(),
@@ -465,6 +487,7 @@
         Report {
             usages: usages[..100].to_vec(),
             retries,
+            counts,
             losses,
             evidence,
             streams: vec![stream; 64],
@@ -501,6 +524,7 @@
         hosts: BTreeMap::from([("fd-b".into(), vec![address(1).ip()])]),
         usages: vec![Usage::new(EngineHash::of("a"), Load::default())],
         retries: Vec::new(),
+        counts: Counts::default(),
         losses: vec![Loss {
             engine: EngineHash::of("a"),
             age_ms: 3,
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -12,6 +12,7 @@
 use bilberrypost::gateway;
 use bilberrypost::peer::report::Report;
 use bilberrypost::route::evidence::Evidence;
+use bilberrypost::sched::demand::Counts;
 use bilberrypost::sched::retry;
 use compact_str::CompactString;
 use rustix::net::{self, AddressFamily, SocketType};
@@ -575,6 +576,7 @@
         hosts: BTreeMap::new(),
         usages: Vec::new(),
         retries: Vec::new(),
+        counts: Counts::default(),
         losses: Vec::new(),
         removals: Vec::new(),
         evidence: Evidence::default(),
