--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -17,7 +17,7 @@
 use super::protocol::Protocol;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
-use super::{Gateway, crash};
+use super::{Gateway, admission, crash};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::{Exchange, Prefix};
@@ -46,6 +46,7 @@
     gateway: &Rc<Gateway<C>>,
     admitted: &AdmittedRequest,
 ) -> Result<Response<Body>, Refusal> {
+    admission::admit(gateway, admitted)?;
     let mut attempts = Attempts::new(gateway, admitted.service.clone());
     // The last failure that an engine reported. It is forwarded if no other attempt succeeds.
     let mut failure = None;
@@ -82,6 +83,9 @@
         let mut answer_times = gateway.answer_times.borrow_mut();
         answer_times.record(&admitted.service, taken, now);
         drop(answer_times);
+        if result.is_ok() {
+            admission::record_answer(gateway, admitted, engine, taken);
+        }
         match result {
             Ok((response, true)) => {
                 crash::record_pass(gateway, &admitted.prompt);
--- a/src/peer/seal/tests.rs
+++ b/src/peer/seal/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::config::host::Secret;
 use crate::route::evidence::Evidence;
+use crate::sched::demand::Counts;
 
 const NOW_MS: u64 = 1_000_000;
 
@@ -23,6 +24,7 @@
         hosts: BTreeMap::new(),
         usages: Vec::new(),
         retries: Vec::new(),
+        counts: Counts::default(),
         losses: Vec::new(),
         removals: Vec::new(),
         evidence: Evidence::default(),
