Place prompts by the time until the first event

All engines counted alike in placing: running requests and prompt tokens to be read, whether an engine reads fast or slowly and whether it still holds the beginning of the prompt. A host now estimates for each engine when the first event would come, from the tokens queued there, those that it does not hold and its reading speed, and draws among the good ones. Speed is learned from the times to first events of all hosts; what engines hold, from the prompts that passed through them. 'placing = load' in [platform] keeps the earlier decision.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use futures_util::future::{Either, select};
@@ -18,8 +18,9 @@
 use super::{Gateway, check, notice};
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
+use crate::route::held::Prefix;
 use crate::route::load::Footprint;
-use crate::route::registry::Engine;
+use crate::route::registry::{Engine, Estimate};
 use crate::util::within;
 
 /// Shortest and longest time for which a request waits while this host reaches nothing. Between
@@ -35,8 +36,13 @@
     pub engine: Engine,
     /// The engine that holds the replica of the run.
     pub replica: Option<Engine>,
+    /// What is expected of the engine; `None` if the request has no prompt, or is placed by load alone.
+    pub estimate: Option<Estimate>,
     footprint: Footprint,
     has_output: bool,
+    // Beginnings of the prompt that the engine reads, and since when, if its first event shows how long
+    // that took.
+    reading: Option<(Vec<Prefix>, Instant)>,
 }
 
 impl<C: Clock> Placement<C> {
@@ -45,9 +51,15 @@
         gateway: &Rc<Gateway<C>>,
         engine: Engine,
         replica: Option<Engine>,
-        footprint: Footprint,
+        admitted: &AdmittedRequest,
     ) -> Self {
         let mut registry = gateway.registry.borrow_mut();
+        let estimate = registry.estimate(engine, &admitted.need(&[]));
+        let is_timed = estimate.is_some() && admitted.route.kind.is_stream();
+        let footprint = Footprint {
+            held: estimate.map_or(0, |estimate| estimate.held),
+            ..admitted.call.footprint()
+        };
         registry.begin(engine, footprint);
         if let Some(replica) = replica {
             registry.hold_replica(replica, footprint);
@@ -56,11 +68,18 @@
             gateway: gateway.clone(),
             engine,
             replica,
+            estimate,
             footprint,
             has_output: false,
+            reading: is_timed.then(|| (admitted.prefixes.clone(), gateway.clock.now())),
         }
     }
 
+    /// Records that the engine goes on from a replica, so that it does not read the prompt.
+    pub fn skip_reading(&mut self) {
+        self.reading = None;
+    }
+
     /// Records that the engine sent output, which shows that it has prefilled the prompt.
     pub fn record_output(&mut self) {
         if self.has_output {
@@ -70,6 +89,17 @@
         let mut registry = self.gateway.registry.borrow_mut();
         registry.set_prefilled(self.engine, self.footprint);
         registry.set_answered(self.engine);
+        let Some(((prompt, sent_at), estimate)) = self.reading.take().zip(self.estimate) else {
+            return;
+        };
+        let footprint = self.footprint;
+        registry.record_reading(self.engine, &prompt, footprint, estimate.queued, sent_at);
+        let metrics = &self.gateway.metrics;
+        metrics.count_prompt_tokens("held", footprint.held);
+        metrics.count_prompt_tokens("read", footprint.unread());
+        metrics.record_duration("first_event_expected", estimate.first_event);
+        let took = self.gateway.clock.now().duration_since(sent_at);
+        metrics.record_duration("first_event", took);
     }
 }
 
@@ -179,11 +209,12 @@
     };
     let replica = placement.replica.and_then(|replica| registry.get(replica));
     let load = state.total_load();
+    let estimate = placement.estimate.unwrap_or_default();
     admitted.trace.log(
         "placed",
         format_args!(
             "engine={} failure_domain={} replica={} from_copy={} running={} reading={} memory={} \
-             engines_age_ms={} reports_age_ms={}",
+             engines_age_ms={} reports_age_ms={} expected_first_event_ms={} held={}",
             state.registration.id,
             state.registration.failure_domain,
             replica.map_or("none", |replica| replica.registration.id.as_str()),
@@ -193,6 +224,8 @@
             load.memory,
             gateway.engines_age().as_millis(),
             registry.reports_age().as_millis(),
+            estimate.first_event.as_millis(),
+            estimate.held,
         ),
     );
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use crate::route::held::{self, Prefix};
 use crate::route::load::Footprint;
 use crate::route::prompt::Prompt;
 
@@ -18,6 +19,8 @@
     pub key: Option<CompactString>,
     /// Number of tokens, if the request has a prompt.
     pub token_count: Option<TokenCount>,
+    /// Name of the model, empty if the request has none.
+    pub model: CompactString,
     /// Parts of the prompt, in order.
     pub prompt_parts: Vec<PromptPart>,
     /// The caller's estimate of the output in tokens.
@@ -34,6 +37,13 @@
         Prompt::new(digest, ids)
     }
 
+    /// Returns the beginnings of the prompt, by which engines keep it.
+    pub fn prefixes(&self) -> Vec<Prefix> {
+        let parts = self.prompt_parts.iter();
+        let parts = parts.map(|part| (part.id.as_str(), part.tokens));
+        held::prefixes(&self.model, parts)
+    }
+
     /// Returns the load that the request is expected to put on an engine.
     pub fn footprint(&self) -> Footprint {
         let Some(count) = self.token_count else {
@@ -43,6 +53,7 @@
         Footprint {
             prompt: count.prompt,
             output: hint.min(count.output_max),
+            held: 0,
         }
     }
 }
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -13,7 +13,7 @@
 use super::attempts::Attempts;
 use super::request::AdmittedRequest;
 use crate::clock::Clock;
-use crate::route::registry::{Engine, Need};
+use crate::route::registry::Engine;
 
 /// Time between two tries to make another attempt possible.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -125,12 +125,7 @@
             excluded.clone_from(&self.attempts.excluded);
             excluded.push(self.engine);
         }
-        let need = Need {
-            service: &self.admitted.service,
-            footprint: self.admitted.call.footprint(),
-            memory_tokens: self.admitted.memory_tokens,
-            excluded: &excluded,
-        };
+        let need = self.admitted.need(&excluded);
         self.gateway.registry.borrow().choose(&need).is_some()
     }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -139,6 +139,7 @@
             method: head.method,
             digest,
             prompt: call.prompt(digest),
+            prefixes: call.prefixes(),
             path_and_query: path_and_query.into(),
             headers,
             body: detach_body(body),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 use crate::relay::handover::{LocalStreams, RemoteStreams};
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
+use crate::route::placing::Policy;
 use crate::route::quarantine::Quarantine;
 use crate::route::registry::Registry;
 use crate::sched::retry;
@@ -102,6 +103,8 @@
     pub revoke_limit: Duration,
     /// Rate of the host's link in Mbit/s; `None` if what it sends to followers is not paced.
     pub link_mbps: Option<f64>,
+    /// How requests with a prompt are placed.
+    pub placing: Policy,
     /// Limits on retries.
     pub retries: retry::Policy,
 }
@@ -175,11 +178,14 @@
     pub fn new(clock: C, settings: Settings) -> Self {
         let process = rand::random();
         Self {
-            registry: RefCell::new(Registry::new(
-                clock.clone(),
-                settings.name.clone(),
-                settings.failure_domain.clone(),
-            )),
+            registry: RefCell::new(
+                Registry::new(
+                    clock.clone(),
+                    settings.name.clone(),
+                    settings.failure_domain.clone(),
+                )
+                .with_policy(settings.placing),
+            ),
             budget: RefCell::new(retry::Budget::new(settings.retries, process)),
             quarantine: RefCell::new(Quarantine::new(process)),
             waiting: crash::Waiting::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -198,6 +198,7 @@
         drop(streams);
         let source = Source::Host(from.ip());
         let mut registry = self.gateway.registry.borrow_mut();
+        registry.record_sightings(&report.sightings, true);
         if registry.set_report(source.clone(), report.number, report.usages) {
             let mut budget = self.gateway.budget.borrow_mut();
             budget.record_report(source, report.process, 1, report.retries, now);
@@ -256,6 +257,7 @@
         }
         let source = Source::Domain(summary.domain.clone());
         let mut registry = self.gateway.registry.borrow_mut();
+        registry.record_sightings(&summary.sightings, false);
         if registry.set_report(source.clone(), summary.number, summary.usages.clone()) {
             let (hosts, retries) = (summary.retrying_hosts, summary.retries.clone());
             let mut budget = self.gateway.budget.borrow_mut();
@@ -346,9 +348,10 @@
         if targets.is_empty() && seeds.is_empty() {
             return;
         }
-        let (usages, losses) = {
+        let (usages, losses, sightings) = {
             let registry = self.gateway.registry.borrow();
-            (registry.own_usages(), registry.losses().own(now))
+            let losses = registry.losses().own(now);
+            (registry.own_usages(), losses, registry.own_sightings())
         };
         let retries = self.gateway.budget.borrow_mut().own_usages(now);
         let evidence = self.gateway.quarantine.borrow().own(now);
@@ -357,6 +360,7 @@
             losses,
             evidence,
             retries,
+            sightings,
             streams: self.streams_to_report(),
             ..self.empty_report(now)
         };
@@ -409,6 +413,7 @@
             retries,
             losses: self.gateway.registry.borrow().losses().joint(now),
             evidence: self.gateway.quarantine.borrow().joint(now),
+            sightings: self.gateway.registry.borrow().joint_sightings(),
         };
         let report = Report {
             summaries: vec![summary],
@@ -460,6 +465,7 @@
             losses: Vec::new(),
             removals: self.gateway.registry.borrow().recent_removals(),
             evidence: Evidence::default(),
+            sightings: Vec::new(),
             streams: Vec::new(),
             summaries: Vec::new(),
         }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -23,7 +23,7 @@
 use crate::http::client::{Exchange, Prefix};
 use crate::http::problem::Reason;
 use crate::report::trace::Trace;
-use crate::route::registry::{Engine, Need};
+use crate::route::registry::Engine;
 use crate::util::within;
 
 /// Size in bytes up to which a response body is buffered.
@@ -59,7 +59,7 @@
         if !has_retry_time(gateway, admitted, &attempts) || !attempts.may_send() {
             return give_up(&attempts, failure);
         }
-        let placement = Placement::new(gateway, engine, None, admitted.call.footprint());
+        let placement = Placement::new(gateway, engine, None, admitted);
         attempts.begin();
         let sent_at = gateway.clock.now();
         let result = send_once::<C, P>(
@@ -106,12 +106,10 @@
     admitted: &AdmittedRequest,
     attempts: &Attempts<C>,
 ) -> Option<Engine> {
-    gateway.registry.borrow().choose(&Need {
-        service: &admitted.service,
-        footprint: admitted.call.footprint(),
-        memory_tokens: admitted.memory_tokens,
-        excluded: &attempts.excluded,
-    })
+    gateway
+        .registry
+        .borrow()
+        .choose(&admitted.need(&attempts.excluded))
 }
 
 /// Returns whether enough time is left for the next attempt; the first one is always made.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,7 +10,9 @@
 use super::call::Call;
 use crate::config::routes::Route;
 use crate::report::trace::Trace;
+use crate::route::held::Prefix;
 use crate::route::prompt::Prompt;
+use crate::route::registry::{Engine, Need};
 
 /// A request whose route and key were checked and whose body has arrived.
 #[derive(Clone, Debug)]
@@ -21,6 +23,8 @@
     pub digest: u64,
     /// Hashes of the parts of the prompt.
     pub prompt: Prompt,
+    /// Beginnings of the prompt that engines may hold.
+    pub prefixes: Vec<Prefix>,
     /// Method of the request.
     pub method: Method,
     /// Path and query as the caller sent them.
@@ -49,3 +53,16 @@
     /// Log lines of the request.
     pub trace: Trace,
 }
+
+impl AdmittedRequest {
+    /// Returns what the request needs of an engine that is none of `excluded`.
+    pub fn need<'a>(&'a self, excluded: &'a [Engine]) -> Need<'a> {
+        Need {
+            service: &self.service,
+            footprint: self.call.footprint(),
+            memory_tokens: self.memory_tokens,
+            prompt: &self.prefixes,
+            excluded,
+        }
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -207,8 +207,10 @@
         run: Option<CompactString>,
     ) -> Option<(Result<OpenResponse, Fault>, Placement<C>)> {
         let replica = self.choose_replica(engine);
-        let footprint = self.admitted.call.footprint();
-        let placement = Placement::new(&self.gateway, engine, replica, footprint);
+        let mut placement = Placement::new(&self.gateway, engine, replica, &self.admitted);
+        if run.is_some() {
+            placement.skip_reading();
+        }
         let resume_point = ResumePoint {
             last_event: self.position.last(),
             replica_run: run,
@@ -302,12 +304,7 @@
     }
 
     fn need(&self) -> Need<'_> {
-        Need {
-            service: &self.admitted.service,
-            footprint: self.admitted.call.footprint(),
-            memory_tokens: self.admitted.memory_tokens,
-            excluded: &self.attempts.excluded,
-        }
+        self.admitted.need(&self.attempts.excluded)
     }
 
     fn choose_engine(&self) -> Option<Engine> {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -25,6 +25,7 @@
 const SEAL: HeaderName = HeaderName::from_static("x-bilberrypost-response-seal");
 /// `1` in each response of an engine that leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const MODEL: HeaderName = HeaderName::from_static("x-bilberrypost-model-id");
 /// `PROMPT,OUTPUT_MAX` in tokens.
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-bilberrypost-token-count");
 /// `ID:TOKENS` of each part of the prompt, separated by commas.
@@ -100,6 +101,7 @@
         timeout,
         key: header_text(headers, &KEY).map(CompactString::from),
         token_count,
+        model: header_text(headers, &MODEL).unwrap_or_default().into(),
         prompt_parts: header_text(headers, &PROMPT_PARTS)
             .map(parse_prompt_parts)
             .unwrap_or_default(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::config::ini::{Error, File, Section};
 use crate::gateway::Settings;
+use crate::route::placing::{Policy, UnknownPolicy};
 use crate::sched::retry;
 
 const SETTINGS: &[&str] = &[
@@ -20,6 +21,7 @@
     "fail_closed",
     "drain_limit_s",
     "link_mbps",
+    "placing",
     "retry_ratio",
     "retry_slack",
     "retry_window_s",
@@ -78,6 +80,15 @@
     }
 }
 
+/// Reads how requests with a prompt are placed.
+fn placing(section: &Section<'_>) -> Result<Policy, Error> {
+    let Some(name) = section.text("placing") else {
+        return Ok(Policy::default());
+    };
+    name.parse()
+        .map_err(|err: UnknownPolicy| section.error("placing", format!("placing = {name} {err}")))
+}
+
 /// Reads the `[platform]` section of a settings file; `None` if the file has none.
 ///
 /// # Errors
@@ -114,6 +125,7 @@
         store: address("store")?,
         drain_limit: seconds("drain_limit_s", 8.0)?,
         link_mbps: link_mbps(&section)?,
+        placing: placing(&section)?,
         is_fail_closed: section.flag("fail_closed", false)?,
         revoke_limit: section.millis("revoke_limit_ms", Duration::from_secs(5))?,
         retries: retry::Policy {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -52,6 +52,12 @@
     content: &'static str,
 }
 
+/// Whether an engine was expected to hold prompt tokens, or to read them.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct PromptTokens {
+    work: &'static str,
+}
+
 /// Upper bounds of the histogram buckets for durations.
 const DURATION_BUCKETS_S: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
@@ -78,6 +84,7 @@
     relayed: Family<Relayed, Counter>,
     feed_bytes: Family<Sent, Counter>,
     report_bytes: Family<Sent, Counter>,
+    prompt_tokens: Family<PromptTokens, Counter>,
 }
 
 impl Default for Metrics {
@@ -95,6 +102,9 @@
         let report_bytes = Family::default();
         let text = "Bytes of datagrams to other hosts by content, without IP and UDP headers";
         registry.register_with_unit("report", text, Unit::Bytes, report_bytes.clone());
+        let prompt_tokens = Family::default();
+        let text = "Prompt tokens of begun streams that engines were expected to hold, or to read";
+        registry.register("prompt_tokens", text, prompt_tokens.clone());
         let durations = Family::new_with_constructor(durations as fn() -> Histogram);
         let text = "Time of a step";
         registry.register_with_unit("duration", text, Unit::Seconds, durations.clone());
@@ -133,6 +143,7 @@
             relayed,
             feed_bytes,
             report_bytes,
+            prompt_tokens,
         }
     }
 }
@@ -173,6 +184,12 @@
             .inc_by(bytes);
     }
 
+    /// Counts prompt tokens of a stream that has begun.
+    pub fn count_prompt_tokens(&self, work: &'static str, tokens: u32) {
+        let key = PromptTokens { work };
+        self.prompt_tokens.get_or_create(&key).inc_by(tokens.into());
+    }
+
     /// Records the duration of a step.
     pub fn record_duration(&self, step: &'static str, duration: Duration) {
         let durations = self.durations.get_or_create(&Step { step });
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::speed::Reading;
 use crate::util::hash64;
 
 /// Tokens that a request costs an engine; all zero for requests without a prompt.
@@ -13,6 +14,8 @@
     pub prompt: u32,
     /// Expected output tokens.
     pub output: u32,
+    /// Prompt tokens that the engine probably holds from earlier requests.
+    pub held: u32,
 }
 
 /// Prompt tokens that an engine prefills in a millisecond.
@@ -28,6 +31,11 @@
             + Duration::from_micros(u64::from(self.output) * OUTPUT_TOKEN_US)
     }
 
+    /// Returns the prompt tokens that the engine has to read.
+    pub fn unread(self) -> u32 {
+        self.prompt.saturating_sub(self.held)
+    }
+
     /// Returns the tokens that the request holds in the engine's memory at its end.
     pub fn memory(self) -> u64 {
         u64::from(self.prompt) + u64::from(self.output)
@@ -43,6 +51,8 @@
     pub reading: u64,
     /// Tokens in the engine's memory, those of replicas included.
     pub memory: u64,
+    /// What the engine read of late.
+    pub read: Reading,
 }
 
 impl Load {
@@ -51,6 +61,7 @@
         self.running += other.running;
         self.reading += other.reading;
         self.memory += other.memory;
+        self.read.add(&other.read);
     }
 
     /// Undoes [`Load::add`].
@@ -58,6 +69,7 @@
         self.running -= other.running;
         self.reading -= other.reading;
         self.memory -= other.memory;
+        self.read.subtract(&other.read);
     }
 }
 
@@ -73,6 +85,16 @@
     }
 }
 
+/// Units of what an engine read, in tokens and milliseconds. With them, both numbers mostly take one
+/// byte in a report.
+const TOKENS_UNIT: u64 = 1024;
+const MS_UNIT: u64 = 128;
+
+/// Returns a number in units, rounded to the nearest.
+fn in_units(number: u64, unit: u64) -> u64 {
+    number.saturating_add(unit / 2) / unit
+}
+
 /// Load on one engine.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Usage {
@@ -84,6 +106,10 @@
     pub reading: u32,
     /// Tokens in the engine's memory, those of replicas included.
     pub memory: u32,
+    /// Prompt tokens that the engine read of late, in units of `TOKENS_UNIT`.
+    read_tokens: u32,
+    /// Time that this took, in units of `MS_UNIT`.
+    read_ms: u32,
 }
 
 impl Usage {
@@ -95,6 +121,8 @@
             running: saturate(load.running),
             reading: saturate(load.reading),
             memory: saturate(load.memory),
+            read_tokens: saturate(in_units(load.read.tokens, TOKENS_UNIT)),
+            read_ms: saturate(in_units(load.read.ms, MS_UNIT)),
         }
     }
 
@@ -104,6 +132,10 @@
             running: self.running.into(),
             reading: self.reading.into(),
             memory: self.memory.into(),
+            read: Reading {
+                tokens: u64::from(self.read_tokens) * TOKENS_UNIT,
+                ms: u64::from(self.read_ms) * MS_UNIT,
+            },
         }
     }
 }
--- a/src/route/placing.rs
+++ b/src/route/placing.rs
@@ -4,8 +4,37 @@
 //! chose the engine with the least load, the requests of that time would queue there while others
 //! are idle. A host therefore draws one of the engines that are about as good as the best.
 
+use std::str::FromStr;
+
 use super::registry::Engine;
 
+/// How requests with a prompt are placed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// On the engine from which the first event is expected soonest, see [`super::first_event`].
+    #[default]
+    FirstEvent,
+    /// On the engine with the least load, see [`choose`].
+    Load,
+}
+
+/// The name of a policy is unknown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("is not a way of placing; write first-event or load")]
+pub struct UnknownPolicy;
+
+impl FromStr for Policy {
+    type Err = UnknownPolicy;
+
+    fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
+        match name {
+            "first-event" => Ok(Self::FirstEvent),
+            "load" => Ok(Self::Load),
+            _ => Err(UnknownPolicy),
+        }
+    }
+}
+
 /// Prompt tokens to prefill that delay other requests as much as one running request does.
 const BACKLOG_PER_RUNNING: u64 = 250;
 
--- a/src/route/registry/choice.rs
+++ b/src/route/registry/choice.rs
@@ -2,10 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use super::estimate::PREFILL_TOKENS_PER_RUNNING_REQUEST;
 use super::{Engine, FAILURE_WINDOW, Registry, State, UNREACHABLE_FOR};
 use crate::clock::Clock;
+use crate::route::first_event;
+use crate::route::held::Prefix;
 use crate::route::load::Footprint;
-use crate::route::placing::{self, Candidate};
+use crate::route::placing::{self, Candidate, Policy};
 
 /// Age of the registrations above which the store must be out of reach. Longer than a watch of the
 /// store without changes lasts.
@@ -18,9 +21,6 @@
 /// outputs that get longer than expected.
 const PLANNED_MEMORY_PERCENT: u64 = 92;
 
-/// Prompt tokens to prefill that delay other requests as much as one running request does.
-const PREFILL_TOKENS_PER_RUNNING_REQUEST: u64 = 250;
-
 /// Requirements of a request for its engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -31,6 +31,8 @@
     /// Tokens that fit into the memory of an engine of the service. 0 if the service has no such
     /// memory, as with backend servers; its engines then always have room.
     pub memory_tokens: u32,
+    /// Beginnings of the prompt, from the shortest to the longest.
+    pub prompt: &'a [Prefix],
     /// Engines that must not be chosen.
     pub excluded: &'a [Engine],
 }
@@ -40,14 +42,13 @@
     ///
     /// A service without prompts has few servers whose requests are short, so the one with the least
     /// load is chosen, and equal ones are ordered differently on each host. Otherwise see
-    /// [`placing`].
+    /// [`first_event`] and [`placing`].
     pub fn choose(&self, need: &Need<'_>) -> Option<Engine> {
         if need.memory_tokens > 0 {
-            let candidates: Vec<_> = self
-                .candidates(need)
-                .map(|(key, state)| self.placing_candidate(key, state, need))
-                .collect();
-            return placing::choose(&candidates, rand::random());
+            return match self.policy {
+                Policy::FirstEvent => self.choose_by_first_event(need),
+                Policy::Load => self.choose_by_load(need),
+            };
         }
         let candidates = self.candidates(need);
         candidates
@@ -62,6 +63,23 @@
             .map(|(key, _)| key)
     }
 
+    fn choose_by_first_event(&self, need: &Need<'_>) -> Option<Engine> {
+        let speed = self.mean_speed(need.service);
+        let candidates: Vec<_> = self
+            .candidates(need)
+            .map(|(key, state)| self.first_event_candidate(key, state, need, speed))
+            .collect();
+        first_event::choose(&candidates, self.reports.sources(), rand::random())
+    }
+
+    fn choose_by_load(&self, need: &Need<'_>) -> Option<Engine> {
+        let candidates: Vec<_> = self
+            .candidates(need)
+            .map(|(key, state)| self.placing_candidate(key, state, need))
+            .collect();
+        placing::choose(&candidates, rand::random())
+    }
+
     fn placing_candidate(&self, engine: Engine, state: &State, need: &Need<'_>) -> Candidate {
         let load = state.total_load();
         let penalty = self.failure_penalty(state) * PREFILL_TOKENS_PER_RUNNING_REQUEST;
@@ -75,7 +93,7 @@
         }
     }
 
-    fn is_remote(&self, state: &State) -> bool {
+    pub(super) fn is_remote(&self, state: &State) -> bool {
         state.registration.failure_domain != self.failure_domain
     }
 
@@ -112,7 +130,7 @@
         })
     }
 
-    fn is_suspect(&self, state: &State) -> bool {
+    pub(super) fn is_suspect(&self, state: &State) -> bool {
         let now = self.clock.now();
         let is_ahead = |until: Option<Instant>| until.is_some_and(|until| until > now);
         is_ahead(state.unreachable_until)
@@ -136,7 +154,7 @@
     }
 
     /// Returns the cost of recent failed responses in running requests.
-    fn failure_penalty(&self, state: &State) -> u64 {
+    pub(super) fn failure_penalty(&self, state: &State) -> u64 {
         let now = self.clock.now();
         let recent = |at: &&Instant| now.duration_since(**at) < FAILURE_WINDOW;
         state.failures.iter().filter(recent).count() as u64 * FAILURE_WEIGHT
@@ -165,7 +183,7 @@
         self.lost.is_set() && self.unreachable_until.is_some_and(|until| until > now)
     }
 
-    fn has_room(&self, need: &Need<'_>) -> bool {
+    pub(super) fn has_room(&self, need: &Need<'_>) -> bool {
         if need.memory_tokens == 0 {
             return true;
         }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -11,22 +11,27 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::departed::Departed;
+use super::held::{self, Held, Sightings};
 use super::history::{Changes, History, Lapse};
 use super::load::{EngineHash, Load};
 use super::losses::Losses;
+use super::placing::Policy;
 use super::removals::Removals;
 use super::reports::Reports;
+use super::speed::Readings;
 use crate::clock::Clock;
 use crate::supervisor::Signal;
 use crate::util::hash64;
 
 mod choice;
+mod estimate;
 mod health;
 mod hold;
 mod leaving;
 mod usage;
 
 pub use choice::Need;
+pub use estimate::Estimate;
 pub use hold::HOLD_MAX;
 use hold::Holds;
 use leaving::Leaving;
@@ -93,6 +98,12 @@
     pub own_load: Load,
     // Load that the other hosts cause, by their last reports.
     peer_load: Load,
+    // What this host saw the engine read.
+    own_readings: Readings,
+    // Beginnings of prompts that the engine probably holds.
+    held: Held,
+    // Since when this host knows this start of the engine.
+    known_since: Instant,
     // When the entry expires, if the store no longer lists it.
     expires_at: Option<Instant>,
     // Whether it was draining when the era of the store changed, and has not written its entry since.
@@ -147,6 +158,10 @@
     // reports.
     reports: Reports,
     own_load_version: u64,
+    policy: Policy,
+    // Beginnings of prompts that this host saw engines read, and those of all hosts that report to it.
+    own_sightings: Sightings,
+    joint_sightings: Sightings,
 }
 
 impl<C: Clock> Registry<C> {
@@ -169,9 +184,19 @@
             holds: Holds::default(),
             reports: Reports::default(),
             own_load_version: 0,
+            policy: Policy::default(),
+            own_sightings: Sightings::new(held::REPORTED_MAX),
+            joint_sightings: Sightings::new(held::SUMMARIZED_MAX),
         }
     }
 
+    /// Sets how requests with a prompt are placed.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Begins a new era of the store, which came back from an older copy: engines that were removed so far
     /// may be listed again.
     pub fn begin_era(&mut self) {
@@ -283,6 +308,9 @@
             incarnation: Incarnation::of(&registration),
             registration,
             own_load: Load::default(),
+            own_readings: Readings::default(),
+            held: Held::default(),
+            known_since: self.clock.now(),
             expires_at: None,
             has_drained_before_era: false,
             unreachable_until: None,
--- a/src/route/registry/usage.rs
+++ b/src/route/registry/usage.rs
@@ -17,11 +17,19 @@
 
     /// Returns the load that this host causes, by engine.
     pub fn own_usages(&self) -> Vec<Usage> {
-        let busy = self
-            .engines
-            .values()
-            .filter(|state| state.own_load != Load::default());
-        busy.map(|state| Usage::new(EngineHash::of(&state.registration.id), state.own_load))
+        let now = self.clock.now();
+        let loads = self.engines.values().map(|state| {
+            let read = state.own_readings.sums(now);
+            (
+                &state.registration.id,
+                Load {
+                    read,
+                    ..state.own_load
+                },
+            )
+        });
+        let busy = loads.filter(|(_, load)| *load != Load::default());
+        busy.map(|(id, load)| Usage::new(EngineHash::of(id), load))
             .collect()
     }
 
@@ -82,7 +90,7 @@
             self.holds.record_request(state.incarnation, now);
             self.own_load_version += 1;
             state.own_load.running += 1;
-            state.own_load.reading += u64::from(footprint.prompt);
+            state.own_load.reading += u64::from(footprint.unread());
             state.own_load.memory += footprint.memory();
         }
     }
@@ -92,7 +100,7 @@
         if let Some(state) = self.engines.get_mut(engine) {
             self.own_load_version += 1;
             let load = &mut state.own_load;
-            load.reading = load.reading.saturating_sub(u64::from(footprint.prompt));
+            load.reading = load.reading.saturating_sub(u64::from(footprint.unread()));
         }
     }
 
--- a/src/route/reports.rs
+++ b/src/route/reports.rs
@@ -67,6 +67,11 @@
         old.flat_map(|(_, report)| report.usages).collect()
     }
 
+    /// Returns the number of sources.
+    pub fn sources(&self) -> usize {
+        self.0.len()
+    }
+
     /// Returns the age of the oldest report, or zero if there is none.
     pub fn age(&self, now: Instant) -> Duration {
         let ages = self
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -12,6 +12,7 @@
 const PROMPT: Footprint = Footprint {
     prompt: 1000,
     output: 100,
+    held: 0,
 };
 
 /// Engines of two failure domains; three of them share one.
@@ -43,6 +44,7 @@
         service: "model",
         footprint: PROMPT,
         memory_tokens: 10_000,
+        prompt: &[],
         excluded,
     })?;
     let state = registry.get(engine)?;
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -10,6 +10,7 @@
 use bilberrypost::route::load::{EngineHash, Usage};
 use bilberrypost::route::registry::{Engine, Registration, Registry};
 use bilberrypost::route::reports::Source;
+use bilberrypost::route::speed::Reading;
 use compact_str::CompactString;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -37,6 +38,7 @@
         running: 3,
         reading: 9000,
         memory: 9900,
+        read: Reading::default(),
     };
     let host = Source::Host("127.0.0.1".parse().unwrap());
     let usage = Usage::new(EngineHash::of(&busy), load);
@@ -112,6 +114,10 @@
         running: u64::MAX,
         reading: u64::MAX,
         memory: u64::MAX,
+        read: Reading {
+            tokens: u64::MAX,
+            ms: u64::MAX,
+        },
     };
     for host in ["127.0.0.1", "127.0.0.2"] {
         let host = Source::Host(host.parse().unwrap());
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -14,6 +14,7 @@
 use bilberrypost::peer::schedule::Schedule;
 use bilberrypost::relay::handover::Stream;
 use bilberrypost::route::evidence::{Block, Crash, DomainHash, Evidence, Pass};
+use bilberrypost::route::held::{self, Sighting};
 use bilberrypost::route::load::Load;
 use bilberrypost::route::load::{EngineHash, Usage};
 use bilberrypost::route::losses::Loss;
@@ -21,6 +22,7 @@
 use bilberrypost::route::quarantine::REPORTED_PARTS_MAX;
 use bilberrypost::route::registry::{Registration, Registry};
 use bilberrypost::route::removals::REPORTED_MAX as REMOVALS_MAX;
+use bilberrypost::route::speed::Reading;
 use bilberrypost::sched::retry;
 use compact_str::{CompactString, format_compact};
 use rand::rngs::StdRng;
@@ -382,6 +384,10 @@
                 running: 64,
                 reading: 40_000,
                 memory: 55_000,
+                read: Reading {
+                    tokens: 120_000,
+                    ms: 14_000,
+                },
             };
             Usage::new(EngineHash::of(&format!("i-{n:08x}")), load)
         })
@@ -429,6 +435,11 @@
             8
         ],
     };
+    let sighting = Sighting {
+        engine: EngineHash::of("i-1"),
+        prefix: held::prefixes("model", [("part", 13_300)].into_iter())[0],
+        age_ms: 30_000,
+    };
     let summary = Summary {
         domain: "fd-a".into(),
         number: 1 << 41,
@@ -439,6 +450,7 @@
         retries: retries.clone(),
         losses: losses.clone(),
         evidence: evidence.clone(),
+        sightings: vec![sighting; held::SUMMARIZED_MAX],
     };
     let stream = Stream {
         digest: u64::MAX,
@@ -458,6 +470,7 @@
         losses: Vec::new(),
         removals: vec![EngineHash::of("i-1"); REMOVALS_MAX],
         evidence: Evidence::default(),
+        sightings: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
@@ -467,6 +480,7 @@
             retries,
             losses,
             evidence,
+            sightings: vec![sighting; held::REPORTED_MAX],
             streams: vec![stream; 64],
             ..empty.clone()
         },
@@ -507,6 +521,7 @@
         }],
         removals: vec![EngineHash::of("a")],
         evidence: Evidence::default(),
+        sightings: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
--- a/tests/support/engines.rs
+++ b/tests/support/engines.rs
@@ -9,6 +9,7 @@
 pub const SMALL: Footprint = Footprint {
     prompt: 1000,
     output: 100,
+    held: 0,
 };
 
 /// Returns the entry of an engine of the service `model` with four slots.
@@ -30,6 +31,7 @@
         service: "model",
         footprint: SMALL,
         memory_tokens: 10_000,
+        prompt: &[],
         excluded,
     }
 }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -12,6 +12,7 @@
 use bilberrypost::gateway;
 use bilberrypost::peer::report::Report;
 use bilberrypost::route::evidence::Evidence;
+use bilberrypost::route::placing::Policy;
 use bilberrypost::sched::retry;
 use compact_str::CompactString;
 use rustix::net::{self, AddressFamily, SocketType};
@@ -578,6 +579,7 @@
         losses: Vec::new(),
         removals: Vec::new(),
         evidence: Evidence::default(),
+        sightings: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     }
@@ -780,6 +782,7 @@
         is_fail_closed: false,
         revoke_limit: Duration::from_secs(5),
         link_mbps: None,
+        placing: Policy::default(),
         retries: retry::Policy {
             ratio: 0.8,
             slack: 150.0,
