--- a/src/route/first_event.rs
+++ b/src/route/first_event.rs
@@ -22,7 +22,7 @@
 const EQUAL: Duration = Duration::from_millis(50);
 
 /// Highest use of the engines that the price of reading reckons with. Queues grow without bound above.
-const USE_MAX: f64 = 0.8;
+const USE_MAX: f64 = 0.7;
 
 /// An engine that may get a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/route/registry/estimate.rs
+++ b/src/route/registry/estimate.rs
@@ -89,8 +89,9 @@
             return 0;
         }
         let load = self.known_load(state);
+        let known_for = self.clock.now().duration_since(state.known_since);
         let room = u64::from(need.memory_tokens).saturating_sub(load.memory);
-        let turnover = room as f64 / speed::tokens_per_s(load.read).max(1.0);
+        let turnover = room as f64 / speed::tokens_per_s(load.read, known_for).max(1.0);
         let turnover = Duration::from_secs_f64(turnover);
         state.held.tokens(need.prompt, turnover, self.clock.now())
     }
--- a/src/route/speed.rs
+++ b/src/route/speed.rs
@@ -13,7 +13,7 @@
 const SPEED_DEFAULT: f64 = 5.0;
 
 /// Tokens that an engine counts as having read at the mean speed, besides what it was seen to read.
-const PRIOR_TOKENS: f64 = 4000.0;
+const PRIOR_TOKENS: f64 = 1500.0;
 
 /// Bounds on a speed, in prompt tokens a millisecond.
 const SPEED_MIN: f64 = 0.05;
@@ -115,8 +115,12 @@
     }
 }
 
-/// Returns the tokens that an engine reads in a second on average, by the sums of its readings.
-pub fn tokens_per_s(reading: Reading) -> f64 {
-    // Sums to which the same is added at all times settle at that much for each half-life over ln 2.
-    reading.tokens as f64 * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+/// Returns the tokens that an engine reads in a second on average, by the sums of its readings and the
+/// time since when it is known.
+pub fn tokens_per_s(reading: Reading, known_for: Duration) -> f64 {
+    let half_life_s = HALF_LIFE.as_secs_f64();
+    // At a constant rate, the sums approach as much as is read in this time.
+    let settled_s = half_life_s / std::f64::consts::LN_2;
+    let approached = 1.0 - 0.5_f64.powf(known_for.as_secs_f64() / half_life_s);
+    reading.tokens as f64 / (settled_s * approached).max(1.0)
 }
