--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 use crate::relay::handover::{LocalStreams, RemoteStreams};
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
+use crate::route::placing::Policy;
 use crate::route::quarantine::Quarantine;
 use crate::route::registry::Registry;
 use crate::sched::admission::Controller;
@@ -115,6 +116,8 @@
     /// Number of descriptors that the process may have, those of files included; `None` if it is not
     /// limited.
     pub max_fds: Option<u32>,
+    /// How requests with a prompt are placed.
+    pub placing: Policy,
     /// Limits on retries.
     pub retries: retry::Policy,
 }
@@ -196,11 +199,14 @@
     pub fn new(clock: C, settings: Settings) -> Self {
         let process = rand::random();
         Self {
-            registry: RefCell::new(Registry::new(
-                clock.clone(),
-                settings.name.clone(),
-                settings.failure_domain.clone(),
-            )),
+            registry: RefCell::new(
+                Registry::new(
+                    clock.clone(),
+                    settings.name.clone(),
+                    settings.failure_domain.clone(),
+                )
+                .with_policy(settings.placing),
+            ),
             budget: RefCell::new(retry::Budget::new(settings.retries, process)),
             memory: Budget::new(budget::Limits::of_process(
                 settings.memory_mb,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -208,6 +208,7 @@
         drop(streams);
         let source = Source::Host(from.ip());
         let mut registry = self.gateway.registry.borrow_mut();
+        registry.record_sightings(&report.sightings, true);
         if registry.set_report(source.clone(), report.number, report.usages) {
             let mut budget = self.gateway.budget.borrow_mut();
             budget.record_report(source, report.process, 1, report.retries, now);
@@ -268,6 +269,7 @@
         }
         let source = Source::Domain(summary.domain.clone());
         let mut registry = self.gateway.registry.borrow_mut();
+        registry.record_sightings(&summary.sightings, false);
         if registry.set_report(source.clone(), summary.number, summary.usages.clone()) {
             let (hosts, retries) = (summary.retrying_hosts, summary.retries.clone());
             let mut budget = self.gateway.budget.borrow_mut();
@@ -360,9 +362,10 @@
         if targets.is_empty() && seeds.is_empty() {
             return;
         }
-        let (usages, losses) = {
+        let (usages, losses, sightings) = {
             let registry = self.gateway.registry.borrow();
-            (registry.own_usages(), registry.losses().own(now))
+            let losses = registry.losses().own(now);
+            (registry.own_usages(), losses, registry.own_sightings())
         };
         // Counts are reported once, so only to all recipients.
         let is_broadcast = self.last_report.is_some_and(|(at, _)| at == now);
@@ -378,6 +381,7 @@
             evidence,
             retries,
             counts,
+            sightings,
             streams: self.streams_to_report(),
             ..self.empty_report(now)
         };
@@ -435,6 +439,7 @@
             counts: self.gateway.admission.borrow_mut().take_joint_counts(),
             losses: self.gateway.registry.borrow().losses().joint(now),
             evidence: self.gateway.quarantine.borrow().joint(now),
+            sightings: self.gateway.registry.borrow().joint_sightings(),
         };
         let report = Report {
             summaries: vec![summary],
@@ -487,6 +492,7 @@
             losses: Vec::new(),
             removals: self.gateway.registry.borrow().recent_removals(),
             evidence: Evidence::default(),
+            sightings: Vec::new(),
             streams: Vec::new(),
             summaries: Vec::new(),
         }
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -9,6 +9,7 @@
 
 use crate::relay::handover;
 use crate::route::evidence::Evidence;
+use crate::route::held::Sighting;
 use crate::route::load::{EngineHash, Usage};
 use crate::route::losses::Loss;
 use crate::sched::demand::Counts;
@@ -43,6 +44,8 @@
     pub losses: Vec<Loss>,
     /// What these hosts know of parts of prompts that crash engines.
     pub evidence: Evidence,
+    /// Beginnings of prompts that these hosts saw engines read.
+    pub sightings: Vec<Sighting>,
 }
 
 /// Content of a datagram: the state of the host that sends it.
@@ -75,6 +78,8 @@
     pub removals: Vec<EngineHash>,
     /// What the host knows of parts of prompts that crash engines.
     pub evidence: Evidence,
+    /// Beginnings of prompts that the host saw engines read.
+    pub sightings: Vec<Sighting>,
     /// The host's running streams that another host may resume.
     pub streams: Vec<handover::Stream>,
     /// Summaries of failure domains; only representatives send them.
--- a/src/peer/seal/tests.rs
+++ b/src/peer/seal/tests.rs
@@ -25,6 +25,7 @@
         usages: Vec::new(),
         retries: Vec::new(),
         counts: Counts::default(),
+        sightings: Vec::new(),
         losses: Vec::new(),
         removals: Vec::new(),
         evidence: Evidence::default(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -9,6 +9,7 @@
 use crate::config::ini::{Error, File, Section};
 use crate::gateway::Settings;
 use crate::peer::auth::Keys;
+use crate::route::placing::{Policy, UnknownPolicy};
 use crate::sched::retry;
 
 const SETTINGS: &[&str] = &[
@@ -24,6 +25,7 @@
     "fail_closed",
     "drain_limit_s",
     "link_mbps",
+    "placing",
     "retry_ratio",
     "retry_slack",
     "retry_window_s",
@@ -112,6 +114,15 @@
     }
 }
 
+/// Reads how requests with a prompt are placed.
+fn placing(section: &Section<'_>) -> Result<Policy, Error> {
+    let Some(name) = section.text("placing") else {
+        return Ok(Policy::default());
+    };
+    name.parse()
+        .map_err(|err: UnknownPolicy| section.error("placing", format!("placing = {name} {err}")))
+}
+
 /// Reads the `[platform]` section of a settings file; `None` if the file has none.
 ///
 /// # Errors
@@ -149,6 +160,7 @@
         store: address("store")?,
         drain_limit: seconds("drain_limit_s", 8.0)?,
         link_mbps: link_mbps(&section)?,
+        placing: placing(&section)?,
         is_fail_closed: section.flag("fail_closed", false)?,
         revoke_limit: section.millis("revoke_limit_ms", Duration::from_secs(5))?,
         memory_mb: limit(&section, "memory_mb")?,
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -14,6 +14,7 @@
 use bilberrypost::peer::schedule::Schedule;
 use bilberrypost::relay::handover::Stream;
 use bilberrypost::route::evidence::{Block, Certainty, Crash, DomainHash, Evidence, Pass};
+use bilberrypost::route::held::{self, Sighting};
 use bilberrypost::route::load::Load;
 use bilberrypost::route::load::{EngineHash, Usage};
 use bilberrypost::route::losses::Loss;
@@ -21,6 +22,7 @@
 use bilberrypost::route::quarantine::REPORTED_PARTS_MAX;
 use bilberrypost::route::registry::{Registration, Registry};
 use bilberrypost::route::removals::REPORTED_MAX as REMOVALS_MAX;
+use bilberrypost::route::speed::Reading;
 use bilberrypost::sched::demand::{Answered, Answers, Arrivals, Class, Counts, ENTRIES_MAX, Team};
 use bilberrypost::sched::retry;
 use compact_str::{CompactString, format_compact};
@@ -383,6 +385,10 @@
                 running: 64,
                 reading: 40_000,
                 memory: 55_000,
+                read: Reading {
+                    tokens: 120_000,
+                    ms: 14_000,
+                },
             };
             Usage::new(EngineHash::of(&format!("i-{n:08x}")), load)
         })
@@ -451,6 +457,11 @@
             ENTRIES_MAX
         ],
     };
+    let sighting = Sighting {
+        engine: EngineHash::of("i-1"),
+        prefix: held::prefixes("model", [("part", 13_300)].into_iter())[0],
+        age_ms: 30_000,
+    };
     let summary = Summary {
         domain: "fd-a".into(),
         number: 1 << 41,
@@ -462,6 +473,7 @@
         counts: counts.clone(),
         losses: losses.clone(),
         evidence: evidence.clone(),
+        sightings: vec![sighting; held::SUMMARIZED_MAX],
     };
     let stream = Stream {
         digest: u64::MAX,
@@ -482,6 +494,7 @@
         losses: Vec::new(),
         removals: vec![EngineHash::of("i-1"); REMOVALS_MAX],
         evidence: Evidence::default(),
+        sightings: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
@@ -492,6 +505,7 @@
             counts,
             losses,
             evidence,
+            sightings: vec![sighting; held::REPORTED_MAX],
             streams: vec![stream; 64],
             ..empty.clone()
         },
@@ -533,6 +547,7 @@
         }],
         removals: vec![EngineHash::of("a")],
         evidence: Evidence::default(),
+        sightings: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     };
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -12,6 +12,7 @@
 use bilberrypost::gateway;
 use bilberrypost::peer::report::Report;
 use bilberrypost::route::evidence::Evidence;
+use bilberrypost::route::placing::Policy;
 use bilberrypost::sched::demand::Counts;
 use bilberrypost::sched::retry;
 use compact_str::CompactString;
@@ -582,6 +583,7 @@
         losses: Vec::new(),
         removals: Vec::new(),
         evidence: Evidence::default(),
+        sightings: Vec::new(),
         streams: Vec::new(),
         summaries: Vec::new(),
     }
@@ -795,6 +797,7 @@
         link_mbps: None,
         memory_mb: None,
         max_fds: None,
+        placing: Policy::default(),
         retries: retry::Policy {
             ratio: 0.8,
             slack: 150.0,
