Count prompts that are prefilled again, by cause

A stream whose engine is lost and that has no usable replica prefills its prompt once more; neither logs nor metrics said why. Each such attempt is now logged as prefilled_again and its prompt tokens are counted in bilberrypost_reprefill_tokens_total, by cause.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -10,15 +10,19 @@
 use crate::route::registry::Engine;
 
 /// Finds the replica of a stream that another host relayed before, if the caller continues one.
-/// Returns the engine that holds it and the id of the replicated run.
+/// Returns the engine that holds it and the id of the replicated run, `None` if the stream begins
+/// here.
+///
+/// # Errors
+/// [`Missing`] if the stream continues without a replica.
 pub fn find<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
-) -> Option<(Engine, CompactString)> {
-    if !can_be_handed_over(admitted) {
-        return None;
-    }
-    let last_event = admitted.call.last_event?;
+) -> Result<Option<(Engine, CompactString)>, Missing> {
+    let last_event = admitted.call.last_event;
+    let Some(last_event) = last_event.filter(|_| can_be_handed_over(admitted)) else {
+        return Ok(None);
+    };
     let result = find_replica(gateway, admitted);
     match &result {
         Ok((engine, run)) => {
@@ -33,7 +37,7 @@
             format_args!("reason={missing} last_event={last_event}"),
         ),
     }
-    result.ok()
+    result.map(Some)
 }
 
 /// Returns the replica of the only known run of the request. If there are several, it is not known
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -25,6 +25,7 @@
 use crate::http::problem::Reason;
 use crate::relay::event_stream::Position;
 use crate::relay::handover::LocalStream;
+use crate::relay::reprefill::{self, Outcome};
 use crate::relay::silence;
 use crate::route::registry::{Engine, Need};
 use crate::util::within;
@@ -64,6 +65,8 @@
     has_passed: bool,
     /// The engine that holds a replica to resume from, and the id of the replicated run.
     resume_replica: Option<(Engine, CompactString)>,
+    /// Which attempts prefill the prompt once more.
+    reprefill: reprefill::Tracker,
     /// Whether the caller has the head of a response.
     is_begun: bool,
     /// Longest wait for a retry; `None` if only the deadline ends it.
@@ -82,7 +85,7 @@
     gateway: &Rc<Gateway<C>>,
     admitted: AdmittedRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let resume_replica = handover::find(gateway, &admitted);
+    let handed_over = handover::find(gateway, &admitted);
     let mut stream = Stream {
         local: handover::list(gateway, &admitted),
         position: Position::after(admitted.call.last_event),
@@ -92,7 +95,8 @@
         is_begun: false,
         retry_wait: Some(RETRY_WAIT_MAX),
         admitted,
-        resume_replica,
+        reprefill: reprefill::Tracker::new(handed_over.as_ref().err().copied()),
+        resume_replica: handed_over.unwrap_or_default(),
     };
     let (open, placement) = stream.open_next::<P>().await?;
     let head = response_builder(&open.exchange.head);
@@ -137,8 +141,12 @@
             }
             let registry = &self.gateway.registry;
             let resume_replica = self.resume_replica.take();
+            let was_replicated = resume_replica.is_some();
             let resume_replica =
                 resume_replica.filter(|(engine, _)| registry.borrow().is_usable(*engine));
+            if was_replicated && resume_replica.is_none() {
+                self.reprefill.record_replica_lost();
+            }
             let from = resume_replica.as_ref().map(|(engine, _)| *engine);
             let Some(engine) = from.or_else(|| self.choose_engine()) else {
                 let is_retried = !self.attempts.excluded.is_empty() && self.has_retry_time();
@@ -150,11 +158,13 @@
                 continue;
             };
             let run = resume_replica.as_ref().map(|(_, run)| run.clone());
+            let is_resumed = run.is_some();
             self.attempts.begin();
             let (result, placement) = match self.open_at::<P>(engine, run).await {
                 Some(opened) => opened,
                 None => return Err(crash::stopped()),
             };
+            self.record_prefill(is_resumed, result.as_ref().err().copied());
             match result {
                 Ok(open) if open.is_success => {
                     self.attempts.record_answer();
@@ -245,6 +255,23 @@
         Some((result?, placement))
     }
 
+    /// Counts the prompt if an attempt, from a replica if `is_resumed`, prefilled it once more.
+    fn record_prefill(&mut self, is_resumed: bool, fault: Option<Fault>) {
+        let outcome = match fault {
+            None => Outcome::Answered,
+            Some(fault) if fault.is_not_run() => Outcome::NotRun,
+            Some(_) => Outcome::MayHaveRun,
+        };
+        let Some(cause) = self.reprefill.record_attempt(is_resumed, outcome) else {
+            return;
+        };
+        let tokens = self.admitted.call.footprint().prompt;
+        let metrics = &self.gateway.metrics;
+        metrics.count_reprefill_tokens(cause.as_str(), tokens.into());
+        let pairs = format_args!("cause={} tokens={tokens}", cause.as_str());
+        self.admitted.trace.log("prefilled_again", pairs);
+    }
+
     fn replica_of(&self, placement: &Placement<C>) -> Option<(Engine, CompactString)> {
         let run = self.admitted.call.id.clone();
         placement.replica.map(|replica| (replica, run))
--- a/src/gateway/stream/forwarding.rs
+++ b/src/gateway/stream/forwarding.rs
@@ -118,6 +118,8 @@
             }
             self.attempts.excluded = vec![broken];
             self.resume_replica = self.replica_of(&active.placement);
+            self.reprefill
+                .record_broken(active.events > 0, self.resume_replica.is_some());
             // Closes the connection, which cancels the run if the engine still works.
             drop(active);
             let next = {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -40,6 +40,12 @@
     outcome: &'static str,
 }
 
+/// Why prompts are prefilled once more.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Reprefill {
+    cause: &'static str,
+}
+
 /// A step of a request or of the process whose duration is measured.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Step {
@@ -78,6 +84,7 @@
     relayed: Family<Relayed, Counter>,
     feed_bytes: Family<Sent, Counter>,
     report_bytes: Family<Sent, Counter>,
+    reprefill_tokens: Family<Reprefill, Counter>,
 }
 
 impl Default for Metrics {
@@ -95,6 +102,9 @@
         let report_bytes = Family::default();
         let text = "Bytes of datagrams to other hosts by content, without IP and UDP headers";
         registry.register_with_unit("report", text, Unit::Bytes, report_bytes.clone());
+        let reprefill_tokens = Family::default();
+        let text = "Prompt tokens of streams that engines prefill once more, by cause";
+        registry.register("reprefill_tokens", text, reprefill_tokens.clone());
         let durations = Family::new_with_constructor(durations as fn() -> Histogram);
         let text = "Time of a step";
         registry.register_with_unit("duration", text, Unit::Seconds, durations.clone());
@@ -133,6 +143,7 @@
             relayed,
             feed_bytes,
             report_bytes,
+            reprefill_tokens,
         }
     }
 }
@@ -173,6 +184,13 @@
             .inc_by(bytes);
     }
 
+    /// Counts the tokens of a prompt that an engine prefills once more.
+    pub fn count_reprefill_tokens(&self, cause: &'static str, tokens: u64) {
+        self.reprefill_tokens
+            .get_or_create(&Reprefill { cause })
+            .inc_by(tokens);
+    }
+
     /// Records the duration of a step.
     pub fn record_duration(&self, step: &'static str, duration: Duration) {
         let durations = self.durations.get_or_create(&Step { step });
