Keep prompts and replicas away from the failure domain that is lost next

Where failure domains are lost in turn, half of the replicas stand in the domain that goes next, and prompts are sent to engines that are lost before they have prefilled them. The registry now keeps the order in which large parts of failure domains were lost. If they are lost in turn, replicas go to the domain that is expected to be lost last, and an engine that is expected to be lost before it has prefilled a prompt counts as having it to prefill twice.

--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -21,10 +21,15 @@
 /// Time to decode one output token in a batch with other requests, in microseconds.
 const OUTPUT_TOKEN_US: u64 = 6000;
 
+/// Returns the expected time in which an engine prefills prompt tokens.
+pub fn prefill_time(tokens: u64) -> Duration {
+    Duration::from_millis(tokens / PREFILL_TOKENS_PER_MS)
+}
+
 impl Footprint {
     /// Returns the expected time from the arrival of the request to the end of its output.
     pub fn expected_time(self) -> Duration {
-        Duration::from_millis(u64::from(self.prompt) / PREFILL_TOKENS_PER_MS)
+        prefill_time(self.prompt.into())
             + Duration::from_micros(u64::from(self.output) * OUTPUT_TOKEN_US)
     }
 
--- a/src/route/registry/choice.rs
+++ b/src/route/registry/choice.rs
@@ -1,10 +1,11 @@
 //! Choice of an engine for a request.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use super::{Engine, FAILURE_WINDOW, Registry, State, UNREACHABLE_FOR};
 use crate::clock::Clock;
-use crate::route::load::Footprint;
+use crate::route::load::{self, Footprint};
 use crate::route::placing::{self, Candidate};
 
 /// Age of the registrations above which the store must be out of reach. Longer than a watch of the
@@ -21,6 +22,9 @@
 /// Prompt tokens to prefill that delay other requests as much as one running request does.
 const PREFILL_TOKENS_PER_RUNNING_REQUEST: u64 = 250;
 
+/// Time by which a failure domain may be lost earlier than expected.
+const LOSS_MARGIN: Duration = Duration::from_millis(500);
+
 /// Requirements of a request for its engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -64,7 +68,8 @@
 
     fn placing_candidate(&self, engine: Engine, state: &State, need: &Need<'_>) -> Candidate {
         let load = state.total_load();
-        let penalty = self.failure_penalty(state) * PREFILL_TOKENS_PER_RUNNING_REQUEST;
+        let penalty = self.failure_penalty(state) * PREFILL_TOKENS_PER_RUNNING_REQUEST
+            + self.expected_reprefill(state, need);
         Candidate {
             engine,
             is_suspect: self.is_suspect(state),
@@ -75,13 +80,36 @@
         }
     }
 
+    /// Returns the prompt tokens that would be prefilled again if the request went to an engine that is
+    /// expected to be lost before it has prefilled the prompt.
+    fn expected_reprefill(&self, state: &State, need: &Need<'_>) -> u64 {
+        let Some(lost_at) = self.next_loss(state) else {
+            return 0;
+        };
+        let prompt = need.footprint.prompt;
+        let reading = state.total_load().reading;
+        let prefilled_at = self.clock.now() + load::prefill_time(reading + u64::from(prompt));
+        match lost_at < prefilled_at + LOSS_MARGIN {
+            true => prompt.into(),
+            false => 0,
+        }
+    }
+
+    /// Returns when the failure domain of an engine is expected to be lost next, if domains are lost in
+    /// turn.
+    fn next_loss(&self, state: &State) -> Option<Instant> {
+        let domain = &state.registration.failure_domain;
+        self.rotation.next_loss(domain, self.clock.now())
+    }
+
     fn is_remote(&self, state: &State) -> bool {
         state.registration.failure_domain != self.failure_domain
     }
 
     /// Chooses an engine of another failure domain to hold the replica of a request that runs on
-    /// `engine`. Returns `None` if no such engine has room. Draws one of those with about the most
-    /// room, as other hosts choose at the same time.
+    /// `engine`. Returns `None` if no such engine has room. Those that are expected to be lost last go
+    /// first. Of them it draws one of those with about the most room, as other hosts choose at the same
+    /// time.
     pub fn choose_replica(&self, need: &Need<'_>, engine: Engine) -> Option<Engine> {
         let domain = &self.engines.get(engine)?.registration.failure_domain;
         let used = |state: &State| {
@@ -93,9 +121,13 @@
                 .filter(|(_, state)| state.registration.failure_domain != *domain)
                 .filter(|(_, state)| state.has_room(need) && !self.is_suspect(state))
         };
-        let least = fitting().map(|(_, state)| used(state)).min()?;
+        // Domains without an expected loss come before all others.
+        let loss = |state: &State| self.next_loss(state).map(Reverse);
+        let last_lost = fitting().map(|(_, state)| loss(state)).min()?;
+        let lasting = || fitting().filter(|(_, state)| loss(state) == last_lost);
+        let least = lasting().map(|(_, state)| used(state)).min()?;
         let limit = least.saturating_add(need.footprint.memory());
-        let near = || fitting().filter(|(_, state)| used(state) <= limit);
+        let near = || lasting().filter(|(_, state)| used(state) <= limit);
         let count = near().count() as u64;
         let drawn = near().nth((rand::random::<u64>() % count) as usize);
         drawn.map(|(key, _)| key)
--- a/src/route/registry/health.rs
+++ b/src/route/registry/health.rs
@@ -33,6 +33,10 @@
 /// before they are used.
 const DOMAIN_LOSSES_MIN: usize = 2;
 
+/// A failure domain counts as lost once one in this many of its engines is known to be. Idle engines
+/// are not known to be lost.
+const DOMAIN_LOSS_PART: usize = 8;
+
 impl<C: Clock> Registry<C> {
     /// Records that received bytes or a connection show that an engine is alive. Ends its check,
     /// and a lost engine no longer counts as lost.
@@ -163,6 +167,7 @@
         let hash = EngineHash::of(&state.registration.id);
         self.losses.record(hash, now, Finder::Own);
         let domain = state.registration.failure_domain.clone();
+        self.record_domain_loss(&domain);
         self.domain_losses.retain(|(at, lost, _)| {
             now.duration_since(*at) < DOMAIN_LOSS_WINDOW && *lost != engine
         });
@@ -205,10 +210,28 @@
         // The requests that run there end as soon as the loss is confirmed.
         state.needs_check |= state.own_load.running > 0;
         let domain = state.registration.failure_domain.clone();
+        self.record_domain_loss(&domain);
         self.doubt_domain(&domain);
         true
     }
 
+    /// Records the loss of a failure domain if a large part of its engines was lost together.
+    fn record_domain_loss(&mut self, domain: &str) {
+        let now = self.clock.now();
+        let Some(from) = now.checked_sub(DOMAIN_LOSS_WINDOW) else {
+            return;
+        };
+        let is_there =
+            |engine: &Engine| self.engines[*engine].registration.failure_domain == domain;
+        let lost = self.losses.since(from);
+        let lost = lost.filter_map(|engine| self.by_hash.get(&engine).copied());
+        let lost = lost.filter(is_there).count();
+        let engines = self.by_id.values().copied().filter(is_there).count();
+        if lost >= DOMAIN_LOSSES_MIN && lost * DOMAIN_LOSS_PART >= engines {
+            self.rotation.record(domain, now);
+        }
+    }
+
     /// Lets the engines of a failure domain be tried last if several of them were lost together.
     fn doubt_domain(&mut self, domain: &str) {
         let now = self.clock.now();
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -16,6 +16,7 @@
 use super::losses::Losses;
 use super::removals::Removals;
 use super::reports::Reports;
+use super::rotation::Rotation;
 use crate::clock::Clock;
 use crate::supervisor::Signal;
 use crate::util::hash64;
@@ -141,6 +142,8 @@
     // Recently lost engines, with their failure domains.
     domain_losses: Vec<(Instant, Engine, CompactString)>,
     losses: Losses,
+    // Order in which failure domains were lost.
+    rotation: Rotation,
     leaving: Leaving,
     holds: Holds,
     // Invariant: the `peer_load` of each engine in `by_hash` is the sum of its usages in these
@@ -165,6 +168,7 @@
             confirmed_at: None,
             domain_losses: Vec::new(),
             losses: Losses::default(),
+            rotation: Rotation::default(),
             leaving: Leaving::default(),
             holds: Holds::default(),
             reports: Reports::default(),
