--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -47,6 +47,12 @@
     action: &'static str,
 }
 
+/// Why prompts are prefilled once more.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Reprefill {
+    cause: &'static str,
+}
+
 /// A step of a request or of the process whose duration is measured.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Step {
@@ -95,6 +101,7 @@
     caller_memory: Gauge,
     caller_connections: Gauge,
     prompt_tokens: Family<PromptTokens, Counter>,
+    reprefill_tokens: Family<Reprefill, Counter>,
 }
 
 impl Default for Metrics {
@@ -115,6 +122,9 @@
         let prompt_tokens = Family::default();
         let text = "Prompt tokens of begun streams that engines were expected to hold, or to read";
         registry.register("prompt_tokens", text, prompt_tokens.clone());
+        let reprefill_tokens = Family::default();
+        let text = "Prompt tokens of streams that engines prefill once more, by cause";
+        registry.register("reprefill_tokens", text, reprefill_tokens.clone());
         let durations = Family::new_with_constructor(durations as fn() -> Histogram);
         let text = "Time of a step";
         registry.register_with_unit("duration", text, Unit::Seconds, durations.clone());
@@ -166,6 +176,7 @@
             caller_memory,
             caller_connections,
             prompt_tokens,
+            reprefill_tokens,
         }
     }
 }
@@ -212,6 +223,13 @@
         self.prompt_tokens.get_or_create(&key).inc_by(tokens.into());
     }
 
+    /// Counts the tokens of a prompt that an engine prefills once more.
+    pub fn count_reprefill_tokens(&self, cause: &'static str, tokens: u64) {
+        self.reprefill_tokens
+            .get_or_create(&Reprefill { cause })
+            .inc_by(tokens);
+    }
+
     /// Records the duration of a step.
     pub fn record_duration(&self, step: &'static str, duration: Duration) {
         let durations = self.durations.get_or_create(&Step { step });
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -23,6 +23,7 @@
 pub mod registry;
 pub mod removals;
 pub mod reports;
+pub mod rotation;
 mod select;
 pub mod servers;
 pub mod speed;
--- a/src/route/registry/estimate.rs
+++ b/src/route/registry/estimate.rs
@@ -64,6 +64,7 @@
         let others = load.running.saturating_add(self.failure_penalty(state));
         let delaying = others.saturating_mul(PREFILL_TOKENS_PER_RUNNING_REQUEST);
         let queued = load.reading.saturating_add(delaying);
+        let again = self.expected_reprefill(state, need);
         let unread = need.footprint.prompt.saturating_sub(self.held(state, need));
         Candidate {
             engine,
@@ -71,7 +72,7 @@
             is_full: !state.has_room(need),
             is_remote: self.is_remote(state),
             is_reading: load.reading > 0,
-            wait: speed.time(queued) + wait_for_room(state, &load, need),
+            wait: speed.time(queued + again) + wait_for_room(state, &load, need),
             reading: speed.time(unread.into()),
         }
     }
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -18,6 +18,7 @@
 use super::placing::Policy;
 use super::removals::Removals;
 use super::reports::Reports;
+use super::rotation::Rotation;
 use super::speed::Readings;
 use crate::clock::Clock;
 use crate::supervisor::Signal;
@@ -152,6 +153,8 @@
     // Recently lost engines, with their failure domains.
     domain_losses: Vec<(Instant, Engine, CompactString)>,
     losses: Losses,
+    // Order in which failure domains were lost.
+    rotation: Rotation,
     leaving: Leaving,
     holds: Holds,
     // Invariant: the `peer_load` of each engine in `by_hash` is the sum of its usages in these
@@ -180,6 +183,7 @@
             confirmed_at: None,
             domain_losses: Vec::new(),
             losses: Losses::default(),
+            rotation: Rotation::default(),
             leaving: Leaving::default(),
             holds: Holds::default(),
             reports: Reports::default(),
