--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,9 +15,10 @@
 use super::protocol::Protocol;
 use super::reach::{self, Unreached};
 use super::request::AdmittedRequest;
-use super::{Gateway, check, notice};
+use super::{Gateway, check, notice, versions};
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
+use crate::rollout::Answer;
 use crate::route::load::Footprint;
 use crate::route::registry::Engine;
 use crate::util::within;
@@ -37,6 +38,8 @@
     pub replica: Option<Engine>,
     footprint: Footprint,
     has_output: bool,
+    // Counts the answer for the version of the engine.
+    sample: Option<versions::Sample<C>>,
 }
 
 impl<C: Clock> Placement<C> {
@@ -45,8 +48,10 @@
         gateway: &Rc<Gateway<C>>,
         engine: Engine,
         replica: Option<Engine>,
-        footprint: Footprint,
+        admitted: &AdmittedRequest,
     ) -> Self {
+        let footprint = admitted.call.footprint();
+        let sample = versions::Sample::begin(gateway, admitted, engine);
         let mut registry = gateway.registry.borrow_mut();
         registry.begin(engine, footprint);
         if let Some(replica) = replica {
@@ -58,6 +63,28 @@
             replica,
             footprint,
             has_output: false,
+            sample,
+        }
+    }
+
+    /// Records that the engine reported a failure.
+    fn record_failure(&self) {
+        if let Some(sample) = &self.sample {
+            sample.record_failure(Answer::Failed);
+        }
+    }
+
+    /// Records that the engine's response was lost or broke off.
+    pub fn record_break(&self) {
+        if let Some(sample) = &self.sample {
+            sample.record_failure(Answer::Broken);
+        }
+    }
+
+    /// Records the time of an attempt that was given up because the engine did not answer.
+    fn record_silence(&self) {
+        if let Some(sample) = &self.sample {
+            sample.record_begun();
         }
     }
 
@@ -67,6 +94,9 @@
             return;
         }
         self.has_output = true;
+        if let Some(sample) = &self.sample {
+            sample.record_begun();
+        }
         let mut registry = self.gateway.registry.borrow_mut();
         registry.set_prefilled(self.engine, self.footprint);
         registry.set_answered(self.engine);
@@ -133,6 +163,12 @@
         Err(Fault::Declined | Fault::NotRun | Fault::NoContact | Fault::EngineLost) => {}
     }
     drop(registry);
+    match &result {
+        Ok(open) if !open.is_success => placement.record_failure(),
+        Err(Fault::Lost) => placement.record_break(),
+        Err(Fault::Silent) => placement.record_silence(),
+        _ => {}
+    }
     check::start_if_due(gateway, engine);
     let elapsed = gateway.clock.now().duration_since(started);
     gateway.metrics.record_duration("attempt_head", elapsed);
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -4,9 +4,9 @@
 
 use compact_str::CompactString;
 
-use super::Gateway;
 use super::fault::Fault;
 use super::refusal::{RETRY_AFTER_SHORT, Refusal};
+use super::{Gateway, versions};
 use crate::clock::Clock;
 use crate::http::problem::Reason;
 use crate::route::registry::Engine;
@@ -35,6 +35,8 @@
     // The attempts that certainly did not run, in all rounds but the last. Only requests that may have
     // run begin another round.
     earlier_not_run: u32,
+    // Whether the first attempt goes to the version that an order names.
+    is_trial: bool,
     // Whether a retry was taken out of the budget and not yet used.
     has_retry: bool,
     // The same for the attempt after the one that is running.
@@ -48,6 +50,7 @@
     pub fn new(gateway: &Rc<Gateway<C>>, service: CompactString) -> Self {
         Self {
             gateway: gateway.clone(),
+            is_trial: versions::draw(gateway, &service),
             service,
             possible_runs: 0,
             excluded: Vec::new(),
@@ -60,6 +63,11 @@
         }
     }
 
+    /// Returns whether the next attempt goes to the version that an order names. A retry does not.
+    pub fn is_trial(&self) -> bool {
+        self.is_trial && self.possible_runs + self.not_run() == 0
+    }
+
     /// Returns whether the next attempt is allowed; takes a retry out of the budget if it needs one.
     pub fn may_send(&mut self) -> bool {
         let is_first = self.possible_runs + self.rejected == 0;
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -9,11 +9,11 @@
 
 use futures_util::future::{Either, select};
 
-use super::Gateway;
 use super::attempts::Attempts;
 use super::request::AdmittedRequest;
+use super::{Gateway, versions};
 use crate::clock::Clock;
-use crate::route::registry::{Engine, Need};
+use crate::route::registry::{Engine, Need, Versions};
 
 /// Time between two tries to make another attempt possible.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -130,8 +130,9 @@
             footprint: self.admitted.call.footprint(),
             memory_tokens: self.admitted.memory_tokens,
             excluded: &excluded,
+            versions: Versions::Any,
         };
-        self.gateway.registry.borrow().choose(&need).is_some()
+        versions::choose(self.gateway, &need, false).is_some()
     }
 
     fn log_kept(&self, cause: Cause, obstacle: &'static str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,8 +32,10 @@
 pub mod ready;
 pub mod refusal;
 pub mod request;
+pub mod rollouts;
 pub mod stagger;
 pub mod stream;
+pub mod versions;
 pub mod watch;
 
 use std::cell::{Cell, RefCell};
@@ -52,6 +54,7 @@
 use crate::relay::handover::{LocalStreams, RemoteStreams};
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
+use crate::rollout::{self, Rollouts};
 use crate::route::quarantine::Quarantine;
 use crate::route::registry::Registry;
 use crate::sched::retry;
@@ -78,6 +81,10 @@
 /// While no configuration is known, `Retry-After` is the caller's timeout divided by this.
 const RETRY_TIMEOUT_DIVISOR: u32 = 6;
 
+/// Time after the start for which a host that does not know the orders of roll-outs is not ready. Without
+/// a store and peers that tell them it serves as if there were none.
+const ORDERS_WAIT_MAX: Duration = Duration::from_secs(3);
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -104,6 +111,16 @@
     pub link_mbps: Option<f64>,
     /// Limits on retries.
     pub retries: retry::Policy,
+    /// Limits on roll-outs; `None` if the host carries out none.
+    pub rollouts: Option<rollout::Policy>,
+}
+
+impl Settings {
+    /// Returns whether other gateways are named to exchange reports with.
+    fn has_peers(&self) -> bool {
+        let peers = self.peers.as_ref();
+        peers.is_some_and(|(own, seeds)| seeds.iter().any(|seed| seed != own))
+    }
 }
 
 /// State shared by the tasks of a gateway process.
@@ -117,6 +134,10 @@
     pub budget: RefCell<retry::Budget>,
     /// Parts of prompts that crash engines.
     pub quarantine: RefCell<Quarantine>,
+    /// Orders to roll versions out.
+    pub rollouts: RefCell<Rollouts>,
+    /// Number of hosts that write the state of a roll-out before this one.
+    pub writer_rank: Cell<u32>,
     /// Requests that wait for an engine to begin, which end when a part of theirs is blocked.
     pub waiting: crash::Waiting,
     /// Metrics of the process.
@@ -182,6 +203,8 @@
             )),
             budget: RefCell::new(retry::Budget::new(settings.retries, process)),
             quarantine: RefCell::new(Quarantine::new(process)),
+            rollouts: RefCell::new(Rollouts::new(settings.rollouts, settings.has_peers())),
+            writer_rank: Cell::default(),
             waiting: crash::Waiting::default(),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
@@ -512,6 +535,9 @@
         if !self.has_engine_list.get() {
             return Some("no engines are known yet");
         }
+        if self.rollouts.borrow().is_unknown() && self.uptime() < ORDERS_WAIT_MAX {
+            return Some("no roll-outs are known yet");
+        }
         None
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use compio::bytes::Bytes;
 use compio::net::UdpSocket;
 use log::{info, warn};
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::http::client::post_json;
 use crate::http::pool::Pool;
+use crate::member::rendezvous;
 use crate::peer::newer::Newer;
 use crate::peer::report::{self, Report, Summary};
 use crate::peer::roster::{REPRESENTATIVES, Roster};
@@ -49,6 +50,9 @@
 /// Maximum number of streams in one report, which keeps it below [`report::BYTES_MAX`].
 const REPORT_STREAMS_MAX: usize = 64;
 
+/// Name of the duty to write the states of roll-outs.
+const WRITER_DUTY: &str = "rollouts";
+
 /// Timeout for fetching the configuration and the engines from a peer, which may be large.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -79,6 +83,8 @@
         last_report: None,
         reported_losses: 0,
         reported_evidence: 0,
+        reported_rollouts: 0,
+        summarized_rollouts: 0,
         schedule: Schedule::default(),
         summarized_losses: 0,
         summarized_evidence: 0,
@@ -152,6 +158,9 @@
     // The `Quarantine::versions` that they contained.
     reported_evidence: u64,
     summarized_evidence: u64,
+    // The `Rollouts::version` that they contained.
+    reported_rollouts: u64,
+    summarized_rollouts: u64,
     // The rounds of summaries.
     schedule: Schedule,
     summarized_losses: u64,
@@ -201,6 +210,13 @@
         if registry.set_report(source.clone(), report.number, report.usages) {
             let mut budget = self.gateway.budget.borrow_mut();
             budget.record_report(source, report.process, 1, report.retries, now);
+            let mut rollouts = self.gateway.rollouts.borrow_mut();
+            rollouts.record_report(
+                Source::Host(from.ip()),
+                report.process,
+                report.rollouts,
+                now,
+            );
         }
         drop(registry);
         self.record_losses(&report.losses, Finder::Peer, from);
@@ -259,7 +275,10 @@
         if registry.set_report(source.clone(), summary.number, summary.usages.clone()) {
             let (hosts, retries) = (summary.retrying_hosts, summary.retries.clone());
             let mut budget = self.gateway.budget.borrow_mut();
-            budget.record_report(source, summary.process, hosts, retries, now);
+            budget.record_report(source.clone(), summary.process, hosts, retries, now);
+            let mut rollouts = self.gateway.rollouts.borrow_mut();
+            // Any representative reports the counts of the whole domain.
+            rollouts.record_report(source, 0, summary.rollouts.clone(), now);
         }
         drop(registry);
         self.has_urgent_summary |= self.record_losses(&summary.losses, Finder::Remote, from);
@@ -277,6 +296,7 @@
         registry.expire_reports();
         registry.expire_losses();
         self.gateway.quarantine.borrow_mut().expire(now);
+        self.gateway.rollouts.borrow_mut().expire(now);
         let before = registry.last_change();
         registry.expire_lapsed();
         let has_changed = registry.last_change() != before;
@@ -308,11 +328,26 @@
         };
         let representatives = self.roster.representatives_to_follow(is_leaving, now);
         self.gateway.role.set(duty, is_followed, representatives);
+        self.update_writer_rank(is_leaving, now);
         let mut hosts = self.roster.live_in_own_domain(now);
         hosts.extend(self.roster.other_representatives());
         self.gateway.reach.set_hosts(hosts);
     }
 
+    /// Ranks the hosts that may write the states of roll-outs, which are the first representatives.
+    fn update_writer_rank(&self, is_leaving: bool, now: Instant) {
+        let own_name = self.own_address.to_compact_string();
+        let local = self.roster.own_representatives(is_leaving, now);
+        let representatives = local.into_iter().chain(self.roster.other_representatives());
+        let names: Vec<_> = representatives
+            .map(|address| address.to_compact_string())
+            .collect();
+        let ranked = rendezvous::ranked(WRITER_DUTY, names.iter().map(|name| name.as_str()));
+        let rank = ranked.iter().position(|name| *name == own_name);
+        let rank = rank.unwrap_or(ranked.len());
+        self.gateway.writer_rank.set(rank as u32);
+    }
+
     /// Sends a report to the recipients of direct reports if one is due, to hosts that asked for
     /// one, and as a question to seeds that were not heard.
     async fn send_report(&mut self) {
@@ -320,6 +355,7 @@
         let load_version = self.gateway.registry.borrow().own_load_version();
         let (losses_version, _) = self.gateway.registry.borrow().losses().versions();
         let (evidence_version, _) = self.gateway.quarantine.borrow().versions();
+        let rollouts_version = self.gateway.rollouts.borrow().version();
         let recipients = self.roster.report_targets();
         let ticks = (recipients.len() as u32)
             .div_ceil(REPORTS_PER_TICK_MAX)
@@ -331,6 +367,7 @@
                 let is_due = since >= REPORT_INTERVAL_MAX
                     || losses_version != self.reported_losses
                     || evidence_version != self.reported_evidence
+                    || rollouts_version != self.reported_rollouts
                     || (sent_version != load_version && since >= TICK * (ticks - 1));
                 if is_due { recipients } else { Vec::new() }
             }
@@ -340,6 +377,7 @@
             self.last_report = Some((now, load_version));
             self.reported_losses = losses_version;
             self.reported_evidence = evidence_version;
+            self.reported_rollouts = rollouts_version;
         }
         targets.extend(std::mem::take(&mut self.awaiting_reply));
         let seeds = self.roster.seeds_to_query(now);
@@ -352,11 +390,13 @@
         };
         let retries = self.gateway.budget.borrow_mut().own_usages(now);
         let evidence = self.gateway.quarantine.borrow().own(now);
+        let rollouts = self.gateway.rollouts.borrow().own(now);
         let report = Report {
             usages,
             losses,
             evidence,
             retries,
+            rollouts,
             streams: self.streams_to_report(),
             ..self.empty_report(now)
         };
@@ -377,7 +417,9 @@
         let local_representatives = self.roster.own_representatives(is_leaving, now);
         let (_, losses_version) = self.gateway.registry.borrow().losses().versions();
         let (_, evidence_version) = self.gateway.quarantine.borrow().versions();
+        let rollouts_version = self.gateway.rollouts.borrow().version();
         let is_urgent = self.has_urgent_summary
+            || rollouts_version != self.summarized_rollouts
             || losses_version != self.summarized_losses
             || evidence_version != self.summarized_evidence;
         if !self.roster.has_indirect_hosts()
@@ -389,6 +431,7 @@
         self.schedule.record(is_urgent, now);
         self.summarized_losses = losses_version;
         self.summarized_evidence = evidence_version;
+        self.summarized_rollouts = rollouts_version;
         self.has_urgent_summary = false;
         self.send_own_summary(now).await;
         self.forward_summaries(now).await;
@@ -409,6 +452,7 @@
             retries,
             losses: self.gateway.registry.borrow().losses().joint(now),
             evidence: self.gateway.quarantine.borrow().joint(now),
+            rollouts: self.gateway.rollouts.borrow().joint(now),
         };
         let report = Report {
             summaries: vec![summary],
@@ -460,6 +504,7 @@
             losses: Vec::new(),
             removals: self.gateway.registry.borrow().recent_removals(),
             evidence: Evidence::default(),
+            rollouts: None,
             streams: Vec::new(),
             summaries: Vec::new(),
         }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,7 +10,6 @@
 use futures_util::future::{Either, select};
 use hyper::Response;
 
-use super::Gateway;
 use super::attempt::{self, OpenResponse, Placement, ResumePoint, response_builder};
 use super::attempts::Attempts;
 use super::failover::Failover;
@@ -18,12 +17,13 @@
 use super::protocol::Protocol;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
+use super::{Gateway, versions};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::{Exchange, Prefix};
 use crate::http::problem::Reason;
 use crate::report::trace::Trace;
-use crate::route::registry::{Engine, Need};
+use crate::route::registry::{Engine, Need, Versions};
 use crate::util::within;
 
 /// Size in bytes up to which a response body is buffered.
@@ -59,7 +59,7 @@
         if !has_retry_time(gateway, admitted, &attempts) || !attempts.may_send() {
             return give_up(&attempts, failure);
         }
-        let placement = Placement::new(gateway, engine, None, admitted.call.footprint());
+        let placement = Placement::new(gateway, engine, None, admitted);
         attempts.begin();
         let sent_at = gateway.clock.now();
         let result = send_once::<C, P>(
@@ -106,12 +106,14 @@
     admitted: &AdmittedRequest,
     attempts: &Attempts<C>,
 ) -> Option<Engine> {
-    gateway.registry.borrow().choose(&Need {
+    let need = Need {
         service: &admitted.service,
         footprint: admitted.call.footprint(),
         memory_tokens: admitted.memory_tokens,
         excluded: &attempts.excluded,
-    })
+        versions: Versions::Any,
+    };
+    versions::choose(gateway, &need, attempts.is_trial())
 }
 
 /// Returns whether enough time is left for the next attempt; the first one is always made.
@@ -179,6 +181,7 @@
         }
         Some(Err(_)) => {
             gateway.registry.borrow_mut().set_failed(placement.engine);
+            placement.record_break();
             return Err(Fault::Lost);
         }
         None => return Err(Fault::Silent),
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -11,7 +11,7 @@
 
 use super::protocol::{Directory, Protocol};
 use super::{BALANCER_LAG, Gateway, Settings};
-use super::{check, feed, follow, front, lateness, peers, ready, watch};
+use super::{check, feed, follow, front, lateness, peers, ready, rollouts, watch};
 use crate::clock;
 use crate::http::server;
 use crate::supervisor::{Signal, Supervisor};
@@ -80,6 +80,16 @@
         "engines",
         watch::engines(gateway.clone(), directory.clone(), supervisor.stop_signal()),
     );
+    if gateway.settings.rollouts.is_some() {
+        supervisor.spawn(
+            "orders",
+            rollouts::watch_orders(gateway.clone(), directory.clone(), supervisor.stop_signal()),
+        );
+        supervisor.spawn(
+            "order_states",
+            rollouts::write_states(gateway.clone(), directory.clone(), supervisor.stop_signal()),
+        );
+    }
     if let Some((sockets, (address, seeds))) = peer_sockets.zip(gateway.settings.peers.clone()) {
         let service = Rc::new(feed::Endpoint::new(gateway.clone()));
         supervisor.spawn(
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -9,6 +9,7 @@
 use super::call::{Answer, Attempt, Call, InvalidHead};
 use super::position::Position;
 use crate::config::routes::Revision;
+use crate::rollout;
 use crate::route::registry::Registration;
 
 /// Translates HTTP heads to and from the gateway's types.
@@ -61,6 +62,15 @@
     Removed(CompactString),
 }
 
+/// A change of an order to roll a version out.
+#[derive(Clone, Debug)]
+pub enum OrderChange {
+    /// The order was given, or its state was written.
+    Changed(rollout::Entry),
+    /// The order for this service is gone.
+    Withdrawn(CompactString),
+}
+
 /// Why a call to the directory failed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Unavailable {
@@ -110,4 +120,31 @@
         since: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Listing<Change>, Unavailable>>;
+
+    /// Reads all orders to roll a version out.
+    ///
+    /// # Errors
+    /// See [`Unavailable`].
+    fn list_orders(&self) -> impl Future<Output = Result<Listing<rollout::Entry>, Unavailable>>;
+
+    /// Waits up to `wait` for changes of orders after the position `since`.
+    ///
+    /// # Errors
+    /// See [`Unavailable`].
+    fn watch_orders(
+        &self,
+        since: Position,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Listing<OrderChange>, Unavailable>>;
+
+    /// Writes the state of an order if the order has not changed since `entry` was read. Returns the
+    /// order as it is now, also if it had changed; `None` if it is gone.
+    ///
+    /// # Errors
+    /// See [`Unavailable`]; the state may then be written later, while the order does not change.
+    fn write_order_state(
+        &self,
+        entry: &rollout::Entry,
+        lifecycle: rollout::Lifecycle,
+    ) -> impl Future<Output = Result<Option<rollout::Entry>, Unavailable>>;
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,14 +19,14 @@
 use super::protocol::Protocol;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
-use super::{Gateway, crash, handover};
+use super::{Gateway, crash, handover, versions};
 use crate::clock::Clock;
 use crate::http::body::Body;
 use crate::http::problem::Reason;
 use crate::relay::event_stream::Position;
 use crate::relay::handover::LocalStream;
 use crate::relay::silence;
-use crate::route::registry::{Engine, Need};
+use crate::route::registry::{Engine, Need, Versions};
 use crate::util::within;
 
 mod forwarding;
@@ -135,10 +135,8 @@
             if self.attempts.possible_runs == 0 {
                 self.gateway.check_time_left(&self.admitted)?;
             }
-            let registry = &self.gateway.registry;
             let resume_replica = self.resume_replica.take();
-            let resume_replica =
-                resume_replica.filter(|(engine, _)| registry.borrow().is_usable(*engine));
+            let resume_replica = resume_replica.filter(|(engine, _)| self.may_resume(*engine));
             let from = resume_replica.as_ref().map(|(engine, _)| *engine);
             let Some(engine) = from.or_else(|| self.choose_engine()) else {
                 let is_retried = !self.attempts.excluded.is_empty() && self.has_retry_time();
@@ -207,8 +205,7 @@
         run: Option<CompactString>,
     ) -> Option<(Result<OpenResponse, Fault>, Placement<C>)> {
         let replica = self.choose_replica(engine);
-        let footprint = self.admitted.call.footprint();
-        let placement = Placement::new(&self.gateway, engine, replica, footprint);
+        let placement = Placement::new(&self.gateway, engine, replica, &self.admitted);
         let resume_point = ResumePoint {
             last_event: self.position.last(),
             replica_run: run,
@@ -245,6 +242,11 @@
         Some((result?, placement))
     }
 
+    fn may_resume(&self, engine: Engine) -> bool {
+        self.gateway.registry.borrow().is_usable(engine)
+            && versions::allows(&self.gateway, &self.admitted.service, engine)
+    }
+
     fn replica_of(&self, placement: &Placement<C>) -> Option<(Engine, CompactString)> {
         let run = self.admitted.call.id.clone();
         placement.replica.map(|replica| (replica, run))
@@ -307,18 +309,24 @@
             footprint: self.admitted.call.footprint(),
             memory_tokens: self.admitted.memory_tokens,
             excluded: &self.attempts.excluded,
+            versions: Versions::Any,
         }
     }
 
     fn choose_engine(&self) -> Option<Engine> {
-        self.gateway.registry.borrow().choose(&self.need())
+        versions::choose(&self.gateway, &self.need(), self.attempts.is_trial())
     }
 
     fn choose_replica(&self, engine: Engine) -> Option<Engine> {
         let is_useful = self.admitted.has_replicas && self.admitted.route.kind.is_retryable();
+        let version = versions::replica_version(&self.gateway, &self.admitted.service, engine);
+        let need = Need {
+            versions: version.as_deref().map_or(Versions::Any, Versions::Only),
+            ..self.need()
+        };
         let registry = self.gateway.registry.borrow();
         is_useful
-            .then(|| registry.choose_replica(&self.need(), engine))
+            .then(|| registry.choose_replica(&need, engine))
             .flatten()
     }
 
--- a/src/gateway/stream/forwarding.rs
+++ b/src/gateway/stream/forwarding.rs
@@ -98,6 +98,7 @@
                 End::CallerGone => return self.record_incomplete("caller-gone"),
                 End::TimedOut => return self.record_incomplete("deadline"),
                 End::Broken(reason) => {
+                    active.placement.record_break();
                     self.retry_wait = Some(RETRY_WAIT_MAX);
                     reason
                 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -207,7 +207,7 @@
 
 /// Returns the result of a call to the store; [`Unavailable::HistoryGone`] if the store was found to
 /// be in a new era meanwhile.
-async fn unless_set<T>(
+pub(super) async fn unless_set<T>(
     next_era: &Signal,
     call: impl Future<Output = Result<T, Unavailable>>,
 ) -> Result<T, Unavailable> {
@@ -329,7 +329,7 @@
 }
 
 /// Counts a call to the directory and its outcome in the metrics.
-fn count_call<C: Clock, T>(
+pub(super) fn count_call<C: Clock, T>(
     gateway: &Gateway<C>,
     call: &'static str,
     result: &Result<T, Unavailable>,
@@ -342,7 +342,8 @@
     gateway.metrics.count_decision(call, outcome);
 }
 
-fn warn_unreadable(kind: &str, count: usize) {
+/// Warns of entries that could not be decoded.
+pub(super) fn warn_unreadable(kind: &str, count: usize) {
     if count > 0 {
         warn!("event=entries_unreadable kind={kind} count={count}");
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod platform;
 pub mod relay;
 pub mod report;
+pub mod rollout;
 pub mod route;
 pub mod router;
 pub mod sched;
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -8,13 +8,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::relay::handover;
+use crate::rollout;
 use crate::route::evidence::Evidence;
 use crate::route::load::{EngineHash, Usage};
 use crate::route::losses::Loss;
 use crate::sched::retry;
 
 /// First byte of a datagram. A host drops datagrams of a format that its release does not know.
-const FORMAT_VERSION: u8 = 4;
+const FORMAT_VERSION: u8 = 5;
 
 /// Maximum size of a datagram in bytes.
 pub const BYTES_MAX: usize = 8192;
@@ -40,6 +41,8 @@
     pub losses: Vec<Loss>,
     /// What these hosts know of parts of prompts that crash engines.
     pub evidence: Evidence,
+    /// What these hosts know of orders to roll a version out; `None` if they know of none yet.
+    pub rollouts: Option<Vec<rollout::Mention>>,
 }
 
 /// Content of a datagram: the state of the host that sends it.
@@ -70,6 +73,8 @@
     pub removals: Vec<EngineHash>,
     /// What the host knows of parts of prompts that crash engines.
     pub evidence: Evidence,
+    /// What the host knows of orders to roll a version out; `None` if it does not know yet.
+    pub rollouts: Option<Vec<rollout::Mention>>,
     /// The host's running streams that another host may resume.
     pub streams: Vec<handover::Stream>,
     /// Summaries of failure domains; only representatives send them.
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::config::routes::{Limits, Revision, Route, RouteKind, Service, Target, Team};
+use crate::rollout::{Entry, Lifecycle, Order, Outcome};
 use crate::route::registry::Registration;
 
 #[derive(Deserialize)]
@@ -227,14 +228,16 @@
     address: CompactString,
     zone: CompactString,
     batch_slots: u32,
-    lifecycle: Lifecycle,
+    lifecycle: EngineLifecycle,
     #[serde(default)]
     born: u64,
+    #[serde(default)]
+    version: CompactString,
 }
 
 #[derive(Clone, Copy, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "snake_case")]
-enum Lifecycle {
+enum EngineLifecycle {
     Available,
     Draining,
 }
@@ -263,7 +266,105 @@
         address: document.address,
         failure_domain: document.zone,
         slots: document.batch_slots,
-        is_draining: document.lifecycle == Lifecycle::Draining,
+        is_draining: document.lifecycle == EngineLifecycle::Draining,
         started_ms: document.born,
+        version: document.version,
     })
 }
+
+#[derive(Deserialize)]
+struct OrderObject {
+    metadata: OrderMetadata,
+    spec: OrderDocument,
+    #[serde(default)]
+    status: Option<StatusDocument>,
+}
+
+#[derive(Deserialize)]
+struct OrderMetadata {
+    revision: u64,
+    #[serde(default)]
+    created: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct OrderDocument {
+    service: CompactString,
+    to: CompactString,
+    duration_s: f64,
+}
+
+#[derive(Deserialize, Serialize)]
+struct StatusDocument {
+    lifecycle: OrderLifecycle,
+    to: CompactString,
+}
+
+#[derive(Clone, Copy, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum OrderLifecycle {
+    InProgress,
+    Completed,
+    Reverted,
+}
+
+impl From<OrderLifecycle> for Lifecycle {
+    fn from(lifecycle: OrderLifecycle) -> Self {
+        match lifecycle {
+            OrderLifecycle::InProgress => Self::InProgress,
+            OrderLifecycle::Completed => Self::Ended(Outcome::Completed),
+            OrderLifecycle::Reverted => Self::Ended(Outcome::Reverted),
+        }
+    }
+}
+
+impl From<Lifecycle> for OrderLifecycle {
+    fn from(lifecycle: Lifecycle) -> Self {
+        match lifecycle {
+            Lifecycle::InProgress => Self::InProgress,
+            Lifecycle::Ended(Outcome::Completed) => Self::Completed,
+            Lifecycle::Ended(Outcome::Reverted) => Self::Reverted,
+        }
+    }
+}
+
+/// Decodes the order to roll a version out that the object `name` holds; `None` if it is malformed. A
+/// status that names another version belongs to an earlier order.
+pub(super) fn decode_order(name: &str, object: &serde_json::Value, era: u64) -> Option<Entry> {
+    let decoded = OrderObject::deserialize(object).ok()?;
+    let OrderDocument {
+        service,
+        to,
+        duration_s,
+    } = decoded.spec;
+    if service != name {
+        return None;
+    }
+    let duration = Duration::try_from_secs_f64(duration_s).ok()?;
+    let status = decoded.status.filter(|status| status.to == to);
+    Some(Entry {
+        order: Order {
+            service,
+            to,
+            duration: duration.min(TIME_MAX),
+            created: decoded.metadata.created,
+            era,
+        },
+        lifecycle: status.map(|status| status.lifecycle.into()),
+        revision: decoded.metadata.revision,
+        document: object.to_string().into(),
+    })
+}
+
+/// Returns the object that holds an order, with a status that tells its state.
+pub(super) fn with_status(entry: &Entry, lifecycle: Lifecycle) -> Option<serde_json::Value> {
+    let mut object: serde_json::Value = serde_json::from_str(&entry.document).ok()?;
+    let status = StatusDocument {
+        lifecycle: lifecycle.into(),
+        to: entry.order.to.clone(),
+    };
+    let status = serde_json::to_value(status).ok()?;
+    object.as_object_mut()?.insert("status".to_owned(), status);
+    Some(object)
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,7 +16,8 @@
 use crate::config::routes::Revision;
 use crate::gateway::call::{Answer, Attempt, Call, InvalidHead};
 use crate::gateway::position::Position;
-use crate::gateway::protocol::{self, Change, Listing, Protocol, Unavailable};
+use crate::gateway::protocol::{self, Change, Listing, OrderChange, Protocol, Unavailable};
+use crate::rollout;
 use crate::route::registry::Registration;
 
 /// Path of the load balancer's readiness check.
@@ -129,6 +130,24 @@
     }
 }
 
+fn decode_order(object: &store::Object, era: u64) -> Decoded<rollout::Entry> {
+    let whole = object.whole.as_ref();
+    let entry = whole.and_then(|whole| document::decode_order(&object.name, whole, era));
+    entry.map_or(Decoded::Unreadable(None), Decoded::Item)
+}
+
+/// Decodes a change of an order. A malformed entry withdraws the order.
+fn decode_order_change(change: &store::Change, era: u64) -> Decoded<OrderChange> {
+    let withdrawn = OrderChange::Withdrawn(change.object.name.clone());
+    if change.removed {
+        return Decoded::Item(withdrawn);
+    }
+    match decode_order(&change.object, era) {
+        Decoded::Item(entry) => Decoded::Item(OrderChange::Changed(entry)),
+        _ => Decoded::Unreadable(Some(withdrawn)),
+    }
+}
+
 impl protocol::Directory for store::Store {
     async fn read_revision(&self) -> Result<Listing<Revision>, Unavailable> {
         let batch = self.list(store::CONFIG).await?;
@@ -165,4 +184,41 @@
         let batch = self.watch(store::ENGINES, since.revision, wait).await?;
         Ok(decode_batch(batch, decode_change))
     }
+
+    async fn list_orders(&self) -> Result<Listing<rollout::Entry>, Unavailable> {
+        let batch = self.list(store::ROLLOUTS).await?;
+        let era = batch.era;
+        Ok(decode_batch(batch, |object| decode_order(&object, era)))
+    }
+
+    async fn watch_orders(
+        &self,
+        since: Position,
+        wait: Duration,
+    ) -> Result<Listing<OrderChange>, Unavailable> {
+        let batch = self.watch(store::ROLLOUTS, since.revision, wait).await?;
+        let era = batch.era;
+        Ok(decode_batch(batch, |change| {
+            decode_order_change(&change, era)
+        }))
+    }
+
+    async fn write_order_state(
+        &self,
+        entry: &rollout::Entry,
+        lifecycle: rollout::Lifecycle,
+    ) -> Result<Option<rollout::Entry>, Unavailable> {
+        let unreadable = |cause: &str| Unavailable::NoAnswer(cause.to_owned());
+        let whole = document::with_status(entry, lifecycle);
+        let whole = whole.ok_or_else(|| unreadable("the order is malformed"))?;
+        let name = &entry.order.service;
+        let (object, era) = self.replace_status(store::ROLLOUTS, name, &whole).await?;
+        let Some(object) = object else {
+            return Ok(None);
+        };
+        match decode_order(&object, era) {
+            Decoded::Item(entry) => Ok(Some(entry)),
+            _ => Err(unreadable("the answer is malformed")),
+        }
+    }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::config::ini::{Error, File, Section};
 use crate::gateway::Settings;
+use crate::rollout;
 use crate::sched::retry;
 
 const SETTINGS: &[&str] = &[
@@ -24,6 +25,8 @@
     "retry_slack",
     "retry_window_s",
     "revoke_limit_ms",
+    "rollout_ratio",
+    "rollout_tolerance",
 ];
 
 /// Accepted rates of a link in Mbit/s.
@@ -78,6 +81,28 @@
     }
 }
 
+/// Reads the limits on the requests that a version gets before a roll-out is completed; `None` if they
+/// are not set or empty, so that the host carries out no roll-outs.
+fn rollout_policy(section: &Section<'_>) -> Result<Option<rollout::Policy>, Error> {
+    if section.text("rollout_ratio").is_none_or(str::is_empty) {
+        return Ok(None);
+    }
+    let ratio: f64 = section.value("rollout_ratio", 0.0)?;
+    if !(0.0..=1.0).contains(&ratio) {
+        let message =
+            format!("rollout_ratio = {ratio} is out of range; write a number from 0 to 1");
+        return Err(section.error("rollout_ratio", message));
+    }
+    let has_tolerance = section
+        .text("rollout_tolerance")
+        .is_some_and(|text| !text.is_empty());
+    let tolerance = match has_tolerance {
+        true => section.value("rollout_tolerance", 0.0)?,
+        false => 0.0,
+    };
+    Ok(Some(rollout::Policy { ratio, tolerance }))
+}
+
 /// Reads the `[platform]` section of a settings file; `None` if the file has none.
 ///
 /// # Errors
@@ -121,5 +146,6 @@
             slack: section.value("retry_slack", 20.0)?,
             window: seconds("retry_window_s", 10.0)?,
         },
+        rollouts: rollout_policy(&section)?,
     }))
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,7 +8,8 @@
 use compact_str::CompactString;
 use compio::bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -22,6 +23,9 @@
 /// Kind of the objects that hold the operator's configuration.
 pub const CONFIG: &str = "config";
 
+/// Kind of the objects that order roll-outs.
+pub const ROLLOUTS: &str = "rollouts";
+
 /// Name of the object that holds the current configuration.
 pub const CONFIG_NAME: &str = "main";
 
@@ -38,6 +42,8 @@
     pub name: CompactString,
     /// Content that the writer of the object defines; `None` if it cannot be read.
     pub spec: Option<Value>,
+    /// The complete object in the store's form. Only of [`ROLLOUTS`], of which the system writes a part.
+    pub whole: Option<Value>,
 }
 
 /// A change of an object.
@@ -133,7 +139,7 @@
             // A watch from the revision of the first page also reports changes between two pages.
             let at = decode_member(&body, "at")?;
             batch.store_revision = batch.store_revision.min(at);
-            batch.decode(&body, "entries", decode_object)?;
+            batch.decode(&body, "entries", |text| decode_object(kind, text))?;
             let has_more: Option<bool> = decode_optional(&body, "has-more")?;
             if !has_more.unwrap_or(false) {
                 return Ok(Some(batch));
@@ -171,32 +177,71 @@
             store_revision: decode_member(&body, "at")?,
             era,
         };
-        batch.decode(&body, "events", decode_change)?;
+        batch.decode(&body, "events", |text| decode_change(kind, text))?;
         Ok(batch)
     }
 
+    /// Replaces the status of an object if the object has not changed since `whole` was read. Returns the
+    /// object as it is now, also if it had changed, and the era; no object if it is gone.
+    ///
+    /// # Errors
+    /// [`Error::Unavailable`] if the store does not answer; it may then have replaced the status, or do
+    /// so later while the object does not change.
+    pub async fn replace_status(
+        &self,
+        kind: &str,
+        name: &str,
+        whole: &Value,
+    ) -> Result<(Option<Object>, u64), Error> {
+        let path = format!("/bilberrypost/objects/{kind}/{name}/status");
+        let request = Request::put(path)
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(whole.to_string())));
+        // Another pool than that of the watch, which may wait on its connection.
+        let pool = format!("{kind}/status");
+        let (head, body) = self.call(&pool, request, CALL_TIMEOUT).await?;
+        let object = match head.status {
+            StatusCode::OK | StatusCode::CONFLICT => {
+                let object = decode_object(kind, &body);
+                Some(object.ok_or_else(|| malformed("metadata"))?)
+            }
+            StatusCode::NOT_FOUND => None,
+            status => return Err(Error::Unavailable(status.to_string())),
+        };
+        Ok((object, decode_era(&head.headers)?))
+    }
+
     /// Returns the body of the answer and the era that it tells.
     async fn get(&self, kind: &str, path: &str, timeout: Duration) -> Result<(Bytes, u64), Error> {
+        let request = Request::get(path).body(Full::new(Bytes::new()));
+        let (head, body) = self.call(kind, request, timeout).await?;
+        match head.status {
+            StatusCode::OK => Ok((body, decode_era(&head.headers)?)),
+            StatusCode::GONE => Err(Error::HistoryGone),
+            status => Err(Error::Unavailable(status.to_string())),
+        }
+    }
+
+    /// Sends a request over the connections of the pool `name`.
+    async fn call(
+        &self,
+        name: &str,
+        request: Result<Request<Full<Bytes>>, hyper::http::Error>,
+        timeout: Duration,
+    ) -> Result<(Parts, Bytes), Error> {
         let unavailable = |cause: String| Error::Unavailable(cause);
-        let request = Request::get(path)
-            .header(hyper::header::HOST, &*self.address)
-            .body(Full::new(Bytes::new()))
-            .map_err(|err| unavailable(err.to_string()))?;
+        let mut request = request.map_err(|err| unavailable(err.to_string()))?;
+        let host = HeaderValue::from_str(&self.address);
+        let host = host.map_err(|err| unavailable(err.to_string()))?;
+        request.headers_mut().insert(hyper::header::HOST, host);
         let pool = self
             .pools
             .borrow_mut()
-            .entry(kind.into())
+            .entry(name.into())
             .or_default()
             .clone();
-        let (head, body) = pool
-            .call(&self.address, request, timeout)
-            .await
-            .map_err(|err| unavailable(err.to_string()))?;
-        match head.status {
-            StatusCode::OK => Ok((body, decode_era(&head.headers)?)),
-            StatusCode::GONE => Err(Error::HistoryGone),
-            status => Err(unavailable(status.to_string())),
-        }
+        let answer = pool.call(&self.address, request, timeout).await;
+        answer.map_err(|err| unavailable(err.to_string()))
     }
 }
 
@@ -244,19 +289,22 @@
 }
 
 /// Decodes an object, which another writer may have damaged; `None` if its name cannot be read.
-fn decode_object(text: &[u8]) -> Option<Object> {
+fn decode_object(kind: &str, text: &[u8]) -> Option<Object> {
     let name = split::member(split::member(text, "metadata")?, "name")?;
     let spec = split::member(text, "spec");
     Some(Object {
         name: serde_json::from_slice(name).ok()?,
         spec: spec.and_then(|spec| serde_json::from_slice(spec).ok()),
+        whole: (kind == ROLLOUTS)
+            .then(|| serde_json::from_slice(text).ok())
+            .flatten(),
     })
 }
 
-fn decode_change(text: &[u8]) -> Option<Change> {
+fn decode_change(kind: &str, text: &[u8]) -> Option<Change> {
     let removed = decode_optional(text, "removed").ok()?;
     Some(Change {
-        object: decode_object(split::member(text, "object")?)?,
+        object: decode_object(kind, split::member(text, "object")?)?,
         removed: removed.unwrap_or(false),
     })
 }
--- a/src/route/registry/choice.rs
+++ b/src/route/registry/choice.rs
@@ -21,6 +21,29 @@
 /// Prompt tokens to prefill that delay other requests as much as one running request does.
 const PREFILL_TOKENS_PER_RUNNING_REQUEST: u64 = 250;
 
+/// Versions of engines that a request may go to.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Versions<'a> {
+    /// All versions.
+    #[default]
+    Any,
+    /// Only this version.
+    Only(&'a str),
+    /// All versions but this one.
+    Without(&'a str),
+}
+
+impl Versions<'_> {
+    /// Returns whether a request may go to engines of `version`.
+    pub fn allows(self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => version == only,
+            Self::Without(excluded) => version != excluded,
+        }
+    }
+}
+
 /// Requirements of a request for its engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -33,6 +56,8 @@
     pub memory_tokens: u32,
     /// Engines that must not be chosen.
     pub excluded: &'a [Engine],
+    /// Versions that may be chosen.
+    pub versions: Versions<'a>,
 }
 
 impl<C: Clock> Registry<C> {
@@ -107,11 +132,35 @@
         registered.filter(move |(key, state)| {
             let registration = &state.registration;
             registration.service == need.service
+                && need.versions.allows(&registration.version)
                 && self.accepts_requests(state, now)
                 && !need.excluded.contains(key)
         })
     }
 
+    /// Returns the engines of a service that may get requests, by whether they have this version.
+    pub fn usable_by_version(&self, service: &str, version: &str) -> (Vec<Engine>, Vec<Engine>) {
+        let now = self.clock.now();
+        let registered = self.by_id.values().map(|key| (*key, &self.engines[*key]));
+        let usable = registered.filter(|(_, state)| {
+            state.registration.service == service && self.accepts_requests(state, now)
+        });
+        let (new, old): (Vec<_>, Vec<_>) =
+            usable.partition(|(_, state)| state.registration.version == version);
+        let key = |(key, _): &(Engine, &State)| *key;
+        (new.iter().map(key).collect(), old.iter().map(key).collect())
+    }
+
+    /// Returns whether a service has a registered engine of another version than this one.
+    pub fn has_version_besides(&self, service: &str, version: &str) -> bool {
+        let registrations = self
+            .by_id
+            .values()
+            .map(|key| &self.engines[*key].registration);
+        let mut others = registrations.filter(|engine| engine.version != version);
+        others.any(|engine| engine.service == service)
+    }
+
     fn is_suspect(&self, state: &State) -> bool {
         let now = self.clock.now();
         let is_ahead = |until: Option<Instant>| until.is_some_and(|until| until > now);
--- a/src/route/registry/mod.rs
+++ b/src/route/registry/mod.rs
@@ -26,7 +26,7 @@
 mod leaving;
 mod usage;
 
-pub use choice::Need;
+pub use choice::{Need, Versions};
 pub use hold::HOLD_MAX;
 use hold::Holds;
 use leaving::Leaving;
@@ -64,6 +64,9 @@
     pub is_draining: bool,
     /// Start time in Unix milliseconds. Another value under the same id means a restart.
     pub started_ms: u64,
+    /// Version of the engine's software, empty if it is not known.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub version: CompactString,
 }
 
 /// One start of an engine. Stays the same when its entry is removed and comes back.
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -82,6 +82,7 @@
         slots: 12,
         is_draining: false,
         started_ms: 1,
+        version: "v1".into(),
     }
 }
 
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -6,7 +6,7 @@
 use bilberrypost::route::load::EngineHash;
 use bilberrypost::route::load::Footprint;
 use bilberrypost::route::losses::{Finder, Loss};
-use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
+use bilberrypost::route::registry::{Engine, Need, Registration, Registry, Versions};
 use compact_str::{CompactString, format_compact};
 
 const PROMPT: Footprint = Footprint {
@@ -33,6 +33,7 @@
             slots: 4,
             is_draining: false,
             started_ms: 1,
+            version: "v1".into(),
         });
     }
     registry
@@ -44,6 +45,7 @@
         footprint: PROMPT,
         memory_tokens: 10_000,
         excluded,
+        versions: Versions::Any,
     })?;
     let state = registry.get(engine)?;
     Some(state.registration.id.clone())
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -335,6 +335,7 @@
             match rng.random_range(0..10) {
                 0 | 1 => registry.insert(Registration {
                     started_ms: rng.random_range(1..4),
+                    version: "v1".into(),
                     is_draining: rng.random_bool(0.2),
                     ..registration(&id, domain)
                 }),
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -322,6 +322,7 @@
         slots: 4,
         is_draining: version.is_multiple_of(3),
         started_ms: version,
+        version: "v1".into(),
     }
 }
 
@@ -458,6 +459,7 @@
         losses: Vec::new(),
         removals: vec![EngineHash::of("i-1"); REMOVALS_MAX],
         evidence: Evidence::default(),
+        rollouts: None,
         streams: Vec::new(),
         summaries: Vec::new(),
     };
@@ -477,6 +479,7 @@
     ];
     let without = Report {
         evidence: Evidence::default(),
+        rollouts: None,
         ..reports[0].clone()
     };
     let evidence_bytes = reports[0].encode().unwrap().len() - without.encode().unwrap().len();
@@ -507,6 +510,7 @@
         }],
         removals: vec![EngineHash::of("a")],
         evidence: Evidence::default(),
+        rollouts: None,
         streams: Vec::new(),
         summaries: Vec::new(),
     };
--- a/tests/support/directory.rs
+++ b/tests/support/directory.rs
@@ -8,9 +8,10 @@
 use bilberrypost::config::routes::Revision;
 use bilberrypost::gateway;
 use bilberrypost::gateway::position::Position;
-use bilberrypost::gateway::protocol::{Change, Directory, Listing, Unavailable};
+use bilberrypost::gateway::protocol::{Change, Directory, Listing, OrderChange, Unavailable};
 use bilberrypost::gateway::watch;
 use bilberrypost::platform::store::Store as Client;
+use bilberrypost::rollout;
 use bilberrypost::route::registry::Registration;
 use bilberrypost::supervisor::Signal;
 use bilberrypost::util::within;
@@ -132,6 +133,26 @@
             false => Ok(self.answer(self.0.changes.take())),
         }
     }
+
+    async fn list_orders(&self) -> Result<Listing<rollout::Entry>, Unavailable> {
+        Ok(self.answer(Vec::new()))
+    }
+
+    async fn watch_orders(
+        &self,
+        _: Position,
+        _: Duration,
+    ) -> Result<Listing<OrderChange>, Unavailable> {
+        std::future::pending().await
+    }
+
+    async fn write_order_state(
+        &self,
+        _: &rollout::Entry,
+        _: rollout::Lifecycle,
+    ) -> Result<Option<rollout::Entry>, Unavailable> {
+        Ok(None)
+    }
 }
 
 fn registration(id: &str) -> Registration {
@@ -143,6 +164,7 @@
         slots: 4,
         is_draining: false,
         started_ms: 1,
+        version: "v1".into(),
     }
 }
 
--- a/tests/support/engines.rs
+++ b/tests/support/engines.rs
@@ -2,7 +2,7 @@
 
 use bilberrypost::clock::Manual;
 use bilberrypost::route::load::Footprint;
-use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
+use bilberrypost::route::registry::{Engine, Need, Registration, Registry, Versions};
 use compact_str::format_compact;
 
 /// A small request.
@@ -21,6 +21,7 @@
         slots: 4,
         is_draining: false,
         started_ms: 1,
+        version: "v1".into(),
     }
 }
 
@@ -31,6 +32,7 @@
         footprint: SMALL,
         memory_tokens: 10_000,
         excluded,
+        versions: Versions::Any,
     }
 }
 
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -147,6 +147,8 @@
     revision: u64,
     // Objects by kind and name, with the revision of their last change; `None` if removed.
     objects: BTreeMap<(String, String), (u64, Option<Value>)>,
+    // Statuses by kind and name.
+    statuses: BTreeMap<(String, String), Value>,
 }
 
 #[derive(Debug, Default)]
@@ -160,6 +162,8 @@
     // Values that are not valid JSON. In `objects`, the text `raw-NUMBER-` stands for each.
     raw: Vec<Vec<u8>>,
     calls: u64,
+    // All statuses that were written, in order.
+    written: Vec<Value>,
 }
 
 /// Emulated store of the platform.
@@ -231,6 +235,11 @@
         objects.era += 1;
     }
 
+    /// Returns all statuses that were written, in order.
+    pub fn written_statuses(&self) -> Vec<Value> {
+        self.objects.0.lock().unwrap().written.clone()
+    }
+
     /// Returns the number of calls that the store received.
     pub fn calls(&self) -> u64 {
         self.objects.0.lock().unwrap().calls
@@ -241,6 +250,9 @@
         objects.current.revision += 1;
         let revision = objects.current.revision;
         let key = (kind.to_owned(), name.to_owned());
+        if spec.is_none() {
+            objects.current.statuses.remove(&key);
+        }
         let old = objects
             .current
             .objects
@@ -255,8 +267,12 @@
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut stream = stream;
         while let Some(request) = Message::read(&mut reader) {
-            let path = request.first_line.split(' ').nth(1).unwrap().to_owned();
-            let (status, body, era) = self.respond(&path);
+            let mut words = request.first_line.split(' ');
+            let (method, path) = (words.next().unwrap(), words.next().unwrap());
+            let (status, body, era) = match method {
+                "PUT" => self.replace_status(path, &request.body),
+                _ => self.respond(path),
+            };
             let body = self.encode(&body);
             let head = format!(
                 "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\nstore-era: {era}\r\n\
@@ -288,6 +304,43 @@
         encoded
     }
 
+    /// Replaces the status of an object if the call carries the object's revision. Returns the status and
+    /// body of the response, and its era.
+    fn replace_status(&self, path: &str, body: &[u8]) -> (u16, Value, u64) {
+        let path = path.strip_prefix("/bilberrypost/objects/").unwrap();
+        let (kind, name) = path
+            .strip_suffix("/status")
+            .unwrap()
+            .split_once('/')
+            .unwrap();
+        let sent: Value = serde_json::from_slice(body).unwrap();
+        let mut objects = self.objects.0.lock().unwrap();
+        objects.calls += 1;
+        if objects.mode == Mode::Unavailable {
+            return (503, json!({}), objects.era);
+        }
+        let key = (kind.to_owned(), name.to_owned());
+        let Some((revision, Some(spec))) = objects.current.objects.get(&key).cloned() else {
+            return (404, json!({}), objects.era);
+        };
+        let is_current = sent["metadata"]["revision"] == revision;
+        if is_current {
+            let status = sent["status"].clone();
+            objects.written.push(status.clone());
+            objects.current.statuses.insert(key.clone(), status);
+            objects.current.revision += 1;
+            let revision = objects.current.revision;
+            objects
+                .current
+                .objects
+                .insert(key, (revision, Some(spec.clone())));
+            self.objects.1.notify_all();
+        }
+        let (revision, _) = objects.current.objects[&(kind.to_owned(), name.to_owned())];
+        let object = objects.object_json(kind, &(name.to_owned(), revision, Some(spec)));
+        (if is_current { 200 } else { 409 }, object, objects.era)
+    }
+
     /// Returns the status and body of the response to a list or watch, and its era.
     fn respond(&self, path: &str) -> (u16, Value, u64) {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
@@ -318,7 +371,8 @@
             }
             let has_more = entries.len() > PAGE_SIZE;
             entries.truncate(PAGE_SIZE);
-            let entries: Vec<_> = entries.iter().map(object_json).collect();
+            let entries = entries.iter().map(|entry| objects.object_json(kind, entry));
+            let entries: Vec<_> = entries.collect();
             let at = objects.current.revision;
             let page = json!({"entries": entries, "has-more": has_more, "at": at});
             return (200, page, objects.era);
@@ -345,9 +399,10 @@
             if !changed.is_empty() || remaining.is_zero() || objects.mode != Mode::Normal {
                 let events: Vec<_> = changed
                     .iter()
-                    .map(
-                        |entry| json!({"removed": entry.2.is_none(), "object": object_json(entry)}),
-                    )
+                    .map(|entry| {
+                        let object = objects.object_json(kind, entry);
+                        json!({"removed": entry.2.is_none(), "object": object})
+                    })
                     .collect();
                 let at = objects.current.revision;
                 return (200, json!({"events": events, "at": at}), objects.era);
@@ -360,11 +415,12 @@
 /// Name, revision of the last change, and value; `None` if removed.
 type Entry = (String, u64, Option<Value>);
 
-fn object_json((name, revision, spec): &Entry) -> Value {
-    json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null})
-}
-
 impl Objects {
+    fn object_json(&self, kind: &str, (name, revision, spec): &Entry) -> Value {
+        let status = self.current.statuses.get(&(kind.to_owned(), name.clone()));
+        json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": status})
+    }
+
     /// Returns the objects of a kind that changed after revision `from`.
     fn of_kind(&self, kind: &str, from: u64) -> Vec<Entry> {
         let entries = self.current.objects.iter();
@@ -578,6 +634,7 @@
         losses: Vec::new(),
         removals: Vec::new(),
         evidence: Evidence::default(),
+        rollouts: None,
         streams: Vec::new(),
         summaries: Vec::new(),
     }
@@ -785,6 +842,7 @@
             slack: 150.0,
             window: Duration::from_secs(10),
         },
+        rollouts: None,
     }
 }
 
