--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -390,7 +390,7 @@
         };
         let retries = self.gateway.budget.borrow_mut().own_usages(now);
         let evidence = self.gateway.quarantine.borrow().own(now);
-        let rollouts = self.gateway.rollouts.borrow().own(now);
+        let rollouts = self.gateway.rollouts.borrow_mut().own(now);
         let report = Report {
             usages,
             losses,
@@ -452,7 +452,7 @@
             retries,
             losses: self.gateway.registry.borrow().losses().joint(now),
             evidence: self.gateway.quarantine.borrow().joint(now),
-            rollouts: self.gateway.rollouts.borrow().joint(now),
+            rollouts: self.gateway.rollouts.borrow_mut().joint(now),
         };
         let report = Report {
             summaries: vec![summary],
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -33,8 +33,9 @@
 /// Shortest time between two judgements.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Maximum number of orders in a report, which keeps it within a datagram.
-const MENTIONS_MAX: usize = 4;
+/// Maximum number of orders in a report, which keeps it within a datagram. If there are more, reports
+/// mention them in turn.
+const MENTIONS_MAX: usize = 2;
 
 /// What a host, or a representative for its failure domain, reports of an order.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -234,6 +235,8 @@
     heard_at: Option<Instant>,
     // The last order of each service.
     services: BTreeMap<CompactString, Rollout>,
+    // Number of orders that reports have mentioned.
+    mentioned: usize,
     version: u64,
 }
 
@@ -246,6 +249,7 @@
             is_known: false,
             heard_at: None,
             services: BTreeMap::new(),
+            mentioned: 0,
             version: 0,
         }
     }
@@ -426,25 +430,30 @@
     }
 
     /// Returns what this host reports; `None` while it does not know the orders itself.
-    pub fn own(&self, now: Instant) -> Option<Vec<Mention>> {
+    pub fn own(&mut self, now: Instant) -> Option<Vec<Mention>> {
         self.mentions(now, |rollout| rollout.own.clone())
     }
 
     /// Returns what a representative reports for its failure domain.
-    pub fn joint(&self, now: Instant) -> Option<Vec<Mention>> {
+    pub fn joint(&mut self, now: Instant) -> Option<Vec<Mention>> {
         self.mentions(now, Rollout::direct)
     }
 
-    fn mentions(&self, now: Instant, tally: impl Fn(&Rollout) -> Tally) -> Option<Vec<Mention>> {
+    fn mentions(
+        &mut self,
+        now: Instant,
+        tally: impl Fn(&Rollout) -> Tally,
+    ) -> Option<Vec<Mention>> {
         if !self.is_known {
             return None;
         }
-        let rollouts = self.services.values().take(MENTIONS_MAX);
-        Some(
-            rollouts
-                .map(|known| known.mention(tally(known), now))
-                .collect(),
-        )
+        let count = self.services.len().min(MENTIONS_MAX);
+        let in_turn = self.services.values().cycle();
+        let rollouts = in_turn.skip(self.mentioned).take(count);
+        let mentions = rollouts.map(|known| known.mention(tally(known), now));
+        let mentions: Vec<_> = mentions.collect();
+        self.mentioned = (self.mentioned + count) % self.services.len().max(1);
+        Some(mentions)
     }
 
     /// Applies what other hosts report. `process` is that of a host, and the same for all
@@ -477,7 +486,8 @@
         let is_known = known.is_some_and(|known| known.order.is_same(&order));
         // Hosts that have not heard of the last order still report an earlier one.
         let is_later = known.is_none_or(|known| known.ordered_at < ordered_at);
-        if !is_known && !(mention.is_stored && is_later) {
+        let is_new = mention.is_stored && is_later;
+        if !is_known && !is_new {
             return;
         }
         let rollout = self.begin(&order, ordered_at, now);
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -9,7 +9,7 @@
 
 /// Number of routes that are counted apart. Further ones are counted together, which bounds the size
 /// of reports.
-const ROUTES_MAX: usize = 8;
+const ROUTES_MAX: usize = 4;
 
 /// Upper limit of the first bucket of times.
 const FIRST_BUCKET: Duration = Duration::from_millis(4);
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -125,7 +125,7 @@
 }
 
 fn exchange_reports(hosts: &mut [Rollouts], now: Instant) {
-    let reports: Vec<_> = hosts.iter().map(|host| host.own(now)).collect();
+    let reports: Vec<_> = hosts.iter_mut().map(|host| host.own(now)).collect();
     for (to, host) in hosts.iter_mut().enumerate() {
         for (from, report) in reports.iter().enumerate().filter(|(from, _)| *from != to) {
             let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, from as u8));
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -13,6 +13,7 @@
 use bilberrypost::peer::roster::{REPRESENTATIVES, Roster};
 use bilberrypost::peer::schedule::Schedule;
 use bilberrypost::relay::handover::Stream;
+use bilberrypost::rollout::{Answer, Entry, Order, Rollouts, Route};
 use bilberrypost::route::evidence::{Block, Crash, DomainHash, Evidence, Pass};
 use bilberrypost::route::load::Load;
 use bilberrypost::route::load::{EngineHash, Usage};
@@ -430,6 +431,35 @@
             8
         ],
     };
+    let now = Manual::default().now();
+    let mut known = Rollouts::new(None, true);
+    let services = ["some-service", "another-service", "third-service"];
+    let entries = services.map(|service| {
+        let order = Order {
+            service: service.into(),
+            to: "v123".into(),
+            duration: Duration::from_secs(600),
+            created: 1 << 30,
+            era: 3,
+        };
+        Entry {
+            order,
+            lifecycle: None,
+            revision: 1 << 30,
+            document: CompactString::default(),
+        }
+    });
+    known.set_entries(entries.into(), now);
+    for service in services {
+        for number in 0..60_000 {
+            let version = ["v1", "v123"][number % 2];
+            let route = Route::of(&format!("route-{}", number % 12));
+            let time = Duration::from_secs_f64(0.004 * 1.41_f64.powi(number as i32 % 27));
+            let engine = (EngineHash::of("i-1"), version);
+            known.record_answer(service, engine, route, Answer::Begun(time), now);
+        }
+    }
+    let rollouts = known.own(now);
     let summary = Summary {
         domain: "fd-a".into(),
         number: 1 << 41,
@@ -440,6 +470,7 @@
         retries: retries.clone(),
         losses: losses.clone(),
         evidence: evidence.clone(),
+        rollouts: rollouts.clone(),
     };
     let stream = Stream {
         digest: u64::MAX,
@@ -469,6 +500,7 @@
             retries,
             losses,
             evidence,
+            rollouts,
             streams: vec![stream; 64],
             ..empty.clone()
         },
@@ -479,11 +511,16 @@
     ];
     let without = Report {
         evidence: Evidence::default(),
-        rollouts: None,
         ..reports[0].clone()
     };
     let evidence_bytes = reports[0].encode().unwrap().len() - without.encode().unwrap().len();
     assert!(evidence_bytes <= 1000, "{evidence_bytes} bytes");
+    let without = Report {
+        rollouts: None,
+        ..reports[0].clone()
+    };
+    let rollout_bytes = reports[0].encode().unwrap().len() - without.encode().unwrap().len();
+    assert!(rollout_bytes <= 2000, "{rollout_bytes} bytes");
     for report in reports {
         let bytes = report.encode().unwrap();
         assert!(bytes.len() <= BYTES_MAX, "{} bytes", bytes.len());
