Promote a version before the order is completed

The old engines stop at once when the status says completed, with all that runs on them. All requests go to the new version shortly before, so that the old engines can end their work; a version that fails under all requests is still reverted.

--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -127,11 +127,11 @@
         }
         let patience = WRITER_PATIENCE * gateway.writer_rank.get();
         let now = gateway.clock.now();
-        let has_engines = |order: &_| versions::has_engines(&gateway, order);
+        let engines = |order: &_| versions::engines(&gateway, order);
         let due = gateway
             .rollouts
             .borrow_mut()
-            .due_writes(patience, has_engines, now);
+            .due_writes(patience, engines, now);
         for (entry, lifecycle) in due {
             write_state(&gateway, &directory, entry, lifecycle).await;
         }
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -9,7 +9,7 @@
 use super::Gateway;
 use super::request::AdmittedRequest;
 use crate::clock::Clock;
-use crate::rollout::{Answer, Order, Route, Rule, share};
+use crate::rollout::{Answer, Engines, Order, Route, Rule, share};
 use crate::route::load::EngineHash;
 use crate::route::registry::{Engine, Need, Registry, Versions};
 
@@ -108,11 +108,18 @@
     state.map(|state| state.registration.version.clone())
 }
 
-/// Returns whether the engines of the new version can take over from the old ones.
-pub fn has_engines<C: Clock>(gateway: &Gateway<C>, order: &Order) -> bool {
+/// Returns what is known of the engines that an order concerns.
+pub fn engines<C: Clock>(gateway: &Gateway<C>, order: &Order) -> Engines {
     let registry = gateway.registry.borrow();
     let (new, old) = registry.usable_by_version(&order.service, &order.to);
-    !new.is_empty() && new.len() as f64 >= old.len() as f64 * ENGINES_PART
+    let is_idle = |engine: &Engine| {
+        let state = registry.get(*engine);
+        state.is_none_or(|state| state.total_load().running == 0)
+    };
+    Engines {
+        has_new: !new.is_empty() && new.len() as f64 >= old.len() as f64 * ENGINES_PART,
+        has_idle_old: old.iter().all(is_idle),
+    }
 }
 
 /// An attempt whose answer counts for the version of its engine.
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -12,5 +12,5 @@
 
 pub use order::{Entry, Lifecycle, Order, Outcome};
 pub use plan::Policy;
-pub use state::{Mention, Rollouts, Rule};
+pub use state::{Engines, Mention, Rollouts, Rule};
 pub use tally::{Answer, Route, Tally};
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -4,13 +4,16 @@
 
 use super::tally::Tally;
 
-/// Part of the order's time after which a version that is not bad is completed. Until then it may show
-/// that it turns bad later.
-const COMPLETED_AFTER: f64 = 0.75;
+/// Part of the order's time after which all requests go to a version that is not bad. Until then it may
+/// show that it turns bad later.
+const PROMOTED_AFTER: f64 = 0.7;
 
-/// Part of the order's time after which it ends for lack of evidence or engines. The rest is for the
-/// write of the outcome.
-const ENDED_AFTER: f64 = 0.85;
+/// Part of the order's time after which it ends for lack of evidence or engines.
+const ENDED_AFTER: f64 = 0.8;
+
+/// Part of the order's time after which a version that has all requests is completed, although old
+/// engines still have work. The rest is for the write.
+const COMPLETED_AFTER: f64 = 0.85;
 
 /// Answers of the new version without which it is not completed.
 const ANSWERS_MIN: u32 = 5;
@@ -101,9 +104,15 @@
         f64::from(self.tally.trials) + 1.0 <= allowed
     }
 
-    /// Returns whether a version without evidence against it is due to be completed.
+    /// Returns whether a version without evidence against it is due to get all requests.
     pub fn is_ripe(&self) -> bool {
-        self.progress() >= COMPLETED_AFTER && self.answers() >= ANSWERS_MIN
+        self.progress() >= PROMOTED_AFTER && self.answers() >= ANSWERS_MIN
+    }
+
+    /// Returns whether a version that has all requests is due to be completed, whatever the old engines
+    /// still have to do.
+    pub fn is_due(&self) -> bool {
+        self.progress() >= COMPLETED_AFTER
     }
 
     /// Returns whether a version that cannot be completed is to be reverted.
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -48,12 +48,23 @@
     pub age_ms: u64,
     /// Whether a host found the new version bad.
     pub is_bad: bool,
+    /// Whether all requests go to the new version, so that the old engines can end their work.
+    pub is_promoted: bool,
     /// How the order ended; `None` if it has not.
     pub outcome: Option<Outcome>,
     /// Counts of the hosts that the report covers.
     pub tally: Tally,
 }
 
+/// What a host knows of the engines that an order concerns.
+#[derive(Clone, Copy, Debug)]
+pub struct Engines {
+    /// Whether those of the new version can take over from the old ones.
+    pub has_new: bool,
+    /// Whether the old ones have no work.
+    pub has_idle_old: bool,
+}
+
 /// Which versions the requests for a service go to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Rule {
@@ -66,7 +77,7 @@
         /// Whether the new version may stand in when no other engine is left.
         is_ripe: bool,
     },
-    /// All requests go to this version.
+    /// All requests go to this version, and to others only if it has no engine.
     Completed(CompactString),
     /// No request goes to this version.
     Reverted(CompactString),
@@ -84,6 +95,8 @@
     confirmed_at: Instant,
     // Invariant: once set, stays for this order.
     is_bad: bool,
+    // Whether the writer decided to complete the order. Yields to `is_bad`.
+    is_promoted: bool,
     // Invariant: once set, stays for this order.
     outcome: Option<Outcome>,
     // The order in the store, if this host watches it.
@@ -107,6 +120,7 @@
             ordered_at,
             confirmed_at: now,
             is_bad: false,
+            is_promoted: false,
             outcome: None,
             entry: None,
             unwritten_since: None,
@@ -170,7 +184,11 @@
         }
         self.judged_at = Some(now);
         self.take_snapshot(now);
-        if !self.has_evidence(judge::CLEAR) {
+        let evidence = match self.is_promoted {
+            true => judge::CLEAR_FAILURES,
+            false => judge::CLEAR,
+        };
+        if !self.has_evidence(evidence) {
             return;
         }
         self.is_bad = true;
@@ -186,14 +204,21 @@
         );
     }
 
-    /// Returns the outcome that is due; `None` while the order goes on.
-    fn due_outcome(&self, has_engines: impl Fn(&Order) -> bool, now: Instant) -> Option<Outcome> {
-        let view = self.view(now);
+    /// Returns the outcome that is due; `None` while the order goes on. Promotes the version when it is due.
+    fn due_outcome(&mut self, engines: Engines, now: Instant) -> Option<Outcome> {
         if self.is_bad {
             return Some(Outcome::Reverted);
         }
-        if view.is_ripe() && !self.has_evidence(judge::SUSPICIOUS) && has_engines(&self.order) {
-            return Some(Outcome::Completed);
+        let view = self.view(now);
+        if self.is_promoted {
+            let is_due = engines.has_idle_old || view.is_due();
+            return is_due.then_some(Outcome::Completed);
+        }
+        if view.is_ripe() && engines.has_new && !self.has_evidence(judge::SUSPICIOUS) {
+            let Order { service, to, .. } = &self.order;
+            info!("event=rollout_promoted service={service} to={to}");
+            self.is_promoted = true;
+            return None;
         }
         view.is_late().then_some(Outcome::Reverted)
     }
@@ -217,6 +242,7 @@
             is_stored: self.entry.is_some(),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             is_bad: self.is_bad,
+            is_promoted: self.is_promoted,
             outcome: self.outcome,
             tally,
         }
@@ -375,6 +401,7 @@
             Some(Outcome::Completed) => return Some(Rule::Completed(to)),
             Some(Outcome::Reverted) => return Some(Rule::Reverted(to)),
             None if rollout.is_bad => return Some(Rule::Reverted(to)),
+            None if rollout.is_promoted => return Some(Rule::Completed(to)),
             None => {}
         }
         let view = rollout.view(now);
@@ -499,30 +526,34 @@
         rollout.update_joint();
         let was_bad = rollout.is_bad;
         rollout.is_bad |= mention.is_bad;
+        let was_promoted = rollout.is_promoted;
+        rollout.is_promoted |= mention.is_promoted;
         let has_ended = mention.outcome.is_some_and(|outcome| rollout.end(outcome));
         rollout.judge(now);
-        let has_news = has_ended || rollout.is_bad != was_bad;
+        let has_news =
+            has_ended || rollout.is_bad != was_bad || rollout.is_promoted != was_promoted;
         self.version += u64::from(has_news);
     }
 
     /// Returns the states that the store lacks, each with the entry to base the write on, once they have
-    /// been lacking for `patience`. `has_engines` tells whether the engines of a version suffice for
-    /// a service.
+    /// been lacking for `patience`. `engines` tells of the engines that an order concerns.
     pub fn due_writes(
         &mut self,
         patience: Duration,
-        has_engines: impl Fn(&Order) -> bool,
+        engines: impl Fn(&Order) -> Engines,
         now: Instant,
     ) -> Vec<(Entry, Lifecycle)> {
         let mut due = Vec::new();
         for rollout in self.services.values_mut() {
             rollout.judge(now);
-            let Some(entry) = &rollout.entry else {
+            let Some(entry) = rollout.entry.clone() else {
                 continue;
             };
+            let was_promoted = rollout.is_promoted;
             let outcome = rollout
                 .outcome
-                .or_else(|| rollout.due_outcome(&has_engines, now));
+                .or_else(|| rollout.due_outcome(engines(&entry.order), now));
+            self.version += u64::from(rollout.is_promoted != was_promoted);
             let state = outcome.map_or(Lifecycle::InProgress, Lifecycle::Ended);
             let is_written = matches!(entry.lifecycle, Some(Lifecycle::Ended(_)))
                 || entry.lifecycle == Some(state);
@@ -532,7 +563,7 @@
             }
             let since = *rollout.unwritten_since.get_or_insert(now);
             if now.saturating_duration_since(since) >= patience {
-                due.push((entry.clone(), state));
+                due.push((entry, state));
             }
         }
         due
