--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,9 +15,10 @@
 use super::reach::{self, Unreached};
 use super::replica::Replica;
 use super::request::AdmittedRequest;
-use super::{Gateway, check, crash, notice};
+use super::{Gateway, check, crash, notice, versions};
 use crate::clock::Clock;
 use crate::http::client::{Connection, Error, Exchange};
+use crate::rollout::Answer;
 use crate::route::held::Prefix;
 use crate::route::load::Footprint;
 use crate::route::registry::{Engine, Estimate};
@@ -43,6 +44,8 @@
     // Beginnings of the prompt that the engine reads, and since when, if its first event shows how long
     // that took.
     reading: Option<(Vec<Prefix>, Instant)>,
+    // Counts the answer for the version of the engine.
+    sample: Option<versions::Sample<C>>,
 }
 
 impl<C: Clock> Placement<C> {
@@ -53,6 +56,7 @@
         replica: Option<Engine>,
         admitted: &AdmittedRequest,
     ) -> Self {
+        let sample = versions::Sample::begin(gateway, admitted, engine);
         let mut registry = gateway.registry.borrow_mut();
         let estimate = registry.estimate(engine, &admitted.need(&[]));
         let is_timed = estimate.is_some() && admitted.route.kind.is_stream();
@@ -72,6 +76,28 @@
             footprint,
             has_output: false,
             reading: is_timed.then(|| (admitted.prefixes.clone(), gateway.clock.now())),
+            sample,
+        }
+    }
+
+    /// Records that the engine reported a failure.
+    fn record_failure(&self) {
+        if let Some(sample) = &self.sample {
+            sample.record_failure(Answer::Failed);
+        }
+    }
+
+    /// Records that the engine's response was lost or broke off.
+    pub fn record_break(&self) {
+        if let Some(sample) = &self.sample {
+            sample.record_failure(Answer::Broken);
+        }
+    }
+
+    /// Records the time of an attempt that was given up because the engine did not answer.
+    fn record_silence(&self) {
+        if let Some(sample) = &self.sample {
+            sample.record_begun();
         }
     }
 
@@ -95,6 +121,9 @@
             return;
         }
         self.has_output = true;
+        if let Some(sample) = &self.sample {
+            sample.record_begun();
+        }
         let mut registry = self.gateway.registry.borrow_mut();
         registry.set_prefilled(self.engine, self.footprint);
         registry.set_answered(self.engine);
@@ -172,6 +201,12 @@
         Err(Fault::Declined | Fault::NotRun | Fault::NoContact | Fault::EngineLost) => {}
     }
     drop(registry);
+    match &result {
+        Ok(open) if !open.is_success => placement.record_failure(),
+        Err(Fault::Lost) => placement.record_break(),
+        Err(Fault::Silent) => placement.record_silence(),
+        _ => {}
+    }
     check::start_if_due(gateway, engine);
     let elapsed = gateway.clock.now().duration_since(started);
     gateway.metrics.record_duration("attempt_head", elapsed);
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -9,9 +9,9 @@
 
 use futures_util::future::{Either, select};
 
-use super::Gateway;
 use super::attempts::Attempts;
 use super::request::AdmittedRequest;
+use super::{Gateway, versions};
 use crate::clock::Clock;
 use crate::route::registry::Engine;
 
@@ -126,7 +126,7 @@
             excluded.push(self.engine);
         }
         let need = self.admitted.need(&excluded);
-        self.gateway.registry.borrow().choose(&need).is_some()
+        versions::choose(self.gateway, &need, false).is_some()
     }
 
     fn log_kept(&self, cause: Cause, obstacle: &'static str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,8 +36,10 @@
 pub mod refusal;
 pub mod replica;
 pub mod request;
+pub mod rollouts;
 pub mod stagger;
 pub mod stream;
+pub mod versions;
 pub mod watch;
 
 use std::cell::{Cell, RefCell};
@@ -58,6 +60,7 @@
 use crate::relay::handover::{LocalStreams, RemoteStreams};
 use crate::report::metrics::Metrics;
 use crate::report::trace::Sampler;
+use crate::rollout::{self, Rollouts};
 use crate::route::placing::Policy;
 use crate::route::quarantine::Quarantine;
 use crate::route::registry::Registry;
@@ -86,6 +89,10 @@
 /// While no configuration is known, `Retry-After` is the caller's timeout divided by this.
 const RETRY_TIMEOUT_DIVISOR: u32 = 6;
 
+/// Time after the start for which a host that does not know the orders of roll-outs is not ready. Without
+/// a store and peers that tell them it serves as if there were none.
+const ORDERS_WAIT_MAX: Duration = Duration::from_secs(3);
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -121,6 +128,16 @@
     pub placing: Policy,
     /// Limits on retries.
     pub retries: retry::Policy,
+    /// Limits on roll-outs; `None` if the host carries out none.
+    pub rollouts: Option<rollout::Policy>,
+}
+
+impl Settings {
+    /// Returns whether other gateways are named to exchange reports with.
+    fn has_peers(&self) -> bool {
+        let peers = self.peers.as_ref();
+        peers.is_some_and(|(own, seeds)| seeds.iter().any(|seed| seed != own))
+    }
 }
 
 /// State shared by the tasks of a gateway process.
@@ -142,6 +159,10 @@
     pub caller_timeouts: RefCell<AnswerTimes>,
     /// Parts of prompts that crash engines.
     pub quarantine: RefCell<Quarantine>,
+    /// Orders to roll versions out.
+    pub rollouts: RefCell<Rollouts>,
+    /// Number of hosts that write the state of a roll-out before this one.
+    pub writer_rank: Cell<u32>,
     /// Requests that wait for an engine to begin, which end when a part of theirs is blocked.
     pub waiting: crash::Waiting,
     /// Metrics of the process.
@@ -217,6 +238,8 @@
             overloads: RefCell::default(),
             caller_timeouts: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(process)),
+            rollouts: RefCell::new(Rollouts::new(settings.rollouts, settings.has_peers())),
+            writer_rank: Cell::default(),
             waiting: crash::Waiting::default(),
             metrics: Metrics::default(),
             sampler: Rc::new(Sampler::new(clock.now())),
@@ -548,6 +571,9 @@
         if !self.has_engine_list.get() {
             return Some("no engines are known yet");
         }
+        if self.rollouts.borrow().is_unknown() && self.uptime() < ORDERS_WAIT_MAX {
+            return Some("no roll-outs are known yet");
+        }
         None
     }
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -17,7 +17,7 @@
 use super::protocol::Protocol;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
-use super::{Gateway, admission, crash};
+use super::{Gateway, admission, crash, versions};
 use crate::clock::Clock;
 use crate::http::body::{Body, Writer};
 use crate::http::client::{Exchange, Prefix};
@@ -118,10 +118,8 @@
     admitted: &AdmittedRequest,
     attempts: &Attempts<C>,
 ) -> Option<Engine> {
-    gateway
-        .registry
-        .borrow()
-        .choose(&admitted.need(&attempts.excluded))
+    let need = admitted.need(&attempts.excluded);
+    versions::choose(gateway, &need, attempts.is_trial())
 }
 
 /// Returns whether enough time is left for the next attempt; the first one is always made.
@@ -189,6 +187,7 @@
         }
         Some(Err(_)) => {
             gateway.registry.borrow_mut().set_failed(placement.engine);
+            placement.record_break();
             return Err(Fault::Lost);
         }
         None => return Err(Fault::Silent),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,7 +14,7 @@
 use crate::report::trace::Trace;
 use crate::route::held::Prefix;
 use crate::route::prompt::Prompt;
-use crate::route::registry::{Engine, Need};
+use crate::route::registry::{Engine, Need, Versions};
 
 /// A request whose route and key were checked and whose body has arrived.
 #[derive(Clone, Debug)]
@@ -70,6 +70,7 @@
             memory_tokens: self.memory_tokens,
             prompt: &self.prefixes,
             excluded,
+            versions: Versions::Any,
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,7 +19,7 @@
 use super::refusal::Refusal;
 use super::replica::Replica;
 use super::request::AdmittedRequest;
-use super::{Gateway, crash, handover};
+use super::{Gateway, crash, handover, versions};
 use crate::clock::Clock;
 use crate::http::body::Body;
 use crate::http::problem::Reason;
@@ -27,7 +27,7 @@
 use crate::relay::handover::LocalStream;
 use crate::relay::reprefill::{self, Outcome};
 use crate::relay::silence;
-use crate::route::registry::{Engine, Need};
+use crate::route::registry::{Engine, Need, Versions};
 use crate::util::within;
 
 mod forwarding;
@@ -139,11 +139,9 @@
             if self.attempts.possible_runs == 0 {
                 self.gateway.check_time_left(&self.admitted)?;
             }
-            let registry = &self.gateway.registry;
             let resume_replica = self.resume_replica.take();
             let was_replicated = resume_replica.is_some();
-            let resume_replica =
-                resume_replica.filter(|replica| registry.borrow().is_usable(replica.engine));
+            let resume_replica = resume_replica.filter(|replica| self.may_resume(replica.engine));
             if was_replicated && resume_replica.is_none() {
                 self.reprefill.record_replica_lost();
             }
@@ -274,6 +272,11 @@
         self.admitted.trace.log("prefilled_again", pairs);
     }
 
+    fn may_resume(&self, engine: Engine) -> bool {
+        self.gateway.registry.borrow().is_usable(engine)
+            && versions::allows(&self.gateway, &self.admitted.service, engine)
+    }
+
     fn has_attempts_left(&self) -> bool {
         self.attempts.possible_runs < self.admitted.route.max_attempts
     }
@@ -330,14 +333,19 @@
     }
 
     fn choose_engine(&self) -> Option<Engine> {
-        self.gateway.registry.borrow().choose(&self.need())
+        versions::choose(&self.gateway, &self.need(), self.attempts.is_trial())
     }
 
     fn choose_replica(&self, engine: Engine) -> Option<Engine> {
         let is_useful = self.admitted.has_replicas && self.admitted.route.kind.is_retryable();
+        let version = versions::replica_version(&self.gateway, &self.admitted.service, engine);
+        let need = Need {
+            versions: version.as_deref().map_or(Versions::Any, Versions::Only),
+            ..self.need()
+        };
         let registry = self.gateway.registry.borrow();
         is_useful
-            .then(|| registry.choose_replica(&self.need(), engine))
+            .then(|| registry.choose_replica(&need, engine))
             .flatten()
     }
 
--- a/src/gateway/stream/forwarding.rs
+++ b/src/gateway/stream/forwarding.rs
@@ -141,6 +141,7 @@
                     return self.record_incomplete("deadline");
                 }
                 End::Broken(reason) => {
+                    active.placement.record_break();
                     self.retry_wait = Some(RETRY_WAIT_MAX);
                     reason
                 }
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::relay::handover;
+use crate::rollout;
 use crate::route::evidence::Evidence;
 use crate::route::held::Sighting;
 use crate::route::load::{EngineHash, Usage};
@@ -46,6 +47,8 @@
     pub evidence: Evidence,
     /// Beginnings of prompts that these hosts saw engines read.
     pub sightings: Vec<Sighting>,
+    /// What these hosts know of orders to roll a version out; `None` if they know of none yet.
+    pub rollouts: Option<Vec<rollout::Mention>>,
 }
 
 /// Content of a datagram: the state of the host that sends it.
@@ -80,6 +83,8 @@
     pub evidence: Evidence,
     /// Beginnings of prompts that the host saw engines read.
     pub sightings: Vec<Sighting>,
+    /// What the host knows of orders to roll a version out; `None` if it does not know yet.
+    pub rollouts: Option<Vec<rollout::Mention>>,
     /// The host's running streams that another host may resume.
     pub streams: Vec<handover::Stream>,
     /// Summaries of failure domains; only representatives send them.
--- a/src/peer/seal/tests.rs
+++ b/src/peer/seal/tests.rs
@@ -26,6 +26,7 @@
         retries: Vec::new(),
         counts: Counts::default(),
         sightings: Vec::new(),
+        rollouts: None,
         losses: Vec::new(),
         removals: Vec::new(),
         evidence: Evidence::default(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -9,6 +9,7 @@
 use crate::config::ini::{Error, File, Section};
 use crate::gateway::Settings;
 use crate::peer::auth::Keys;
+use crate::rollout;
 use crate::route::placing::{Policy, UnknownPolicy};
 use crate::sched::retry;
 
@@ -32,6 +33,8 @@
     "revoke_limit_ms",
     "memory_mb",
     "max_fds",
+    "rollout_ratio",
+    "rollout_tolerance",
 ];
 
 /// Accepted rates of a link in Mbit/s.
@@ -123,6 +126,28 @@
         .map_err(|err: UnknownPolicy| section.error("placing", format!("placing = {name} {err}")))
 }
 
+/// Reads the limits on the requests that a version gets before a roll-out is completed; `None` if they
+/// are not set or empty, so that the host carries out no roll-outs.
+fn rollout_policy(section: &Section<'_>) -> Result<Option<rollout::Policy>, Error> {
+    if section.text("rollout_ratio").is_none_or(str::is_empty) {
+        return Ok(None);
+    }
+    let ratio: f64 = section.value("rollout_ratio", 0.0)?;
+    if !(0.0..=1.0).contains(&ratio) {
+        let message =
+            format!("rollout_ratio = {ratio} is out of range; write a number from 0 to 1");
+        return Err(section.error("rollout_ratio", message));
+    }
+    let has_tolerance = section
+        .text("rollout_tolerance")
+        .is_some_and(|text| !text.is_empty());
+    let tolerance = match has_tolerance {
+        true => section.value("rollout_tolerance", 0.0)?,
+        false => 0.0,
+    };
+    Ok(Some(rollout::Policy { ratio, tolerance }))
+}
+
 /// Reads the `[platform]` section of a settings file; `None` if the file has none.
 ///
 /// # Errors
@@ -170,5 +195,6 @@
             slack: section.value("retry_slack", 20.0)?,
             window: seconds("retry_window_s", 10.0)?,
         },
+        rollouts: rollout_policy(&section)?,
     }))
 }
