Count any reported number of hosts without overflow

A summary from another failure domain carries the number of hosts that it covers as any 64-bit number, and the retry budget adds these numbers up. Two large ones overflow the sum: a debug build panics ('attempt to add with overflow' in Budget::heard, seen in the fuzz of datagrams); a release build wraps around by the code, so that the host seems not to hear a majority.

The sum saturates, and the majority is compared without doubling it. any_number_of_hosts_may_be_reported panics without the change and passes with it.

--- a/src/sched/retry.rs
+++ b/src/sched/retry.rs
@@ -341,14 +341,14 @@
     /// Returns whether the fresh reports cover most hosts. Of the parts of a fleet that are cut off
     /// from each other only one then spends what is left for all.
     fn hears_majority(&self, now: Instant) -> bool {
-        2 * self.heard(now) > self.hosts.peak
+        self.heard(now) > self.hosts.peak / 2
     }
 
     /// Returns the number of hosts that the fresh reports cover, this one included.
     fn heard(&self, now: Instant) -> usize {
         let fresh = self.reports.values().filter(|report| report.is_fresh(now));
-        let heard: usize = fresh.map(|report| report.hosts).sum();
-        heard + 1
+        // The numbers come from other hosts and may be anything.
+        fresh.fold(1, |heard, report| heard.saturating_add(report.hosts))
     }
 
     /// Returns the time until what a host spends shows in all reports, zero without other hosts.
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -323,3 +323,26 @@
     let both = f64::from(2 * spent.committed);
     assert!((after - (left - both)).abs() < 1e-6, "{after} after {left}");
 }
+
+/// Guards against a reported number of hosts that overflows the sum of all hosts.
+#[test]
+fn any_number_of_hosts_may_be_reported() {
+    let mut budget = Budget::new(POLICY, 1);
+    let now = Instant::now();
+    budget.set_hosts(3, now);
+    for domain in ["fd-b", "fd-c"] {
+        let source = Source::Domain(domain.into());
+        budget.record_report(source, 1, usize::MAX, Vec::new(), now);
+    }
+    assert_eq!(budget.balance("model", now).hosts, (3, usize::MAX));
+    // After the time in which further hosts are discovered.
+    let later = now + Duration::from_millis(2100);
+    budget.record_report(
+        Source::Domain("fd-b".into()),
+        1,
+        usize::MAX,
+        Vec::new(),
+        later,
+    );
+    assert!(budget.try_spend("model", later));
+}
