Count any reported number of failed trials without overflow

A block of parts from another host carries the number of its failed trials as any 32-bit number.

The sum saturates. any_number_of_failed_trials_may_be_reported panics without the change and passes with it.

--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -328,7 +328,8 @@
         for block in &mut self.blocks {
             if crash.has_all(&block.parts) {
                 let is_trial = crash.at >= block.crashed_at + BLOCKED_FOR_MIN;
-                block.failed_trials += u32::from(is_trial);
+                // The number may come from another host.
+                block.failed_trials = block.failed_trials.saturating_add(u32::from(is_trial));
                 block.crashed_at = block.crashed_at.max(crash.at);
                 block.trial_until = None;
             }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::clock::{Clock, Manual};
-use bilberrypost::route::evidence::{Certainty, DomainHash, Evidence};
+use bilberrypost::route::evidence::{Block, Certainty, DomainHash, Evidence};
 use bilberrypost::route::load::EngineHash;
 use bilberrypost::route::losses::Finder;
 use bilberrypost::route::prompt::{PartHash, Prompt};
@@ -633,3 +633,26 @@
     assert_eq!(fleet.refusing(&prompt(900, &["s", "q"])), 3);
     assert_eq!(fleet.refusing(&prompt(901, &["s"])), 0);
 }
+
+/// Guards against a reported number of failed trials that overflows at the next one, which would end a
+/// long block early.
+#[test]
+fn any_number_of_failed_trials_may_be_reported() {
+    let mut fleet = Fleet::new(1);
+    fleet.clock.advance(Duration::from_secs(3600));
+    let bad = prompt(1, &["bad"]);
+    let block = Block {
+        parts: vec![PartHash::of("bad")],
+        failed_trials: u32::MAX,
+        age_ms: 3_600_000,
+    };
+    let report = Evidence {
+        blocks: vec![block],
+        ..Evidence::default()
+    };
+    let now = fleet.now();
+    fleet.hosts[0].merge(&report, Finder::Peer, now);
+    fleet.crash(0, "fd-a", &bad);
+    let blocks = fleet.hosts[0].own(now).blocks;
+    assert_eq!(blocks[0].failed_trials, u32::MAX);
+}
