Apply cache events with any sequence number

An engine's cache event with the largest sequence number overflowed the next one to ask for: a debug build panics ('attempt to add with overflow' in Cache::apply, seen in the fuzz of cache events); a release build wraps around to 0 by the code.

The number saturates. any_sequence_number_may_be_the_last panics without the change and passes with it.

--- a/src/route/cache.rs
+++ b/src/route/cache.rs
@@ -46,7 +46,7 @@
                 continue;
             }
             self.evict_for_missed(event.seq - self.next_seq);
-            self.next_seq = event.seq + 1;
+            self.next_seq = event.seq.saturating_add(1);
             match event.stored {
                 true => self.touch(event.block),
                 false => self.remove(event.block),
--- a/src/route/cache/tests.rs
+++ b/src/route/cache/tests.rs
@@ -27,6 +27,14 @@
     assert_eq!(cache.prefix_hits(&[14]), 1);
 }
 
+/// Guards against a last sequence number that overflows.
+#[test]
+fn any_sequence_number_may_be_the_last() {
+    let mut cache = Cache::default();
+    cache.apply(&[event(u64::MAX, true, 10), event(3, true, 11)], 4);
+    assert_eq!((cache.next_seq, cache.len()), (u64::MAX, 1));
+}
+
 /// Guards against memory that grows with the number of distinct prompts.
 #[test]
 fn size_is_bounded() {
