--- a/src/route/placing.rs
+++ b/src/route/placing.rs
@@ -11,11 +11,11 @@
 /// How requests with a prompt are placed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Policy {
-    /// On the engine from which the first event is expected soonest, see [`super::first_event`].
-    #[default]
-    FirstEvent,
     /// On the engine with the least load, see [`choose`].
+    #[default]
     Load,
+    /// On the engine from which the first event is expected soonest, see [`super::first_event`].
+    FirstEvent,
 }
 
 /// The name of a policy is unknown.
--- a/src/route/registry/estimate.rs
+++ b/src/route/registry/estimate.rs
@@ -60,7 +60,7 @@
         mean: Speed,
     ) -> Candidate {
         let load = self.known_load(state);
-        let speed = mean.updated(load.read);
+        let speed = mean.updated(load.read).or_even(mean);
         let others = load.running.saturating_add(self.failure_penalty(state));
         let delaying = others.saturating_mul(PREFILL_TOKENS_PER_RUNNING_REQUEST);
         let queued = load.reading.saturating_add(delaying);
--- a/src/route/speed.rs
+++ b/src/route/speed.rs
@@ -13,7 +13,11 @@
 const SPEED_DEFAULT: f64 = 5.0;
 
 /// Tokens that an engine counts as having read at the mean speed, besides what it was seen to read.
-const PRIOR_TOKENS: f64 = 1500.0;
+const PRIOR_TOKENS: f64 = 4000.0;
+
+/// Ratio to the mean speed, either way, up to which an engine counts as an average one. Prompts that
+/// other hosts sent at the same time, of which this one did not know, make as much of a difference.
+const EVEN_RATIO: f64 = 1.4;
 
 /// Bounds on a speed, in prompt tokens a millisecond.
 const SPEED_MIN: f64 = 0.05;
@@ -109,6 +113,16 @@
         Self((tokens / ms).clamp(SPEED_MIN, SPEED_MAX))
     }
 
+    /// Returns `mean` if this speed differs from it by less than readings of equal engines do.
+    #[must_use]
+    pub fn or_even(self, mean: Self) -> Self {
+        let ratio = self.0 / mean.0;
+        match (EVEN_RATIO.recip()..=EVEN_RATIO).contains(&ratio) {
+            true => mean,
+            false => self,
+        }
+    }
+
     /// Returns the time in which an engine reads `tokens`.
     pub fn time(self, tokens: u64) -> Duration {
         Duration::from_secs_f64(tokens as f64 / self.0 / 1000.0)
