--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -336,6 +336,9 @@
 
     /// Ranks the hosts that may write the states of roll-outs, which are the first representatives.
     fn update_writer_rank(&self, is_leaving: bool, now: Instant) {
+        if !self.gateway.rollouts.borrow().is_enabled() {
+            return;
+        }
         let own_name = self.own_address.to_compact_string();
         let local = self.roster.own_representatives(is_leaving, now);
         let representatives = local.into_iter().chain(self.roster.other_representatives());
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -95,7 +95,7 @@
     confirmed_at: Instant,
     // Invariant: once set, stays for this order.
     is_bad: bool,
-    // Whether the writer decided to complete the order. Yields to `is_bad`.
+    // Whether a host that reads the order from the store decided to complete it. Yields to `is_bad`.
     is_promoted: bool,
     // Invariant: once set, stays for this order.
     outcome: Option<Outcome>,
