Watch the orders of roll-outs with few calls to the store

It now waits for 15 s and calls only while the other calls reach the store; a host whose watch fell silent hears of an order from the others' reports.

--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -2,9 +2,11 @@
 //!
 //! They run only on hosts whose settings bound roll-outs. [`crate::rollout`] decides.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use log::info;
 
 use super::position::Position;
@@ -15,7 +17,11 @@
 use crate::supervisor::Signal;
 use crate::util::within;
 
-/// Time between two checks whether this host has to watch the store.
+/// Time for which the store holds a watch of orders without changes. It is long because the store charges
+/// for each call, and hosts whose watch fell silent hear of an order from the others.
+const ORDERS_WAIT: Duration = Duration::from_secs(15);
+
+/// Time between two checks whether this host has to watch the store and reaches it.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between two checks whether a state has to be written.
@@ -43,10 +49,16 @@
             within(ROLE_CHECK_INTERVAL, stop.wait()).await;
             continue;
         }
+        if !gateway.reaches_store() {
+            // The calls for configuration and engines find out when it is back.
+            since = None;
+            within(ROLE_CHECK_INTERVAL, stop.wait()).await;
+            continue;
+        }
         let next_era = gateway.next_era();
         since = since.filter(|since| gateway.is_current_era(*since));
         let call = call_orders(&gateway, &directory, since, known);
-        match watch::unless_set(&next_era, call).await {
+        match unless_lost(&gateway, watch::unless_set(&next_era, call)).await {
             Ok(position) => {
                 failures = 0;
                 known = position;
@@ -66,6 +78,23 @@
     }
 }
 
+/// Returns the result of a call to the store; [`Unavailable::HistoryGone`] if other calls failed meanwhile,
+/// as the watch may then have fallen silent.
+async fn unless_lost<C: Clock>(
+    gateway: &Gateway<C>,
+    call: impl Future<Output = Result<Position, Unavailable>>,
+) -> Result<Position, Unavailable> {
+    let lost = async {
+        while gateway.reaches_store() {
+            compio::time::sleep(ROLE_CHECK_INTERVAL).await;
+        }
+    };
+    match select(pin!(call), pin!(lost)).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(Unavailable::HistoryGone),
+    }
+}
+
 /// Lists the orders, or waits for changes after `since`. Returns the position to watch from.
 async fn call_orders<C: Clock, D: Directory>(
     gateway: &Gateway<C>,
@@ -89,9 +118,7 @@
             position
         }
         Some(since) => {
-            let listing = directory
-                .watch_orders(since, watch::watch_wait(gateway))
-                .await;
+            let listing = directory.watch_orders(since, ORDERS_WAIT).await;
             watch::count_call(gateway, "orders_call", &listing);
             let listing = listing?;
             gateway.check_position("orders", Some(since), known, listing.position)?;
