--- a/src/route/registry/choice.rs
+++ b/src/route/registry/choice.rs
@@ -1,6 +1,5 @@
 //! Choice of an engine for a request.
 
-use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use super::{Engine, FAILURE_WINDOW, Registry, State, UNREACHABLE_FOR};
@@ -107,9 +106,8 @@
     }
 
     /// Chooses an engine of another failure domain to hold the replica of a request that runs on
-    /// `engine`. Returns `None` if no such engine has room. Those that are expected to be lost last go
-    /// first. Of them it draws one of those with about the most room, as other hosts choose at the same
-    /// time.
+    /// `engine`. Returns `None` if no such engine has room. Draws one of those with about the most
+    /// room, as other hosts choose at the same time.
     pub fn choose_replica(&self, need: &Need<'_>, engine: Engine) -> Option<Engine> {
         let domain = &self.engines.get(engine)?.registration.failure_domain;
         let used = |state: &State| {
@@ -121,13 +119,9 @@
                 .filter(|(_, state)| state.registration.failure_domain != *domain)
                 .filter(|(_, state)| state.has_room(need) && !self.is_suspect(state))
         };
-        // Domains without an expected loss come before all others.
-        let loss = |state: &State| self.next_loss(state).map(Reverse);
-        let last_lost = fitting().map(|(_, state)| loss(state)).min()?;
-        let lasting = || fitting().filter(|(_, state)| loss(state) == last_lost);
-        let least = lasting().map(|(_, state)| used(state)).min()?;
+        let least = fitting().map(|(_, state)| used(state)).min()?;
         let limit = least.saturating_add(need.footprint.memory());
-        let near = || lasting().filter(|(_, state)| used(state) <= limit);
+        let near = || fitting().filter(|(_, state)| used(state) <= limit);
         let count = near().count() as u64;
         let drawn = near().nth((rand::random::<u64>() % count) as usize);
         drawn.map(|(key, _)| key)
--- a/src/route/registry/health.rs
+++ b/src/route/registry/health.rs
@@ -221,6 +221,9 @@
         let Some(from) = now.checked_sub(DOMAIN_LOSS_WINDOW) else {
             return;
         };
+        if self.rotation.was_lost_since(domain, from) {
+            return;
+        }
         let is_there =
             |engine: &Engine| self.engines[*engine].registration.failure_domain == domain;
         let lost = self.losses.since(from);
--- a/src/route/rotation/tests.rs
+++ b/src/route/rotation/tests.rs
@@ -20,7 +20,8 @@
 /// expectations where domains are not lost in turn, or no longer.
 #[test]
 fn the_domain_lost_longest_ago_is_next_only_in_a_rotation() {
-    let cases: [(&[(&str, u64)], u64, &str); 9] = [
+    type Losses<'a> = &'a [(&'a str, u64)];
+    let cases: [(Losses<'_>, u64, &str); 9] = [
         (&[], 1, ""),
         (&[("a", 0), ("b", 3)], 4, ""),
         (&[("a", 0), ("c", 3), ("b", 6)], 7, "acb"),
