--- a/tests/first_event.rs
+++ b/tests/first_event.rs
@@ -11,7 +11,7 @@
 use bilberrypost::route::held::{Prefix, Sighting, prefixes};
 use bilberrypost::route::load::{EngineHash, Footprint, Load, Usage};
 use bilberrypost::route::placing::Policy;
-use bilberrypost::route::registry::{Engine, Need, Registration, Registry};
+use bilberrypost::route::registry::{Engine, Need, Registration, Registry, Versions};
 use bilberrypost::route::reports::Source;
 use rand::rngs::StdRng;
 use rand::{Rng, RngCore, SeedableRng};
@@ -38,6 +38,7 @@
         memory_tokens: MEMORY_TOKENS,
         prompt,
         excluded: &[],
+        versions: Versions::Any,
     }
 }
 
