Follow the estimates by the time that passed, also on hosts with few requests

Cause: with 195 hosts, each decides on a service about once a second, and one update counted as half a second at most, so the capacity grew at half its rate. Callers that return took a tenth of the mean, half of the late answers. Change: an update stands for up to 2 s; requests that cannot be in time any more get a twentieth; Retry-After is drawn from the same number as the decision, so a simulation repeats exactly.

--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -30,7 +30,7 @@
 const FLOOR: f64 = 0.3;
 
 /// The same for requests that cannot be answered within their target latency.
-const LATE_FLOOR: f64 = 0.1;
+const LATE_FLOOR: f64 = 0.05;
 
 /// Part of the target latency that a request may wait in the queue of an engine.
 const QUEUE_PART: f64 = 0.25;
@@ -62,6 +62,10 @@
 /// to the engine.
 const EFFICIENCY_MAX: f64 = 1.5;
 
+/// Longest time that one update of the estimates stands for. A host may get a request of a service only
+/// every few seconds.
+const UPDATE_TIME_MAX: Duration = Duration::from_secs(2);
+
 /// Parts of the caller's time left between which `Retry-After` is drawn.
 const RETRY_AFTER_PART: (f64, f64) = (1.0 / 6.0, 1.0 / 3.0);
 
@@ -200,11 +204,16 @@
         let expected = Duration::from_secs_f64(level.answer_time + level.queue_time);
         let is_in_time = severity < 1.0 || expected <= request.time_left;
         let part = state.admitted_part(&arrivals, &level, now);
-        if is_in_time && draw < 1.0 - severity * (1.0 - part) {
+        let sent = match is_in_time {
+            true => 1.0 - severity * (1.0 - part),
+            false => 0.0,
+        };
+        if draw < sent {
             return Verdict::Send;
         }
         let (from, to) = RETRY_AFTER_PART;
-        let retry_part = from + (to - from) * rand::random::<f64>();
+        // What is left of the draw is as random as the draw was.
+        let retry_part = from + (to - from) * (draw - sent) / (1.0 - sent);
         Verdict::Refuse {
             retry_after: request.time_left.mul_f64(retry_part),
         }
@@ -337,7 +346,7 @@
     ) -> Option<Level> {
         let since = self.updated_at.map(|at| now.duration_since(at));
         self.updated_at = Some(now);
-        let since = since.unwrap_or_default().min(RATE_WINDOW);
+        let since = since.unwrap_or_default().min(UPDATE_TIME_MAX);
         self.drop_engines(engines, now);
         self.update_teams(since, now);
         let usages: Vec<_> = engines
