--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -20,7 +20,7 @@
 pub fn draw<C: Clock>(gateway: &Gateway<C>, service: &str) -> bool {
     let now = gateway.clock.now();
     let mut rollouts = gateway.rollouts.borrow_mut();
-    let is_trial = rollouts.draw(service, rand::random(), now);
+    let is_trial = rollouts.draw(service, rand::random, now);
     if is_trial {
         gateway.metrics.count_decision("rollout", "trial");
     }
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -376,10 +376,11 @@
         rollout.expect("the order was just added")
     }
 
-    /// Decides whether a request for a service goes to the new version, by a number drawn from 0 to 1.
-    pub fn draw(&mut self, service: &str, drawn: f64, now: Instant) -> bool {
+    /// Decides whether a request for a service goes to the new version, by a number from 0 to 1 that is
+    /// drawn only while an order needs it.
+    pub fn draw(&mut self, service: &str, drawn: impl FnOnce() -> f64, now: Instant) -> bool {
         let is_trial = match self.rule(service, now) {
-            Some(Rule::Trial { share, .. }) => drawn < share,
+            Some(Rule::Trial { share, .. }) => drawn() < share,
             _ => false,
         };
         let Some(rollout) = self.services.get_mut(service) else {
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -190,7 +190,7 @@
         for request in 0..REQUESTS_PER_TICK {
             let number = request % HOSTS;
             let host = &mut hosts[number];
-            let is_trial = host.draw("app", random.random(), now);
+            let is_trial = host.draw("app", || random.random(), now);
             let version = match host.rule("app", now) {
                 Some(Rule::Completed(to)) => to,
                 _ if is_trial => "v2".into(),
@@ -346,11 +346,14 @@
 
     let mut host = Rollouts::new(Some(POLICY), true);
     host.set_entries(vec![entry(&order("v2"), None, 1)], clock.now());
-    assert!(!host.draw("app", 0.0, clock.now()), "it has heard nobody");
+    assert!(
+        !host.draw("app", || 0.0, clock.now()),
+        "it has heard nobody"
+    );
     host.record_report(source, 1, None, clock.now());
-    assert!(host.draw("app", 0.0, clock.now()));
+    assert!(host.draw("app", || 0.0, clock.now()));
     clock.advance(Duration::from_secs(3));
-    assert!(!host.draw("app", 0.0, clock.now()), "it is cut off");
+    assert!(!host.draw("app", || 0.0, clock.now()), "it is cut off");
 }
 
 /// Guards against an order that is completed without evidence or engines.
