Count the loss of a replica from when its request was placed

A replica whose engine was lost while its request still waited for the first event counted as held, so that no copy replaced it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::{Either, select};
 use http_body_util::Full;
@@ -35,6 +35,8 @@
     pub engine: Engine,
     /// The engine that holds the replica of the run.
     pub replica: Option<Engine>,
+    /// When the request was placed.
+    pub placed_at: Instant,
     footprint: Footprint,
     has_output: bool,
 }
@@ -56,6 +58,7 @@
             gateway: gateway.clone(),
             engine,
             replica,
+            placed_at: gateway.clock.now(),
             footprint,
             has_output: false,
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -30,6 +30,7 @@
 use crate::route::registry::{Engine, Need};
 use crate::util::within;
 
+mod copies;
 mod forwarding;
 
 /// A request is refused after it was rejected by this many engines.
--- a/src/gateway/stream/forwarding.rs
+++ b/src/gateway/stream/forwarding.rs
@@ -8,15 +8,14 @@
 use super::super::attempt::{OpenResponse, Placement};
 use super::super::failover::{Cause, Failover};
 use super::super::protocol::Protocol;
-use super::super::replica::{self, Replica};
 use super::super::{check, crash, reach};
+use super::copies::Copies;
 use super::{RETRY_TIME_LEFT_MIN, RETRY_WAIT_MAX, Stream};
 use crate::clock::Clock;
 use crate::http::body::Writer;
 use crate::http::client::Exchange;
 use crate::http::problem::Reason;
 use crate::relay::event_stream::Splitter;
-use crate::relay::replication::Schedule;
 use crate::relay::silence::{self, Progress};
 use crate::route::load::EngineHash;
 use crate::util::within;
@@ -28,7 +27,7 @@
 /// The attempt whose events are being forwarded.
 pub(super) struct ActiveAttempt<C: Clock> {
     exchange: Exchange,
-    placement: Placement<C>,
+    pub(super) placement: Placement<C>,
     splitter: Splitter,
     progress: Progress,
     /// Number of events that this engine has sent.
@@ -36,28 +35,7 @@
     /// Whether the response says where it ends. One that does not and holds no event may be that of an
     /// engine that ended.
     is_framed: bool,
-    copies: Copies,
-}
-
-/// Copies of the run's memory that its engine makes on request of this host.
-struct Copies {
-    schedule: Schedule,
-    /// The copy that the engine is making.
-    pending: Option<replica::Pending>,
-    current: Option<Replica>,
-    /// When the current replica or copy was ordered.
-    ordered_at: Instant,
-}
-
-impl Copies {
-    fn new(now: Instant) -> Self {
-        Self {
-            schedule: Schedule::default(),
-            pending: None,
-            current: None,
-            ordered_at: now,
-        }
-    }
+    pub(super) copies: Copies,
 }
 
 /// Why forwarding the events of an attempt ended.
@@ -85,6 +63,7 @@
         let is_framed = open.exchange.is_framed();
         open.exchange.clear_headers();
         self.publish_replica(&placement);
+        let placed_at = placement.placed_at;
         ActiveAttempt {
             exchange: open.exchange,
             placement,
@@ -92,7 +71,7 @@
             progress: Progress::new(self.gateway.clock.now()),
             events: 0,
             is_framed,
-            copies: Copies::new(self.gateway.clock.now()),
+            copies: Copies::new(placed_at),
         }
     }
 
@@ -240,7 +219,7 @@
     }
 
     /// Returns the id of the last event that the caller has for logs, -1 for none.
-    fn last_event(&self) -> i64 {
+    pub(super) fn last_event(&self) -> i64 {
         let last = self.position.last();
         last.map_or(-1, |last| i64::try_from(last).unwrap_or(i64::MAX))
     }
@@ -323,75 +302,8 @@
         }
     }
 
-    /// Has the memory of the run copied to another engine if none holds it any more, and renews the copy.
-    fn keep_replica<P: Protocol>(&self, active: &mut ActiveAttempt<C>) {
-        let Some(lifetime) = self.admitted.copy_lifetime.filter(|_| self.can_resume()) else {
-            return;
-        };
-        let now = self.gateway.clock.now();
-        let ended = active.copies.pending.as_ref().and_then(|copy| copy.take());
-        if let Some(outcome) = ended {
-            active.copies.pending = None;
-            self.record_copy(active, outcome, now);
-        }
-        let engine = active.placement.engine;
-        let held = {
-            let registry = self.gateway.registry.borrow();
-            let since = active.copies.ordered_at;
-            let replica = active.placement.replica;
-            replica.filter(|replica| registry.may_hold(*replica, since))
-        };
-        if !active.copies.schedule.is_due(held.is_some(), lifetime, now) {
-            return;
-        }
-        let Some(to) = held.or_else(|| self.choose_replica(engine)) else {
-            return active.copies.schedule.record_no_room(now);
-        };
-        active.copies.schedule.begin(now);
-        let run = self.admitted.call.id.clone();
-        let copy = replica::copy::<C, P>(&self.gateway, engine, to, run);
-        active.copies.pending = Some(copy);
-    }
-
-    fn record_copy(&self, active: &mut ActiveAttempt<C>, outcome: replica::Outcome, now: Instant) {
-        let copies = &mut active.copies;
-        let replica::Outcome::Copied(copy) = outcome else {
-            return copies.schedule.end(false, now);
-        };
-        copies.schedule.end(true, now);
-        copies.ordered_at = now;
-        active.placement.set_replica(copy.engine);
-        copies.current = Some(copy);
-        // Other hosts do not know the id of the copy.
-        if let Some(key) = self.local {
-            let mut local = self.gateway.local_streams.borrow_mut();
-            local.set_replica(key, None);
-        }
-        let last = self.last_event();
-        let pairs = format_args!("last_event={last}");
-        self.admitted.trace.log("replica_copied", pairs);
-    }
-
-    /// Returns the replica that the stream can go on from if its engine is lost.
-    fn replica_of(&self, active: &ActiveAttempt<C>) -> Option<Replica> {
-        let ordered = |engine| Replica {
-            engine,
-            source: None,
-            id: self.admitted.call.id.clone(),
-        };
-        let copy = active.copies.current.clone();
-        copy.or_else(|| active.placement.replica.map(ordered))
-    }
-
-    /// Frees the copy of a run that has ended.
-    fn release_copy<P: Protocol>(&self, active: &ActiveAttempt<C>) {
-        if let Some(copy) = &active.copies.current {
-            replica::release::<C, P>(&self.gateway, active.placement.engine, copy);
-        }
-    }
-
     /// Returns whether the stream can go on at another engine.
-    fn can_resume(&self) -> bool {
+    pub(super) fn can_resume(&self) -> bool {
         self.admitted.route.kind.is_retryable() && self.has_attempts_left()
     }
 
