--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -39,6 +39,8 @@
     pub replica: Option<Engine>,
     /// What is expected of the engine; `None` if the request has no prompt, or is placed by load alone.
     pub estimate: Option<Estimate>,
+    /// When the request was placed.
+    pub placed_at: Instant,
     footprint: Footprint,
     has_output: bool,
     // Beginnings of the prompt that the engine reads, and since when, if its first event shows how long
@@ -73,6 +75,7 @@
             engine,
             replica,
             estimate,
+            placed_at: gateway.clock.now(),
             footprint,
             has_output: false,
             reading: is_timed.then(|| (admitted.prefixes.clone(), gateway.clock.now())),
