Limit requests over all hosts only where hosts have no slots of their own

Change: a service is limited, and counted, only while at least two hosts are known for each of its slots.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -14,7 +14,7 @@
 use crate::http::problem::Reason;
 use crate::route::load::EngineHash;
 use crate::route::registry::Engine;
-use crate::sched::admission::{self, Level, Request, Verdict};
+use crate::sched::admission::{self, Level, Request, Verdict, are_slots_scarce};
 use crate::sched::demand::Class;
 use crate::sched::retry::Service;
 
@@ -100,8 +100,11 @@
     engine: Engine,
     taken: Duration,
 ) {
+    if usable_engines(gateway, admitted).is_empty() {
+        return;
+    }
     let registry = gateway.registry.borrow();
-    let Some(state) = registry.get(engine).filter(|_| is_limited(admitted)) else {
+    let Some(state) = registry.get(engine) else {
         return;
     };
     let engine = EngineHash::of(&state.registration.id);
@@ -125,7 +128,8 @@
         return Vec::new();
     }
     let engines = gateway.registry.borrow().usable(&admitted.service);
-    match engines.len() <= ENGINES_MAX {
+    let hosts = gateway.budget.borrow().hosts();
+    match engines.len() <= ENGINES_MAX && are_slots_scarce(hosts, &engines) {
         true => engines,
         false => Vec::new(),
     }
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -93,6 +93,17 @@
     pub slots: u32,
 }
 
+/// Hosts for each slot of a service from which on its requests are limited. With more slots, each host
+/// sees an overload on its own connections.
+const HOSTS_PER_SLOT_MIN: usize = 2;
+
+/// Returns whether the slots of a service's `engines` are so few beside the `hosts` that send requests
+/// to them that the hosts have to limit the requests together.
+pub fn are_slots_scarce(hosts: usize, engines: &[Engine]) -> bool {
+    let slots: u32 = engines.iter().map(|engine| engine.slots).sum();
+    hosts >= HOSTS_PER_SLOT_MIN * slots as usize
+}
+
 /// What to do with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
--- a/src/sched/retry.rs
+++ b/src/sched/retry.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Returns the highest number of known hosts of the last time, this one included.
+    pub fn hosts(&self) -> usize {
+        self.hosts.peak
+    }
+
     /// Records the use of the budget that `hosts` other hosts report. A report of another `process`
     /// than the last one of the same host shows a restart, which forgets what was spent before. A
     /// representative that follows another one reports on the same hosts.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bilberrypost::route::load::EngineHash;
-use bilberrypost::sched::admission::{Controller, Engine, Request, Verdict};
+use bilberrypost::sched::admission::{Controller, Engine, Request, Verdict, are_slots_scarce};
 use bilberrypost::sched::demand::{Class, Counts};
 use bilberrypost::sched::retry::Service;
 use rand::rngs::StdRng;
@@ -352,6 +352,29 @@
     Duration::from_secs(seconds)
 }
 
+/// Guards against a small fleet that is limited although each host sees an overload itself.
+#[test]
+fn hosts_with_slots_of_their_own_do_not_limit_requests() {
+    let engines = |count: usize, slots| -> Vec<Engine> {
+        let engine = |number| Engine {
+            id: engine_hash(number),
+            slots,
+        };
+        (0..count).map(engine).collect()
+    };
+    let cases = [
+        (6, 3, 6, false),
+        (7, 1, 6, false),
+        (35, 3, 6, false),
+        (36, 3, 6, true),
+        (195, 5, 6, true),
+    ];
+    for (hosts, count, slots, expected) in cases {
+        let is_scarce = are_slots_scarce(hosts, &engines(count, slots));
+        assert_eq!(is_scarce, expected, "{hosts} hosts, {count} engines");
+    }
+}
+
 /// Guards against a fleet that refuses requests while its engines have free slots.
 #[test]
 fn nothing_is_refused_under_capacity() {
