--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -18,14 +18,14 @@
 use crate::sched::demand::Class;
 use crate::sched::retry::Service;
 
-/// A service with more engines is not limited: its hosts have whole slots, and its counts would fill
-/// the reports.
+/// Maximum number of engines of a service that is limited. With more, hosts have whole slots and see an
+/// overload on their own connections, and the counts would fill the reports.
 const ENGINES_MAX: usize = 32;
 
-/// Time without a refusal after which an overload has ended.
+/// Time without a refusal after which an overload has ended, for the log.
 const OVERLOAD_END: Duration = Duration::from_secs(2);
 
-/// A time in which requests to a service were refused.
+/// A period in which requests to a service were refused.
 #[derive(Clone, Copy, Debug)]
 struct Overload {
     began_at: Instant,
--- a/src/gateway/bounds.rs
+++ b/src/gateway/bounds.rs
@@ -1,4 +1,4 @@
-//! Log lines and metrics of what the budget for callers closed and refused.
+//! Log lines and metrics of the connections and requests that [`crate::http::budget`] closed and refused.
 
 use log::warn;
 
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -14,7 +14,7 @@
 use crate::http::problem::Reason;
 use crate::util::within;
 
-/// Smallest capacity of a buffer for a body.
+/// Smallest capacity of a buffer for a body, which saves small bodies in many parts the reallocations.
 const CAPACITY_MIN: usize = 1024;
 
 /// Limits on one body.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -89,8 +89,8 @@
 /// While no configuration is known, `Retry-After` is the caller's timeout divided by this.
 const RETRY_TIMEOUT_DIVISOR: u32 = 6;
 
-/// Time after the start for which a host that does not know the orders of roll-outs is not ready. Without
-/// a store and peers that tell them it serves as if there were none.
+/// Longest time after the start for which a host stays not ready because it does not know the roll-out orders.
+/// If neither the store nor a peer has told it by then, it serves as if there were none.
 const ORDERS_WAIT_MAX: Duration = Duration::from_secs(3);
 
 /// Settings of a gateway process.
@@ -153,7 +153,7 @@
     pub memory: Budget,
     /// Admission to services with few slots.
     pub admission: RefCell<Controller>,
-    /// Episodes of refusals by that, for the log.
+    /// Overloads in which it refuses requests, for the log.
     pub overloads: RefCell<admission::Overloads>,
     /// Timeouts of the callers of each route.
     pub caller_timeouts: RefCell<AnswerTimes>,
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -18,13 +18,14 @@
 use crate::route::registry::Engine;
 use crate::util::within;
 
-/// Timeout of a connection for a copy. The engine sends events, so it answers at once.
+/// Timeout for connecting to an engine for a copy. The engine is sending events of the run, so it should accept
+/// at once.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Timeout of a copy, which may wait for others on the links of both engines.
+/// Timeout of a copy, which may wait for other transfers on the links of both engines.
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum size of an answer.
+/// Maximum size of an answer, which is a short document.
 const ANSWER_BYTES_MAX: usize = 16 * 1024;
 
 /// The memory of a run at another engine, from which its stream can go on.
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -1,6 +1,6 @@
-//! Tasks that watch the orders to roll versions out, and write what became of them.
+//! Tasks that watch the roll-out orders in the store and write their states.
 //!
-//! They run only on hosts whose settings bound roll-outs. [`crate::rollout`] decides.
+//! They run only on hosts whose settings limit roll-outs. [`crate::rollout`] makes the decisions.
 
 use std::pin::pin;
 use std::rc::Rc;
@@ -18,7 +18,7 @@
 use crate::util::within;
 
 /// Time for which the store holds a watch of orders without changes. It is long because the store charges
-/// for each call, and hosts whose watch fell silent hear of an order from the others.
+/// for each call, and a host whose watch has stalled learns of an order from the reports of the others.
 const ORDERS_WAIT: Duration = Duration::from_secs(15);
 
 /// Time between two checks whether this host has to watch the store and reaches it.
@@ -30,7 +30,8 @@
 /// Pause after a write that the store did not answer.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Time that each host gives the writers before it to write a state.
+/// Time that a host waits for each host ranked before it to write a state, so that usually one writes and a
+/// lost writer is replaced.
 const WRITER_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Keeps the orders up to date until `stop` is set, while this host watches the store.
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -13,7 +13,8 @@
 use crate::route::load::EngineHash;
 use crate::route::registry::{Engine, Need, Registry, Versions};
 
-/// Part of the number of old engines that the new engines must reach before the old ones are stopped.
+/// Number of new engines, as a part of the number of old ones, that is needed before all requests go to the
+/// new version. Fewer could not carry the load of the old ones.
 const ENGINES_PART: f64 = 0.5;
 
 /// Draws whether the first attempt of a request goes to the version that an order names.
--- a/src/http/budget.rs
+++ b/src/http/budget.rs
@@ -19,23 +19,24 @@
 /// written, and the state of the request.
 pub const CONNECTION_BYTES: usize = 24 * 1024;
 
-/// Part of the memory of a process that callers may hold. The rest is for the process itself, for
+/// Divisor: callers may hold one part in this many of the process's memory. The rest is for the process itself, for
 /// connections to engines and for what the allocator does not reuse.
 const MEMORY_SHARE: usize = 3;
 
-/// Part of the memory and of the connections that only owners with little of it may use.
+/// Divisor: one part in this many of the memory and of the connections is kept for owners that hold less than
+/// such a part themselves, so that one owner cannot shut out the others.
 const RESERVE_SHARE: usize = 4;
 
-/// Descriptors that are not available for sockets.
+/// Descriptors that are set aside for files.
 const FILE_DESCRIPTORS: usize = 200;
 
-/// Sockets for the store, other hosts, readiness checks and idle connections to engines: this part of
-/// all, with an upper bound.
+/// Sockets for the store, other hosts, readiness checks and idle connections to engines: one in this many of
+/// all (a divisor), with an upper bound.
 const OTHER_SOCKETS_SHARE: usize = 8;
 const OTHER_SOCKETS_MAX: usize = 64;
 
 /// Time for which a connection must have kept the process waiting before it is closed in favour of
-/// another one of its owner.
+/// another one of its owner. A body that is just arriving pauses for less.
 const STALL_MIN: Duration = Duration::from_secs(1);
 
 const BYTES_PER_MB: usize = 1024 * 1024;
@@ -131,7 +132,7 @@
     Team(CompactString),
 }
 
-/// What a connection waits for, as far as that is its peer.
+/// What a connection waits for its peer to do. Waiting for an engine is not included.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Wait {
     /// The next request.
--- a/src/http/budget/tests.rs
+++ b/src/http/budget/tests.rs
@@ -55,7 +55,7 @@
         budget.grow(other.key, MB, now).unwrap();
     }
     assert!(budget.usage().0 <= 8 * MB);
-    // Beyond the reserve, connections of the crowd make room.
+    // Once only the reserve is left, idle connections of the largest owner are closed.
     budget.grow(other.key, MB, now).unwrap();
     assert!(crowd.iter().any(|connection| connection.closing.is_set()));
 }
--- a/src/peer/seal.rs
+++ b/src/peer/seal.rs
@@ -13,7 +13,8 @@
 pub const BYTES_MAX: usize = report::BYTES_MAX + MAC_BYTES;
 
 /// Largest accepted difference between the number of a sender's first report, which is based on its
-/// clock, and the time of the local clock.
+/// clock, and the time of the local clock. It allows for clocks that differ, and limits the recorded reports
+/// that a host accepts right after its start.
 const MAX_DIFFERENCE_MS: u64 = 60_000;
 
 /// Why a datagram is not used.
--- a/src/relay/replication.rs
+++ b/src/relay/replication.rs
@@ -6,10 +6,10 @@
 
 use std::time::{Duration, Instant};
 
-/// Time between two attempts to copy.
+/// Time between two attempts to copy. Engines that had no room seldom have any at once.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Fraction of its lifetime after which a copy is renewed.
+/// Fraction of its lifetime after which a copy is renewed, which leaves time for a failed attempt and another.
 const RENEWAL_FRACTION: f64 = 0.6;
 
 /// Copies of one run.
--- a/src/relay/reprefill.rs
+++ b/src/relay/reprefill.rs
@@ -1,4 +1,4 @@
-//! Why the prompt of a stream is prefilled once more.
+//! Why the prompt of a stream is prefilled once more, for logs and metrics.
 
 use super::handover::Missing;
 
@@ -9,7 +9,7 @@
     BeforeOutput,
     /// No replica was ordered, as no engine had room for one.
     NoReplica,
-    /// The engine that held the replica is lost, leaves or asks to be left alone.
+    /// The engine that held the replica is lost, is leaving, or accepts no requests for now.
     ReplicaLost,
     /// The engine that was to hold the replica has none.
     ReplicaRefused,
--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -2,13 +2,15 @@
 
 use super::tally::{Counts, Pair, Tally};
 
-/// Lowest rate of bad answers that a sound version is assumed to have.
+/// Lowest rate of bad answers that a sound version is assumed to have. Without it, a few failures would
+/// be enough against a version whose predecessor had none.
 const RATE_MIN: f64 = 0.01;
 
-/// Part of the old version's answers that counts as slow.
+/// Part of the old version's answers that counts as slow. Answers of the new version above the same limit are
+/// slow too.
 const SLOW_PART: f64 = 0.1;
 
-/// Evidence that a version must have against it.
+/// How much evidence against a version is needed for a decision.
 #[derive(Clone, Copy, Debug)]
 pub struct Evidence {
     // Number of bad answers.
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -8,23 +8,28 @@
 /// show that it turns bad later.
 const PROMOTED_AFTER: f64 = 0.7;
 
-/// Part of the order's time after which it ends for lack of evidence or engines.
+/// Part of the order's time after which a version that did not get all requests is reverted. It comes after
+/// [`PROMOTED_AFTER`], so that missing answers or engines can still arrive.
 const ENDED_AFTER: f64 = 0.8;
 
 /// Part of the order's time after which a version that has all requests is completed, although old
 /// engines still have work. The rest is for the write.
 const COMPLETED_AFTER: f64 = 0.85;
 
-/// Answers of the new version without which it is not completed.
+/// Answers of the new version without which it does not get all requests. A version that has shown
+/// nothing must not be taken for a sound one.
 const ANSWERS_MIN: u32 = 5;
 
-/// Part of the exposure limit that the hosts use. The margin is for counts that are under way.
+/// Part of [`Policy::ratio`] that the hosts use. Each host decides by counts that lack the latest requests
+/// of the others, so the rest is a margin for requests that are not reported yet.
 const USED_FRACTION: f64 = 0.8;
 
-/// Part of the tolerated number of requests that the hosts use.
+/// Part of [`Policy::tolerance`] that the hosts use. The rest is a margin for the same reason, which does not
+/// depend on the number of requests.
 const USED_TOLERANCE: f64 = 0.4;
 
-/// Limits on the requests that a version gets before it is completed.
+/// Limits on the requests that a version gets before it gets all: at most `ratio` of the requests for the
+/// service, and `tolerance` further ones.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
     /// Limit as part of the requests for the service.
@@ -33,7 +38,8 @@
     pub tolerance: f64,
 }
 
-/// A step: the part of the limit that is used until it is over.
+/// A step of the ramp: until it is over, requests go to the new version with a probability of this part of
+/// [`Policy::ratio`].
 struct Step {
     part: f64,
     // Answers and part of the time, both of which end the step.
@@ -43,8 +49,8 @@
     at_latest: f64,
 }
 
-/// Part of the limit that is used in the last step, which lasts until the decision. What is tolerated
-/// above the ratio is then used early, and [`View::has_room`] bounds the sum.
+/// Part of [`Policy::ratio`] in the last step, which lasts until the decision. It is above 1
+/// so that [`Policy::tolerance`] is used early; [`View::has_room`] bounds the sum of all steps.
 const LAST_PART: f64 = 1.5;
 
 /// The steps before the last one.
--- a/src/rollout/share.rs
+++ b/src/rollout/share.rs
@@ -3,8 +3,8 @@
 use crate::util::hash64;
 
 /// Returns the positions in `ids` of the engines that get the `share` of the requests that `old` engines
-/// had. All hosts choose the same ones, so that these are about as busy as the old engines and faults
-/// under load show.
+/// had. All hosts choose the same few engines, which are then about as busy as the old ones. Spread over
+/// all new engines, the requests would leave each nearly idle and hide faults that show under load.
 pub fn trial_engines(ids: &[&str], old: usize, share: f64) -> Vec<usize> {
     let count = (share * old as f64).ceil().max(1.0) as usize;
     let mut positions: Vec<_> = (0..ids.len()).collect();
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -14,23 +14,23 @@
 use crate::route::load::EngineHash;
 use crate::route::reports::Source;
 
-/// Time without a report of another host after which this host counts as cut off. Hosts report every
-/// 500 ms at least.
+/// Time without a report of another host after which this host draws no request for a new version, as it
+/// would not learn that the version is bad. Hosts report every 500 ms at least.
 const CUT_OFF_AFTER: Duration = Duration::from_secs(2);
 
 /// Broken answers of one engine within this time count once, as a crash fails all that runs on it.
 const BREAK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time for which an order stays known that neither this host nor one that reports to it reads from the
-/// store any more: one that has not ended, and one that has. Engines of a reverted version run on for a
-/// while.
+/// Time for which an order is remembered after its last confirmation, by this host or one that reports to
+/// it, that it is in the store: first for an order that has not ended, then for one that has. The second is
+/// longer, as engines of a reverted version run on for a while and must get no request.
 const UNCONFIRMED_FOR: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(60));
 
 /// Number of times during an order at which counts are kept, so that a version that turned bad later is
 /// judged by what it did since.
 const SNAPSHOTS: u32 = 8;
 
-/// Shortest time between two judgements.
+/// Shortest time between two judgements, which bounds their cost under many answers and reports.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Maximum number of orders in a report, which keeps it within a datagram. If there are more, reports
@@ -107,7 +107,7 @@
     // Counts stay when their host is gone, as the requests were made.
     others: BTreeMap<Reporter, Tally>,
     joint: Tally,
-    // Joint counts at earlier times, oldest first, with the number of the time.
+    // Joint counts at multiples of the order's duration / `SNAPSHOTS`, oldest first, each with its multiple.
     snapshots: Vec<(u32, Tally)>,
     judged_at: Option<Instant>,
     broken_at: BTreeMap<EngineHash, Instant>,
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -17,7 +17,7 @@
 /// Factor between the limits of two buckets of times.
 const BUCKET_FACTOR: f64 = std::f64::consts::SQRT_2;
 
-/// Number of buckets of times. The last one begins at about 30 s.
+/// Number of buckets of times. The last one begins at about 23 s and has no upper limit.
 const BUCKETS: u8 = 27;
 
 /// Hash of a route's name, which keeps reports small.
--- a/src/route/evidence.rs
+++ b/src/route/evidence.rs
@@ -20,7 +20,7 @@
 /// How certain it is that an engine ended at a request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Certainty {
-    /// Its connection broke or fell silent before it was past the beginning of the response. The engine
+    /// Its connection broke or timed out before it was past the beginning of the response. The engine
     /// may have ended and started again, or have ended at another request, or only the connection failed.
     Possible,
     /// It began the response, and its address refused connections afterwards.
--- a/src/route/first_event.rs
+++ b/src/route/first_event.rs
@@ -15,13 +15,15 @@
 /// Lower bound of the scale, which keeps the draw defined for a host that chooses alone.
 const SPREAD_MIN: Duration = Duration::from_micros(1);
 
-/// Multiple of the scale of the draw above which an engine is not drawn.
+/// Multiple of the scale of the draw above which an engine is not drawn. A much slower engine would else get
+/// a request now and then.
 const SCALES_MAX: f64 = 4.0;
 
-/// Difference in cost up to which an engine of the own failure domain counts as the best one.
+/// Difference in cost up to which an engine of the own failure domain is preferred to the best one, as traffic
+/// between failure domains costs money.
 const EQUAL: Duration = Duration::from_millis(50);
 
-/// Highest use of the engines that the price of reading reckons with. Queues grow without bound above.
+/// Upper bound on the utilisation in [`slowdown`], whose formula has a pole at 1.
 const USE_MAX: f64 = 0.7;
 
 /// An engine that may get a request.
@@ -55,8 +57,8 @@
     }
 }
 
-/// Returns by how much work on the engines delays all requests, those behind it included: in a queue
-/// that is in use for the part `u` of the time, each millisecond delays others by `u / (1 - u)`.
+/// Returns the delay of all requests together per unit of work on the engines: in a queue with utilisation
+/// `u`, each millisecond of work delays later requests by `u / (1 - u)`, so the sum is `1 / (1 - u)`.
 fn slowdown(candidates: &[Candidate]) -> f64 {
     let reading = candidates.iter().filter(|member| member.is_reading).count();
     let used = reading as f64 / candidates.len() as f64;
--- a/src/route/held.rs
+++ b/src/route/held.rs
@@ -1,4 +1,4 @@
-//! What engines probably hold of prompts, by what passed through the hosts.
+//! What engines probably hold of prompts in their prefix caches, by the requests that the hosts sent them.
 //!
 //! An engine reads a part of a prompt again unless it holds all parts up to it, so what it holds is
 //! described by beginnings of prompts. The least recently used ones yield to new prompts.
@@ -15,20 +15,21 @@
 /// ones count, which more prompts share.
 pub const PREFIXES_MAX: usize = 8;
 
-/// Maximum number of beginnings remembered for one engine.
+/// Maximum number of beginnings remembered for one engine, which bounds the memory of a host.
 const ENTRIES_MAX: usize = 64;
 
-/// Time after its last use for which an engine is believed to hold a beginning, if it reads little.
+/// Upper bound on the time after its last use for which an engine is assumed to hold a beginning. Engines that
+/// read much evict it earlier, see [`Held::tokens`].
 const BELIEF_MAX: Duration = Duration::from_secs(30);
 
-/// Maximum number of beginnings in the report of a host.
+/// Maximum number of beginnings in the report of a host, which keeps it within a datagram.
 pub const REPORTED_MAX: usize = 16;
 
-/// Maximum number of beginnings in the summary of a failure domain.
+/// Maximum number of beginnings in the summary of a failure domain, which keeps it within a datagram.
 pub const SUMMARIZED_MAX: usize = 14;
 
 /// Hash of the parts of a prompt from the first one on. Two beginnings with the same hash count as
-/// one, which costs an engine that reads more than expected.
+/// one; the engine then has to read more than expected.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PrefixHash(u32);
 
@@ -132,7 +133,7 @@
         }
     }
 
-    /// Returns the sightings that are recent enough to be believed.
+    /// Returns the sightings that are recent enough to be used.
     pub fn to_report(&self, now: Instant) -> Vec<Sighting> {
         let age = |used_at: Instant| now.duration_since(used_at);
         let recent = self.latest.iter().filter(|known| age(known.2) < BELIEF_MAX);
--- a/src/route/registry/choice.rs
+++ b/src/route/registry/choice.rs
@@ -21,7 +21,7 @@
 /// outputs that get longer than expected.
 const PLANNED_MEMORY_PERCENT: u64 = 92;
 
-/// Time by which a failure domain may be lost earlier than expected.
+/// Margin for a failure domain that is lost earlier than expected.
 const LOSS_MARGIN: Duration = Duration::from_millis(500);
 
 /// Versions of engines that a request may go to.
--- a/src/route/registry/health.rs
+++ b/src/route/registry/health.rs
@@ -33,8 +33,8 @@
 /// before they are used.
 const DOMAIN_LOSSES_MIN: usize = 2;
 
-/// A failure domain counts as lost once one in this many of its engines is known to be. Idle engines
-/// are not known to be lost.
+/// A failure domain counts as lost once one in this many of its engines is known to be lost. The number is
+/// high because the loss of an idle engine goes unnoticed at first.
 const DOMAIN_LOSS_PART: usize = 8;
 
 impl<C: Clock> Registry<C> {
--- a/src/route/rotation.rs
+++ b/src/route/rotation.rs
@@ -9,13 +9,13 @@
 
 use compact_str::CompactString;
 
-/// Losses in one failure domain within this time count as one.
+/// Losses in one failure domain within this time count as one, as its engines are found lost one by one.
 const SAME_LOSS_WITHIN: Duration = Duration::from_secs(2);
 
 /// Number of losses that are kept.
 const LOSSES_MAX: usize = 16;
 
-/// Number of losses that must show the order.
+/// Smallest number of losses from which an order is inferred. Any two domains are lost in some order.
 const ORDERED_MIN: usize = 3;
 
 /// Shortest mean time between losses. Domains lost closer together are lost by one cause.
@@ -24,7 +24,7 @@
 /// Multiple of the mean time between losses after which no further one is expected.
 const OVERDUE_INTERVALS: u32 = 2;
 
-/// Losses of whole failure domains, or of large parts of them.
+/// Recent losses of whole failure domains, or of large parts of them, from which the next one is inferred.
 #[derive(Debug, Default)]
 pub struct Rotation {
     // Oldest first.
--- a/src/route/speed.rs
+++ b/src/route/speed.rs
@@ -12,21 +12,22 @@
 /// Speed of an engine before any of its service is known, in prompt tokens a millisecond.
 const SPEED_DEFAULT: f64 = 5.0;
 
-/// Tokens that an engine counts as having read at the mean speed, besides what it was seen to read.
+/// Weight of the mean speed in an engine's own, as a number of tokens read at the mean speed. It keeps one
+/// short reading from setting the speed.
 const PRIOR_TOKENS: f64 = 4000.0;
 
-/// Ratio to the mean speed, either way, up to which an engine counts as an average one. Prompts that
-/// other hosts sent at the same time, of which this one did not know, make as much of a difference.
+/// Ratio to the mean speed, either way, up to which an engine has the mean speed. Prompts that other hosts sent
+/// at the same time, unknown to this one, change a reading by as much.
 const EVEN_RATIO: f64 = 1.4;
 
-/// Bounds on a speed, in prompt tokens a millisecond.
+/// Bounds on a speed, in prompt tokens a millisecond. They limit what wrong reports of other hosts can do.
 const SPEED_MIN: f64 = 0.05;
 const SPEED_MAX: f64 = 1000.0;
 
 /// Time from the end of reading to the first event.
 pub const STEP: Duration = Duration::from_millis(30);
 
-/// Shortest time that reading a prompt counts as.
+/// Lower bound on a reading time, as little may be left once [`STEP`] is subtracted.
 const TIME_MIN: Duration = Duration::from_millis(1);
 
 /// Prompt tokens that were read, and the time that it took.
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -23,50 +23,57 @@
 /// Time over which the rates of teams are measured, which are lower.
 const TEAM_WINDOW: Duration = Duration::from_secs(2);
 
-/// Answers within a window below which they tell nothing.
+/// Answers of an engine within [`RATE_WINDOW`] below which its rate and answer time are not used, as chance
+/// would outweigh the load.
 const ANSWERS_MIN: u32 = 15;
 
 /// Part of the mean that each rank, team and class gets at least, so that none starves.
 const FLOOR: f64 = 0.3;
 
-/// The same for requests that cannot be answered within their target latency.
+/// The same for requests that cannot be answered within their target latency. It is lower, as requests
+/// that can still be in time go first.
 const LATE_FLOOR: f64 = 0.05;
 
-/// Part of the target latency that a request may wait in the queue of an engine.
+/// Part of the target latency that a request may wait in the queue of an engine. The rest is for the answer
+/// itself.
 const QUEUE_PART: f64 = 0.25;
 
-/// Time in which the queues of engines are brought to their length.
+/// Time within which queues that are too long are to shrink to the wanted length.
 const DRAIN_TIME: Duration = Duration::from_secs(1);
 
-/// An engine with this part of its slots in use has no queue.
+/// Part of an engine's slots in use below which it is taken to have no queue, so that its answer time is
+/// that of a request alone.
 const IDLE_PART: f64 = 0.5;
 
-/// Requests on an engine, in its slots and its queue, that show that all slots are in use. More than
-/// one per slot, as some are on their way.
+/// Requests on an engine per slot, queued ones included, above which all its slots are taken to be in use.
+/// It is above 1, as some of the requests are on their way.
 const SATURATED_PART: f64 = 1.2;
 
-/// Arrivals above the capacity that follows from the answer time, from which on requests are refused
-/// although no queue shows yet, and from which on all that exceeds the capacity is refused.
+/// Ratios of the arrivals to the nominal capacity (slots / answer time) that show an overload before a queue
+/// does: from the first on, a part of the excess is refused; from the second on, all of it.
 const EXCESS: (f64, f64) = (1.1, 1.4);
 
-/// Times in which the estimates follow the measurements.
+/// Time constants of the exponential averages. The capacity recovers more slowly than it falls, so that one
+/// short queue does not end an overload; a team's usual rate must outlast a burst.
 const ANSWER_TIME_MEMORY: Duration = Duration::from_secs(2);
 const CAPACITY_MEMORY: Duration = Duration::from_secs(1);
 const CAPACITY_RECOVERY: Duration = Duration::from_secs(2);
 const TEAM_MEMORY: Duration = Duration::from_secs(30);
 
-/// Rate per second at which the capacity is assumed to grow while the queues are short.
+/// Growth of the capacity estimate per second while the queues are short. Without it, an estimate that is too
+/// low would stay so, as the refused requests would never show what the engines can answer.
 const CAPACITY_GROWTH: f64 = 0.1;
 
-/// Bound on the capacity in terms of the one that follows from the answer time, which includes the way
-/// to the engine.
+/// Upper bound on an engine's capacity as a multiple of its nominal capacity (slots / answer time). It is above
+/// 1, as the answer time includes the network, during which the slot is free for another request.
 const EFFICIENCY_MAX: f64 = 1.5;
 
-/// Longest time that one update of the estimates stands for. A host may get a request of a service only
-/// every few seconds.
+/// Upper bound on the time that one update of the estimates stands for. A host may get a request of a service
+/// only every few seconds, while the measurements cover the last windows only.
 const UPDATE_TIME_MAX: Duration = Duration::from_secs(2);
 
-/// Parts of the caller's time left between which `Retry-After` is drawn.
+/// Parts of the caller's time left between which `Retry-After` is drawn, so that callers come back spread
+/// out and with time to be served.
 const RETRY_AFTER_PART: (f64, f64) = (1.0 / 6.0, 1.0 / 3.0);
 
 /// A new request, before its first attempt.
@@ -93,8 +100,8 @@
     pub slots: u32,
 }
 
-/// Hosts for each slot of a service from which on its requests are limited. With more slots, each host
-/// sees an overload on its own connections.
+/// Hosts per slot of a service from which on its requests are limited by the counts of all hosts. With fewer
+/// hosts, each sees an overload on its own connections.
 const HOSTS_PER_SLOT_MIN: usize = 2;
 
 /// Returns whether the slots of a service's `engines` are so few beside the `hosts` that send requests
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -1,8 +1,7 @@
 //! What hosts send to services with few slots, and how long the engines take to answer.
 //!
-//! Each host counts for itself and reports the differences to the others. Differences add up to what
-//! happened, while a window that ends with a change, as a report does, would count that change too
-//! often.
+//! Each host reports to the others what it counted since its last report. It does not report sums over a
+//! sliding window: a report follows a change, so overlapping windows would count that change several times.
 
 use std::collections::BTreeMap;
 use std::ops::AddAssign;
@@ -14,7 +13,8 @@
 use crate::route::load::EngineHash;
 use crate::util::hash64;
 
-/// Maximum number of entries of each kind in one report; the others follow in the next one.
+/// Maximum number of entries of each kind in one report, which keeps it within a datagram; the others follow
+/// in the next one.
 pub const ENTRIES_MAX: usize = 10;
 
 /// Class of a request. The lowest class is admitted first.
