--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -43,8 +43,8 @@
     pub placed_at: Instant,
     footprint: Footprint,
     has_output: bool,
-    // Beginnings of the prompt that the engine reads, and since when, if its first event shows how long
-    // that took.
+    // Beginnings of the prompt that the engine prefills, and since when. Set if the time to the first event
+    // tells how fast it reads.
     reading: Option<(Vec<Prefix>, Instant)>,
     // Counts the answer for the version of the engine.
     sample: Option<versions::Sample<C>>,
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -28,7 +28,7 @@
     pub deadline: Instant,
 }
 
-/// A connection in the budget of the process.
+/// A connection's part of the budget of the process, to which the memory of its bodies is charged.
 #[derive(Clone, Debug)]
 pub struct Account {
     budget: Budget,
@@ -64,7 +64,7 @@
     }
 }
 
-/// A part of a body that is awaited.
+/// Marks a connection as waiting for a part of its body until it is dropped.
 #[derive(Debug)]
 struct BodyWait<'a>(&'a Account);
 
--- a/src/http/budget.rs
+++ b/src/http/budget.rs
@@ -19,8 +19,8 @@
 /// written, and the state of the request.
 pub const CONNECTION_BYTES: usize = 24 * 1024;
 
-/// Divisor: callers may hold one part in this many of the process's memory. The rest is for the process itself, for
-/// connections to engines and for what the allocator does not reuse.
+/// Divisor: callers may hold one part in this many of the process's memory. The rest is for the process
+/// itself, for connections to engines and for what the allocator does not reuse.
 const MEMORY_SHARE: usize = 3;
 
 /// Divisor: one part in this many of the memory and of the connections is kept for owners that hold less than
@@ -143,7 +143,7 @@
     Answer,
 }
 
-/// Number of variants of [`Wait`].
+/// Number of variants of [`Wait`], each of which has its own time in a connection.
 const WAITS: usize = 3;
 
 #[derive(Debug)]
--- a/src/peer/seal/tests.rs
+++ b/src/peer/seal/tests.rs
@@ -90,7 +90,7 @@
     assert!(open(NOW_MS + 1, false, NOW_MS - 2 * MAX_DIFFERENCE_MS));
 }
 
-/// Guards against hosts that do not hear each other while a key is rotated, or while some have none.
+/// Guards against hosts that refuse each other's reports while a key is rotated, or while some have none.
 #[test]
 fn hosts_in_a_rotation_hear_each_other() {
     let steps = [
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -254,7 +254,7 @@
 pub struct Rollouts {
     // `None` if the host carries out no orders.
     policy: Option<Policy>,
-    // Whether there are other hosts to hear.
+    // Whether there are other hosts that send reports.
     has_peers: bool,
     // Whether the orders were read from the store, or reported by another host that knows them.
     is_known: bool,
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -15,7 +15,7 @@
 //!   a block, from more requests, and they are not held against a single request.
 //! - Parts that these crashes have in common are blocked together: only requests with all of them are
 //!   refused. A part that passes on its own is taken out, and so are parts that further crashes do
-//!   without. A sound part is therefore not blocked for its company.
+//!   without. A sound part is therefore not blocked because it was sent along with a bad one.
 //! - A crash that a block explains is no evidence against the other parts of its request, nor of other
 //!   requests on the engine.
 //!
@@ -564,8 +564,8 @@
         }
     }
 
-    /// Sorts crashes so that a report has room for those that matter: many requests that merely waited at
-    /// an engine meet its end.
+    /// Sorts crashes so that a report has room for those that matter: when an engine ends, many requests that
+    /// merely waited there are recorded too.
     fn most_telling_first<'a>(
         &self,
         mut crashes: Vec<&'a KnownCrash>,
--- a/src/route/suspicion.rs
+++ b/src/route/suspicion.rs
@@ -57,10 +57,10 @@
 /// Evidence against one part.
 #[derive(Debug, Default)]
 pub(super) struct Suspicion {
-    // Certain ends of engines, and the requests that met them.
+    // Certain crashes, and the requests that ran into them.
     ends: Vec<(DomainHash, Instant)>,
     requests: BTreeSet<RequestHash>,
-    // The same of all ends, also possible ones.
+    // The same of all crashes, possible ones included.
     all_ends: Vec<Instant>,
     all_requests: BTreeSet<RequestHash>,
     // Parts that all these crashes have in common.
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -171,7 +171,7 @@
 #[derive(Debug)]
 struct TeamState {
     arrivals: Window<u32>,
-    // Its mean rate per second over a longer time.
+    // Its mean rate per second over about `TEAM_MEMORY`.
     usual: f64,
 }
 
@@ -451,12 +451,13 @@
         let queue_time = usage.queued(level.answer_time) / usage.answers;
         let is_queue_short = queue_time < level.queue_time_max;
         let is_saturated = usage.running > usage.slots * SATURATED_PART;
+        // Without nearly as many arrivals as the capacity, a short queue does not show that there is more.
         let is_short_of = level.arrivals > 0.9 * known * f64::from(slots);
         if is_saturated && !is_queue_short {
             let measured = usage.answers / usage.slots / nominal;
             state.efficiency = follow(state.efficiency, measured, since, CAPACITY_MEMORY);
         } else if is_queue_short && state.efficiency < 1.0 {
-            // It was measured while the engine was slower, or while few hosts were heard.
+            // The low value is out of date: the engine was slower, or reports of few hosts had arrived.
             state.efficiency = follow(state.efficiency, 1.0, since, CAPACITY_RECOVERY);
         } else if is_queue_short && is_short_of {
             state.efficiency *= 1.0 + CAPACITY_GROWTH * since.as_secs_f64();
