Mend what a review of the merged parts found

Cause, found by reading: a copy of a run that timed out was asked for at once again at another engine, though the first may go on with it; its handle was lost if the stream had ended; its age counted from when it was noticed. Counts of limited services with many keys were reported in the order of the keys, so that the last ones waited. A body that never fits closed connections before it was refused, and an answer unread for a moment could be cut for a smaller owner. Change: the pause counts from the end of an attempt, the same engine is asked again, copies get 5 s, and an unused one is freed; counts are taken in turn; such a body is refused first, and answers get a second.

--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -22,8 +22,9 @@
 /// at once.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Timeout of a copy, which may wait for other transfers on the links of both engines.
-const COPY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a copy, which may wait for other transfers on the links of both engines. When a failure
+/// domain is lost, the copies of many streams wait there.
+const COPY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Maximum size of an answer, which is a short document.
 const ANSWER_BYTES_MAX: usize = 16 * 1024;
@@ -48,8 +49,10 @@
 pub enum Outcome {
     /// The copy is complete.
     Copied(Replica),
-    /// There is no copy.
-    Failed,
+    /// The engine answered that there is no copy.
+    Refused,
+    /// The engine did not answer. It may go on copying, which takes room at the destination.
+    Unanswered,
 }
 
 /// Asks engine `source` to copy the memory of `run` to engine `to`.
@@ -64,14 +67,17 @@
     let task = {
         let gateway = gateway.clone();
         async move {
-            let replica = request_copy::<C, P>(&gateway, source, to, &run).await;
-            let name = if replica.is_some() {
-                "copied"
-            } else {
-                "failed"
+            let outcome = request_copy::<C, P>(&gateway, source, to, &run).await;
+            let name = match outcome {
+                Outcome::Copied(_) => "copied",
+                Outcome::Refused | Outcome::Unanswered => "failed",
             };
             gateway.metrics.count_decision("replica_copy", name);
-            result.set(Some(replica.map_or(Outcome::Failed, Outcome::Copied)));
+            let has_stream = Rc::strong_count(&result) > 1;
+            if let (Outcome::Copied(copy), false) = (&outcome, has_stream) {
+                release::<C, P>(&gateway, source, copy);
+            }
+            result.set(Some(outcome));
         }
     };
     gateway.stream_tasks.spawn(task);
@@ -83,20 +89,28 @@
     source: Engine,
     to: Engine,
     run: &str,
-) -> Option<Replica> {
-    let (address, to_address) = {
+) -> Outcome {
+    let address = |engine| {
         let registry = gateway.registry.borrow();
-        let address = |engine| Some(registry.get(engine)?.registration.address.clone());
-        (address(source)?, address(to)?)
+        Some(registry.get(engine)?.registration.address.clone())
     };
-    let request = P::copy_request(&address, run, &to_address)?;
-    let (head, body) = call(gateway, source, &address, request).await?;
-    let id = P::decode_copy(&body).filter(|_| head.status() == StatusCode::OK)?;
-    Some(Replica {
-        engine: to,
-        source: Some(address),
-        id,
-    })
+    let Some((address, to_address)) = address(source).zip(address(to)) else {
+        return Outcome::Refused;
+    };
+    let Some(request) = P::copy_request(&address, run, &to_address) else {
+        return Outcome::Refused;
+    };
+    let Some((head, body)) = call(gateway, source, &address, request).await else {
+        return Outcome::Unanswered;
+    };
+    match P::decode_copy(&body).filter(|_| head.status() == StatusCode::OK) {
+        Some(id) => Outcome::Copied(Replica {
+            engine: to,
+            source: Some(address),
+            id,
+        }),
+        None => Outcome::Refused,
+    }
 }
 
 /// Has the engine that made a copy free it, as its stream has ended.
--- a/src/gateway/stream/copies.rs
+++ b/src/gateway/stream/copies.rs
@@ -9,6 +9,7 @@
 use super::forwarding::ActiveAttempt;
 use crate::clock::Clock;
 use crate::relay::replication::Schedule;
+use crate::route::registry::Engine;
 
 /// Copies of the run's memory that its engine makes on request of this host.
 pub(super) struct Copies {
@@ -17,8 +18,12 @@
     pending: Option<replica::Pending>,
     /// The copy that replaces the replica that the request ordered.
     current: Option<Replica>,
-    /// When the replica was ordered, or the current copy made.
+    /// When the replica was ordered, or the current copy begun.
     since: Instant,
+    /// When the last copy was begun.
+    begun_at: Instant,
+    /// Where the last copy goes that its engine did not answer for. The engine may go on with it.
+    unanswered: Option<Engine>,
 }
 
 impl Copies {
@@ -29,6 +34,8 @@
             pending: None,
             current: None,
             since: placed_at,
+            begun_at: placed_at,
+            unanswered: None,
         }
     }
 }
@@ -55,10 +62,14 @@
         if !active.copies.schedule.is_due(held.is_some(), lifetime, now) {
             return;
         }
-        let Some(to) = held.or_else(|| self.choose_replica(engine)) else {
+        let unanswered = active.copies.unanswered.filter(|to| self.may_resume(*to));
+        let to = held.or(unanswered).or_else(|| self.choose_replica(engine));
+        let Some(to) = to else {
             return active.copies.schedule.record_no_room(now);
         };
         active.copies.schedule.begin(now);
+        active.copies.begun_at = now;
+        active.copies.unanswered = Some(to);
         let run = self.admitted.call.id.clone();
         let copy = replica::copy::<C, P>(&self.gateway, engine, to, run);
         active.copies.pending = Some(copy);
@@ -66,11 +77,14 @@
 
     fn record_copy(&self, active: &mut ActiveAttempt<C>, outcome: replica::Outcome, now: Instant) {
         let copies = &mut active.copies;
+        if outcome != replica::Outcome::Unanswered {
+            copies.unanswered = None;
+        }
         let replica::Outcome::Copied(copy) = outcome else {
             return copies.schedule.end(false, now);
         };
         copies.schedule.end(true, now);
-        copies.since = now;
+        copies.since = copies.begun_at;
         active.placement.set_replica(copy.engine);
         copies.current = Some(copy);
         // Other hosts do not know the id of the copy.
--- a/src/http/budget.rs
+++ b/src/http/budget.rs
@@ -393,6 +393,10 @@
         bytes: usize,
         now: Instant,
     ) -> Result<(), Exhausted> {
+        // No room can be made for what never fits.
+        if bytes > self.limits.bytes {
+            return Err(self.refuse(Bound::Memory));
+        }
         while !self.has_room(owner, bytes) {
             if !self.close_one(Bound::Memory, owner, key, now) {
                 return Err(self.refuse(Bound::Memory));
@@ -403,7 +407,7 @@
 
     /// Closes the connection that has kept the process waiting longest, of the owner that uses most;
     /// returns whether there is one that may be closed for a newcomer of `owner`. An owner makes no
-    /// room for one that uses as much, and its own connections get some time.
+    /// room for one that uses as much, and its own connections and unread answers get some time.
     fn close_one(
         &mut self,
         bound: Bound,
@@ -423,8 +427,11 @@
             let since = connection.stalled_since()?;
             let stalled = now.saturating_duration_since(since);
             let uses = used(&connection.owner);
-            let is_own = connection.owner == *owner && stalled >= STALL_MIN;
-            let may_close = Some(key) != spared && (is_own || uses > own);
+            let is_own = connection.owner == *owner;
+            // The request of an unread answer runs, and its caller may read on in a moment.
+            let is_answered = connection.waits[Wait::Answer as usize].is_some();
+            let has_stalled = stalled >= STALL_MIN || !(is_own || is_answered);
+            let may_close = Some(key) != spared && (is_own || uses > own) && has_stalled;
             may_close.then_some((uses, stalled, key))
         };
         let victim = self.connections.iter().filter_map(candidate).max();
--- a/src/http/budget/tests.rs
+++ b/src/http/budget/tests.rs
@@ -118,3 +118,26 @@
     assert_eq!(others.len(), 5);
     assert!(!crowd.iter().any(|connection| connection.closing.is_set()));
 }
+
+/// Guards against an answer that is cut because its caller has not read for a moment, and against
+/// connections that are closed for a body which never fits.
+#[test]
+fn an_answer_that_has_just_stalled_is_not_cut() {
+    let (budget, now) = (budget(8 * MB, 1000), Instant::now());
+    let crowd = crowd(&budget, "crowd", 100, MB, now);
+    for connection in &crowd {
+        budget.set_wait(connection.key, Wait::Body, None);
+        budget.set_wait(connection.key, Wait::Answer, Some(now));
+    }
+    let is_cut = || crowd.iter().any(|connection| connection.closing.is_set());
+    let other = budget.open(address(2), now).unwrap();
+    assert_eq!(
+        budget.grow(other.key, 9 * MB, now + STALL_MIN),
+        Err(Exhausted)
+    );
+    assert!(!is_cut());
+    budget.grow(other.key, 2 * MB, now).unwrap_err();
+    assert!(!is_cut());
+    budget.grow(other.key, 2 * MB, now + STALL_MIN).unwrap();
+    assert!(is_cut());
+}
--- a/src/relay/replication.rs
+++ b/src/relay/replication.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Time between two attempts to copy. Engines that had no room seldom have any at once.
+/// Time between the end of an attempt to copy and the next one. Engines that had no room seldom have any at once.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Fraction of its lifetime after which a copy is renewed, which leaves time for a failed attempt and another.
@@ -48,6 +48,7 @@
     /// Records the end of a copy that was asked for.
     pub fn end(&mut self, is_copied: bool, now: Instant) {
         self.is_copying = false;
+        self.tried_at = Some(now);
         if is_copied {
             self.copied_at = Some(now);
         }
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -4,7 +4,7 @@
 //! sliding window: a report follows a change, so overlapping windows would count that change several times.
 
 use std::collections::BTreeMap;
-use std::ops::AddAssign;
+use std::ops::{AddAssign, Bound};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -119,6 +119,9 @@
 pub struct Tally {
     arrivals: BTreeMap<(Service, Class, Team), u32>,
     answers: BTreeMap<(Service, EngineHash), Answered>,
+    // The last of each that was taken, so that all are taken in turn.
+    last_arrivals: Option<(Service, Class, Team)>,
+    last_answers: Option<(Service, EngineHash)>,
 }
 
 impl Tally {
@@ -137,14 +140,14 @@
 
     /// Takes as many counts as a report can hold.
     pub fn take(&mut self) -> Counts {
-        let arrivals = std::iter::from_fn(|| self.arrivals.pop_first()).take(ENTRIES_MAX);
+        let arrivals = take_in_turn(&mut self.arrivals, &mut self.last_arrivals).into_iter();
         let arrivals = arrivals.map(|((service, class, team), count)| Arrivals {
             service,
             class,
             team,
             count,
         });
-        let answers = std::iter::from_fn(|| self.answers.pop_first()).take(ENTRIES_MAX);
+        let answers = take_in_turn(&mut self.answers, &mut self.last_answers).into_iter();
         let answers = answers.map(|((service, engine), answered)| Answers {
             service,
             engine,
@@ -162,3 +165,23 @@
         self.answers.clear();
     }
 }
+
+/// Takes the entries that follow the key `last`, and then those from the first on, as many as a report can
+/// hold.
+fn take_in_turn<K: Copy + Ord, V>(
+    counts: &mut BTreeMap<K, V>,
+    last: &mut Option<K>,
+) -> Vec<(K, V)> {
+    let first = last.map_or(Bound::Unbounded, Bound::Excluded);
+    let after = counts.range((first, Bound::Unbounded));
+    let until = last.map_or(Bound::Unbounded, Bound::Included);
+    let before = counts.range((Bound::Unbounded, until));
+    let in_turn = after.chain(before).map(|(key, _)| *key);
+    let keys: Vec<K> = in_turn.take(counts.len().min(ENTRIES_MAX)).collect();
+    *last = keys.last().copied().or(*last);
+    let taken = keys.into_iter();
+    taken.filter_map(|key| counts.remove_entry(&key)).collect()
+}
+
+#[cfg(test)]
+mod tests;
