--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -20,6 +20,9 @@
 /// Time over which rates are measured.
 const RATE_WINDOW: Duration = Duration::from_millis(500);
 
+/// Highest count that is taken from a report, so that sums of corrupted ones do not overflow.
+const COUNT_MAX: u32 = 1_000_000;
+
 /// Time over which the rates of teams are measured, which are lower.
 const TEAM_WINDOW: Duration = Duration::from_secs(2);
 
@@ -317,7 +320,11 @@
 
     fn record_arrivals(&mut self, arrivals: &Arrivals, has_team: bool, now: Instant) {
         let state = self.services.entry(arrivals.service).or_default();
-        state.record_arrivals(arrivals, has_team, now);
+        let arrivals = Arrivals {
+            count: arrivals.count.min(COUNT_MAX),
+            ..*arrivals
+        };
+        state.record_arrivals(&arrivals, has_team, now);
     }
 
     fn record_answers(&mut self, answers: &Answers, now: Instant) {
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -32,6 +32,7 @@
 use bilberrypost::route::quarantine::Quarantine;
 use bilberrypost::route::registry::Registry;
 use bilberrypost::route::reports::Source;
+use bilberrypost::sched::admission::Controller;
 use bilberrypost::sched::retry;
 use bilberrypost::wire;
 use compio::bytes::Bytes;
@@ -378,7 +379,14 @@
         json!({"engine": engine, "domain": engine, "request": engine, "parts": [1, 2],
                "certainty": "Certain", "age_ms": 9})
     };
-    let usages = json!([{"engine": 1, "running": small, "reading": small, "memory": small}]);
+    let usages = json!([{"engine": 1, "running": small, "reading": small, "memory": small,
+                         "read_tokens": small, "read_ms": small}]);
+    let class = json!({"rank": 1, "is_late": false, "is_repeatable": true});
+    let counts = json!({
+        "arrivals": [{"service": 1, "class": class, "team": 1, "count": small}],
+        "answers": [{"service": 1, "engine": 1, "answered": {"count": small, "time_us": number}}]});
+    let prefix = json!({"hash": 1, "tokens": small});
+    let sightings = json!([{"engine": 1, "prefix": prefix, "age_ms": small}]);
     let retries = json!([{"service": 1, "requests": small, "committed": small}]);
     let losses = json!([{"engine": 1, "age_ms": number as u16}]);
     let evidence = json!({
@@ -387,13 +395,13 @@
     let summary = |domain: &str| {
         json!({"domain": domain, "number": number, "process": number, "hosts": ["10.0.0.2", "::2"],
                "usages": usages, "retrying_hosts": number, "retries": retries, "losses": losses,
-               "evidence": evidence})
+               "counts": counts, "evidence": evidence, "sightings": sightings, "rollouts": []})
     };
     let report = json!({
         "number": number, "process": number, "domain": "fd-a", "revision": number,
         "is_leaving": false, "is_question": true, "hosts": {"fd-a": ["10.0.0.2"], "fd-b": ["::2"]},
-        "usages": usages, "retries": retries, "losses": losses, "removals": [1],
-        "evidence": evidence, "streams": [{"digest": number, "run": "r-1", "replica": 1}],
+        "usages": usages, "retries": retries, "counts": counts, "losses": losses, "removals": [1],
+        "evidence": evidence, "sightings": sightings, "rollouts": null, "streams": [{"digest": number, "run": "r-1", "replica": 1}],
         "summaries": [summary("fd-b"), summary("fd-c")]});
     serde_json::from_value(report).unwrap()
 }
@@ -409,6 +417,13 @@
     registry.set_report(source.clone(), summary.number, summary.usages);
     let (process, hosts) = (summary.process, summary.retrying_hosts);
     budget.record_report(source, process, hosts, summary.retries, now);
+    registry.record_sightings(&summary.sightings, false);
+    let mut admission = Controller::default();
+    for _ in 0..2 {
+        admission.record_counts(&summary.counts, now);
+        admission.record_summary(&summary.counts, now);
+    }
+    admission.take_joint_counts();
     for loss in summary.losses {
         registry.record_reported_loss(loss, Finder::Remote);
     }
