Report runs with long ids without a replica

Cause, found by reading: callers choose the ids of their requests, and a report named 64 of them whole. A few long ones made it longer than a datagram, so that the hosts that received it dropped all of it: load, losses, retries. Change: an id of more than 32 bytes is shortened in reports, and the run is then not handed over.

--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -17,6 +17,10 @@
 
 use crate::route::load::EngineHash;
 
+/// Longest id of a run that is reported whole, in ASCII. Callers choose the ids, and long ones would fill the
+/// datagram of a report.
+const RUN_ID_BYTES_MAX: usize = 32;
+
 /// Age of a report after which its replicas are no longer used: the time for which an engine keeps
 /// a replica after its run ended, less the age of the report on arrival.
 const REPLICA_LIFETIME: Duration = Duration::from_millis(3500);
@@ -85,15 +89,21 @@
     }
 
     /// Returns at most `limit` streams to report to other hosts. Those of equal requests are reported
-    /// without their replicas, so that one of them is enough to withhold the others'.
+    /// without their replicas, so that one of them is enough to withhold the others'. So are those whose
+    /// callers chose a long id, which is shortened.
     pub fn to_report(&self, limit: usize) -> Vec<Stream> {
         let mut runs: BTreeMap<u64, usize> = BTreeMap::new();
         for stream in self.streams.values() {
             *runs.entry(stream.digest).or_default() += 1;
         }
-        let reported = self.streams.values().take(limit).map(|stream| Stream {
-            replica: stream.replica.filter(|_| runs[&stream.digest] == 1),
-            ..stream.clone()
+        let reported = self.streams.values().take(limit).map(|stream| {
+            let has_short_id = stream.run.len() <= RUN_ID_BYTES_MAX;
+            let can_be_told = has_short_id && runs[&stream.digest] == 1;
+            Stream {
+                digest: stream.digest,
+                run: stream.run.chars().take(RUN_ID_BYTES_MAX).collect(),
+                replica: stream.replica.filter(|_| can_be_told),
+            }
         });
         reported.collect()
     }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -286,6 +286,19 @@
     assert_eq!(streams.take(1, now), Err(Missing::Replica));
 }
 
+/// Guards against reports that are too long for a datagram, as callers chose long ids for their streams.
+#[test]
+fn long_ids_of_runs_are_shortened_and_not_handed_over() {
+    let mut local = LocalStreams::default();
+    let key = local.begin(1, "a".repeat(5000).into());
+    local.set_replica(key, Some(EngineHash::of("i-2")));
+    let shortened = Stream {
+        replica: None,
+        ..stream(1, &"a".repeat(32))
+    };
+    assert_eq!(local.to_report(1), vec![shortened]);
+}
+
 /// Guards against a report that offers the replica of one of several equal runs, also where the
 /// other one is past the limit of the report.
 #[test]
