--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -90,6 +90,7 @@
         let text = values.iter().fold(text, |text, (name, value)| {
             text.replace(&format!("{{{{{name}}}}}"), value)
         });
+        let text = without_places(&text);
         let settings = folder.join(format!("{name}.conf"));
         std::fs::write(&settings, text)?;
         Ok(Self {
@@ -168,3 +169,11 @@
         self.kill();
     }
 }
+
+/// Leaves out the places of a template that have no value here, as the platform does.
+fn without_places(text: &str) -> String {
+    let mut parts = text.split("{{");
+    let first = parts.next().unwrap_or_default().to_owned();
+    let rest = parts.map(|part| part.split_once("}}").map_or(part, |(_, rest)| rest));
+    rest.fold(first, |text, part| text + part)
+}
