Ask all hosts about a run before a caller goes on from its replica

Cause: that a host knows a single run of a request was taken for proof that there is no other. A host knows only what reports told its process, and its own streams while they run. One that has started again hears of the run that goes on and never of the one that broke; one that relayed the caller's run itself forgot it at its end.

Evidence: the hosts' log has started, then handed_over with the other caller's run. The record of the case shows the other stream open, and the hosts that lived on had heard both runs for 2 s, which leaves out a lost report.

Change: the host that a caller continues at asks the others and the run's own host. A replica is used only if all together know one run, its host says that it has ended or has no process, and some host has known all runs for longer than callers wait between tries. What decides is in relay/inquiry.rs, without clock and sockets.

Why it works: the caller's run is known to the hosts that live on, so that two runs are known; and even where it is not, the other caller's run goes on at its host, which says so.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,5 +1,6 @@
-//! Endpoint that sends the configuration and the engines to hosts that follow this one instead of
-//! the store. A query waits for a change (long polling).
+//! Endpoint for other hosts. It sends the configuration and the engines to hosts that follow this one
+//! instead of the store; such a query waits for a change (long polling). It also answers questions about
+//! runs ([`inquiry`]).
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -13,12 +14,13 @@
 
 use super::Gateway;
 use super::delivery::{Delivery, Summary};
+use super::inquiry::{self, Question};
 use super::pacing::Pacing;
 use super::position::Position;
 use crate::clock::Clock;
 use crate::config::patch::{self, Patch};
 use crate::http::body::Body;
-use crate::http::problem::{json_bytes_response, text_response};
+use crate::http::problem::{json_bytes_response, json_response, text_response};
 use crate::http::server;
 use crate::route::history::Changes;
 use crate::util::within;
@@ -149,7 +151,8 @@
 
 impl<C: Clock> server::Service for Endpoint<C> {
     async fn call(&self, request: Request<Incoming>) -> Response<Body> {
-        if request.uri().path() != PATH {
+        let is_question = request.uri().path() == inquiry::PATH;
+        if !is_question && request.uri().path() != PATH {
             return text_response(StatusCode::NOT_FOUND, "no such path");
         }
         let body = Limited::new(request.into_body(), QUERY_BYTES_MAX).collect();
@@ -159,11 +162,17 @@
                 "the query was cut off or is too long; send it again",
             );
         };
-        let Ok(query) = serde_json::from_slice(&body.to_bytes()) else {
-            return text_response(
-                StatusCode::BAD_REQUEST,
-                "the query is malformed; run the same version on all hosts",
-            );
+        let body = body.to_bytes();
+        if is_question {
+            return match serde_json::from_slice::<Question>(&body) {
+                Ok(question) => {
+                    json_response(&inquiry::own_account(&self.gateway, question.digest))
+                }
+                Err(_) => malformed_query(),
+            };
+        }
+        let Ok(query) = serde_json::from_slice(&body) else {
+            return malformed_query();
         };
         let mut update = self.update(query).await;
         if update.engines.is_whole && query.document.is_some() {
@@ -176,6 +185,13 @@
     }
 }
 
+fn malformed_query() -> Response<Body> {
+    text_response(
+        StatusCode::BAD_REQUEST,
+        "the query is malformed; run the same version on all hosts",
+    )
+}
+
 fn encode(update: &Update) -> Vec<u8> {
     serde_json::to_vec(update).expect("an update serializes")
 }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -2,17 +2,19 @@
 //! replica it goes on with those of others. [`crate::relay::handover`] decides.
 
 use super::Gateway;
+use super::inquiry;
 use super::replica::Replica;
 use super::request::AdmittedRequest;
 use crate::clock::Clock;
-use crate::relay::handover::{LocalStream, Missing};
+use crate::relay::handover::LocalStream;
+use crate::relay::inquiry::{Inquiry, Missing, reconnect_time_max};
 
 /// Finds the replica of a stream that another host relayed before, if the caller continues one.
 /// Returns `None` if the stream begins here.
 ///
 /// # Errors
 /// [`Missing`] if the stream continues without a replica.
-pub fn find<C: Clock>(
+pub async fn find<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
 ) -> Result<Option<Replica>, Missing> {
@@ -20,7 +22,16 @@
     let Some(last_event) = last_event.filter(|_| can_be_handed_over(admitted)) else {
         return Ok(None);
     };
-    let result = find_replica(gateway, admitted);
+    let began = gateway.clock.now();
+    let inquiry = inquiry::ask(gateway, admitted.digest).await;
+    let result = find_replica(gateway, admitted, &inquiry);
+    let outcome = result.as_ref().err().map_or("found", |err| err.as_str());
+    gateway.metrics.count_decision("handover", outcome);
+    let answers = format!(
+        "known_ms={} asked_ms={}",
+        inquiry.known_for().as_millis(),
+        gateway.clock.now().duration_since(began).as_millis(),
+    );
     match &result {
         Ok(Replica {
             engine, id: run, ..
@@ -28,33 +39,30 @@
             let registry = gateway.registry.borrow();
             let state = registry.get(*engine);
             let replica = state.map_or("none", |state| state.registration.id.as_str());
-            let pairs = format_args!("run={run} replica={replica} last_event={last_event}");
+            let pairs =
+                format_args!("run={run} replica={replica} last_event={last_event} {answers}");
             admitted.trace.log("handed_over", pairs);
         }
         Err(missing) => admitted.trace.log(
             "not_handed_over",
-            format_args!("reason={missing} last_event={last_event}"),
+            format_args!("reason={missing} last_event={last_event} {answers}"),
         ),
     }
     result.map(Some)
 }
 
-/// Returns the replica of the only known run of the request. If there are several, it is not known
-/// which of them is that of the caller, and the prompt is prefilled again.
+/// Returns the replica of the only known run of the request. Where it is not certain that this is the run of
+/// the caller, the prompt is prefilled again.
 fn find_replica<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
+    inquiry: &Inquiry,
 ) -> Result<Replica, Missing> {
-    let now = gateway.clock.now();
-    let replica = gateway
-        .remote_streams
-        .borrow_mut()
-        .take(admitted.digest, now)?;
-    if gateway.local_streams.borrow().has_run_of(admitted.digest) {
-        return Err(Missing::Distinction);
-    }
+    let replica = inquiry.conclude(reconnect_time_max(admitted.route.timeout))?;
     let engine = gateway.registry.borrow().by_hash(replica.engine);
     let engine = engine.ok_or(Missing::Replica)?;
+    let mut remote = gateway.remote_streams.borrow_mut();
+    remote.record_use(admitted.digest, &replica.run);
     Ok(Replica {
         engine,
         source: None,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod followed;
 pub mod front;
 pub mod handover;
+pub mod inquiry;
 pub mod intake;
 pub mod lateness;
 pub mod notice;
@@ -186,6 +187,8 @@
     pub local_streams: RefCell<LocalStreams>,
     /// Resumable streams that other hosts reported.
     pub remote_streams: RefCell<RemoteStreams>,
+    /// Questions to other hosts about runs.
+    pub inquiries: inquiry::Inquiries,
     /// Tasks that relay streams.
     pub stream_tasks: Group,
     /// Checks of single engines.
@@ -252,6 +255,7 @@
             failing_calls: Cell::default(),
             local_streams: RefCell::default(),
             remote_streams: RefCell::default(),
+            inquiries: inquiry::Inquiries::default(),
             stream_tasks: Group::default(),
             checks: Group::default(),
             reach: reach::Reach::default(),
@@ -497,6 +501,10 @@
         self.metrics.set_store_era(position.era);
         self.metrics
             .set_ages(self.configuration_age(), self.engines_age());
+        let runs = self.remote_streams.borrow();
+        let history = runs.known_for(self.clock.now());
+        self.metrics.set_remembered_runs(history, runs.len());
+        drop(runs);
         self.metrics.text()
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -42,6 +42,10 @@
 /// Period of the loop that handles received reports and sends due ones.
 const TICK: Duration = Duration::from_millis(50);
 
+/// A wait for the next tick that takes this long shows that the process was paused. Datagrams that arrived
+/// meanwhile may have found the buffer of the socket full.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
+
 /// Recipients for which a host may report a change in every tick. With more recipients it waits for
 /// one more tick per this number of them, which bounds the datagrams per second.
 const REPORTS_PER_TICK_MAX: u32 = 12;
@@ -52,6 +56,9 @@
 /// Maximum number of streams in one report, which keeps it below [`report::BYTES_MAX`].
 const REPORT_STREAMS_MAX: usize = 64;
 
+/// Maximum number of the hosts that report to this one that are asked about a run.
+const ASKED_REPORTERS_MAX: usize = 24;
+
 /// Name of the duty to write the states of roll-outs.
 const WRITER_DUTY: &str = "rollouts";
 
@@ -95,7 +102,9 @@
         has_urgent_summary: false,
     };
     while !stop.is_set() {
+        let began = peers.gateway.clock.now();
         within(TICK, stop.wait()).await;
+        peers.record_pause(began);
         while let Ok((from, report)) = reports.try_recv() {
             peers.handle_report(from, report);
         }
@@ -179,6 +188,14 @@
 }
 
 impl<C: Clock, D: Directory> Peers<C, D> {
+    /// Records that reports may have been missed if this process was paused since `began`.
+    fn record_pause(&self, began: Instant) {
+        let now = self.gateway.clock.now();
+        if now.duration_since(began) >= PAUSE_MIN {
+            self.gateway.remote_streams.borrow_mut().record_gap(now);
+        }
+    }
+
     fn handle_report(&mut self, from: SocketAddr, report: Report) {
         let now = self.gateway.clock.now();
         let domain = &report.domain;
@@ -213,7 +230,7 @@
             return;
         }
         let mut streams = self.gateway.remote_streams.borrow_mut();
-        streams.record_report(report.streams, now);
+        streams.record_report(from, report.streams, now);
         drop(streams);
         let source = Source::Host(from.ip());
         let mut registry = self.gateway.registry.borrow_mut();
@@ -348,6 +365,18 @@
         let mut hosts = self.roster.live_in_own_domain(now);
         hosts.extend(self.roster.other_representatives());
         self.gateway.reach.set_hosts(hosts);
+        self.update_asked_hosts(now);
+    }
+
+    /// Chooses the hosts that are asked about runs. In a large fleet each host of a failure domain hears of all
+    /// runs there, so some of them are enough, and the representatives of the others.
+    fn update_asked_hosts(&self, now: Instant) {
+        let reporters = self.roster.live_reporters(now).into_iter();
+        let mut hosts: BTreeSet<_> = reporters.take(ASKED_REPORTERS_MAX).collect();
+        if self.roster.has_indirect_hosts() {
+            hosts.extend(self.roster.other_representatives());
+        }
+        self.gateway.inquiries.set_hosts(hosts);
     }
 
     /// Ranks the hosts that may write the states of roll-outs, which are the first representatives.
@@ -428,6 +457,10 @@
             streams: self.streams_to_report(),
             ..self.empty_report(now)
         };
+        if is_broadcast {
+            let mut streams = self.gateway.local_streams.borrow_mut();
+            streams.record_report(REPORT_STREAMS_MAX);
+        }
         let question = Report {
             is_question: true,
             counts: Counts::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -86,7 +86,7 @@
     gateway: &Rc<Gateway<C>>,
     admitted: AdmittedRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let handed_over = handover::find(gateway, &admitted);
+    let handed_over = handover::find(gateway, &admitted).await;
     let mut stream = Stream {
         local: handover::list(gateway, &admitted),
         position: Position::after(admitted.call.last_event),
@@ -116,7 +116,8 @@
 impl<C: Clock> Drop for Stream<C> {
     fn drop(&mut self) {
         if let Some(key) = self.local {
-            self.gateway.local_streams.borrow_mut().end(key);
+            let now = self.gateway.clock.now();
+            self.gateway.local_streams.borrow_mut().end(key, now);
         }
     }
 }
--- a/src/gateway/stream/forwarding.rs
+++ b/src/gateway/stream/forwarding.rs
@@ -83,6 +83,7 @@
         let replica = placement.replica.and_then(|replica| registry.get(replica));
         let replica = replica.map(|replica| EngineHash::of(&replica.registration.id));
         let mut local = self.gateway.local_streams.borrow_mut();
+        local.set_begun(key);
         local.set_replica(key, replica);
     }
 
@@ -176,6 +177,11 @@
 
     /// Logs and counts the end of a complete stream.
     fn record_complete(&self, active: &ActiveAttempt<C>) {
+        if let Some(key) = self.local {
+            // Its caller has nothing to go on for.
+            let mut local = self.gateway.local_streams.borrow_mut();
+            local.set_replica(key, None);
+        }
         // A response without a length ends in the same way when its engine crashes.
         if active.events > 0 && active.is_framed {
             crash::record_pass(&self.gateway, &self.admitted.prompt);
--- a/src/peer/roster.rs
+++ b/src/peer/roster.rs
@@ -171,6 +171,14 @@
         hosts.map(|(address, _)| *address).collect()
     }
 
+    /// Returns the live hosts whose reports this host gets.
+    pub fn live_reporters(&self, now: Instant) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter();
+        let live = hosts.filter(|(_, host)| host.is_alive(now));
+        let direct = live.filter(|(_, host)| self.reports_directly(&host.domain));
+        direct.map(|(address, _)| *address).collect()
+    }
+
     /// Returns the hosts to mention in a report, by failure domain: in a small fleet all live
     /// hosts, in a large one the live hosts of this domain and the representatives of the others.
     pub fn hosts_to_mention(&self, now: Instant) -> BTreeMap<CompactString, Vec<SocketAddr>> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod event_stream;
 pub mod generation;
 pub mod handover;
+pub mod inquiry;
 pub mod pace;
 pub mod replication;
 pub mod reprefill;
--- a/src/relay/reprefill.rs
+++ b/src/relay/reprefill.rs
@@ -1,6 +1,6 @@
 //! Why the prompt of a stream is prefilled once more, for logs and metrics.
 
-use super::handover::Missing;
+use super::inquiry::Missing;
 
 /// Why an attempt cannot go on from the memory of an earlier one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -33,8 +33,12 @@
 impl From<Missing> for Cause {
     fn from(missing: Missing) -> Self {
         match missing {
-            Missing::Run | Missing::Distinction => Self::UnknownRun,
             Missing::Replica => Self::NoReplica,
+            Missing::Run
+            | Missing::Distinction
+            | Missing::End
+            | Missing::Confirmation
+            | Missing::History => Self::UnknownRun,
         }
     }
 }
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -93,6 +93,8 @@
     watches_store: Gauge,
     configuration_age: Gauge<f64, AtomicU64>,
     engines_age: Gauge<f64, AtomicU64>,
+    run_history: Gauge<f64, AtomicU64>,
+    remembered_runs: Gauge,
     refusals: Family<Refusal, Counter>,
     relayed: Family<Relayed, Counter>,
     feed_bytes: Family<Sent, Counter>,
@@ -148,6 +150,12 @@
         let engines_age = Gauge::default();
         let text = "Time since the engines were last confirmed";
         registry.register_with_unit("engines_age", text, unit(), engines_age.clone());
+        let run_history = Gauge::default();
+        let text = "Time for which all runs that other hosts reported have been known";
+        registry.register_with_unit("run_history", text, unit(), run_history.clone());
+        let remembered_runs = Gauge::default();
+        let text = "Known runs that other hosts relay or relayed";
+        registry.register("remembered_runs", text, remembered_runs.clone());
         let bound_actions = Family::default();
         let text = "Connections closed, and connections and requests refused, at a limit";
         registry.register("bound_actions", text, bound_actions.clone());
@@ -168,6 +176,8 @@
             watches_store,
             configuration_age,
             engines_age,
+            run_history,
+            remembered_runs,
             refusals,
             relayed,
             feed_bytes,
@@ -281,6 +291,13 @@
         self.engines_age.set(engines.as_secs_f64());
     }
 
+    /// Sets what is known of the runs of other hosts: for how long all of them, and how many.
+    pub fn set_remembered_runs(&self, history: Duration, runs: usize) {
+        self.run_history.set(history.as_secs_f64());
+        self.remembered_runs
+            .set(i64::try_from(runs).unwrap_or(i64::MAX));
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -458,7 +458,7 @@
         let encoded = report.encode().unwrap();
         assert!(encoded.len() <= bytes.len());
         assert_eq!(Report::decode(&encoded).as_ref(), Ok(&report));
-        RemoteStreams::default().record_report(report.streams, Instant::now());
+        RemoteStreams::default().record_report(from, report.streams, Instant::now());
         report.summaries.into_iter().for_each(record);
     });
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -622,7 +622,7 @@
         )
         .replace("listen = 127.0.0.1:0", &format!("listen = {ip}:0"))
     };
-    let (first, second) = (
+    let (mut first, second) = (
         Gateway::start(&on(&first_ip)),
         Gateway::start(&on(&second_ip)),
     );
@@ -634,16 +634,22 @@
     wait_for("a run", || engines.iter().any(runs_at));
     let replica = engines.iter().find(|engine| !runs_at(engine)).unwrap();
     let copy = format!("{}/s1", replica.address);
-    wait_for("a run that resumes from the replica", || {
-        let headers = stream_headers("s2") + parts + "last-event-id: 3\r\n";
-        let answer = second
-            .send("POST", "/stream/x", &headers, "prompt")
-            .unwrap();
-        assert_eq!(answer.text(), events(4, 9));
-        let seen = replica.received.lock().unwrap();
-        seen.iter()
-            .any(|request| request.header("kv-from") == Some(copy.as_str()))
-    });
+    // Longer than callers take to reconnect, by the time that the route allows for a request.
+    let is_known = || {
+        let metric = |name: &str| second.metric(name).unwrap_or_default();
+        metric("bilberrypost_remembered_runs") == 1.0
+            && metric("bilberrypost_run_history_seconds") > 8.0
+    };
+    wait_for("a report of the run", is_known);
+    first.process.kill();
+    let headers = stream_headers("s2") + parts + "last-event-id: 3\r\n";
+    let answer = second
+        .send("POST", "/stream/x", &headers, "prompt")
+        .unwrap();
+    assert_eq!(answer.text(), events(4, 9));
+    let seen = replica.received.lock().unwrap();
+    let mut sources = seen.iter().map(|request| request.header("kv-from"));
+    assert!(sources.any(|source| source == Some(copy.as_str())));
 }
 
 /// Stops a gateway; returns its log and what `bilberrypost explain` prints for a request.
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -2,6 +2,7 @@
 //! of the log.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,8 @@
 use bilberrypost::gateway::watch::WATCH_WAIT;
 use bilberrypost::platform::store::WATCH_TIMEOUT_MARGIN;
 use bilberrypost::relay::event_stream::{Error, Position, Splitter};
-use bilberrypost::relay::handover::{Missing, RemoteStreams, Replica, Stream};
+use bilberrypost::relay::handover::{RemoteStreams, Stream};
+use bilberrypost::relay::inquiry::{Account, Inquiry, Missing, Replica};
 use bilberrypost::report::trace::{LINES_PER_S, Sampler};
 use bilberrypost::route::load::EngineHash;
 use bilberrypost::sched::retry::{Budget, Policy};
@@ -186,12 +188,25 @@
         engine: EngineHash::of("i-2"),
     });
     let mut streams = RemoteStreams::default();
-    streams.record_report(vec![stream(1), stream(2)], now);
-    assert_eq!(streams.take(3, now), Err(Missing::Run));
-    assert_eq!(streams.take(1, now), found);
-    assert_eq!(streams.take(1, now), Err(Missing::Replica));
+    let from = SocketAddr::from(([10, 0, 0, 1], 7200));
+    streams.record_report(from, vec![stream(1), stream(2)], now);
+    let mut take = |digest, now| {
+        let mut inquiry = Inquiry::default();
+        let account = Account {
+            runs: streams.runs_of(digest, now),
+            known_for: Duration::from_secs(9),
+        };
+        inquiry.record(SocketAddr::from(([10, 0, 0, 2], 7200)), account);
+        inquiry.record_gone(from);
+        let result = inquiry.conclude(Duration::from_secs(9));
+        streams.record_use(digest, "s1");
+        result
+    };
+    assert_eq!(take(3, now), Err(Missing::Run));
+    assert_eq!(take(1, now), found);
+    assert_eq!(take(1, now), Err(Missing::Replica));
     let later = now + Duration::from_secs(4);
-    assert_eq!(streams.take(2, later), Err(Missing::Replica));
+    assert_eq!(take(2, later), Err(Missing::Replica));
 }
 
 /// Guards against a log that grows without limit under high load, and against a sampler that still
