Count a refusal that an engine does not state as a lost answer

Cause: whether an engine ran a request was read from its header, while the caller reads it from the status. A failure without the header was forwarded with any status; docs/platform.md said so.

The new test with 408, 429 and 503 on three kinds of route fails on with the engine's status in place of 502, at the first of them; the one with a resumable stream fails there with 503 after its last attempt.

Change: a 408, 429 or 503 of an engine without the header counts as a lost answer, fault=unstated-refusal, on plain calls and streams alike. Another engine is tried where the request may run again; otherwise the host answers 502 without the engine's seal, as a sealed answer must keep its status. 421 says by itself that the request did not run. An engine's Retry-After holds the engine as before and is not passed on.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -200,12 +200,13 @@
         Err(Fault::Unsent) => registry.set_unreachable(engine),
         Err(Fault::Silent) => registry.set_suspect(engine),
         Err(Fault::OtherEngine) => registry.set_replaced(engine),
-        Err(Fault::Lost | Fault::Busy) => registry.set_failed(engine),
+        Err(Fault::Lost | Fault::Busy | Fault::UnstatedRefusal) => registry.set_failed(engine),
         Err(Fault::Declined | Fault::NotRun | Fault::NoContact | Fault::EngineLost) => {}
     }
     drop(registry);
     match &result {
         Ok(open) if !open.is_success => placement.record_failure(),
+        Err(Fault::UnstatedRefusal) => placement.record_failure(),
         Err(Fault::Lost) => placement.record_break(),
         Err(Fault::Silent) => placement.record_silence(),
         _ => {}
@@ -354,6 +355,7 @@
             exchange,
             is_success: false,
         }),
+        Outcome::UnstatedRefusal => Err(Fault::UnstatedRefusal),
         Outcome::NotRun => Err(Fault::NotRun),
         Outcome::OtherEngine => Err(Fault::OtherEngine),
         Outcome::Foreign => Err(Fault::Lost),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -120,6 +120,9 @@
     Success,
     /// The engine ran the request and reports a failure; the body follows.
     Failure,
+    /// The engine reports a failure with a status that tells callers that the request did not run, but does
+    /// not say so itself; it may have run.
+    UnstatedRefusal,
     /// The engine did not run the request.
     NotRun,
     /// Another engine listens on the address; the request did not run.
--- a/src/gateway/fault.rs
+++ b/src/gateway/fault.rs
@@ -11,6 +11,9 @@
     Declined,
     /// This host reached neither the engine nor anything else, so no byte was sent.
     NoContact,
+    /// The engine failed the request with a status that tells callers that it did not run, without saying so
+    /// itself.
+    UnstatedRefusal,
     /// The engine reports that it did not run the request.
     NotRun,
     /// Another engine listens on the address; it did not run the request.
@@ -44,6 +47,7 @@
             Self::Busy => "busy",
             Self::Declined => "declined",
             Self::NoContact => "no-contact",
+            Self::UnstatedRefusal => "unstated-refusal",
             Self::NotRun => "not-run",
             Self::OtherEngine => "other-engine",
             Self::Lost => "lost",
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -72,6 +72,14 @@
     "upgrade",
 ];
 
+/// Statuses by which callers know that a request did not run and never will.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Timeout of a request without a deadline header.
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
 
@@ -225,6 +233,7 @@
     match status.is_success() {
         true if headers.contains_key(SEAL) => Outcome::Success,
         true => Outcome::Foreign,
+        false if NOT_RUN_STATUSES.contains(&status) => Outcome::UnstatedRefusal,
         false => Outcome::Failure,
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -87,7 +87,7 @@
 #[test]
 fn responses_are_classified() {
     type Case = (u16, &'static [(&'static str, &'static str)], Outcome);
-    let cases: [Case; 11] = [
+    let cases: [Case; 14] = [
         (
             200,
             &[
@@ -133,6 +133,24 @@
             &[("x-bilberrypost-not-executed", "1")],
             Outcome::NotRun,
         ),
+        (
+            408,
+            &[("x-bilberrypost-attempt-id", "r1")],
+            Outcome::UnstatedRefusal,
+        ),
+        (
+            429,
+            &[("x-bilberrypost-attempt-id", "r1")],
+            Outcome::UnstatedRefusal,
+        ),
+        (
+            503,
+            &[
+                ("x-bilberrypost-attempt-id", "r1"),
+                ("x-bilberrypost-response-seal", "s"),
+            ],
+            Outcome::UnstatedRefusal,
+        ),
         (421, &[], Outcome::OtherEngine),
         (
             421,
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -1,4 +1,4 @@
-//! Refusals that the gateway sends before it has read the body of a request.
+//! Refusals: those that the gateway sends before it has read the body of a request, and those of engines.
 
 mod support;
 
@@ -6,8 +6,10 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use serde_json::json;
 use support::platform::{
-    API_KEY, Engine, Gateway, Message, Store, config, ok, settings, start, wait_for,
+    API_KEY, End, Engine, Gateway, Message, Reaction, Store, config, events, ok, settings, start,
+    start_gateway, stream_headers, wait_for,
 };
 
 const BODY_BYTES: usize = 90_000;
@@ -66,3 +68,46 @@
     store.put("config", "main", config(3));
     wait_for("readiness", || gateway.is_ready());
 }
+
+/// Guards against a call that is made twice: the engine ran it and failed it with a status by which the caller
+/// knows that it did not run, on all kinds of route.
+#[test]
+fn a_refusal_that_an_engine_does_not_state_never_reaches_the_caller() {
+    for status in [408, 429, 503] {
+        let [app, model] = ["i-1", "i-2"]
+            .map(|id| Engine::start(id, move |_| Reaction::Response(status, "failed".into())));
+        let mut config = config(3);
+        // A stream that may not be resumed.
+        config["routes"][3]["stream-resume"] = json!(false);
+        let registered = [
+            ("i-1", app.registration("app", "fd-a")),
+            ("i-2", model.registration("model", "fd-a")),
+        ];
+        let (_store, gateway) = start_gateway(config, &registered);
+        for path in ["/once/x", "/any/x", "/stream/x"] {
+            let answer = gateway.send("POST", path, &stream_headers("r1"), "b");
+            let answer = answer.expect("a response");
+            assert_eq!(answer.status(), 502, "{status} {path}");
+            let seal = answer.header("x-bilberrypost-response-seal");
+            assert_eq!(seal, None, "{status} {path}");
+            assert_eq!(answer.header("retry-after"), None, "{status} {path}");
+        }
+        let runs = [&app, &model].map(Engine::request_count);
+        assert_eq!(runs, [2, 1], "{status}");
+    }
+}
+
+/// Guards against a resumable stream that gets such a refusal in place of another attempt.
+#[test]
+fn a_resumable_stream_goes_to_another_engine_after_an_unstated_refusal() {
+    let refusing = Engine::start("i-1", |_| Reaction::Response(503, "failed".into()));
+    let sound = Engine::start("i-2", |_| Reaction::Events(5, End::Complete));
+    let (_store, gateway) = start(&[(&refusing, "model", "fd-a"), (&sound, "model", "fd-b")]);
+    for number in 0..6 {
+        let answer = gateway.stream(&format!("s{number}"));
+        assert_eq!((answer.status(), answer.text()), (200, events(1, 5)));
+    }
+    assert!(refusing.request_count() > 0);
+    sound.set_script(|_| Reaction::Response(503, "failed".into()));
+    assert_eq!(gateway.stream("failing").status(), 502);
+}
