Share the check for exact answers between tests

Three test files had the same assertion of a complete answer without missing, repeated or wrong tokens; it stands once in support/ now.

--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bilberrypost::load::client;
-use support::{Cluster, block_on, call, shared_settings};
+use support::{Cluster, assert_exact, block_on, call, shared_settings};
 
 /// Guards against missing, repeated or wrong tokens when no component fails.
 #[test]
@@ -13,11 +13,7 @@
     cluster.router(&shared_settings(), 1);
     let call = call("Sky notes: cirrus.", 50, 7);
     let answer = block_on(client::complete(&cluster.routers[0].address, &call));
-    assert!(answer.complete, "{answer:?}");
-    assert_eq!(
-        (answer.missing, answer.repeated, answer.mismatched),
-        (0, 0, 0)
-    );
+    assert_exact(&answer);
 }
 
 /// Guards against a generation that fails, or loses or repeats tokens, when its engine dies.
@@ -30,11 +26,7 @@
     cluster.router(&shared_settings(), 2);
     let call = call("Sky notes: [fault die@20/1]", 60, 7);
     let answer = block_on(client::complete(&cluster.routers[0].address, &call));
-    assert!(answer.complete, "{answer:?}");
-    assert_eq!(
-        (answer.missing, answer.repeated, answer.mismatched),
-        (0, 0, 0)
-    );
+    assert_exact(&answer);
 }
 
 /// Guards against a load tool that does not count or check all calls.
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -20,8 +20,8 @@
 use http_body_util::Full;
 use serde_json::json;
 use support::{
-    CALLER_KEY, Cluster, Proxy, TEST_TIMEOUT, block_on, call, domain, get, shared_settings,
-    wait_until,
+    CALLER_KEY, Cluster, Proxy, TEST_TIMEOUT, assert_exact, block_on, call, domain, get,
+    shared_settings, wait_until,
 };
 
 /// Engines behind proxies, and routers that reach the engines only through the proxies.
@@ -83,15 +83,6 @@
     }
 }
 
-/// Asserts that an answer has each token exactly once.
-fn assert_exact(answer: &Answer) {
-    assert!(answer.complete, "{answer:?}");
-    assert_eq!(
-        (answer.missing, answer.repeated, answer.mismatched),
-        (0, 0, 0)
-    );
-}
-
 /// Guards against an answer that is cut off when the process of its engine dies.
 #[test]
 fn killed_engine() {
--- a/tests/sched.rs
+++ b/tests/sched.rs
@@ -24,7 +24,7 @@
 use compact_str::{CompactString, format_compact};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use support::{Cluster, block_on, call, get, wait_until};
+use support::{Cluster, assert_exact, block_on, call, get, wait_until};
 
 const TICK: Duration = Duration::from_millis(10);
 
@@ -687,11 +687,7 @@
     let urgent = block_on(client::complete(&router, &urgent));
     let routine = routine.join().unwrap();
     for answer in [urgent, routine] {
-        assert!(answer.complete, "{answer:?}");
-        assert_eq!(
-            (answer.missing, answer.repeated, answer.mismatched),
-            (0, 0, 0)
-        );
+        assert_exact(&answer);
     }
     assert_eq!(totals().cancelled, 1);
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,7 +17,7 @@
 
 use bilberrypost::config::split::key_digest;
 use bilberrypost::emulate::proxy::Fault;
-use bilberrypost::load::client::Call;
+use bilberrypost::load::client::{Answer, Call};
 use bilberrypost::wire::{Kind, Lifecycle, Member, Rank};
 use rustix::process::{Pid, Signal, kill_process};
 use serde::Serialize;
@@ -527,6 +527,15 @@
     }
 }
 
+/// Asserts that an answer has each token exactly once.
+pub fn assert_exact(answer: &Answer) {
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(
+        (answer.missing, answer.repeated, answer.mismatched),
+        (0, 0, 0)
+    );
+}
+
 fn client() -> cyper::Client {
     cyper::Client::builder().no_proxy().build().unwrap()
 }
