Do not need an answer from each failure domain for a replica

Hosts stop there ten at a time and many lose power together, so that no representative of some failure domain answers, or only one that has just started.

--- a/src/gateway/inquiry.rs
+++ b/src/gateway/inquiry.rs
@@ -7,7 +7,6 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use compact_str::CompactString;
 use compio::net::TcpStream;
 use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
@@ -41,29 +40,15 @@
 /// Whom to ask, and how many inquiries run.
 #[derive(Debug, Default)]
 pub struct Inquiries {
-    scope: RefCell<Scope>,
+    // Other hosts that together hear of all runs.
+    hosts: RefCell<BTreeSet<SocketAddr>>,
     running: Cell<usize>,
 }
 
-/// The hosts to ask.
-#[derive(Clone, Debug, Default)]
-pub struct Scope {
-    /// Other hosts that together hear of all runs.
-    pub hosts: BTreeSet<SocketAddr>,
-    /// Failure domains whose hosts hear of the runs there only; none in a small fleet, whose hosts all hear of
-    /// all runs.
-    pub domains: BTreeSet<CompactString>,
-}
-
 impl Inquiries {
-    /// Sets the hosts to ask.
-    pub fn set_scope(&self, scope: Scope) {
-        self.scope.replace(scope);
-    }
-
-    /// Returns the failure domains from each of which an answer is needed.
-    pub fn domains(&self) -> BTreeSet<CompactString> {
-        self.scope.borrow().domains.clone()
+    /// Sets the hosts to ask, which together hear of all runs.
+    pub fn set_hosts(&self, hosts: BTreeSet<SocketAddr>) {
+        self.hosts.replace(hosts);
     }
 
     async fn begin(&self) -> Turn<'_> {
@@ -111,7 +96,6 @@
     let mut runs = local.runs_of(digest, own_address(gateway), now);
     runs.extend(remote.runs_of(digest, now));
     Account {
-        domain: gateway.settings.failure_domain.clone(),
         runs,
         known_for: remote.known_for(now),
     }
@@ -124,7 +108,7 @@
     let mut inquiry = Inquiry::default();
     inquiry.record(own, own_account(gateway, digest));
     let mut hosts = inquiry.unsettled();
-    hosts.extend(&gateway.inquiries.scope.borrow().hosts);
+    hosts.extend(gateway.inquiries.hosts.borrow().iter());
     let inquiry = RefCell::new(inquiry);
     let asking = async {
         let _turn = gateway.inquiries.begin().await;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,7 +19,6 @@
 use super::crash;
 use super::feed::{self, Query, Update};
 use super::follow::Duty;
-use super::inquiry;
 use super::protocol::Directory;
 use super::watch;
 use crate::clock::Clock;
@@ -91,7 +90,6 @@
         last_number: 0,
         newer: Newer::default(),
         awaiting_reply: BTreeSet::new(),
-        domains_heard: BTreeMap::new(),
         summaries: BTreeMap::new(),
         last_report: None,
         reported_losses: 0,
@@ -170,9 +168,6 @@
     newer: Newer,
     // Hosts of other failure domains that asked for a report. Each gets one.
     awaiting_reply: BTreeSet<SocketAddr>,
-    // When a summary of each other failure domain was last heard. The callers of a failure domain that is lost
-    // come to the hosts of others, which its representatives can no longer tell of its runs.
-    domains_heard: BTreeMap<CompactString, Instant>,
     // The last summary of each other failure domain, and whether it was forwarded.
     summaries: BTreeMap<CompactString, (Summary, bool)>,
     // When the last report was sent, and `Registry::own_load_version` at that time.
@@ -305,7 +300,6 @@
         if known.is_some_and(|(known, _)| known.number >= summary.number) {
             return;
         }
-        self.domains_heard.insert(summary.domain.clone(), now);
         let source = Source::Domain(summary.domain.clone());
         let mut registry = self.gateway.registry.borrow_mut();
         registry.record_sightings(&summary.sightings, false);
@@ -376,20 +370,13 @@
 
     /// Chooses the hosts that are asked about runs. In a large fleet each host of a failure domain hears of all
     /// runs there, so some of them are enough, and the representatives of the others.
-    fn update_asked_hosts(&mut self, now: Instant) {
-        let is_recent = |at: Instant| now.duration_since(at) < handover::RUN_LIFETIME;
-        self.domains_heard.retain(|_, at| is_recent(*at));
+    fn update_asked_hosts(&self, now: Instant) {
         let reporters = self.roster.live_reporters(now).into_iter();
-        let mut scope = inquiry::Scope {
-            hosts: reporters.take(ASKED_REPORTERS_MAX).collect(),
-            domains: self.domains_heard.keys().cloned().collect(),
-        };
-        if !scope.domains.is_empty() {
-            let own = self.gateway.settings.failure_domain.clone();
-            scope.domains.insert(own);
-            scope.hosts.extend(self.roster.other_representatives());
+        let mut hosts: BTreeSet<_> = reporters.take(ASKED_REPORTERS_MAX).collect();
+        if self.roster.has_indirect_hosts() {
+            hosts.extend(self.roster.other_representatives());
         }
-        self.gateway.inquiries.set_scope(scope);
+        self.gateway.inquiries.set_hosts(hosts);
     }
 
     /// Ranks the hosts that may write the states of roll-outs, which are the first representatives.
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -29,7 +29,7 @@
 
 /// Time for which a run is remembered after its end, or after the last report of it. Its caller may
 /// still reconnect then, and must not get the replica of an equal request that began later.
-pub const RUN_LIFETIME: Duration = Duration::from_secs(30);
+const RUN_LIFETIME: Duration = Duration::from_secs(30);
 
 /// A running stream that another host may resume.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/relay/inquiry.rs
+++ b/src/relay/inquiry.rs
@@ -45,12 +45,9 @@
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Account {
-    /// Failure domain of the host.
-    pub domain: CompactString,
     /// Its own runs and those of other hosts.
     pub runs: Vec<KnownRun>,
-    /// For how long the host has known all runs that the hosts of its failure domain reported; in a small
-    /// fleet, those of all hosts.
+    /// For how long the host has known all runs that other hosts reported.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub known_for: Duration,
 }
@@ -128,16 +125,14 @@
     runs: BTreeMap<CompactString, Told>,
     // Hosts that told their own runs, or whose process is gone.
     settled: BTreeSet<SocketAddr>,
-    // For how long the host with the longest memory in each failure domain has known all runs there.
-    known_for: BTreeMap<CompactString, Duration>,
+    known_for: Duration,
 }
 
 impl Inquiry {
     /// Adds what `host` told.
     pub fn record(&mut self, host: SocketAddr, account: Account) {
         self.settled.insert(host);
-        let known_for = self.known_for.entry(account.domain).or_default();
-        *known_for = account.known_for.max(*known_for);
+        self.known_for = self.known_for.max(account.known_for);
         for run in account.runs {
             let id = run.run.clone();
             let is_by_own_host = run.host == host;
@@ -172,26 +167,17 @@
         }
     }
 
-    /// Returns for how long all runs in `domains` have been known; without any, those that a single host
-    /// knows.
-    pub fn known_for(&self, domains: &BTreeSet<CompactString>) -> Duration {
-        let known_for = |domain| self.known_for.get(domain).copied().unwrap_or_default();
-        let longest = self.known_for.values().max().copied();
-        let shortest = domains.iter().map(known_for).min();
-        shortest.or(longest).unwrap_or_default()
+    /// Returns for how long the host with the longest memory has known all reported runs.
+    pub fn known_for(&self) -> Duration {
+        self.known_for
     }
 
-    /// Returns the replica of the run that the caller goes on with. `domains` are the failure domains whose
-    /// hosts do not report to each other, none in a small fleet; `reconnect_time_max` is the longest time since
-    /// the end of the caller's run.
+    /// Returns the replica of the run that the caller goes on with. `reconnect_time_max` is the longest time
+    /// since the end of that run.
     ///
     /// # Errors
     /// [`Missing`] if there is none, or if it may be that of another run.
-    pub fn conclude(
-        &self,
-        domains: &BTreeSet<CompactString>,
-        reconnect_time_max: Duration,
-    ) -> Result<Replica, Missing> {
+    pub fn conclude(&self, reconnect_time_max: Duration) -> Result<Replica, Missing> {
         let mut runs = self.runs.values().map(|told| &told.run);
         let run = match (runs.next(), runs.next()) {
             (None, _) => return Err(Missing::Run),
@@ -206,7 +192,7 @@
         if !self.settled.contains(&run.host) {
             return Err(Missing::Confirmation);
         }
-        if self.known_for(domains) < reconnect_time_max {
+        if self.known_for < reconnect_time_max {
             return Err(Missing::History);
         }
         Ok(Replica {
