Need a long memory in each failure domain before a caller goes on from a replica

Cause: in a fleet of 25 hosts or more, hosts hear only of the runs in their failure domain. If all hosts of a caller's failure domain were lost or had started again, the only run known of its request could be an equal one of another caller that had just ended elsewhere, and its replica was handed over.

Change: of each failure domain that any asked host heard of lately, some host must have known all runs for long enough. Where its representatives do not answer within 50 ms or have forgotten, the two hosts that would follow them are asked. A host that has just started learns of the failure domains from those that it asks.

--- a/src/gateway/inquiry.rs
+++ b/src/gateway/inquiry.rs
@@ -2,18 +2,21 @@
 //! [`crate::relay::inquiry`] decides by the answers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::pin::pin;
+use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use compio::net::TcpStream;
-use futures_util::future::join_all;
+use futures_util::future::{Either, join, join_all, select};
 use serde::{Deserialize, Serialize};
 
 use super::Gateway;
 use crate::clock::Clock;
 use crate::http::client::{Connection, Exchange, post_json};
+use crate::peer::roster::REPRESENTATIVES;
 use crate::relay::inquiry::{Account, Inquiry};
 use crate::util::within;
 
@@ -24,6 +27,19 @@
 /// callers accept longer gaps.
 const ANSWERS_WAIT_MAX: Duration = Duration::from_millis(150);
 
+/// Time without a sufficient answer of a failure domain's representatives after which others there are asked.
+const REPRESENTATIVES_WAIT: Duration = Duration::from_millis(50);
+
+/// Maximum number of the hosts that report to this one that are asked.
+const REPORTERS_MAX: usize = 6;
+
+/// Maximum number of the hosts of another failure domain that are asked, its representatives included.
+pub const DOMAIN_HOSTS_MAX: usize = 4;
+
+/// Time after the last summary of a failure domain for which it is told to others that ask. Longer than callers
+/// wait between tries.
+const DOMAIN_LIFETIME: Duration = Duration::from_secs(30);
+
 /// Pause before a host is asked again that closed the connection, as its process may be ending, or whose run
 /// still goes on.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -37,18 +53,67 @@
 /// Pause of an inquiry that waits for others to end.
 const TURN_PAUSE: Duration = Duration::from_millis(5);
 
+/// The hosts to ask.
+#[derive(Clone, Debug, Default)]
+pub struct Scope {
+    // Hosts that together hear of all runs.
+    hosts: BTreeSet<SocketAddr>,
+    // Hosts of other failure domains that are asked if those of the domain in `hosts` are gone, or forgot runs.
+    substitutes: BTreeMap<CompactString, Vec<SocketAddr>>,
+}
+
+impl Scope {
+    /// Returns a scope of some of the hosts that report to this one. They are chosen at equal distances, as
+    /// hosts with neighbouring addresses often fail together.
+    pub fn of_reporters(reporters: &[SocketAddr]) -> Self {
+        let count = reporters.len().min(REPORTERS_MAX);
+        let chosen = (0..count).map(|index| reporters[index * reporters.len() / count]);
+        Self {
+            hosts: chosen.collect(),
+            substitutes: BTreeMap::new(),
+        }
+    }
+
+    /// Adds the failure domains whose hosts alone hear of the runs there. The representatives of each come
+    /// first.
+    pub fn add_domains(&mut self, domains: BTreeMap<CompactString, Vec<SocketAddr>>) {
+        for (domain, mut hosts) in domains {
+            let substitutes = hosts.split_off(hosts.len().min(REPRESENTATIVES));
+            self.hosts.extend(hosts);
+            self.substitutes.insert(domain, substitutes);
+        }
+    }
+}
+
 /// Whom to ask, and how many inquiries run.
 #[derive(Debug, Default)]
 pub struct Inquiries {
-    // Other hosts that together hear of all runs.
-    hosts: RefCell<BTreeSet<SocketAddr>>,
+    scope: RefCell<Scope>,
+    // When a summary of each other failure domain was last heard; empty in a small fleet.
+    domains_heard: RefCell<BTreeMap<CompactString, Instant>>,
     running: Cell<usize>,
 }
 
 impl Inquiries {
-    /// Sets the hosts to ask, which together hear of all runs.
-    pub fn set_hosts(&self, hosts: BTreeSet<SocketAddr>) {
-        self.hosts.replace(hosts);
+    /// Sets the hosts to ask.
+    pub fn set_scope(&self, scope: Scope) {
+        self.scope.replace(scope);
+    }
+
+    /// Records a new summary of another failure domain. Its hosts alone hear of the runs there.
+    pub fn record_domain(&self, domain: &CompactString, now: Instant) {
+        let mut domains = self.domains_heard.borrow_mut();
+        domains.retain(|_, at| now.duration_since(*at) < DOMAIN_LIFETIME);
+        domains.insert(domain.clone(), now);
+    }
+
+    /// Returns the failure domains with the time since each was heard of.
+    fn separate_domains(&self, now: Instant) -> BTreeMap<CompactString, Duration> {
+        let domains = self.domains_heard.borrow();
+        let ages = domains
+            .iter()
+            .map(|(domain, at)| (domain.clone(), now.duration_since(*at)));
+        ages.collect()
     }
 
     async fn begin(&self) -> Turn<'_> {
@@ -96,26 +161,32 @@
     let mut runs = local.runs_of(digest, own_address(gateway), now);
     runs.extend(remote.runs_of(digest, now));
     Account {
+        domain: gateway.settings.failure_domain.clone(),
+        separate_domains: gateway.inquiries.separate_domains(now),
         runs,
         known_for: remote.known_for(now),
     }
 }
 
 /// Asks the other hosts what they know of the runs of a request, and the hosts of these runs whether they go
-/// on. Ends after [`ANSWERS_WAIT_MAX`] with the answers that arrived.
-pub async fn ask<C: Clock>(gateway: &Gateway<C>, digest: u64) -> Inquiry {
+/// on. Ends after [`ANSWERS_WAIT_MAX`] with the answers that arrived. `reconnect_time_max` is the longest time
+/// since the end of the caller's run.
+pub async fn ask<C: Clock>(
+    gateway: &Gateway<C>,
+    digest: u64,
+    reconnect_time_max: Duration,
+) -> Inquiry {
     let own = own_address(gateway);
     let mut inquiry = Inquiry::default();
     inquiry.record(own, own_account(gateway, digest));
-    let mut hosts = inquiry.unsettled();
-    hosts.extend(gateway.inquiries.hosts.borrow().iter());
+    let scope = gateway.inquiries.scope.borrow().clone();
     let inquiry = RefCell::new(inquiry);
     let asking = async {
         let _turn = gateway.inquiries.begin().await;
-        join_all(hosts.iter().map(|host| ask_host(*host, digest, &inquiry))).await;
+        ask_scope(&scope, digest, reconnect_time_max, &inquiry).await;
         // Some runs may be known from these answers only.
         let hosts = inquiry.borrow().unsettled();
-        join_all(hosts.iter().map(|host| ask_host(*host, digest, &inquiry))).await;
+        ask_hosts(&hosts, digest, &inquiry).await;
         // A host may notice only now that the connection to its caller has ended.
         loop {
             let running_at = inquiry.borrow().only_run_host();
@@ -133,6 +204,38 @@
     inquiry.into_inner()
 }
 
+/// Asks the hosts of known runs and those of `scope`; substitutes for representatives only where these do not
+/// answer soon, or do not remember enough.
+async fn ask_scope(
+    scope: &Scope,
+    digest: u64,
+    reconnect_time_max: Duration,
+    inquiry: &RefCell<Inquiry>,
+) {
+    let mut hosts = inquiry.borrow().unsettled();
+    hosts.extend(&scope.hosts);
+    let ask_substitutes = async {
+        let unknown = inquiry.borrow().unknown_domains(reconnect_time_max);
+        let substitutes = unknown
+            .iter()
+            .filter_map(|domain| scope.substitutes.get(domain));
+        let hosts = substitutes.flatten().copied().collect();
+        ask_hosts(&hosts, digest, inquiry).await;
+    };
+    let first = pin!(ask_hosts(&hosts, digest, inquiry));
+    let wait = pin!(compio::time::sleep(REPRESENTATIVES_WAIT));
+    match select(first, wait).await {
+        Either::Left(_) => ask_substitutes.await,
+        Either::Right(((), first)) => {
+            join(first, ask_substitutes).await;
+        }
+    }
+}
+
+async fn ask_hosts(hosts: &BTreeSet<SocketAddr>, digest: u64, inquiry: &RefCell<Inquiry>) {
+    join_all(hosts.iter().map(|host| ask_host(*host, digest, inquiry))).await;
+}
+
 async fn ask_host(host: SocketAddr, digest: u64, inquiry: &RefCell<Inquiry>) {
     loop {
         match ask_once(host, digest).await {
