Ask further hosts of a failure domain until one remembers enough

Change: while no host of a failure domain has answered that remembers enough, seven further ones are asked, twice at most, each time once the hosts asked before have answered, or after 40 ms. So it is in a host's own failure domain.

--- a/src/gateway/inquiry.rs
+++ b/src/gateway/inquiry.rs
@@ -5,12 +5,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use compio::net::TcpStream;
-use futures_util::future::{Either, join, join_all, select};
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
 
 use super::Gateway;
@@ -27,14 +28,18 @@
 /// callers accept longer gaps.
 const ANSWERS_WAIT_MAX: Duration = Duration::from_millis(150);
 
-/// Time without a sufficient answer of a failure domain's representatives after which others there are asked.
-const REPRESENTATIVES_WAIT: Duration = Duration::from_millis(50);
+/// Longest wait for the hosts that were asked before more of a failure domain are asked.
+const ROUND_WAIT: Duration = Duration::from_millis(40);
 
-/// Maximum number of the hosts that report to this one that are asked.
+/// Number of hosts of a failure domain that are asked in each further round.
+const ROUND_HOSTS: usize = 7;
+
+/// Maximum number of the hosts that report to this one that are asked first.
 const REPORTERS_MAX: usize = 6;
 
-/// Maximum number of the hosts of another failure domain that are asked, its representatives included.
-pub const DOMAIN_HOSTS_MAX: usize = 4;
+/// Maximum number of the hosts of another failure domain that are asked: its representatives and two further
+/// rounds. Large parts of a fleet may be killed at once and start again without a memory.
+pub const DOMAIN_HOSTS_MAX: usize = REPRESENTATIVES + 2 * ROUND_HOSTS;
 
 /// Time after the last summary of a failure domain for which it is told to others that ask. Longer than callers
 /// wait between tries.
@@ -58,7 +63,8 @@
 pub struct Scope {
     // Hosts that together hear of all runs.
     hosts: BTreeSet<SocketAddr>,
-    // Hosts of other failure domains that are asked if those of the domain in `hosts` are gone, or forgot runs.
+    // Hosts of failure domains that are asked if those of the domain in `hosts` are gone, or forgot runs; none in
+    // a small fleet.
     substitutes: BTreeMap<CompactString, Vec<SocketAddr>>,
 }
 
@@ -74,8 +80,8 @@
         }
     }
 
-    /// Adds the failure domains whose hosts alone hear of the runs there. The representatives of each come
-    /// first.
+    /// Adds the other failure domains, whose hosts alone hear of the runs there. The representatives of each
+    /// come first.
     pub fn add_domains(&mut self, domains: BTreeMap<CompactString, Vec<SocketAddr>>) {
         for (domain, mut hosts) in domains {
             let substitutes = hosts.split_off(hosts.len().min(REPRESENTATIVES));
@@ -83,6 +89,21 @@
             self.substitutes.insert(domain, substitutes);
         }
     }
+
+    /// Adds the hosts that report to this one as substitutes for each other in their failure domain.
+    pub fn add_own_domain(&mut self, domain: CompactString, reporters: &[SocketAddr]) {
+        let others = reporters.iter().filter(|host| !self.hosts.contains(host));
+        self.substitutes.insert(domain, others.copied().collect());
+    }
+
+    /// Returns the hosts of these failure domains to ask in a further round.
+    fn substitutes(&self, domains: &BTreeSet<CompactString>, round: usize) -> Vec<SocketAddr> {
+        let domains = domains
+            .iter()
+            .filter_map(|domain| self.substitutes.get(domain));
+        let rounds = domains.filter_map(|hosts| hosts.chunks(ROUND_HOSTS).nth(round));
+        rounds.flatten().copied().collect()
+    }
 }
 
 /// Whom to ask, and how many inquiries run.
@@ -186,7 +207,7 @@
         ask_scope(&scope, digest, reconnect_time_max, &inquiry).await;
         // Some runs may be known from these answers only.
         let hosts = inquiry.borrow().unsettled();
-        ask_hosts(&hosts, digest, &inquiry).await;
+        join_all(hosts.iter().map(|host| ask_host(*host, digest, &inquiry))).await;
         // A host may notice only now that the connection to its caller has ended.
         loop {
             let running_at = inquiry.borrow().only_run_host();
@@ -204,8 +225,8 @@
     inquiry.into_inner()
 }
 
-/// Asks the hosts of known runs and those of `scope`; substitutes for representatives only where these do not
-/// answer soon, or do not remember enough.
+/// Asks the hosts of known runs and those of `scope`; substitutes only in failure domains of which no host has
+/// answered so far that remembers enough.
 async fn ask_scope(
     scope: &Scope,
     digest: u64,
@@ -214,26 +235,24 @@
 ) {
     let mut hosts = inquiry.borrow().unsettled();
     hosts.extend(&scope.hosts);
-    let ask_substitutes = async {
+    let questions = hosts
+        .into_iter()
+        .map(|host| ask_host(host, digest, inquiry));
+    let mut questions: FuturesUnordered<_> = questions.collect();
+    for round in 0.. {
+        let answers = async { while questions.next().await.is_some() {} };
+        within(ROUND_WAIT, answers).await;
         let unknown = inquiry.borrow().unknown_domains(reconnect_time_max);
-        let substitutes = unknown
-            .iter()
-            .filter_map(|domain| scope.substitutes.get(domain));
-        let hosts = substitutes.flatten().copied().collect();
-        ask_hosts(&hosts, digest, inquiry).await;
-    };
-    let first = pin!(ask_hosts(&hosts, digest, inquiry));
-    let wait = pin!(compio::time::sleep(REPRESENTATIVES_WAIT));
-    match select(first, wait).await {
-        Either::Left(_) => ask_substitutes.await,
-        Either::Right(((), first)) => {
-            join(first, ask_substitutes).await;
+        let substitutes = scope.substitutes(&unknown, round);
+        if substitutes.is_empty() {
+            break;
         }
+        let further = substitutes
+            .into_iter()
+            .map(|host| ask_host(host, digest, inquiry));
+        questions.extend(further);
     }
-}
-
-async fn ask_hosts(hosts: &BTreeSet<SocketAddr>, digest: u64, inquiry: &RefCell<Inquiry>) {
-    join_all(hosts.iter().map(|host| ask_host(*host, digest, inquiry))).await;
+    while questions.next().await.is_some() {}
 }
 
 async fn ask_host(host: SocketAddr, digest: u64, inquiry: &RefCell<Inquiry>) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -370,8 +370,11 @@
             .flat_map(|hosts| hosts.iter().take(REPRESENTATIVES));
         hosts.extend(representatives);
         self.gateway.reach.set_hosts(hosts);
-        let mut scope = Scope::of_reporters(&self.roster.live_reporters(now));
+        let reporters = self.roster.live_reporters(now);
+        let mut scope = Scope::of_reporters(&reporters);
         if self.roster.has_indirect_hosts() {
+            let own_domain = self.gateway.settings.failure_domain.clone();
+            scope.add_own_domain(own_domain, &reporters);
             scope.add_domains(other_domains);
         }
         self.gateway.inquiries.set_scope(scope);
