--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -6,9 +6,8 @@
 use super::replica::Replica;
 use super::request::AdmittedRequest;
 use crate::clock::Clock;
-use crate::relay;
 use crate::relay::handover::LocalStream;
-use crate::relay::inquiry::{Missing, reconnect_time_max};
+use crate::relay::inquiry::{Inquiry, Missing, reconnect_time_max};
 
 /// Finds the replica of a stream that another host relayed before, if the caller continues one.
 /// Returns `None` if the stream begins here.
@@ -24,15 +23,13 @@
         return Ok(None);
     };
     let began = gateway.clock.now();
-    let reconnect_time_max = reconnect_time_max(admitted.route.timeout);
-    let inquiry = inquiry::ask(gateway, admitted.digest, reconnect_time_max).await;
-    let conclusion = inquiry.conclude(reconnect_time_max);
-    let result = conclusion.and_then(|replica| use_replica(gateway, admitted, replica));
+    let inquiry = inquiry::ask(gateway, admitted.digest).await;
+    let result = find_replica(gateway, admitted, &inquiry);
     let outcome = result.as_ref().err().map_or("found", |err| err.as_str());
     gateway.metrics.count_decision("handover", outcome);
     let answers = format!(
         "known_ms={} asked_ms={}",
-        inquiry.known_for(reconnect_time_max).as_millis(),
+        inquiry.known_for().as_millis(),
         gateway.clock.now().duration_since(began).as_millis(),
     );
     match &result {
@@ -54,12 +51,14 @@
     result.map(Some)
 }
 
-/// Returns the replica at the engine that holds it, and records its use.
-fn use_replica<C: Clock>(
+/// Returns the replica of the only known run of the request. Where it is not certain that this is the run of
+/// the caller, the prompt is prefilled again.
+fn find_replica<C: Clock>(
     gateway: &Gateway<C>,
     admitted: &AdmittedRequest,
-    replica: relay::inquiry::Replica,
+    inquiry: &Inquiry,
 ) -> Result<Replica, Missing> {
+    let replica = inquiry.conclude(reconnect_time_max(admitted.route.timeout))?;
     let engine = gateway.registry.borrow().by_hash(replica.engine);
     let engine = engine.ok_or(Missing::Replica)?;
     let mut remote = gateway.remote_streams.borrow_mut();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,7 +19,6 @@
 use super::crash;
 use super::feed::{self, Query, Update};
 use super::follow::Duty;
-use super::inquiry::{self, Scope};
 use super::protocol::Directory;
 use super::watch;
 use crate::clock::Clock;
@@ -43,8 +42,8 @@
 /// Period of the loop that handles received reports and sends due ones.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Time between two ticks that shows that the process was paused. Datagrams that arrived meanwhile may have
-/// found the buffer of the socket full.
+/// A wait for the next tick that takes this long shows that the process was paused. Datagrams that arrived
+/// meanwhile may have found the buffer of the socket full.
 const PAUSE_MIN: Duration = Duration::from_secs(1);
 
 /// Recipients for which a host may report a change in every tick. With more recipients it waits for
@@ -57,6 +56,9 @@
 /// Maximum number of streams in one report, which keeps it below [`report::BYTES_MAX`].
 const REPORT_STREAMS_MAX: usize = 64;
 
+/// Maximum number of the hosts that report to this one that are asked about a run.
+const ASKED_REPORTERS_MAX: usize = 6;
+
 /// Name of the duty to write the states of roll-outs.
 const WRITER_DUTY: &str = "rollouts";
 
@@ -99,10 +101,10 @@
         summarized_evidence: 0,
         has_urgent_summary: false,
     };
-    let mut received_at = peers.gateway.clock.now();
     while !stop.is_set() {
+        let began = peers.gateway.clock.now();
         within(TICK, stop.wait()).await;
-        received_at = peers.record_pause(received_at);
+        peers.record_pause(began);
         while let Ok((from, report)) = reports.try_recv() {
             peers.handle_report(from, report);
         }
@@ -186,14 +188,12 @@
 }
 
 impl<C: Clock, D: Directory> Peers<C, D> {
-    /// Records that reports may have been missed if this process was paused since it last handled some, at
-    /// `received_at`. Returns the current time.
-    fn record_pause(&self, received_at: Instant) -> Instant {
+    /// Records that reports may have been missed if this process was paused since `began`.
+    fn record_pause(&self, began: Instant) {
         let now = self.gateway.clock.now();
-        if now.duration_since(received_at) >= PAUSE_MIN {
+        if now.duration_since(began) >= PAUSE_MIN {
             self.gateway.remote_streams.borrow_mut().record_gap(now);
         }
-        now
     }
 
     fn handle_report(&mut self, from: SocketAddr, report: Report) {
@@ -300,7 +300,6 @@
         if known.is_some_and(|(known, _)| known.number >= summary.number) {
             return;
         }
-        self.gateway.inquiries.record_domain(&summary.domain, now);
         let source = Source::Domain(summary.domain.clone());
         let mut registry = self.gateway.registry.borrow_mut();
         registry.record_sightings(&summary.sightings, false);
@@ -363,21 +362,21 @@
         let representatives = self.roster.representatives_to_follow(is_leaving, now);
         self.gateway.role.set(duty, is_followed, representatives);
         self.update_writer_rank(is_leaving, now);
-        let other_domains = self.roster.other_domains(inquiry::DOMAIN_HOSTS_MAX);
         let mut hosts = self.roster.live_in_own_domain(now);
-        let representatives = other_domains
-            .values()
-            .flat_map(|hosts| hosts.iter().take(REPRESENTATIVES));
-        hosts.extend(representatives);
+        hosts.extend(self.roster.other_representatives());
         self.gateway.reach.set_hosts(hosts);
-        let reporters = self.roster.live_reporters(now);
-        let mut scope = Scope::of_reporters(&reporters);
+        self.update_asked_hosts(now);
+    }
+
+    /// Chooses the hosts that are asked about runs. In a large fleet each host of a failure domain hears of all
+    /// runs there, so some of them are enough, and the representatives of the others.
+    fn update_asked_hosts(&self, now: Instant) {
+        let reporters = self.roster.live_reporters(now).into_iter();
+        let mut hosts: BTreeSet<_> = reporters.take(ASKED_REPORTERS_MAX).collect();
         if self.roster.has_indirect_hosts() {
-            let own_domain = self.gateway.settings.failure_domain.clone();
-            scope.add_own_domain(own_domain, &reporters);
-            scope.add_domains(other_domains);
+            hosts.extend(self.roster.other_representatives());
         }
-        self.gateway.inquiries.set_scope(scope);
+        self.gateway.inquiries.set_hosts(hosts);
     }
 
     /// Ranks the hosts that may write the states of roll-outs, which are the first representatives.
--- a/src/peer/roster.rs
+++ b/src/peer/roster.rs
@@ -214,29 +214,12 @@
             .filter(|(_, host)| !host.is_leaving);
         let others = others.map(|(address, host)| (host.name.as_str(), *address));
         let own = (!is_leaving).then_some((own_name.as_str(), self.own_address));
-        let hosts = others.chain(own).collect();
-        rank(&self.domain, hosts, REPRESENTATIVES)
+        choose_representatives(&self.domain, others.chain(own).collect())
     }
 
     /// Returns the representatives of all other failure domains, chosen from the known hosts.
     pub fn other_representatives(&self) -> Vec<SocketAddr> {
-        let domains = self.other_domains(REPRESENTATIVES).into_values();
-        domains.flatten().collect()
-    }
-
-    /// Returns known hosts of all other failure domains, at most `limit` of each: its representatives first,
-    /// then those that would follow them.
-    pub fn other_domains(&self, limit: usize) -> BTreeMap<CompactString, Vec<SocketAddr>> {
-        let mut domains: BTreeMap<&str, BTreeMap<&str, SocketAddr>> = BTreeMap::new();
-        for (address, host) in &self.hosts {
-            if host.domain != self.domain && !host.is_leaving {
-                let domain = domains.entry(&host.domain).or_default();
-                domain.insert(&host.name, *address);
-            }
-        }
-        let domains = domains.into_iter();
-        let ranked = domains.map(|(domain, hosts)| (domain.into(), rank(domain, hosts, limit)));
-        ranked.collect()
+        self.representatives_by_domain().flatten().collect()
     }
 
     /// Returns the representatives that a host may follow: the first ones of all failure domains,
@@ -244,7 +227,7 @@
     pub fn representatives_to_follow(&self, is_leaving: bool, now: Instant) -> Vec<SocketAddr> {
         let own = self.own_representatives(is_leaving, now);
         let domains: Vec<_> = std::iter::once(own)
-            .chain(self.other_domains(REPRESENTATIVES).into_values())
+            .chain(self.representatives_by_domain())
             .collect();
         let ranks = (0..REPRESENTATIVES).flat_map(|rank| {
             let domains = domains.iter();
@@ -257,6 +240,18 @@
             .collect()
     }
 
+    fn representatives_by_domain(&self) -> impl Iterator<Item = Vec<SocketAddr>> {
+        let mut domains: BTreeMap<&str, BTreeMap<&str, SocketAddr>> = BTreeMap::new();
+        for (address, host) in &self.hosts {
+            if host.domain != self.domain && !host.is_leaving {
+                let domain = domains.entry(&host.domain).or_default();
+                domain.insert(&host.name, *address);
+            }
+        }
+        let domains = domains.into_iter();
+        domains.map(|(domain, hosts)| choose_representatives(domain, hosts))
+    }
+
     /// Returns the seeds to query now, which are those that do not report; empty until the next
     /// query is due.
     pub fn seeds_to_query(&mut self, now: Instant) -> Vec<SocketAddr> {
@@ -277,9 +272,8 @@
     }
 }
 
-/// Returns the first `limit` hosts of a failure domain in the order of rendezvous hashing.
-fn rank(domain: &str, hosts: BTreeMap<&str, SocketAddr>, limit: usize) -> Vec<SocketAddr> {
+fn choose_representatives(domain: &str, hosts: BTreeMap<&str, SocketAddr>) -> Vec<SocketAddr> {
     let ranked = rendezvous::ranked(domain, hosts.keys().copied());
-    let first = ranked.into_iter().take(limit);
-    first.map(|name| hosts[name]).collect()
+    let chosen = ranked.into_iter().take(REPRESENTATIVES);
+    chosen.map(|name| hosts[name]).collect()
 }
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -31,10 +31,6 @@
 /// still reconnect then, and must not get the replica of an equal request that began later.
 const RUN_LIFETIME: Duration = Duration::from_secs(30);
 
-/// Time from a host's first report until all others have reported to it: they learn of a host that starts
-/// one after another, and each reports twice a second or more often.
-const FIRST_REPORTS_TIME: Duration = Duration::from_secs(1);
-
 /// A running stream that another host may resume.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Stream {
@@ -194,7 +190,7 @@
 pub struct RemoteStreams {
     // Runs by the digest of the request. Invariant: the runs of a digest have different ids.
     by_digest: BTreeMap<u64, Vec<RemoteRun>>,
-    // From when on all reported runs are known, which may be in the future; `None` before the first report.
+    // Since when all reported runs are known; `None` before the first report.
     complete_since: Option<Instant>,
 }
 
@@ -205,7 +201,7 @@
             runs.retain(|run| now.duration_since(run.reported_at) < RUN_LIFETIME);
             !runs.is_empty()
         });
-        self.complete_since.get_or_insert(now + FIRST_REPORTS_TIME);
+        self.complete_since.get_or_insert(now);
         for stream in streams {
             let runs = self.by_digest.entry(stream.digest).or_default();
             runs.retain(|known| known.run != stream.run);
@@ -220,7 +216,7 @@
 
     /// Records that this host may have missed reports until `now`.
     pub fn record_gap(&mut self, now: Instant) {
-        self.complete_since = self.complete_since.map(|_| now + FIRST_REPORTS_TIME);
+        self.complete_since = self.complete_since.map(|_| now);
     }
 
     /// Returns the number of runs that are known.
@@ -236,7 +232,7 @@
     /// Returns for how long all reported runs have been known.
     pub fn known_for(&self, now: Instant) -> Duration {
         let since = self.complete_since;
-        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        since.map_or(Duration::ZERO, |since| now.duration_since(since))
     }
 
     /// Returns the runs of requests with this digest.
--- a/src/relay/inquiry.rs
+++ b/src/relay/inquiry.rs
@@ -3,9 +3,6 @@
 //! The caller's request tells which runs may be its own: those of equal requests. A replica is used only
 //! if a single such run is known to any host, that run no longer goes on at its host, and the hosts
 //! have known all runs for longer than callers wait. Otherwise the run may be that of another caller.
-//!
-//! In a small fleet each host hears of all runs, so that one long memory is enough. In a large one a host
-//! hears only of those in its failure domain, so that one is needed in each.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -48,15 +45,9 @@
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Account {
-    /// Failure domain of the host.
-    pub domain: CompactString,
-    /// Other failure domains whose hosts alone hear of the runs there, with the time since this host last heard
-    /// of each; none in a small fleet.
-    #[serde_as(as = "BTreeMap<_, DurationMilliSeconds<u64>>")]
-    pub separate_domains: BTreeMap<CompactString, Duration>,
     /// Its own runs and those of other hosts.
     pub runs: Vec<KnownRun>,
-    /// For how long the host has known all runs that other hosts reported to it.
+    /// For how long the host has known all runs that other hosts reported.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub known_for: Duration,
 }
@@ -134,17 +125,14 @@
     runs: BTreeMap<CompactString, Told>,
     // Hosts that told their own runs, or whose process is gone.
     settled: BTreeSet<SocketAddr>,
-    // The time since any host heard of each failure domain whose hosts alone hear of the runs there.
-    separate_domains: BTreeMap<CompactString, Duration>,
-    // For how long the host with the longest memory in each failure domain has known all runs reported to it.
-    known_for: BTreeMap<CompactString, Duration>,
+    known_for: Duration,
 }
 
 impl Inquiry {
     /// Adds what `host` told.
     pub fn record(&mut self, host: SocketAddr, account: Account) {
         self.settled.insert(host);
-        self.record_domains(&account);
+        self.known_for = self.known_for.max(account.known_for);
         for run in account.runs {
             let id = run.run.clone();
             let is_by_own_host = run.host == host;
@@ -159,20 +147,6 @@
         }
     }
 
-    fn record_domains(&mut self, account: &Account) {
-        let known_for = self.known_for.entry(account.domain.clone()).or_default();
-        *known_for = account.known_for.max(*known_for);
-        let own =
-            (!account.separate_domains.is_empty()).then_some((&account.domain, &Duration::ZERO));
-        for (domain, silence) in account.separate_domains.iter().chain(own) {
-            let known = self
-                .separate_domains
-                .entry(domain.clone())
-                .or_insert(*silence);
-            *known = (*known).min(*silence);
-        }
-    }
-
     /// Records that the process of `host` is gone, and its runs with it.
     pub fn record_gone(&mut self, host: SocketAddr) {
         self.settled.insert(host);
@@ -193,32 +167,9 @@
         }
     }
 
-    /// Returns for how long all runs of the last `reconnect_time_max` have been known to some host.
-    pub fn known_for(&self, reconnect_time_max: Duration) -> Duration {
-        let domains = self.needed_domains(reconnect_time_max);
-        let least = domains.map(|domain| self.known_for_in(domain)).min();
-        least
-            .or_else(|| self.known_for.values().max().copied())
-            .unwrap_or_default()
-    }
-
-    /// Returns the failure domains of which no host that was asked has known all runs for long enough.
-    pub fn unknown_domains(&self, reconnect_time_max: Duration) -> BTreeSet<CompactString> {
-        let domains = self.needed_domains(reconnect_time_max);
-        let unknown = domains.filter(|domain| self.known_for_in(domain) < reconnect_time_max);
-        unknown.cloned().collect()
-    }
-
-    /// Returns the failure domains that have runs of which only their own hosts hear. The callers of one
-    /// that was lost longer ago have come back, or no longer do.
-    fn needed_domains(&self, reconnect_time_max: Duration) -> impl Iterator<Item = &CompactString> {
-        let domains = self.separate_domains.iter();
-        let needed = domains.filter(move |(_, silence)| **silence < reconnect_time_max);
-        needed.map(|(domain, _)| domain)
-    }
-
-    fn known_for_in(&self, domain: &str) -> Duration {
-        self.known_for.get(domain).copied().unwrap_or_default()
+    /// Returns for how long the host with the longest memory has known all reported runs.
+    pub fn known_for(&self) -> Duration {
+        self.known_for
     }
 
     /// Returns the replica of the run that the caller goes on with. `reconnect_time_max` is the longest time
@@ -241,7 +192,7 @@
         if !self.settled.contains(&run.host) {
             return Err(Missing::Confirmation);
         }
-        if self.known_for(reconnect_time_max) < reconnect_time_max {
+        if self.known_for < reconnect_time_max {
             return Err(Missing::History);
         }
         Ok(Replica {
